--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"os"
 
-	"sanddrum/logic"
-	"sanddrum/wire"
+	"lichenshelf/logic"
+	"lichenshelf/wire"
 )
 
 func main() {
--- a/logic/example_test.go
+++ b/logic/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"sanddrum/logic"
+	"lichenshelf/logic"
 )
 
 func Example() {
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -9,7 +9,7 @@
 	"math"
 	"time"
 
-	"sanddrum/logic"
+	"lichenshelf/logic"
 )
 
 // Event codes of the wire.
--- a/wire/host.go
+++ b/wire/host.go
@@ -7,7 +7,7 @@
 	"io"
 	"time"
 
-	"sanddrum/logic"
+	"lichenshelf/logic"
 )
 
 // instance is one gateway hosted here; instances share nothing.
--- a/wire/settings.go
+++ b/wire/settings.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"sanddrum/logic"
+	"lichenshelf/logic"
 )
 
 // column is the meaning of one value of a load report.
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"sanddrum/logic"
+	"lichenshelf/logic"
 )
 
 const settingsText = `balancers=2
