--- /dev/null
+++ b/downstream/server.go
@@ -0,0 +1,222 @@
+package downstream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
+	"lichenshelf/logic"
+	"lichenshelf/router"
+)
+
+// MaxBody bounds a request's body.
+const MaxBody = 256 << 10
+
+const (
+	headBuffer  = 16 << 10
+	bodyWait    = 30 * time.Second // for the rest of a request that has begun to come
+	writeWait   = 10 * time.Second // for a client that does not take its answer
+	idleWait    = 10 * time.Minute // for a client's next request
+	lingerAfter = 500 * time.Millisecond
+	quietFor    = 300 * time.Millisecond
+	lookEvery   = 20 * time.Millisecond
+)
+
+// Config is what a Server is made of.
+type Config struct {
+	Core     *router.Core
+	Handler  func(*Call) // answers each call, once
+	Problem  func(ctx *fasthttp.RequestCtx, status int, text string)
+	MaxConns int
+	Counters router.Counters
+	Log      *logrus.Logger
+}
+
+// Server is a front's client side.
+type Server struct {
+	cfg      Config
+	http     *fasthttp.Server
+	listener *listener
+	stopping atomic.Bool
+	busy     atomic.Int64 // calls in hand
+	lastCall atomic.Int64 // when the latest came, in Unix nanoseconds
+}
+
+// NewServer returns a server for the listener.
+func NewServer(l net.Listener, cfg Config) *Server {
+	s := &Server{cfg: cfg, listener: &listener{Listener: l, conns: map[*conn]bool{}}}
+	s.http = &fasthttp.Server{
+		Handler:                       s.handle,
+		ErrorHandler:                  s.unreadable,
+		Concurrency:                   cfg.MaxConns,
+		ReadBufferSize:                headBuffer,
+		MaxRequestBodySize:            MaxBody,
+		ReadTimeout:                   bodyWait,
+		IdleTimeout:                   idleWait,
+		NoDefaultServerHeader:         true,
+		NoDefaultDate:                 true,
+		DisablePreParseMultipartForm:  true,
+		DisableHeaderNamesNormalizing: false,
+		SecureErrorLogMessage:         true,
+		Logger:                        quiet{},
+	}
+	return s
+}
+
+// quiet drops the server's own log: clients that go away are no news.
+type quiet struct{}
+
+func (quiet) Printf(string, ...any) {}
+
+// Serve serves until Stop has closed the listener.
+func (s *Server) Serve() error {
+	if err := s.http.Serve(s.listener); err != nil && !s.stopping.Load() {
+		return fmt.Errorf("serve clients: %w", err)
+	}
+	return nil
+}
+
+// Stop ends the server in good order: it goes on accepting and serving for a
+// while, since connections and requests are still on their way, then closes idle
+// connections, and the listener once nothing has come for a moment.
+func (s *Server) Stop(ctx context.Context) error {
+	s.stopping.Store(true)
+	select {
+	case <-time.After(lingerAfter):
+	case <-ctx.Done():
+	}
+	tick := time.NewTicker(lookEvery)
+	defer tick.Stop()
+	for {
+		s.listener.closeIdle()
+		since := time.Since(time.Unix(0, s.lastCall.Load()))
+		if s.busy.Load() == 0 && s.listener.count() == 0 && since > quietFor {
+			break
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return fmt.Errorf("stop with %d calls in hand: %w", s.busy.Load(), ctx.Err())
+		}
+	}
+	if err := s.listener.Close(); err != nil {
+		return fmt.Errorf("close listener: %w", err)
+	}
+	return nil
+}
+
+// Stopping tells whether Stop has been called.
+func (s *Server) Stopping() bool { return s.stopping.Load() }
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	s.busy.Add(1)
+	s.lastCall.Store(time.Now().UnixNano())
+	defer s.busy.Add(-1)
+	c := ctx.Conn().(*conn)
+	call := &Call{RequestCtx: ctx, server: s, conn: c, Received: time.Unix(0, c.lastRead.Load())}
+	s.cfg.Handler(call)
+	if s.stopping.Load() {
+		ctx.Response.SetConnectionClose()
+	}
+	c.idle.Store(true)
+}
+
+// unreadable answers what is no request that can be served.
+func (s *Server) unreadable(ctx *fasthttp.RequestCtx, err error) {
+	status := fasthttp.StatusBadRequest
+	var small *fasthttp.ErrSmallBuffer
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		status = fasthttp.StatusRequestEntityTooLarge
+	case errors.As(err, &small):
+		status = fasthttp.StatusRequestHeaderFieldsTooLarge
+	}
+	s.cfg.Problem(ctx, status, "the request can't be read")
+	ctx.Response.SetConnectionClose()
+}
+
+// Call is one call of a client.
+type Call struct {
+	*fasthttp.RequestCtx
+	Received time.Time // when its last byte came
+	server   *Server
+	conn     *conn
+}
+
+// Problem answers with a status and a text.
+func (c *Call) Problem(status int, text string) {
+	c.server.cfg.Counters.Add("calls_answered_"+strconv.Itoa(status), 1)
+	c.server.cfg.Problem(c.RequestCtx, status, text)
+}
+
+// Allow tells whether the call has the method; if not, it answers so.
+func (c *Call) Allow(method string) bool {
+	if string(c.Method()) == method {
+		return true
+	}
+	c.Response.Header.Set(fasthttp.HeaderAllow, method)
+	c.Problem(fasthttp.StatusMethodNotAllowed, method+" only")
+	return false
+}
+
+// Answer is how a routed request ended: Body is set if it is being answered.
+type Answer struct {
+	Body       io.ReadCloser
+	Refused    bool
+	RetryAfter time.Duration
+	Last       logic.Status // of the attempts of one that failed
+	Left       bool         // the client has gone
+}
+
+// Route hands the call's request to the core and waits for its answer.
+func (c *Call) Route(r *router.Request) Answer {
+	w := &waiter{answers: make(chan Answer, 2)}
+	ticket := c.server.cfg.Core.Submit(r, w)
+	c.conn.watch(func() {
+		ticket.Leave()
+		w.answers <- Answer{Left: true}
+	})
+	return <-w.answers
+}
+
+// waiter implements router.Client. Its channel holds the answer and the leaving.
+type waiter struct{ answers chan Answer }
+
+func (w *waiter) Stream(body io.ReadCloser)  { w.answers <- Answer{Body: body} }
+func (w *waiter) Refuse(after time.Duration) { w.answers <- Answer{Refused: true, RetryAfter: after} }
+func (w *waiter) Fail(last logic.Status)     { w.answers <- Answer{Last: last} }
+
+// Stream sends the body as it comes. Its end in any way but io.EOF closes the
+// connection without the last chunk.
+func (c *Call) Stream(contentType string, body io.ReadCloser) {
+	c.SetContentType(contentType)
+	_ = c.conn.SetWriteDeadline(time.Time{})
+	c.Response.SetBodyStream(&timed{ReadCloser: body, conn: c.conn}, -1)
+}
+
+// timed gives every event its own time to be taken, not the answer as a whole.
+type timed struct {
+	io.ReadCloser
+	conn *conn
+}
+
+func (t *timed) Read(p []byte) (int, error) {
+	n, err := t.ReadCloser.Read(p)
+	_ = t.conn.SetWriteDeadline(time.Now().Add(writeWait))
+	return n, err
+}
+
+// SetRetryAfter tells the client when to come back, in seconds.
+func (c *Call) SetRetryAfter(after time.Duration) {
+	if after > 0 {
+		c.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	}
+}
--- /dev/null
+++ b/metrics/metrics.go
@@ -0,0 +1,46 @@
+// Package metrics counts what the router does.
+package metrics
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"sync"
+)
+
+// Set is a set of named counters. The zero value is ready; it may be shared.
+type Set struct {
+	mu sync.Mutex
+	n  map[string]int64
+}
+
+// Add adds n to the named counter.
+func (s *Set) Add(name string, n int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.n == nil {
+		s.n = map[string]int64{}
+	}
+	s.n[name] += n
+}
+
+// Get returns the named counter.
+func (s *Set) Get(name string) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.n[name]
+}
+
+// Print writes all counters, a line each, in order of their names.
+func (s *Set) Print(w io.Writer) error {
+	s.mu.Lock()
+	n := maps.Clone(s.n)
+	s.mu.Unlock()
+	for _, name := range slices.Sorted(maps.Keys(n)) {
+		if _, err := fmt.Fprintf(w, "%s %d\n", name, n[name]); err != nil {
+			return fmt.Errorf("print counters: %w", err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/router/api.go
@@ -0,0 +1,78 @@
+// Package router carries requests to workers as package logic decides. It knows
+// requests, attempts, outcomes and members; it knows no HTTP and no address
+// family. What stands before it is a front, what stands behind it a Transport.
+//
+// One goroutine owns the decider and the state of every request. Everything
+// else posts to it and does what it hands out.
+package router
+
+import (
+	"io"
+	"time"
+
+	"lichenshelf/logic"
+)
+
+// Request is one client request as a front hands it in.
+type Request struct {
+	logic.Request           // what the decisions look at; Patience runs from Received
+	Name          string    // the client's id of the request, the same at every party
+	Received      time.Time // when its last byte came
+	Payload       any       // the front's message, for the transport alone
+}
+
+// Client waits for the answer to one request. The core calls exactly one of
+// these methods, once, and not at all after Leave. They must not block.
+type Client interface {
+	// Stream gives the answer: all of it up to io.EOF. Any other error means
+	// that it broke off, and the client must be able to see that.
+	Stream(answer io.ReadCloser)
+	// Refuse says that trying again, after the given time, is harmless.
+	Refuse(after time.Duration)
+	// Fail says that the request was given up; last is how its last attempt ended.
+	Fail(last logic.Status)
+}
+
+// Attempt is one sending of a request to one worker.
+type Attempt struct {
+	Request *Request
+	Worker  *Worker
+	Wait    time.Duration // how long the core will wait for the answer to begin
+}
+
+// Answer is a worker's answer that has begun.
+type Answer interface {
+	io.ReadCloser
+	// Kept is the number of prompt tokens found kept, known after io.EOF.
+	Kept() uint32
+}
+
+// Outcome is how an attempt ended.
+type Outcome struct {
+	Status logic.Status
+	Kept   uint32
+}
+
+// Sink takes what becomes of an attempt: Started or Ended, once. Any goroutine
+// may call it.
+type Sink interface {
+	// Started hands over an answer whose first bytes are there.
+	Started(Answer)
+	Ended(Outcome)
+}
+
+// Transport speaks with workers. Its methods return at once.
+type Transport interface {
+	// Send starts an attempt. The returned function gives it up, at any time.
+	Send(Attempt, Sink) (giveUp func())
+	// Release asks the given workers, one after the other until one took it, to
+	// let go of all that is held for the named request.
+	Release(name string, workers []*Worker)
+	// Forget drops what is kept of a worker that has left or restarted.
+	Forget(*Worker)
+}
+
+// Counters is told what the core does. Its methods may be called from any goroutine.
+type Counters interface {
+	Add(name string, n int64)
+}
--- /dev/null
+++ b/router/book.go
@@ -0,0 +1,96 @@
+package router
+
+import (
+	"time"
+
+	"lichenshelf/logic"
+)
+
+// crossing is how long a read that was cut off may still end well at its worker.
+// What it left behind by then is let go of a second time.
+const crossing = 60 * time.Millisecond
+
+// book closes requests: one final answer each, and nothing left held.
+type book struct {
+	core      *Core
+	transport Transport
+	count     Counters
+}
+
+func (b *book) refuse(ex *exchange, after time.Duration) {
+	if ex.closed {
+		return
+	}
+	b.count.Add("answers_refused", 1)
+	ex.client.Refuse(after)
+	b.close(ex)
+}
+
+func (b *book) fail(ex *exchange) {
+	if ex.closed {
+		return
+	}
+	b.count.Add("answers_failed", 1)
+	ex.client.Fail(ex.last)
+	b.close(ex)
+}
+
+// duplicate ends a request whose name is in hand already.
+func (b *book) duplicate(ex *exchange) {
+	b.count.Add("requests_duplicate", 1)
+	ex.closed = true
+	ex.client.Fail(logic.NotSent)
+}
+
+// answered notes how an answer that had begun has ended.
+func (b *book) answered(s logic.Status) {
+	switch s {
+	case logic.Served:
+		b.count.Add("answers_served", 1)
+	case logic.Cancelled:
+		b.count.Add("answers_left", 1)
+	default:
+		b.count.Add("answers_broken", 1)
+	}
+}
+
+// left takes a client's going away: what is out for it is given up.
+func (b *book) left(ex *exchange) {
+	if b.core.admission.exchanges[ex.ID] != ex {
+		return
+	}
+	if !ex.closed {
+		b.count.Add("clients_left", 1)
+		b.core.routing.push(logic.Event{Kind: logic.ClientLeft, ID: ex.ID})
+	}
+	ex.closed = true
+	if a := ex.attempt; a != nil {
+		b.core.sender.end(a, Outcome{Status: logic.Cancelled})
+	}
+	b.core.admission.forget(ex)
+}
+
+func (b *book) close(ex *exchange) {
+	ex.closed = true
+	b.core.admission.forget(ex)
+}
+
+// release lets go of what is held for a request. A DELETE can overtake the end
+// of a read that was cut off, so in that case a second one follows, unless the
+// request is being read elsewhere by then, whose state it would take away.
+func (b *book) release(ex *exchange) {
+	b.count.Add("releases", 1)
+	b.transport.Release(ex.Name, b.core.roster.running())
+	if !ex.unsure {
+		return
+	}
+	ex.unsure = false
+	sends := ex.sends
+	time.AfterFunc(crossing, func() {
+		b.core.post(func() {
+			if ex.sends == sends && !ex.answered {
+				b.transport.Release(ex.Name, b.core.roster.running())
+			}
+		})
+	})
+}
--- /dev/null
+++ b/router/core.go
@@ -0,0 +1,119 @@
+package router
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"lichenshelf/logic"
+)
+
+// mailboxSize bounds what waits for the core; who posts to a full one waits.
+const mailboxSize = 1024
+
+// settleFor covers a release and the second one that may follow it.
+const settleFor = 2 * crossing
+
+// Config is what a core is made of.
+type Config struct {
+	Decider   logic.Decider
+	Transport Transport
+	Counters  Counters
+	// MaxAttempts bounds the attempts of one request; 0 means no bound.
+	MaxAttempts int
+	// MaxOpen bounds the requests in hand; more are refused at the door.
+	MaxOpen int
+	// Log takes what the decisions have to say; it may be nil.
+	Log func(string)
+}
+
+// Core is the router proper. Its chain is: intake, admission, routing, sender,
+// relay, book.
+type Core struct {
+	mail    chan func()
+	stopped chan struct{}
+	open    atomic.Int64 // requests in hand, and those whose last attempt is still out
+	roster  roster
+
+	intake    intake
+	admission admission
+	routing   routing
+	sender    sender
+	relay     relay
+	book      book
+}
+
+// exchange is one request in hand and all that the core keeps of it. Only the
+// core's goroutine touches it.
+type exchange struct {
+	*Request
+	client   Client
+	attempt  *attempt // the one that is out
+	sends    int
+	last     logic.Status
+	closed   bool // it has its final answer, or the client has gone
+	answered bool // an answer has begun
+	unsure   bool // a read was cut off: the worker may hold its state all the same
+}
+
+// New returns a core; Run starts it.
+func New(cfg Config) *Core {
+	c := &Core{mail: make(chan func(), mailboxSize), stopped: make(chan struct{})}
+	c.roster.workers = map[logic.ServerID]*Worker{}
+	c.intake = intake{core: c, limit: int64(cfg.MaxOpen), count: cfg.Counters}
+	c.admission = admission{core: c, exchanges: map[logic.RequestID]*exchange{}, names: map[string]bool{}}
+	c.routing = routing{core: c, decider: cfg.Decider, start: time.Now(), log: cfg.Log}
+	c.sender = sender{core: c, transport: cfg.Transport, most: cfg.MaxAttempts, count: cfg.Counters}
+	c.relay = relay{core: c}
+	c.book = book{core: c, transport: cfg.Transport, count: cfg.Counters}
+	return c
+}
+
+// Run owns all state until ctx ends.
+func (c *Core) Run(ctx context.Context) {
+	defer close(c.stopped)
+	for {
+		select {
+		case f := <-c.mail:
+			f()
+			c.routing.decide()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// post runs f on the core's goroutine. After the end of Run it does nothing.
+func (c *Core) post(f func()) {
+	select {
+	case c.mail <- f:
+	case <-c.stopped:
+	}
+}
+
+// Open is the number of requests in hand.
+func (c *Core) Open() int { return int(c.open.Load()) }
+
+// Discovered takes a list of members, or changes to it. Leaving workers are
+// marked before it returns.
+func (c *Core) Discovered(members []Member, whole bool) {
+	void := c.roster.apply(members, whole)
+	list := make([]logic.Member, len(members))
+	for i, m := range members {
+		list[i] = m.Member
+	}
+	c.post(func() {
+		c.routing.push(logic.Event{Kind: logic.ServersChanged, Members: list, Whole: whole})
+		for _, w := range void {
+			c.sender.transport.Forget(w)
+		}
+	})
+}
+
+// Settle waits, within reason, until what was let go of last has gone out.
+func (c *Core) Settle(ctx context.Context) {
+	select {
+	case <-time.After(settleFor):
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/router/relay.go
@@ -0,0 +1,57 @@
+package router
+
+import (
+	"io"
+	"time"
+
+	"lichenshelf/logic"
+)
+
+// relay commits answers: with its first event an attempt belongs to the client.
+type relay struct{ core *Core }
+
+func (r *relay) begin(a *attempt, answer Answer) {
+	if a.ended { // given up while its first event was on the way
+		_ = answer.Close()
+		return
+	}
+	a.timer.Stop()
+	ex := a.ex
+	ex.answered, ex.closed = true, true
+	r.core.routing.push(logic.Event{Kind: logic.AnswerStarted, ID: ex.ID, Attempt: a.number, Server: a.server,
+		Latency: time.Since(a.sentAt)})
+	ex.client.Stream(&relayed{Answer: answer, attempt: a})
+}
+
+// relayed is an answer on its way to the client, and tells the core its end.
+type relayed struct {
+	Answer
+	attempt *attempt
+	done    bool
+}
+
+// Read implements io.Reader for the one goroutine that serves the client.
+func (r *relayed) Read(p []byte) (int, error) {
+	n, err := r.Answer.Read(p)
+	switch {
+	case err == nil:
+	case err == io.EOF:
+		r.finish(Outcome{Status: logic.Served, Kept: r.Kept()})
+	default:
+		r.finish(Outcome{Status: logic.ConnectionReset})
+	}
+	return n, err
+}
+
+// Close gives up what has not been read.
+func (r *relayed) Close() error {
+	r.finish(Outcome{Status: logic.Cancelled})
+	return r.Answer.Close()
+}
+
+func (r *relayed) finish(o Outcome) {
+	if !r.done {
+		r.done = true
+		r.attempt.Ended(o)
+	}
+}
--- /dev/null
+++ b/router/roster.go
@@ -0,0 +1,97 @@
+package router
+
+import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+
+	"lichenshelf/logic"
+)
+
+// Member is one line of discovery's list.
+type Member struct {
+	logic.Member
+	Name string
+	Addr string
+}
+
+// Worker is a member as senders see it.
+type Worker struct {
+	ID      logic.ServerID
+	Name    string
+	Addr    string
+	since   logic.Time
+	leaving atomic.Bool
+}
+
+// MaySend tells whether something new may go to the worker. A sender asks right
+// before the first byte: between the decision and the write a connection may
+// have had to come up, and a drain may have been told meanwhile.
+func (w *Worker) MaySend() bool { return !w.leaving.Load() }
+
+// roster holds the workers that discovery has named. Discovery's goroutine marks
+// a leaving worker here before the core hears of it, so that queued sends stop.
+type roster struct {
+	mu      sync.RWMutex
+	workers map[logic.ServerID]*Worker
+}
+
+// apply takes a list and returns the workers whose connections are void.
+func (r *roster) apply(members []Member, whole bool) (void []*Worker) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	named := make(map[logic.ServerID]bool, len(members))
+	for _, m := range members {
+		named[m.Server] = true
+		w := r.workers[m.Server]
+		if w != nil && (w.Addr != m.Addr && m.Addr != "" || m.Health == logic.Ready && w.since != m.Since) {
+			w.leaving.Store(true) // another process by now
+			void, w = append(void, w), nil
+		}
+		if w == nil {
+			if m.Health == logic.Gone {
+				continue
+			}
+			w = &Worker{ID: m.Server, Name: m.Name, Addr: m.Addr, since: m.Since}
+			r.workers[m.Server] = w
+		}
+		w.leaving.Store(m.Health != logic.Ready)
+		if m.Health == logic.Gone {
+			void = append(void, w)
+		}
+	}
+	if whole {
+		for id, w := range r.workers {
+			if !named[id] {
+				w.leaving.Store(true)
+				void = append(void, w)
+			}
+		}
+	}
+	for _, w := range void {
+		if r.workers[w.ID] == w {
+			delete(r.workers, w.ID)
+		}
+	}
+	return void
+}
+
+func (r *roster) worker(id logic.ServerID) *Worker {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.workers[id]
+}
+
+// running returns the workers that may be asked for anything, in random order.
+func (r *roster) running() []*Worker {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	var out []*Worker
+	for _, w := range r.workers {
+		if w.MaySend() {
+			out = append(out, w)
+		}
+	}
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out
+}
--- /dev/null
+++ b/router/route.go
@@ -0,0 +1,72 @@
+package router
+
+import (
+	"time"
+
+	"lichenshelf/logic"
+)
+
+// routing owns the decider: it collects what was seen, lets it decide, and hands
+// out what to do.
+type routing struct {
+	core    *Core
+	decider logic.Decider
+	start   time.Time
+	events  []logic.Event
+	actions []logic.Action
+	log     func(string)
+}
+
+// now is the wall clock at the start plus monotonic time since: the times that
+// discovery gives are on the same scale, and it never goes back.
+func (r *routing) now() logic.Time {
+	return logic.Time(r.start.UnixNano() + int64(time.Since(r.start)))
+}
+
+func (r *routing) push(e logic.Event) { r.events = append(r.events, e) }
+
+// decide runs until no action brings a new event.
+func (r *routing) decide() {
+	for len(r.events) > 0 {
+		events := r.events
+		r.events = nil
+		r.actions = r.decider.Handle(r.now(), events, r.actions[:0])
+		for i := range r.actions {
+			r.do(&r.actions[i])
+		}
+	}
+	r.core.admission.sweep()
+}
+
+func (r *routing) do(a *logic.Action) {
+	ex := r.core.admission.exchanges[a.ID]
+	switch a.Kind {
+	case logic.SetTimer:
+		token := a.Token
+		time.AfterFunc(a.After, func() {
+			r.core.post(func() { r.push(logic.Event{Kind: logic.TimerFired, Token: token}) })
+		})
+	case logic.Log:
+		if r.log != nil {
+			r.log(a.Text)
+		}
+	default:
+		if ex == nil { // ended meanwhile, which the decisions may not know yet
+			return
+		}
+		switch a.Kind {
+		case logic.Send:
+			r.core.sender.send(ex, a.Server, a.After)
+		case logic.CallOff:
+			r.core.sender.callOff(ex, a.Attempt)
+		case logic.Refuse:
+			r.core.book.refuse(ex, a.After)
+		case logic.Fail:
+			r.core.book.fail(ex)
+		case logic.Release:
+			r.core.book.release(ex)
+		case logic.Move:
+			r.core.sender.move(ex)
+		}
+	}
+}
--- /dev/null
+++ b/router/send.go
@@ -0,0 +1,110 @@
+package router
+
+import (
+	"time"
+
+	"lichenshelf/logic"
+)
+
+// sender starts attempts, waits for them and reports their ends.
+type sender struct {
+	core      *Core
+	transport Transport
+	most      int
+	count     Counters
+}
+
+// attempt is one attempt that is out. It is the Sink of the transport.
+type attempt struct {
+	core   *Core
+	ex     *exchange
+	number int
+	server logic.ServerID
+	sentAt time.Time
+	timer  *time.Timer
+	giveUp func()
+	ended  bool
+}
+
+func (s *sender) send(ex *exchange, server logic.ServerID, wait time.Duration) {
+	a := &attempt{core: s.core, ex: ex, number: ex.sends, server: server, sentAt: time.Now()}
+	w := s.core.roster.worker(server)
+	switch {
+	case ex.closed || ex.attempt != nil || s.most > 0 && ex.sends >= s.most:
+		s.report(a, Outcome{Status: logic.NotSent})
+		return
+	case w == nil || !w.MaySend():
+		// Told to leave between the decision and now: nothing was sent.
+		ex.sends++
+		s.report(a, Outcome{Status: logic.Full})
+		return
+	}
+	ex.sends++
+	ex.attempt = a
+	s.count.Add("attempts_sent", 1)
+	a.timer = time.AfterFunc(wait, func() {
+		s.core.post(func() { s.end(a, Outcome{Status: logic.TimedOut}) })
+	})
+	a.giveUp = s.transport.Send(Attempt{Request: ex.Request, Worker: w, Wait: wait}, a)
+}
+
+// Started implements Sink.
+func (a *attempt) Started(answer Answer) {
+	a.core.post(func() { a.core.relay.begin(a, answer) })
+}
+
+// Ended implements Sink.
+func (a *attempt) Ended(o Outcome) {
+	a.core.post(func() { a.core.sender.end(a, o) })
+}
+
+// end takes the first of the ways in which an attempt ends; what crosses it is void.
+func (s *sender) end(a *attempt, o Outcome) {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	a.timer.Stop()
+	if o.Status != logic.PromptRead && o.Status != logic.Served {
+		a.giveUp()
+	}
+	a.ex.attempt = nil
+	a.ex.last = o.Status
+	switch o.Status {
+	case logic.TimedOut, logic.Cancelled, logic.ConnectionReset:
+		// A read may have ended well just as it was cut off.
+		a.ex.unsure = !a.ex.answered
+	}
+	if a.ex.answered {
+		s.core.book.answered(o.Status)
+	}
+	s.report(a, o)
+	s.core.admission.forget(a.ex)
+}
+
+// report tells the decisions and the counters.
+func (s *sender) report(a *attempt, o Outcome) {
+	s.count.Add("attempts_"+statusNames[o.Status], 1)
+	s.core.routing.push(logic.Event{Kind: logic.AttemptEnded, ID: a.ex.ID, Attempt: a.number, Server: a.server,
+		Latency: time.Since(a.sentAt), Status: o.Status, Closed: a.ex.closed, Kept: o.Kept})
+}
+
+// callOff gives up an attempt whose answer has not begun.
+func (s *sender) callOff(ex *exchange, number int) {
+	if a := ex.attempt; a != nil && a.number == number && !ex.answered {
+		s.end(a, Outcome{Status: logic.Cancelled})
+	}
+}
+
+// move breaks off a running stream; its client comes again for the rest.
+func (s *sender) move(ex *exchange) {
+	if ex.attempt != nil && ex.answered {
+		ex.attempt.giveUp()
+	}
+}
+
+var statusNames = map[logic.Status]string{
+	logic.Served: "served", logic.ServerError: "error", logic.Full: "turned_away", logic.TimedOut: "timed_out",
+	logic.ConnectFailed: "connect_failed", logic.ConnectionReset: "reset", logic.Cancelled: "cancelled",
+	logic.NotSent: "not_sent", logic.PromptRead: "prompt_read",
+}
--- /dev/null
+++ b/upstream/body.go
@@ -0,0 +1,163 @@
+package upstream
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+var errTooLarge = errors.New("answer too large")
+
+// body is a worker's answer as it comes. It implements router.Answer.
+type body struct {
+	attempt *attempt
+	conn    *conn
+	resp    *fasthttp.Response
+	first   []byte // read ahead, to see that the answer has begun
+	tail    []byte // its latest bytes, which tell what was found kept
+	stall   time.Duration
+	err     error
+}
+
+// tailSize holds the event that tells the use of the prompt, and the end mark.
+const tailSize = 512
+
+func newBody(x *attempt, c *conn, resp *fasthttp.Response) *body {
+	return &body{attempt: x, conn: c, resp: resp, stall: x.client.cfg.StreamStall}
+}
+
+// await reads the first bytes of a stream.
+func (b *body) await() error {
+	buf := make([]byte, readBuffer)
+	for {
+		n, err := b.read(buf)
+		if n > 0 {
+			b.first = buf[:n]
+			b.err = err
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("stream without an event: %w", err)
+		}
+	}
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	if len(b.first) > 0 {
+		n := copy(p, b.first)
+		b.first = b.first[n:]
+		return n, nil
+	}
+	if b.err != nil {
+		return 0, b.err
+	}
+	// A worker that has vanished says nothing, and its connection stays open.
+	if err := b.conn.SetReadDeadline(time.Now().Add(b.stall)); err != nil {
+		return 0, fmt.Errorf("stream given up: %w", err)
+	}
+	return b.read(p)
+}
+
+// read passes on what the connection has, and at the end gives it back.
+func (b *body) read(p []byte) (int, error) {
+	stream := b.resp.BodyStream()
+	if stream == nil { // a status that has no body
+		b.finish()
+		return 0, io.EOF
+	}
+	n, err := stream.Read(p)
+	b.tail = append(b.tail, p[:n]...)
+	b.tail = b.tail[max(0, len(b.tail)-tailSize):]
+	if err == io.EOF && b.resp.Header.ContentLength() < -1 {
+		// Neither counted nor chunked: it cannot be told whole from broken.
+		err = io.ErrUnexpectedEOF
+	}
+	switch {
+	case err == io.EOF:
+		b.finish()
+	case err != nil:
+		_ = b.conn.Close()
+	}
+	return n, err
+}
+
+func (b *body) finish() {
+	if !b.attempt.disown() {
+		return
+	}
+	if b.resp.ConnectionClose() {
+		_ = b.conn.Close()
+		return
+	}
+	b.attempt.client.pool.put(b.attempt.Worker, b.conn)
+}
+
+// Close implements io.Closer: what has not been read is given up.
+func (b *body) Close() error {
+	b.attempt.giveUp()
+	return nil
+}
+
+// Kept implements router.Answer.
+func (b *body) Kept() uint32 { return CachedTokens(b.tail) }
+
+// whole reads an answer to its end.
+func (b *body) whole(most int) ([]byte, error) {
+	text, err := io.ReadAll(io.LimitReader(readerFunc(b.read), int64(most)+1))
+	if err != nil {
+		return nil, fmt.Errorf("read answer: %w", err)
+	}
+	if len(text) > most {
+		return nil, errTooLarge
+	}
+	return text, nil
+}
+
+type readerFunc func([]byte) (int, error)
+
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
+
+// buffered is an answer that was read whole before it counted as begun.
+type buffered struct {
+	rest []byte
+	kept uint32
+}
+
+func (b *buffered) Read(p []byte) (int, error) {
+	if len(b.rest) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(p, b.rest)
+	b.rest = b.rest[n:]
+	return n, nil
+}
+
+func (b *buffered) Close() error { return nil }
+
+func (b *buffered) Kept() uint32 { return b.kept }
+
+// CachedTokens finds the last count of prompt tokens found kept in an answer; 0
+// if there is none.
+func CachedTokens(text []byte) uint32 {
+	const name = `"cached_tokens":`
+	i := bytes.LastIndex(text, []byte(name))
+	if i < 0 {
+		return 0
+	}
+	rest := bytes.TrimLeft(text[i+len(name):], " ")
+	end := 0
+	for end < len(rest) && rest[end] >= '0' && rest[end] <= '9' {
+		end++
+	}
+	n, err := strconv.ParseUint(string(rest[:end]), 10, 32)
+	if err != nil {
+		return 0
+	}
+	return uint32(n)
+}
--- /dev/null
+++ b/upstream/client.go
@@ -0,0 +1,277 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"lichenshelf/logic"
+	"lichenshelf/router"
+)
+
+// Message is a request as it goes to a worker; the payload of a router.Request.
+type Message struct {
+	Method string
+	URI    string // path and query, as they came
+	Header [][2]string
+	Body   []byte
+	// Stream says that the answer is passed on as it comes. Otherwise it is read
+	// whole first, so that one that breaks off can be tried again.
+	Stream bool
+}
+
+// Config is what a Client is made of.
+type Config struct {
+	ConnectTimeout time.Duration
+	ConnIdle       time.Duration // workers close idle connections at the latest then
+	MaxConns       int
+	MaxAnswer      int           // bound of an answer that is read whole
+	StreamStall    time.Duration // a stream without a byte for so long is broken
+	WaitHeader     string        // tells a worker how long its answer is waited for
+	ReleasePath    string        // where held state is let go of, before the request's name
+	// Judge maps an answer that is not a 200 to its outcome.
+	Judge    func(status int, header *fasthttp.ResponseHeader, body []byte) router.Outcome
+	Counters router.Counters
+}
+
+// Client is the transport to workers.
+type Client struct {
+	cfg  Config
+	pool pool
+}
+
+// idleShare of the time after which a worker closes an idle connection is how
+// long one is kept here: a request written to a connection that is just being
+// closed is lost as a reset, and may have run as far as anybody can tell.
+const idleShare = 0.7
+
+// New returns a transport.
+func New(cfg Config) *Client {
+	c := &Client{cfg: cfg}
+	c.pool.dialTimeout, c.pool.most = cfg.ConnectTimeout, cfg.MaxConns
+	c.pool.idleFor = time.Duration(float64(cfg.ConnIdle) * idleShare)
+	c.pool.idle = map[*router.Worker][]*conn{}
+	return c
+}
+
+// Forget implements router.Transport.
+func (c *Client) Forget(w *router.Worker) { c.pool.forget(w) }
+
+// Send implements router.Transport.
+func (c *Client) Send(a router.Attempt, sink router.Sink) func() {
+	ctx, cancel := context.WithCancel(context.Background())
+	x := &attempt{Attempt: a, client: c, sink: sink, cancel: cancel}
+	go x.run(ctx)
+	return x.giveUp
+}
+
+// attempt is one attempt on its way.
+type attempt struct {
+	router.Attempt
+	client *Client
+	sink   router.Sink
+	cancel context.CancelFunc
+
+	mu    sync.Mutex
+	conn  *conn
+	given bool // given up
+}
+
+// giveUp closes the connection, which is how a worker learns of it.
+func (x *attempt) giveUp() {
+	x.mu.Lock()
+	x.given = true
+	c := x.conn
+	x.mu.Unlock()
+	x.cancel()
+	if c != nil {
+		_ = c.Close()
+	}
+}
+
+// own notes the connection in use, unless the attempt has been given up.
+func (x *attempt) own(c *conn) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.conn = c
+	return !x.given
+}
+
+// disown takes the connection back from giveUp; false if it was given up.
+func (x *attempt) disown() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.conn = nil
+	return !x.given
+}
+
+func (x *attempt) run(ctx context.Context) {
+	c, status := x.write(ctx)
+	if c == nil {
+		x.sink.Ended(router.Outcome{Status: status})
+		return
+	}
+	resp := &fasthttp.Response{StreamBody: true}
+	if err := resp.ReadLimitBody(c.br, 0); err != nil {
+		x.broken(c)
+		return
+	}
+	body := newBody(x, c, resp)
+	msg := x.Request.Payload.(*Message)
+	if resp.StatusCode() == fasthttp.StatusOK && msg.Stream {
+		if err := body.await(); err != nil {
+			x.broken(c)
+			return
+		}
+		x.sink.Started(body)
+		return
+	}
+	whole, err := body.whole(x.client.cfg.MaxAnswer)
+	switch {
+	case errors.Is(err, errTooLarge):
+		_ = c.Close()
+		x.sink.Ended(router.Outcome{Status: logic.ServerError})
+	case err != nil:
+		x.broken(c)
+	case resp.StatusCode() == fasthttp.StatusOK:
+		x.sink.Started(&buffered{rest: whole})
+	default:
+		x.sink.Ended(x.client.cfg.Judge(resp.StatusCode(), &resp.Header, whole))
+	}
+}
+
+// broken reports a connection that ended after the request's last byte.
+func (x *attempt) broken(c *conn) {
+	_ = c.Close()
+	x.sink.Ended(router.Outcome{Status: logic.ConnectionReset})
+}
+
+// write gets the request to the worker, whole. A nil connection means that it
+// never was: the worker has not run it.
+func (x *attempt) write(ctx context.Context) (*conn, logic.Status) {
+	head := x.head()
+	body := x.Request.Payload.(*Message).Body
+	for fresh := false; ; fresh = true {
+		c, err := x.client.pool.get(ctx, x.Worker, fresh)
+		if errors.Is(err, errFull) {
+			x.client.cfg.Counters.Add("attempts_without_a_connection", 1)
+			return nil, logic.Full
+		}
+		if err != nil {
+			return nil, logic.ConnectFailed
+		}
+		if !x.own(c) {
+			_ = c.Close()
+			return nil, logic.Cancelled
+		}
+		// The drain window is short and connecting takes its time: what was decided
+		// before a drain must not go out after it.
+		if !x.Worker.MaySend() {
+			_ = c.Close()
+			return nil, logic.Full
+		}
+		if !c.reused {
+			x.client.cfg.Counters.Add("connections_opened", 1)
+		}
+		bufs := net.Buffers{head, body}
+		n, err := bufs.WriteTo(c.TCPConn)
+		if n == int64(len(head)+len(body)) {
+			return c, 0
+		}
+		_ = c.Close()
+		// The worker had closed a kept connection. Nothing of the request counts
+		// there, so it may go out on a new one as the same attempt.
+		if err != nil && c.reused && !fresh {
+			continue
+		}
+		return nil, logic.ConnectFailed
+	}
+}
+
+// head is the request's head. Method, path, query and the client's headers go as
+// they came.
+func (x *attempt) head() []byte {
+	msg := x.Request.Payload.(*Message)
+	var h fasthttp.RequestHeader
+	h.SetMethod(msg.Method)
+	h.SetRequestURI(msg.URI)
+	h.SetHost(x.Worker.Addr)
+	h.SetNoDefaultContentType(true)
+	for _, kv := range msg.Header {
+		h.Set(kv[0], kv[1])
+	}
+	h.Set(x.client.cfg.WaitHeader, strconv.FormatInt(max(x.Wait.Milliseconds(), 1), 10))
+	h.SetContentLength(len(msg.Body))
+	return slices.Clone(h.Header())
+}
+
+// releaseWait is how long one worker may take to answer a release. A call counts
+// once it has reached a running worker, so the wait only tells which one runs.
+const releaseWait = 100 * time.Millisecond
+
+// Release implements router.Transport. Workers with a connection at hand are
+// asked first: what is held must be let go of within a few hundred milliseconds.
+func (c *Client) Release(name string, workers []*router.Worker) {
+	if c.cfg.ReleasePath == "" {
+		return
+	}
+	slices.SortStableFunc(workers, func(a, b *router.Worker) int {
+		return b2i(c.pool.idleAt(b)) - b2i(c.pool.idleAt(a))
+	})
+	go func() {
+		for _, w := range workers {
+			if err := c.release(name, w); err == nil {
+				return
+			}
+			c.cfg.Counters.Add("releases_tried_again", 1)
+		}
+		c.cfg.Counters.Add("releases_nobody_took", 1)
+	}()
+}
+
+func b2i(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func (c *Client) release(name string, w *router.Worker) error {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseWait)
+	defer cancel()
+	cn, err := c.pool.get(ctx, w, false)
+	if err != nil {
+		return err
+	}
+	var h fasthttp.RequestHeader
+	h.SetMethod(fasthttp.MethodDelete)
+	h.SetRequestURI(c.cfg.ReleasePath + name)
+	h.SetHost(w.Addr)
+	h.SetNoDefaultContentType(true)
+	deadline, _ := ctx.Deadline()
+	var resp fasthttp.Response
+	if err = cn.SetDeadline(deadline); err == nil {
+		if _, err = cn.Write(h.Header()); err == nil {
+			err = resp.ReadLimitBody(cn.br, c.cfg.MaxAnswer)
+		}
+	}
+	if err != nil || resp.ConnectionClose() {
+		_ = cn.Close()
+	} else {
+		c.pool.put(w, cn)
+	}
+	if err == nil && resp.StatusCode()/100 != 2 {
+		err = fmt.Errorf("status %d", resp.StatusCode())
+	}
+	if err != nil {
+		return fmt.Errorf("release %s at %s: %w", name, w.Name, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/upstream/pool.go
@@ -0,0 +1,188 @@
+// Package upstream speaks HTTP/1.1 with workers: it keeps the connections, runs
+// attempts and calls on them, and tells exactly how far each one came.
+//
+// Messages are written and read by fasthttp. Its client is not used: it sends
+// again on its own, and does not tell whether a request's last byte was written.
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"lichenshelf/router"
+)
+
+// errFull says that no connection may be opened now.
+var errFull = errors.New("all connections to workers are in use")
+
+// conn is a connection to a worker, used by one goroutine at a time.
+type conn struct {
+	*net.TCPConn
+	br     *bufio.Reader
+	reused bool
+	retire *time.Timer // closes it while idle, well before the worker does
+	pool   *pool
+	once   sync.Once
+}
+
+// Close closes the connection and gives its place back. It may be called again.
+func (c *conn) Close() error {
+	var err error
+	c.once.Do(func() {
+		err = c.TCPConn.Close()
+		c.pool.closed()
+	})
+	return err
+}
+
+// alive looks, without waiting, whether the worker has closed the connection or
+// has said something that nobody asked for.
+func (c *conn) alive() bool {
+	if c.br.Buffered() > 0 {
+		return false
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = err == syscall.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
+
+// pool keeps idle connections, the latest used first: the rest then age and go.
+type pool struct {
+	dialTimeout time.Duration
+	idleFor     time.Duration // an idle connection is closed after this
+	most        int
+
+	mu   sync.Mutex
+	open int
+	idle map[*router.Worker][]*conn
+}
+
+const readBuffer = 4096
+
+// get takes an idle connection to the worker, or opens one.
+func (p *pool) get(ctx context.Context, w *router.Worker, fresh bool) (*conn, error) {
+	if !fresh {
+		if c := p.take(w); c != nil {
+			return c, nil
+		}
+	}
+	if !p.reserve() {
+		return nil, errFull
+	}
+	d := net.Dialer{Timeout: p.dialTimeout, KeepAlive: -1}
+	nc, err := d.DialContext(ctx, "tcp", w.Addr)
+	if err != nil {
+		p.closed()
+		return nil, fmt.Errorf("connect to %s: %w", w.Name, err)
+	}
+	tc := nc.(*net.TCPConn)
+	return &conn{TCPConn: tc, br: bufio.NewReaderSize(tc, readBuffer), pool: p}, nil
+}
+
+func (p *pool) take(w *router.Worker) *conn {
+	for {
+		p.mu.Lock()
+		list := p.idle[w]
+		if len(list) == 0 {
+			p.mu.Unlock()
+			return nil
+		}
+		c := list[len(list)-1]
+		p.idle[w] = list[:len(list)-1]
+		p.mu.Unlock()
+		if c.retire.Stop() && c.alive() {
+			c.reused = true
+			return c
+		}
+		_ = c.Close()
+	}
+}
+
+// put keeps a connection whose last answer was read to its end.
+func (p *pool) put(w *router.Worker, c *conn) {
+	if c.SetDeadline(time.Time{}) != nil || !w.MaySend() {
+		_ = c.Close()
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.retire = time.AfterFunc(p.idleFor, func() { p.drop(w, c) })
+	p.idle[w] = append(p.idle[w], c)
+}
+
+func (p *pool) drop(w *router.Worker, c *conn) {
+	p.mu.Lock()
+	for i, other := range p.idle[w] {
+		if other == c {
+			p.idle[w] = append(p.idle[w][:i], p.idle[w][i+1:]...)
+			break
+		}
+	}
+	p.mu.Unlock()
+	_ = c.Close()
+}
+
+// forget closes the idle connections to a worker.
+func (p *pool) forget(w *router.Worker) {
+	p.mu.Lock()
+	list := p.idle[w]
+	delete(p.idle, w)
+	p.mu.Unlock()
+	for _, c := range list {
+		c.retire.Stop()
+		_ = c.Close()
+	}
+}
+
+// reserve takes a place for a new connection; an idle one elsewhere gives way.
+func (p *pool) reserve() bool {
+	p.mu.Lock()
+	if p.open < p.most {
+		p.open++
+		p.mu.Unlock()
+		return true
+	}
+	var victim *conn
+	for w, list := range p.idle {
+		if len(list) > 0 {
+			victim = list[0]
+			p.idle[w] = list[1:]
+			break
+		}
+	}
+	p.mu.Unlock()
+	if victim == nil {
+		return false
+	}
+	victim.retire.Stop()
+	_ = victim.Close()
+	return p.reserve()
+}
+
+func (p *pool) closed() {
+	p.mu.Lock()
+	p.open--
+	p.mu.Unlock()
+}
+
+// idleAt tells whether a connection to the worker is at hand.
+func (p *pool) idleAt(w *router.Worker) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle[w]) > 0
+}
--- a/wire/settings.go
+++ b/wire/settings.go
@@ -126,6 +126,12 @@
 
 const mostItems = 4096
 
+// ParseSettings turns settings in the wire's form, path=value lines, into typed ones.
+func ParseSettings(text string) (logic.Settings, error) {
+	s, _, err := parseSettings(text)
+	return s, err
+}
+
 // parseSettings turns the wire's settings text into typed settings. Unknown
 // keys are skipped.
 func parseSettings(text string) (logic.Settings, columns, error) {
