Never call off an attempt of a class that must not run twice

Seen: a process test with a silent writer got its final answer, a failure, 0.12 s into a patience of 0.4 s. The module called the attempt off as silent after callOffPart of the aim and then had to fail it: of class once nothing may be sent after an attempt that may have run (logic.go, budget and proceed). Ruled out: the transport (the worker had the request and the connection was up) and the attempt's timer (the outcome was cancelled, not timed out).

Now such an attempt waits for its client's whole patience.

--- a/logic/guards_test.go
+++ b/logic/guards_test.go
@@ -497,3 +497,19 @@
 		}
 	}
 }
+
+// A writer that has what must not run twice is waited for: nothing could be tried after it.
+func TestOnceIsNotCalledOffOnceItMayRun(t *testing.T) {
+	for _, c := range []struct {
+		class  int
+		called bool
+	}{{0, true}, {1, false}} {
+		r := newRig(t, reader(1, 0), writer(3, 0), writer(4, 0))
+		id, _ := r.arrive(Request{Class: c.class})
+		acts := r.end(id, 1, PromptRead, 0)
+		timer := find(acts, SetTimer)
+		if (timer != nil) != c.called {
+			t.Errorf("class %d: will be looked at again: %v, want %v", c.class, timer != nil, c.called)
+		}
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -653,7 +653,9 @@
 		d += seconds(2 * g.waitAt(s.role))
 	}
 	d = max(d, time.Duration(callOffPart*float64(r.aim)))
-	if d > left/2 || r.sends >= g.set.MaxAttempts {
+	// What must not run twice is not called off once it may run: nothing could be tried after it.
+	last := r.sends >= g.set.MaxAttempts || s.role != RoleRead && g.class(r).Effect == EffectOnce
+	if d > left/2 || last {
 		d = left
 	} else if g.set.CancelAllowed {
 		r.check = g.now + Time(d)
