Add the replicated store: paths, versions, sessions, ephemeral nodes, watches

hashicorp/raft over TCP with raft-boltdb. Tested: three replicas, a leader lost, a session expired, a restart with data kept.

--- /dev/null
+++ b/store/api.go
@@ -0,0 +1,219 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// The paths of the API.
+const (
+	sessionsPath = "/v1/sessions"
+	nodesPath    = "/v1/nodes"
+)
+
+const (
+	maxData     = 256 << 10
+	longestWait = time.Minute // of a watch
+	apiTimeout  = 90 * time.Second
+	apiConns    = 256
+)
+
+// Node is a node as the API tells it.
+type Node struct {
+	Data     string   `json:"data"`
+	Stat     Stat     `json:"stat"`
+	Children []string `json:"children"`
+}
+
+// API serves a replica to clients. Writes and sessions belong to the leader; any
+// other replica sends the caller there.
+type API struct {
+	replica *Replica
+	server  *fasthttp.Server
+}
+
+// NewAPI returns the API of a replica.
+func NewAPI(r *Replica) *API {
+	a := &API{replica: r}
+	a.server = &fasthttp.Server{Handler: a.handle, MaxRequestBodySize: maxData, NoDefaultServerHeader: true,
+		ReadTimeout: apiTimeout, IdleTimeout: apiTimeout, Concurrency: apiConns, CloseOnShutdown: true}
+	return a
+}
+
+// Serve serves until Close.
+func (a *API) Serve(l net.Listener) error {
+	if err := a.server.Serve(l); err != nil {
+		return fmt.Errorf("serve the store: %w", err)
+	}
+	return nil
+}
+
+// Close ends the API.
+func (a *API) Close(ctx context.Context) error { return a.server.ShutdownWithContext(ctx) }
+
+func (a *API) handle(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	var err error
+	switch {
+	case path == sessionsPath || strings.HasPrefix(path, sessionsPath+"/"):
+		err = a.session(ctx, strings.TrimPrefix(strings.TrimPrefix(path, sessionsPath), "/"))
+	case path == nodesPath || strings.HasPrefix(path, nodesPath+"/"):
+		err = a.node(ctx, "/"+strings.TrimPrefix(strings.TrimPrefix(path, nodesPath), "/"))
+	default:
+		err = errNoPath
+	}
+	if err != nil {
+		a.fail(ctx, err)
+	}
+}
+
+var (
+	errNoPath = errors.New("unknown path")
+	errMethod = errors.New("method not allowed")
+	errInput  = errors.New("malformed request")
+)
+
+func (a *API) session(ctx *fasthttp.RequestCtx, id string) error {
+	switch method := string(ctx.Method()); {
+	case method == fasthttp.MethodPost && id == "":
+		var q struct {
+			TimeoutMs int64 `json:"timeout_ms"`
+		}
+		if err := json.Unmarshal(ctx.PostBody(), &q); err != nil || q.TimeoutMs <= 0 {
+			return fmt.Errorf("%w: timeout_ms must be a positive number", errInput)
+		}
+		id, err := a.replica.NewSession(time.Duration(q.TimeoutMs) * time.Millisecond)
+		if err != nil {
+			return err
+		}
+		return reply(ctx, fasthttp.StatusCreated, map[string]string{"session": id})
+	case method == fasthttp.MethodPut && id != "":
+		ctx.SetStatusCode(fasthttp.StatusNoContent)
+		return a.replica.Touch(id)
+	case method == fasthttp.MethodDelete && id != "":
+		ctx.SetStatusCode(fasthttp.StatusNoContent)
+		return a.replica.EndSession(id)
+	}
+	return errMethod
+}
+
+func (a *API) node(ctx *fasthttp.RequestCtx, path string) error {
+	data := append([]byte(nil), ctx.PostBody()...)
+	args := ctx.QueryArgs()
+	version := int64(AnyVersion)
+	if v := args.Peek("version"); len(v) > 0 {
+		var err error
+		if version, err = strconv.ParseInt(string(v), 10, 64); err != nil {
+			return fmt.Errorf("%w: version", errInput)
+		}
+	}
+	switch string(ctx.Method()) {
+	case fasthttp.MethodGet:
+		if args.GetBool("watch") {
+			return a.await(ctx, path)
+		}
+		return a.show(ctx, path)
+	case fasthttp.MethodPost:
+		ctx.SetStatusCode(fasthttp.StatusCreated)
+		return a.replica.Create(path, data, string(args.Peek("session")))
+	case fasthttp.MethodPut:
+		ctx.SetStatusCode(fasthttp.StatusNoContent)
+		return a.replica.Set(path, data, version)
+	case fasthttp.MethodDelete:
+		ctx.SetStatusCode(fasthttp.StatusNoContent)
+		return a.replica.Delete(path, version)
+	}
+	return errMethod
+}
+
+// await answers with the node once its version or its list of children is
+// another than the caller names, or with 204 if that does not happen in time.
+func (a *API) await(ctx *fasthttp.RequestCtx, path string) error {
+	args := ctx.QueryArgs()
+	wait := min(time.Duration(args.GetUintOrZero("wait_ms"))*time.Millisecond, longestWait)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		w, err := a.replica.Watch(path)
+		if err != nil {
+			return err
+		}
+		_, stat, err := a.replica.Get(path)
+		if err != nil && !errors.Is(err, ErrNoNode) || err == nil &&
+			(strconv.FormatInt(stat.Version, 10) != string(args.Peek("version")) ||
+				strconv.FormatInt(stat.Children, 10) != string(args.Peek("children"))) {
+			w.Stop()
+			return a.show(ctx, path)
+		}
+		select {
+		case <-w.Changed():
+		case <-timer.C:
+			w.Stop()
+			ctx.SetStatusCode(fasthttp.StatusNoContent)
+			return nil
+		}
+		if err != nil || errors.Is(a.exists(path), ErrNoNode) {
+			return a.show(ctx, path) // it came, or it went
+		}
+	}
+}
+
+func (a *API) exists(path string) error {
+	_, _, err := a.replica.Get(path)
+	return err
+}
+
+func (a *API) show(ctx *fasthttp.RequestCtx, path string) error {
+	data, stat, err := a.replica.Get(path)
+	if err != nil {
+		return err
+	}
+	names, err := a.replica.Children(path)
+	if err != nil {
+		return err
+	}
+	return reply(ctx, fasthttp.StatusOK, Node{Data: string(data), Stat: stat, Children: names})
+}
+
+func reply(ctx *fasthttp.RequestCtx, status int, v any) error {
+	text, err := json.Marshal(v)
+	if err != nil {
+		return fmt.Errorf("encode answer: %w", err)
+	}
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(text)
+	return nil
+}
+
+// fail maps a fault to a status. Who asks a replica that does not lead is sent on.
+func (a *API) fail(ctx *fasthttp.RequestCtx, err error) {
+	status := fasthttp.StatusInternalServerError
+	switch {
+	case errors.Is(err, ErrNotLeader):
+		status = fasthttp.StatusServiceUnavailable
+		if p, ok := a.replica.Leader(); ok && p.ID != a.replica.cfg.ID {
+			status = fasthttp.StatusTemporaryRedirect
+			ctx.Response.Header.Set(fasthttp.HeaderLocation, "http://"+p.API+string(ctx.RequestURI()))
+		}
+	case errors.Is(err, ErrNoNode), errors.Is(err, ErrNoSession), errors.Is(err, errNoPath):
+		status = fasthttp.StatusNotFound
+	case errors.Is(err, ErrNodeExists), errors.Is(err, ErrBadVersion), errors.Is(err, ErrNotEmpty):
+		status = fasthttp.StatusConflict
+	case errors.Is(err, ErrBadPath), errors.Is(err, ErrEphemeral), errors.Is(err, errInput):
+		status = fasthttp.StatusBadRequest
+	case errors.Is(err, errMethod):
+		status = fasthttp.StatusMethodNotAllowed
+	}
+	if e := reply(ctx, status, map[string]string{"error": err.Error()}); e != nil {
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+	}
+}
--- /dev/null
+++ b/store/fsm.go
@@ -0,0 +1,158 @@
+package store
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/raft"
+)
+
+// command is one entry of the replicated log.
+type command struct {
+	Op      string        `json:"op"`
+	Path    string        `json:"path,omitempty"`
+	Data    []byte        `json:"data,omitempty"`
+	Version int64         `json:"version,omitempty"`
+	Session string        `json:"session,omitempty"`
+	Timeout time.Duration `json:"timeout,omitempty"`
+}
+
+// The operations of the log.
+const (
+	opCreate     = "create"
+	opSet        = "set"
+	opRemove     = "remove"
+	opSession    = "session"
+	opEndSession = "end-session"
+)
+
+// machine applies the log to the tree, and tells watches. It implements raft.FSM.
+type machine struct {
+	mu      sync.RWMutex
+	tree    *tree
+	watches map[string]map[*Watch]bool
+}
+
+func newMachine() *machine {
+	m := &machine{watches: map[string]map[*Watch]bool{}}
+	m.adopt(newTree())
+	return m
+}
+
+// adopt makes t the state.
+func (m *machine) adopt(t *tree) {
+	t.changed = m.fire
+	m.tree = t
+}
+
+// fire closes the watches of a path: each tells of one change only.
+func (m *machine) fire(path string) {
+	for w := range m.watches[path] {
+		close(w.changed)
+	}
+	delete(m.watches, path)
+}
+
+// Watch tells of the next change of a path, once.
+type Watch struct {
+	machine *machine
+	path    string
+	changed chan struct{}
+}
+
+// Changed is closed at the change.
+func (w *Watch) Changed() <-chan struct{} { return w.changed }
+
+// Stop ends a watch that is no longer wanted.
+func (w *Watch) Stop() {
+	w.machine.mu.Lock()
+	defer w.machine.mu.Unlock()
+	delete(w.machine.watches[w.path], w)
+}
+
+// watch is called with the lock held, so that nothing is missed between a read
+// and its watch.
+func (m *machine) watch(path string) *Watch {
+	w := &Watch{machine: m, path: path, changed: make(chan struct{})}
+	if m.watches[path] == nil {
+		m.watches[path] = map[*Watch]bool{}
+	}
+	m.watches[path][w] = true
+	return w
+}
+
+// Apply implements raft.FSM. Its result is an error or nil.
+func (m *machine) Apply(entry *raft.Log) any {
+	var c command
+	if err := json.Unmarshal(entry.Data, &c); err != nil {
+		return fmt.Errorf("log entry %d: %w", entry.Index, err)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch c.Op {
+	case opCreate:
+		return asResult(m.tree.create(entry.Index, c.Path, c.Data, c.Session))
+	case opSet:
+		return asResult(m.tree.set(entry.Index, c.Path, c.Data, c.Version))
+	case opRemove:
+		return asResult(m.tree.remove(c.Path, c.Version))
+	case opSession:
+		m.tree.Sessions[c.Session] = c.Timeout
+		return nil
+	case opEndSession:
+		return asResult(m.tree.endSession(c.Session))
+	}
+	return fmt.Errorf("log entry %d: unknown operation %q", entry.Index, c.Op)
+}
+
+// asResult keeps a nil error from becoming an interface that is not nil.
+func asResult(err error) any {
+	if err == nil {
+		return nil
+	}
+	return err
+}
+
+// Snapshot implements raft.FSM.
+func (m *machine) Snapshot() (raft.FSMSnapshot, error) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	text, err := json.Marshal(m.tree)
+	if err != nil {
+		return nil, fmt.Errorf("snapshot of the tree: %w", err)
+	}
+	return snapshot(text), nil
+}
+
+// Restore implements raft.FSM. All watches fire: what they watch may differ.
+func (m *machine) Restore(r io.ReadCloser) error {
+	defer r.Close()
+	t := newTree()
+	if err := json.NewDecoder(r).Decode(t); err != nil {
+		return fmt.Errorf("restore the tree: %w", err)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.adopt(t)
+	for path := range m.watches {
+		m.fire(path)
+	}
+	return nil
+}
+
+type snapshot []byte
+
+// Persist implements raft.FSMSnapshot.
+func (s snapshot) Persist(sink raft.SnapshotSink) error {
+	if _, err := sink.Write(s); err != nil {
+		_ = sink.Cancel()
+		return fmt.Errorf("write snapshot: %w", err)
+	}
+	return sink.Close()
+}
+
+// Release implements raft.FSMSnapshot.
+func (snapshot) Release() {}
--- /dev/null
+++ b/store/replica.go
@@ -0,0 +1,250 @@
+package store
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/hashicorp/raft"
+	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
+)
+
+// ErrNotLeader says that another replica takes writes now.
+var ErrNotLeader = errors.New("not the leader")
+
+// Peer is one replica.
+type Peer struct {
+	ID   string `toml:"id"`
+	Raft string `toml:"raft"` // where replicas speak to each other
+	API  string `toml:"api"`  // where clients speak to it
+}
+
+// Config is what a replica is made of.
+type Config struct {
+	ID      string `toml:"id"` // which of Peers this one is
+	DataDir string `toml:"data_dir"`
+	Peers   []Peer `toml:"peer"`
+
+	// Pace shortens raft's heartbeat, election and lease times where it is not 0.
+	Pace time.Duration `toml:"-"`
+	Log  io.Writer     `toml:"-"`
+}
+
+const (
+	applyWait    = 5 * time.Second
+	snapshotKeep = 2
+	raftConns    = 3
+	raftWait     = 2 * time.Second
+)
+
+// Replica is one member of the store.
+type Replica struct {
+	cfg      Config
+	machine  *machine
+	raft     *raft.Raft
+	network  *raft.NetworkTransport
+	logs     *raftboltdb.BoltStore
+	sessions sessions
+	stop     context.CancelFunc
+	stopped  chan struct{}
+}
+
+// Open starts a replica. A data directory that is empty gets the peers as its
+// first configuration; one that is not goes on from where it was.
+func Open(cfg Config) (*Replica, error) {
+	self, err := cfg.self()
+	if err != nil {
+		return nil, err
+	}
+	if err := os.MkdirAll(cfg.DataDir, 0o700); err != nil {
+		return nil, fmt.Errorf("data directory: %w", err)
+	}
+	logs, err := raftboltdb.NewBoltStore(filepath.Join(cfg.DataDir, "raft.db"))
+	if err != nil {
+		return nil, fmt.Errorf("open log: %w", err)
+	}
+	r := &Replica{cfg: cfg, machine: newMachine(), logs: logs, stopped: make(chan struct{})}
+	if err := r.start(self); err != nil {
+		_ = logs.Close()
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	r.stop = cancel
+	go r.watchSessions(ctx)
+	return r, nil
+}
+
+func (c *Config) self() (Peer, error) {
+	for _, p := range c.Peers {
+		if p.ID == c.ID {
+			return p, nil
+		}
+	}
+	return Peer{}, fmt.Errorf("replica %q is not among the peers", c.ID)
+}
+
+func (r *Replica) start(self Peer) error {
+	out := r.cfg.Log
+	if out == nil {
+		out = io.Discard
+	}
+	rc := raft.DefaultConfig()
+	rc.LocalID = raft.ServerID(self.ID)
+	rc.Logger = hclog.New(&hclog.LoggerOptions{Name: "raft", Output: out, Level: hclog.Warn})
+	if p := r.cfg.Pace; p > 0 {
+		rc.HeartbeatTimeout, rc.ElectionTimeout, rc.LeaderLeaseTimeout, rc.CommitTimeout = p, p, p/2, p/20
+	}
+	snapshots, err := raft.NewFileSnapshotStore(r.cfg.DataDir, snapshotKeep, io.Discard)
+	if err != nil {
+		return fmt.Errorf("open snapshots: %w", err)
+	}
+	known, err := raft.HasExistingState(r.logs, r.logs, snapshots)
+	if err != nil {
+		return fmt.Errorf("read state: %w", err)
+	}
+	advertised, err := net.ResolveTCPAddr("tcp", self.Raft)
+	if err != nil {
+		return fmt.Errorf("raft address: %w", err)
+	}
+	if r.network, err = raft.NewTCPTransport(self.Raft, advertised, raftConns, raftWait, out); err != nil {
+		return fmt.Errorf("listen for replicas: %w", err)
+	}
+	if !known {
+		var first raft.Configuration
+		for _, p := range r.cfg.Peers {
+			first.Servers = append(first.Servers, raft.Server{ID: raft.ServerID(p.ID), Address: raft.ServerAddress(p.Raft)})
+		}
+		if err := raft.BootstrapCluster(rc, r.logs, r.logs, snapshots, r.network, first); err != nil {
+			_ = r.network.Close()
+			return fmt.Errorf("first configuration: %w", err)
+		}
+	}
+	if r.raft, err = raft.NewRaft(rc, r.machine, r.logs, r.logs, snapshots, r.network); err != nil {
+		_ = r.network.Close()
+		return fmt.Errorf("start raft: %w", err)
+	}
+	return nil
+}
+
+// Close ends the replica; its data stay.
+func (r *Replica) Close() error {
+	r.stop()
+	<-r.stopped
+	err := r.raft.Shutdown().Error()
+	return errors.Join(err, r.network.Close(), r.logs.Close())
+}
+
+// Leader returns the peer that takes writes, if one is known.
+func (r *Replica) Leader() (Peer, bool) {
+	_, id := r.raft.LeaderWithID()
+	for _, p := range r.cfg.Peers {
+		if p.ID == string(id) {
+			return p, true
+		}
+	}
+	return Peer{}, false
+}
+
+// Current tells whether this replica knows a leader and has applied all that it
+// knows to be agreed on.
+func (r *Replica) Current() bool {
+	agreed := r.raft.CommitIndex()
+	_, ok := r.Leader()
+	return ok && agreed > 0 && r.raft.AppliedIndex() >= agreed
+}
+
+// IsLeader tells whether this replica takes writes.
+func (r *Replica) IsLeader() bool { return r.raft.State() == raft.Leader }
+
+// apply puts a command through the log.
+func (r *Replica) apply(c command) error {
+	text, err := json.Marshal(c)
+	if err != nil {
+		return fmt.Errorf("encode command: %w", err)
+	}
+	future := r.raft.Apply(text, applyWait)
+	switch err := future.Error(); {
+	case errors.Is(err, raft.ErrNotLeader), errors.Is(err, raft.ErrLeadershipLost):
+		return fmt.Errorf("%w: %w", ErrNotLeader, err)
+	case err != nil:
+		return fmt.Errorf("replicate: %w", err)
+	}
+	if err, ok := future.Response().(error); ok {
+		return err
+	}
+	return nil
+}
+
+// Create makes a node. With a session it is ephemeral: it goes with the session.
+func (r *Replica) Create(path string, data []byte, session string) error {
+	return r.apply(command{Op: opCreate, Path: path, Data: data, Session: session})
+}
+
+// Set replaces a node's data if its version matches.
+func (r *Replica) Set(path string, data []byte, version int64) error {
+	return r.apply(command{Op: opSet, Path: path, Data: data, Version: version})
+}
+
+// Delete removes a node without children if its version matches.
+func (r *Replica) Delete(path string, version int64) error {
+	return r.apply(command{Op: opRemove, Path: path, Version: version})
+}
+
+// NewSession starts a session that ends unless it is touched within the time-out.
+func (r *Replica) NewSession(timeout time.Duration) (string, error) {
+	if timeout <= 0 {
+		return "", fmt.Errorf("session time-out %v is not positive", timeout)
+	}
+	var id [8]byte
+	if _, err := rand.Read(id[:]); err != nil {
+		return "", fmt.Errorf("session id: %w", err)
+	}
+	name := hex.EncodeToString(id[:])
+	return name, r.apply(command{Op: opSession, Session: name, Timeout: timeout})
+}
+
+// EndSession ends a session at its owner's wish.
+func (r *Replica) EndSession(id string) error {
+	return r.apply(command{Op: opEndSession, Session: id})
+}
+
+// Get reads a node as this replica knows it.
+func (r *Replica) Get(path string) ([]byte, Stat, error) {
+	r.machine.mu.RLock()
+	defer r.machine.mu.RUnlock()
+	n, err := r.machine.tree.find(path)
+	if err != nil {
+		return nil, Stat{}, err
+	}
+	return n.Data, n.Stat, nil
+}
+
+// Children returns the names below a node in order.
+func (r *Replica) Children(path string) ([]string, error) {
+	r.machine.mu.RLock()
+	defer r.machine.mu.RUnlock()
+	if _, err := r.machine.tree.find(path); err != nil {
+		return nil, err
+	}
+	return r.machine.tree.children(path), nil
+}
+
+// Watch tells of the next time that a node comes, goes, or changes its data or
+// its list of children. Set before a read, it misses nothing after it.
+func (r *Replica) Watch(path string) (*Watch, error) {
+	if err := checkPath(path); err != nil {
+		return nil, err
+	}
+	r.machine.mu.Lock()
+	defer r.machine.mu.Unlock()
+	return r.machine.watch(path), nil
+}
--- /dev/null
+++ b/store/tree.go
@@ -0,0 +1,172 @@
+// Package store is a small replicated store with ZooKeeper's semantics: paths
+// with versioned data, sessions with time-outs, ephemeral nodes and one-time
+// watches, agreed on by hashicorp/raft.
+package store
+
+import (
+	"errors"
+	"fmt"
+	"path"
+	"slices"
+	"strings"
+	"time"
+)
+
+// The faults of operations.
+var (
+	ErrNoNode     = errors.New("no such node")
+	ErrNodeExists = errors.New("node exists")
+	ErrBadVersion = errors.New("version does not match")
+	ErrNotEmpty   = errors.New("node has children")
+	ErrNoSession  = errors.New("no such session")
+	ErrEphemeral  = errors.New("an ephemeral node has no children")
+	ErrBadPath    = errors.New("malformed path")
+)
+
+// AnyVersion matches every version.
+const AnyVersion = -1
+
+// Stat tells about a node.
+type Stat struct {
+	Version   int64  `json:"version"`  // of its data, from 0
+	Children  int64  `json:"children"` // version of its list of children
+	Created   uint64 `json:"created"`  // number of the operation that made it
+	Modified  uint64 `json:"modified"` // and of the latest that set its data
+	Ephemeral string `json:"ephemeral,omitempty"`
+}
+
+// node is one node of the tree. Its fields are exported for snapshots.
+type node struct {
+	Data []byte `json:"data"`
+	Stat Stat   `json:"stat"`
+}
+
+// tree is the replicated state. It is not safe for concurrent use.
+type tree struct {
+	Nodes    map[string]*node         `json:"nodes"`
+	Sessions map[string]time.Duration `json:"sessions"` // their time-outs
+
+	changed func(path string) // told of every node whose data, existence or children changed
+}
+
+func newTree() *tree {
+	return &tree{Nodes: map[string]*node{"/": {}}, Sessions: map[string]time.Duration{}, changed: func(string) {}}
+}
+
+// checkPath takes absolute paths in their shortest form only.
+func checkPath(p string) error {
+	if !strings.HasPrefix(p, "/") || path.Clean(p) != p || strings.ContainsRune(p, 0) {
+		return fmt.Errorf("%w: %q", ErrBadPath, p)
+	}
+	return nil
+}
+
+func (t *tree) find(p string) (*node, error) {
+	if err := checkPath(p); err != nil {
+		return nil, err
+	}
+	n := t.Nodes[p]
+	if n == nil {
+		return nil, fmt.Errorf("%w: %s", ErrNoNode, p)
+	}
+	return n, nil
+}
+
+func (t *tree) create(op uint64, p string, data []byte, session string) error {
+	if err := checkPath(p); err != nil {
+		return err
+	}
+	if t.Nodes[p] != nil {
+		return fmt.Errorf("%w: %s", ErrNodeExists, p)
+	}
+	if _, ok := t.Sessions[session]; session != "" && !ok {
+		return fmt.Errorf("%w: %s", ErrNoSession, session)
+	}
+	parent, err := t.find(path.Dir(p))
+	if err != nil {
+		return fmt.Errorf("parent: %w", err)
+	}
+	if parent.Stat.Ephemeral != "" {
+		return fmt.Errorf("%w: %s", ErrEphemeral, path.Dir(p))
+	}
+	t.Nodes[p] = &node{Data: data, Stat: Stat{Created: op, Modified: op, Ephemeral: session}}
+	t.childrenChanged(p)
+	return nil
+}
+
+func (t *tree) set(op uint64, p string, data []byte, version int64) error {
+	n, err := t.at(p, version)
+	if err != nil {
+		return err
+	}
+	n.Data = data
+	n.Stat.Version++
+	n.Stat.Modified = op
+	t.changed(p)
+	return nil
+}
+
+func (t *tree) remove(p string, version int64) error {
+	if _, err := t.at(p, version); err != nil {
+		return err
+	}
+	if p == "/" {
+		return fmt.Errorf("%w: the root stays", ErrBadPath)
+	}
+	if len(t.children(p)) > 0 {
+		return fmt.Errorf("%w: %s", ErrNotEmpty, p)
+	}
+	delete(t.Nodes, p)
+	t.childrenChanged(p)
+	return nil
+}
+
+// at finds a node that must have the version.
+func (t *tree) at(p string, version int64) (*node, error) {
+	n, err := t.find(p)
+	if err == nil && version != AnyVersion && version != n.Stat.Version {
+		return nil, fmt.Errorf("%w: %s is at %d, not %d", ErrBadVersion, p, n.Stat.Version, version)
+	}
+	return n, err
+}
+
+// childrenChanged notes that p came or went.
+func (t *tree) childrenChanged(p string) {
+	dir := path.Dir(p)
+	t.Nodes[dir].Stat.Children++
+	t.changed(p)
+	t.changed(dir)
+}
+
+// children returns the names below p, in order.
+func (t *tree) children(p string) []string {
+	var names []string
+	for other := range t.Nodes {
+		if other != "/" && path.Dir(other) == p {
+			names = append(names, path.Base(other))
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// endSession removes a session and its ephemeral nodes.
+func (t *tree) endSession(id string) error {
+	if _, ok := t.Sessions[id]; !ok {
+		return fmt.Errorf("%w: %s", ErrNoSession, id)
+	}
+	delete(t.Sessions, id)
+	var gone []string
+	for p, n := range t.Nodes {
+		if n.Stat.Ephemeral == id {
+			gone = append(gone, p)
+		}
+	}
+	slices.Sort(gone) // replicas tell their watches in one order
+	for _, p := range gone {
+		if err := t.remove(p, AnyVersion); err != nil {
+			return fmt.Errorf("end session %s: %w", id, err)
+		}
+	}
+	return nil
+}
