--- a/downstream/listener.go
+++ b/downstream/listener.go
@@ -5,6 +5,7 @@
 package downstream
 
 import (
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -61,6 +62,7 @@
 	watching chan struct{}
 	byte1    []byte // read by the watch, for the server
 	err      error  // met by the watch, for the server
+	linger   bool   // it is closed with something of a request unread
 }
 
 // watch calls left once if the client closes the connection. It ends when the
@@ -128,5 +130,24 @@
 	c.home.mu.Lock()
 	delete(c.home.conns, c)
 	c.home.mu.Unlock()
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && c.linger {
+		go discard(tcp)
+		return nil
+	}
 	return c.Conn.Close()
 }
+
+const (
+	discardFor  = 500 * time.Millisecond
+	discardMost = 4 << 20
+)
+
+// discard reads what the client still sends before it closes. Closed at once, the
+// connection would be reset, and the answer lost before the client has read it.
+func discard(c *net.TCPConn) {
+	defer c.Close()
+	if c.CloseWrite() != nil || c.SetReadDeadline(time.Now().Add(discardFor)) != nil {
+		return
+	}
+	_, _ = io.CopyN(io.Discard, c, discardMost)
+}
--- a/downstream/server.go
+++ b/downstream/server.go
@@ -17,9 +17,6 @@
 	"lichenshelf/router"
 )
 
-// MaxBody bounds a request's body.
-const MaxBody = 256 << 10
-
 const (
 	headBuffer  = 16 << 10
 	bodyWait    = 30 * time.Second // for the rest of a request that has begun to come
@@ -34,7 +31,8 @@
 type Config struct {
 	Core     *router.Core
 	Handler  func(*Call) // answers each call, once
-	Problem  func(ctx *fasthttp.RequestCtx, status int, text string)
+	Problem  func(ctx *fasthttp.RequestCtx, status int, fault error)
+	MaxBody  int // bound of a request's body
 	MaxConns int
 	Counters router.Counters
 	Log      *logrus.Logger
@@ -58,7 +56,7 @@
 		ErrorHandler:                  s.unreadable,
 		Concurrency:                   cfg.MaxConns,
 		ReadBufferSize:                headBuffer,
-		MaxRequestBodySize:            MaxBody,
+		MaxRequestBodySize:            cfg.MaxBody,
 		ReadTimeout:                   bodyWait,
 		IdleTimeout:                   idleWait,
 		NoDefaultServerHeader:         true,
@@ -139,10 +137,16 @@
 	case errors.As(err, &small):
 		status = fasthttp.StatusRequestHeaderFieldsTooLarge
 	}
-	s.cfg.Problem(ctx, status, "the request can't be read")
+	s.cfg.Counters.Add("calls_answered_"+strconv.Itoa(status), 1)
+	s.cfg.Problem(ctx, status, errUnreadable)
+	if c, ok := ctx.Conn().(*conn); ok {
+		c.linger = true
+	}
 	ctx.Response.SetConnectionClose()
 }
 
+var errUnreadable = errors.New("the request can't be read, or is too large")
+
 // Call is one call of a client.
 type Call struct {
 	*fasthttp.RequestCtx
@@ -151,10 +155,10 @@
 	conn     *conn
 }
 
-// Problem answers with a status and a text.
-func (c *Call) Problem(status int, text string) {
+// Problem answers with a status and what is wrong.
+func (c *Call) Problem(status int, fault error) {
 	c.server.cfg.Counters.Add("calls_answered_"+strconv.Itoa(status), 1)
-	c.server.cfg.Problem(c.RequestCtx, status, text)
+	c.server.cfg.Problem(c.RequestCtx, status, fault)
 }
 
 // Allow tells whether the call has the method; if not, it answers so.
@@ -163,16 +167,16 @@
 		return true
 	}
 	c.Response.Header.Set(fasthttp.HeaderAllow, method)
-	c.Problem(fasthttp.StatusMethodNotAllowed, method+" only")
+	c.Problem(fasthttp.StatusMethodNotAllowed, errors.New(method+" only"))
 	return false
 }
 
 // Answer is how a routed request ended: Body is set if it is being answered.
 type Answer struct {
-	Body       io.ReadCloser
+	Body       router.Answer
 	Refused    bool
 	RetryAfter time.Duration
-	Last       logic.Status // of the attempts of one that failed
+	Last       logic.Status // how the last attempt of one that was not answered ended
 	Left       bool         // the client has gone
 }
 
@@ -190,9 +194,11 @@
 // waiter implements router.Client. Its channel holds the answer and the leaving.
 type waiter struct{ answers chan Answer }
 
-func (w *waiter) Stream(body io.ReadCloser)  { w.answers <- Answer{Body: body} }
-func (w *waiter) Refuse(after time.Duration) { w.answers <- Answer{Refused: true, RetryAfter: after} }
-func (w *waiter) Fail(last logic.Status)     { w.answers <- Answer{Last: last} }
+func (w *waiter) Stream(body router.Answer) { w.answers <- Answer{Body: body} }
+func (w *waiter) Refuse(after time.Duration, last logic.Status) {
+	w.answers <- Answer{Refused: true, RetryAfter: after, Last: last}
+}
+func (w *waiter) Fail(last logic.Status) { w.answers <- Answer{Last: last} }
 
 // Stream sends the body as it comes. Its end in any way but io.EOF closes the
 // connection without the last chunk.
@@ -202,6 +208,12 @@
 	c.Response.SetBodyStream(&timed{ReadCloser: body, conn: c.conn}, -1)
 }
 
+// Whole sends a body whose length is known.
+func (c *Call) Whole(contentType string, body io.ReadCloser, size int) {
+	c.SetContentType(contentType)
+	c.Response.SetBodyStream(body, size)
+}
+
 // timed gives every event its own time to be taken, not the answer as a whole.
 type timed struct {
 	io.ReadCloser
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -3,14 +3,18 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"os"
 	"runtime/debug"
 
 	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
 
+	"lichenshelf/modelapi"
 	"lichenshelf/platform"
+	"lichenshelf/store"
 )
 
 // Run runs the command line and returns the exit code.
@@ -26,37 +30,32 @@
 }
 
 func command(log *logrus.Logger) *cli.Command {
-	config := &cli.StringFlag{Name: "config", Usage: "the platform's configuration `FILE`",
-		Sources: cli.EnvVars("ROUTER_CONFIG"), Required: true}
-	level := &cli.StringFlag{Name: "log-level", Value: "info", Usage: "debug, info, warning or error"}
+	flags := []cli.Flag{
+		&cli.StringFlag{Name: "config", Usage: "the platform's configuration `FILE`; without it the platform's front is off",
+			Sources: cli.EnvVars("ROUTER_CONFIG")},
+		&cli.StringFlag{Name: "modelapi", Value: defaultModelAPI, Usage: "the model API's `FILE`"},
+		&cli.StringFlag{Name: "store", Value: defaultStore, Usage: "the replicated store's `FILE`"},
+		&cli.StringFlag{Name: "log-level", Value: "info", Usage: "debug, info, warning or error",
+			Sources: cli.EnvVars("LICHENSHELF_LOG_LEVEL")},
+	}
 	return &cli.Command{
 		Name:  "lichenshelf",
 		Usage: "route model requests to readers and writers",
 		Commands: []*cli.Command{
 			{
-				Name: "serve", Usage: "run the router until SIGTERM", Flags: []cli.Flag{config, level},
+				Name: "serve", Usage: "run the router until SIGTERM", Flags: flags,
 				Action: func(ctx context.Context, c *cli.Command) error {
-					if err := setLevel(log, c.String("log-level")); err != nil {
-						return err
-					}
-					cfg, err := platform.LoadConfig(c.String("config"), os.Getenv)
+					level, err := logrus.ParseLevel(c.String("log-level"))
 					if err != nil {
-						return fmt.Errorf("load configuration: %w", err)
+						return fmt.Errorf("log level: %w", err)
 					}
-					return serve(ctx, cfg, log)
+					log.SetLevel(level)
+					return serve(ctx, files(c), log)
 				},
 			},
 			{
-				Name: "check-config", Usage: "read the configuration and say what it holds", Flags: []cli.Flag{config},
-				Action: func(_ context.Context, c *cli.Command) error {
-					cfg, err := platform.LoadConfig(c.String("config"), os.Getenv)
-					if err != nil {
-						return fmt.Errorf("check configuration: %w", err)
-					}
-					_, err = fmt.Fprintf(c.Root().Writer, "%s listens on %s, discovery at %s, %d classes, %d workers known\n",
-						cfg.Name, cfg.Listen, cfg.Discovery, len(cfg.Settings.Classes), len(cfg.Known.Instances))
-					return err
-				},
+				Name: "check-config", Usage: "read the files that serve would and say what they hold", Flags: flags,
+				Action: func(_ context.Context, c *cli.Command) error { return check(c.Root().Writer, files(c)) },
 			},
 			{
 				Name: "version", Usage: "print the version",
@@ -69,15 +68,66 @@
 	}
 }
 
-func setLevel(log *logrus.Logger, name string) error {
-	level, err := logrus.ParseLevel(name)
-	if err != nil {
-		return fmt.Errorf("log level: %w", err)
+// The files of the project's own, as seen from the root of the repository.
+const (
+	defaultModelAPI = "deploy/modelapi.toml"
+	defaultStore    = "deploy/store.toml"
+)
+
+// files tells which files to use. A file that nobody named may be missing.
+func files(c *cli.Command) options {
+	named := func(flag string) string {
+		path := c.String(flag)
+		if _, err := os.Stat(path); errors.Is(err, os.ErrNotExist) && !c.IsSet(flag) {
+			return ""
+		}
+		return path
+	}
+	return options{platform: c.String("config"), modelAPI: named("modelapi"), store: named("store")}
+}
+
+// check reads all files and prints a line for each.
+func check(w io.Writer, o options) error {
+	say := func(format string, args ...any) error {
+		_, err := fmt.Fprintf(w, format+"\n", args...)
+		return err
+	}
+	if o.platform != "" {
+		c, err := platform.LoadConfig(o.platform, os.Getenv)
+		if err != nil {
+			return fmt.Errorf("platform: %w", err)
+		}
+		if err := say("platform: %s listens on %s, discovery at %s, %d classes, %d workers known", c.Name, c.Listen,
+			c.Discovery, len(c.Settings.Classes), len(c.Known.Instances)); err != nil {
+			return err
+		}
+	}
+	if o.modelAPI != "" {
+		c, err := modelapi.LoadConfig(o.modelAPI)
+		if err != nil {
+			return fmt.Errorf("model API: %w", err)
+		}
+		if err := say("model API: %s, %d accounts, %d backends", orOff(c.Listen), len(c.Accounts), len(c.Backends)); err != nil {
+			return err
+		}
+	}
+	if o.store != "" {
+		c, err := store.LoadConfig(o.store)
+		if err != nil {
+			return fmt.Errorf("store: %w", err)
+		}
+		return say("store: %s, %d replicas", orOff(c.ID), len(c.Peers))
 	}
-	log.SetLevel(level)
 	return nil
 }
 
+func orOff(s string) string {
+	if s == "" {
+		return "off"
+	}
+	return s
+}
+
 // version is what the build tells of itself.
 func version() string {
 	v := "lichenshelf (unknown build)"
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math"
 	"net"
@@ -18,8 +19,10 @@
 	"lichenshelf/downstream"
 	"lichenshelf/logic"
 	"lichenshelf/metrics"
+	"lichenshelf/modelapi"
 	"lichenshelf/platform"
 	"lichenshelf/router"
+	"lichenshelf/store"
 )
 
 const (
@@ -28,87 +31,264 @@
 	workerPart     = 0.4         // of the other sockets; the rest is for clients
 	memoryPart     = 0.7         // of the limit, from where on the collector works harder
 	settleWait     = time.Second // for discovery's first word, where workers are known already
+	storeWait      = 10 * time.Second
 )
 
-// serve runs the router until a SIGTERM has been seen through.
-func serve(ctx context.Context, cfg *platform.Config, log *logrus.Logger) error {
-	if cfg.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(float64(cfg.MemoryMB<<20) * memoryPart))
+// options are the files that serve was given; an empty one is not used.
+type options struct {
+	platform, modelAPI, store string
+}
+
+// daemon is what runs: fronts, each with a core of its own, and the store.
+type daemon struct {
+	log      *logrus.Logger
+	counters *metrics.Set
+	opts     options
+	fronts   []front
+	fleet    *modelapi.Fleet
+	replica  *store.Replica
+	api      *store.API
+	failed   chan error
+	stopping atomic.Bool
+}
+
+type front struct {
+	core   *router.Core
+	server *downstream.Server
+}
+
+// serve runs until a SIGTERM has been seen through.
+func serve(ctx context.Context, opts options, log *logrus.Logger) error {
+	d := &daemon{log: log, counters: &metrics.Set{}, opts: opts, failed: make(chan error, 4)}
+	defer d.printCounters()
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer d.closeStore()
+	if err := d.start(ctx); err != nil {
+		return err
 	}
-	if cfg.Cores > 0 {
-		runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Cores))))
+	for {
+		select {
+		case err := <-d.failed:
+			return err
+		case s := <-signals:
+			switch s {
+			case syscall.SIGUSR1:
+				d.printCounters()
+			case syscall.SIGHUP:
+				d.reload()
+			default:
+				return d.stop(ctx)
+			}
+		}
+	}
+}
+
+func (d *daemon) start(ctx context.Context) error {
+	if d.opts.store != "" {
+		if err := d.startStore(); err != nil {
+			return fmt.Errorf("start the store: %w", err)
+		}
 	}
-	sockets := cfg.Sockets
+	if d.opts.platform != "" {
+		if err := d.startPlatform(ctx); err != nil {
+			return fmt.Errorf("start the platform's front: %w", err)
+		}
+	}
+	if d.opts.modelAPI != "" {
+		if err := d.startModelAPI(ctx); err != nil {
+			return fmt.Errorf("start the model API: %w", err)
+		}
+	}
+	if len(d.fronts) == 0 && d.replica == nil {
+		return errors.New("nothing to serve: no configuration of the platform, and neither the model API nor the store is on")
+	}
+	return nil
+}
+
+// shares divides the sockets that a front may hold between workers and clients.
+func shares(sockets int) (workers, clients int) {
 	if sockets <= 2*spareSockets {
 		sockets = defaultSockets
 	}
-	workerConns := int(float64(sockets-spareSockets) * workerPart)
-	clientConns := sockets - spareSockets - workerConns
-
-	counters := &metrics.Set{}
-	defer printCounters(counters, log)
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
-	defer signal.Stop(signals)
+	workers = int(float64(sockets-spareSockets) * workerPart)
+	return workers, sockets - spareSockets - workers
+}
 
-	listener, err := net.Listen("tcp", cfg.Listen)
+func (d *daemon) startPlatform(ctx context.Context) error {
+	cfg, err := platform.LoadConfig(d.opts.platform, os.Getenv)
 	if err != nil {
-		return fmt.Errorf("listen for clients: %w", err)
+		return err
 	}
-	core := router.New(router.Config{
-		Decider: logic.New(cfg.Settings, cfg.Seed), Transport: platform.NewTransport(cfg, workerConns, counters),
-		Counters: counters, MaxAttempts: cfg.Settings.MaxAttempts, MaxOpen: openLimit(cfg, clientConns),
-		Log: func(text string) { log.Info(text) },
-	})
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	go core.Run(ctx)
-	watch := platform.NewWatch(cfg, core, log)
+	if cfg.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(cfg.MemoryMB<<20) * memoryPart))
+	}
+	if cfg.Cores > 0 {
+		runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Cores))))
+	}
+	workers, clients := shares(cfg.Sockets)
+	open := clients
+	if cfg.OpenCap > 0 {
+		open = min(open, cfg.OpenCap)
+	}
+	core := d.core(ctx, logic.New(cfg.Settings, cfg.Seed), platform.NewTransport(cfg, workers, d.counters),
+		cfg.Settings.MaxAttempts, open)
+	watch := platform.NewWatch(cfg, core, d.log)
 	go watch.Run(ctx)
-
-	var stopping atomic.Bool
 	started := time.Now()
 	ready := func() bool {
 		settled := watch.Told() || len(cfg.Known.Instances) > 0 && time.Since(started) > settleWait
-		return settled && !stopping.Load()
-	}
-	server := downstream.NewServer(listener, downstream.Config{
-		Core: core, Handler: platform.NewFront(cfg, ready).Handle, Problem: platform.Problem,
-		MaxConns: clientConns, Counters: counters,
-	})
-	failed := make(chan error, 1)
-	go func() { failed <- server.Serve() }()
-	log.WithFields(logrus.Fields{"name": cfg.Name, "listen": cfg.Listen, "clients": clientConns,
-		"workers": workerConns}).Info("serving")
-	for {
-		select {
-		case err := <-failed:
+		return settled && !d.stopping.Load()
+	}
+	return d.listen(cfg.Listen, core, downstream.Config{Handler: platform.NewFront(cfg, ready).Handle,
+		Problem: platform.Problem, MaxBody: platform.MaxBody, MaxConns: clients})
+}
+
+func (d *daemon) startModelAPI(ctx context.Context) error {
+	cfg, err := modelapi.LoadConfig(d.opts.modelAPI)
+	if err != nil || cfg.Listen == "" {
+		return err
+	}
+	if d.replica != nil {
+		if err := d.override(cfg); err != nil {
 			return err
-		case s := <-signals:
-			if s == syscall.SIGUSR1 {
-				printCounters(counters, log)
-				continue
-			}
-			log.WithField("open", core.Open()).Info("stopping: finishing what is in hand")
-			stopping.Store(true)
-			if err := server.Stop(ctx); err != nil {
-				return err
-			}
-			core.Settle(ctx)
-			return nil
 		}
 	}
+	workers, clients := shares(defaultSockets)
+	settings := cfg.Settings()
+	core := d.core(ctx, logic.New(settings, uint64(time.Now().UnixNano())),
+		modelapi.NewTransport(cfg, workers, d.counters), settings.MaxAttempts, cfg.MaxOpen)
+	d.fleet = modelapi.NewFleet(core, d.log)
+	if err := d.fleet.SetFile(cfg.Backends); err != nil {
+		return err
+	}
+	if d.replica != nil {
+		go d.fleet.Follow(ctx, d.replica)
+	}
+	ready := func() bool { return d.fleet.Ready() && !d.stopping.Load() }
+	return d.listen(cfg.Listen, core, downstream.Config{Handler: modelapi.NewFront(cfg, ready).Handle,
+		Problem: modelapi.Problem, MaxBody: cfg.MaxBody, MaxConns: clients})
 }
 
-func openLimit(cfg *platform.Config, clients int) int {
-	if cfg.OpenCap > 0 {
-		return min(cfg.OpenCap, clients)
+// override takes over the configuration that the store holds, if it holds one.
+// The store is waited for: a router must not start with another configuration
+// than its fellows for want of patience.
+func (d *daemon) override(cfg *modelapi.Config) error {
+	deadline := time.Now().Add(storeWait)
+	for !d.replica.Current() {
+		if time.Now().After(deadline) {
+			return errors.New("the store has no leader to read the configuration from")
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	text, _, err := d.replica.Get(modelapi.ConfigPath)
+	if errors.Is(err, store.ErrNoNode) {
+		return nil
+	}
+	if err != nil {
+		return fmt.Errorf("read the store: %w", err)
+	}
+	return cfg.Override(string(text))
+}
+
+func (d *daemon) core(ctx context.Context, decider logic.Decider, t router.Transport, attempts, open int) *router.Core {
+	core := router.New(router.Config{Decider: decider, Transport: t, Counters: d.counters,
+		MaxAttempts: attempts, MaxOpen: open, Log: d.log})
+	go core.Run(ctx)
+	return core
+}
+
+func (d *daemon) listen(addr string, core *router.Core, cfg downstream.Config) error {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return fmt.Errorf("listen for clients: %w", err)
+	}
+	cfg.Core, cfg.Counters = core, d.counters
+	server := downstream.NewServer(l, cfg)
+	d.fronts = append(d.fronts, front{core, server})
+	go func() {
+		if err := server.Serve(); err != nil {
+			d.failed <- err
+		}
+	}()
+	d.log.WithFields(logrus.Fields{"listen": addr, "connections": cfg.MaxConns}).Info("serving")
+	return nil
+}
+
+func (d *daemon) startStore() error {
+	cfg, err := store.LoadConfig(d.opts.store)
+	if err != nil || cfg.ID == "" {
+		return err
+	}
+	cfg.Log = d.log.Out
+	l, err := net.Listen("tcp", cfg.Self().API)
+	if err != nil {
+		return fmt.Errorf("listen for the store's clients: %w", err)
+	}
+	if d.replica, err = store.Open(*cfg); err != nil {
+		return errors.Join(err, l.Close())
+	}
+	d.api = store.NewAPI(d.replica)
+	go func() {
+		if err := d.api.Serve(l); err != nil {
+			d.failed <- err
+		}
+	}()
+	d.log.WithFields(logrus.Fields{"id": cfg.ID, "api": cfg.Self().API}).Info("store open")
+	return nil
+}
+
+func (d *daemon) closeStore() {
+	if d.replica == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if err := errors.Join(d.api.Close(ctx), d.replica.Close()); err != nil {
+		d.log.WithError(err).Warn("store not closed in good order")
+	}
+}
+
+// reload reads the list of backends again.
+func (d *daemon) reload() {
+	if d.fleet == nil {
+		return
+	}
+	cfg, err := modelapi.LoadConfig(d.opts.modelAPI)
+	if err == nil {
+		err = d.fleet.SetFile(cfg.Backends)
+	}
+	if err != nil {
+		d.log.WithError(err).Error("backends not read again, the old list stays")
+		return
+	}
+	d.log.WithField("backends", len(cfg.Backends)).Info("backends read again")
+}
+
+// stop finishes what is in hand, at all fronts at once.
+func (d *daemon) stop(ctx context.Context) error {
+	d.stopping.Store(true)
+	ends := make(chan error, len(d.fronts))
+	for _, f := range d.fronts {
+		d.log.WithField("open", f.core.Open()).Info("stopping: finishing what is in hand")
+		go func() {
+			err := f.server.Stop(ctx)
+			f.core.Settle(ctx)
+			ends <- err
+		}()
+	}
+	var all error
+	for range d.fronts {
+		all = errors.Join(all, <-ends)
 	}
-	return clients
+	return all
 }
 
-func printCounters(counters *metrics.Set, log *logrus.Logger) {
-	if err := counters.Print(os.Stderr); err != nil {
-		log.WithError(err).Warn("counters not printed")
+func (d *daemon) printCounters() {
+	if err := d.counters.Print(os.Stderr); err != nil {
+		d.log.WithError(err).Warn("counters not printed")
 	}
 }
--- /dev/null
+++ b/modelapi/config.go
@@ -0,0 +1,200 @@
+// Package modelapi is the second front: chat, embeddings and rerank over the
+// public OpenAI and Cohere-style interfaces, routed by the same core.
+package modelapi
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/BurntSushi/toml"
+
+	"lichenshelf/logic"
+	"lichenshelf/router"
+)
+
+// Config is the second front's file.
+type Config struct {
+	Listen    string   `toml:"listen"` // empty: the front is off
+	MaxOpen   int      `toml:"max_open"`
+	MaxBody   int      `toml:"max_body_bytes"`
+	MaxAnswer int      `toml:"max_answer_bytes"`
+	Routers   int      `toml:"routers"` // how many share the backends
+	Attempts  int      `toml:"attempts"`
+	Connect   duration `toml:"connect_timeout"`
+	ConnIdle  duration `toml:"backend_conn_idle"`
+	Stall     duration `toml:"stream_stall"`
+	RetryMost duration `toml:"retry_after_most"`
+	OverShare float64  `toml:"over_share_worth"`
+
+	Chat       Class `toml:"chat"`
+	Embeddings Class `toml:"embeddings"`
+	Rerank     Class `toml:"rerank"`
+
+	Accounts []Account `toml:"account"`
+	Backends []Backend `toml:"backend"`
+}
+
+// Class holds the times of one kind of request.
+type Class struct {
+	Aim        duration `toml:"aim"` // an answer, or its first event, is wanted within this
+	AimPer1000 duration `toml:"aim_per_1000_tokens"`
+	Deadline   duration `toml:"deadline"` // and is given up after this
+	Points     float64  `toml:"points"`
+}
+
+// Account is a tenant, known by its key.
+type Account struct {
+	Name           string  `toml:"name"`
+	Key            string  `toml:"key"`
+	QuotaPerSecond float64 `toml:"quota_per_s"`
+}
+
+// Backend is a model server.
+type Backend struct {
+	Name     string `toml:"name" json:"-"`
+	Addr     string `toml:"addr" json:"addr"`
+	Cell     int    `toml:"cell" json:"cell"`
+	Draining bool   `toml:"draining" json:"draining"` // finishes what it has, gets nothing new
+	// StartedAtMs is when it last started, in Unix milliseconds: a fresh one is
+	// cold and gets little at first. 0 means long ago.
+	StartedAtMs int64 `toml:"started_at_ms" json:"started_at_ms"`
+}
+
+type duration struct{ time.Duration }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err == nil && v < 0 {
+		err = errors.New("negative")
+	}
+	d.Duration = v
+	return err
+}
+
+// The classes, as the decisions number them.
+const (
+	classChat = iota
+	classEmbeddings
+	classRerank
+)
+
+func defaults() Config {
+	s := func(seconds float64) duration { return duration{time.Duration(seconds * float64(time.Second))} }
+	return Config{
+		MaxOpen: 128, MaxBody: 1 << 20, MaxAnswer: 8 << 20, Routers: 1, Attempts: 4,
+		Connect: s(0.25), ConnIdle: s(30), Stall: s(30), RetryMost: s(2), OverShare: 0.1,
+		Chat:       Class{Aim: s(3), AimPer1000: s(0.1), Deadline: s(60), Points: 1},
+		Embeddings: Class{Aim: s(2), AimPer1000: s(0.1), Deadline: s(15), Points: 1},
+		Rerank:     Class{Aim: s(3), AimPer1000: s(0.1), Deadline: s(30), Points: 1},
+	}
+}
+
+// LoadConfig reads the file. What it leaves out has a default.
+func LoadConfig(path string) (*Config, error) {
+	c := defaults()
+	meta, err := toml.DecodeFile(path, &c)
+	if err != nil {
+		return nil, fmt.Errorf("read %s: %w", path, err)
+	}
+	if unknown := meta.Undecoded(); len(unknown) > 0 {
+		return nil, fmt.Errorf("%s: unknown key %s", path, unknown[0])
+	}
+	if err := c.check(); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return &c, nil
+}
+
+func (c *Config) check() error {
+	if c.Listen == "" {
+		return nil
+	}
+	if _, _, err := net.SplitHostPort(c.Listen); err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	for name, n := range map[string]int{"max_open": c.MaxOpen, "max_body_bytes": c.MaxBody,
+		"max_answer_bytes": c.MaxAnswer, "routers": c.Routers, "attempts": c.Attempts} {
+		if n < 1 {
+			return fmt.Errorf("%s must be 1 or more", name)
+		}
+	}
+	for _, cl := range []Class{c.Chat, c.Embeddings, c.Rerank} {
+		if cl.Aim.Duration == 0 || cl.Deadline.Duration < cl.Aim.Duration {
+			return errors.New("a class needs an aim, and a deadline that is no shorter")
+		}
+	}
+	keys := map[string]bool{}
+	for _, a := range c.Accounts {
+		if a.Name == "" || a.Key == "" || keys[a.Key] {
+			return fmt.Errorf("account %q needs a name and a key of its own", a.Name)
+		}
+		keys[a.Key] = true
+	}
+	_, err := Members(c.Backends)
+	return err
+}
+
+// drainGrace is the window in which sends to a leaving backend must have ceased.
+const drainGrace = 250 * time.Millisecond
+
+// Settings states the front's classes and backends to the decisions. A backend
+// reads and answers whole, and every request may be repeated.
+func (c *Config) Settings() logic.Settings {
+	s := logic.Settings{
+		Gateways: c.Routers, Kinds: []logic.Kind{{Role: logic.RoleBoth}},
+		CancelAllowed: true, RetryAfter: true, MaxRetryAfter: c.RetryMost.Duration,
+		MaxAttempts: c.Attempts, ConnectTimeout: c.Connect.Duration, OverShareWorth: c.OverShare,
+		DrainGrace: drainGrace, ColdShare: 0.27, WarmWithin: 14 * time.Second,
+		FallMultiple: 2.5, FallAfter: 1500 * time.Millisecond, ReleaseWithin: 300 * time.Millisecond,
+	}
+	for _, cl := range []Class{c.Chat, c.Embeddings, c.Rerank} {
+		s.Classes = append(s.Classes, logic.Class{Aim: cl.Aim.Duration, AimPer1000: cl.AimPer1000.Duration,
+			Points: cl.Points, Effect: logic.EffectRepeatable})
+	}
+	for _, a := range c.Accounts {
+		s.Tenants = append(s.Tenants, logic.Tenant{QuotaPerSecond: a.QuotaPerSecond})
+	}
+	return s
+}
+
+// Members turns backends into a list for the core. Numbers come from names, so
+// that all routers of the same backends number them alike.
+func Members(backends []Backend) ([]router.Member, error) {
+	var ids router.ServerIDs
+	names := map[string]bool{}
+	out := make([]router.Member, 0, len(backends))
+	for _, b := range backends {
+		if b.Name == "" || names[b.Name] {
+			return nil, fmt.Errorf("backend %q needs a name of its own", b.Name)
+		}
+		names[b.Name] = true
+		if _, _, err := net.SplitHostPort(b.Addr); err != nil {
+			return nil, fmt.Errorf("backend %s: %w", b.Name, err)
+		}
+		m := router.Member{Name: b.Name, Addr: b.Addr, Member: logic.Member{Server: ids.ID(b.Name), Weight: 1,
+			Cell: b.Cell, Since: logic.Time(b.StartedAtMs * 1e6)}}
+		if b.Draining {
+			m.Health = logic.Draining
+		}
+		out = append(out, m)
+	}
+	return out, nil
+}
+
+// Override takes over what the text of another file says, but for the address to
+// listen on and the backends.
+func (c *Config) Override(text string) error {
+	next := *c
+	if _, err := toml.Decode(text, &next); err != nil {
+		return fmt.Errorf("configuration: %w", err)
+	}
+	next.Listen, next.Backends = c.Listen, c.Backends
+	if err := next.check(); err != nil {
+		return fmt.Errorf("configuration: %w", err)
+	}
+	*c = next
+	return nil
+}
--- /dev/null
+++ b/modelapi/front.go
@@ -0,0 +1,226 @@
+package modelapi
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"golang.org/x/time/rate"
+
+	"lichenshelf/downstream"
+	"lichenshelf/logic"
+	"lichenshelf/router"
+	"lichenshelf/upstream"
+)
+
+const (
+	headerRequestID = "X-Request-Id"
+	headerWait      = "X-Time-Left-Ms"
+	jsonType        = "application/json"
+)
+
+var (
+	errNoBackend  = errors.New("no backend is in service")
+	errKey        = errors.New("the API key is missing or unknown")
+	errOverloaded = errors.New("the service is overloaded, try again later")
+	errRate       = errors.New("the account is past its rate, try again later")
+	errTimedOut   = errors.New("no backend answered in time")
+	errFailed     = errors.New("the backends failed to answer")
+)
+
+// endpoint is one path of the interface.
+type endpoint struct {
+	read  func([]byte) (parsed, error)
+	class Class
+}
+
+// Front turns calls into requests for the core and its answers into theirs.
+type Front struct {
+	cfg       *Config
+	endpoints map[string]endpoint
+	accounts  map[string]int // by key
+	rates     []*rate.Limiter
+	ready     func() bool
+	prefix    string
+	last      atomic.Uint64
+}
+
+// NewFront returns a front; ready tells whether there is a backend to serve with.
+func NewFront(cfg *Config, ready func() bool) *Front {
+	f := &Front{cfg: cfg, ready: ready, accounts: map[string]int{},
+		prefix: "req-" + strconv.FormatInt(time.Now().UnixNano(), 36) + "-",
+		endpoints: map[string]endpoint{
+			"/v1/chat/completions": {chat, cfg.Chat},
+			"/v1/embeddings":       {embeddings, cfg.Embeddings},
+			"/v1/rerank":           {rerank, cfg.Rerank},
+		}}
+	for i, a := range cfg.Accounts {
+		f.accounts[a.Key] = i
+		limit, burst := rate.Inf, 1
+		if a.QuotaPerSecond > 0 {
+			limit, burst = rate.Limit(a.QuotaPerSecond), max(1, int(2*a.QuotaPerSecond))
+		}
+		f.rates = append(f.rates, rate.NewLimiter(limit, burst))
+	}
+	return f
+}
+
+// Handle answers one call.
+func (f *Front) Handle(call *downstream.Call) {
+	path, _, _ := strings.Cut(string(call.Request.Header.RequestURI()), "?")
+	if path == "/healthz" {
+		switch {
+		case !call.Allow(fasthttp.MethodGet):
+		case !f.ready():
+			call.Problem(fasthttp.StatusServiceUnavailable, errNoBackend)
+		default:
+			call.SetContentType(jsonType)
+			call.SetBodyString(`{"status":"ready"}`)
+		}
+		return
+	}
+	e, ok := f.endpoints[path]
+	switch {
+	case !ok:
+		call.Problem(fasthttp.StatusNotFound, fmt.Errorf("unknown path %s", path))
+	case call.Allow(fasthttp.MethodPost):
+		f.route(call, e)
+	}
+}
+
+func (f *Front) route(call *downstream.Call, e endpoint) {
+	tenant, ok := f.account(call)
+	if !ok {
+		call.Problem(fasthttp.StatusUnauthorized, errKey)
+		return
+	}
+	body := bytes.Clone(call.Request.Body())
+	p, err := e.read(body)
+	if err == nil {
+		p.Patience, err = patience(call, e.class)
+	}
+	if err != nil {
+		call.Problem(fasthttp.StatusBadRequest, err)
+		return
+	}
+	p.Tenant = tenant
+	within := tenant >= len(f.rates) || f.rates[tenant].Allow()
+	r := &router.Request{Request: p.Request, Received: call.Received,
+		Name:    f.prefix + strconv.FormatUint(f.last.Add(1), 36),
+		Payload: f.message(call, body, p.stream)}
+	call.Response.Header.Set(headerRequestID, r.Name)
+	f.answer(call, call.Route(r), within)
+}
+
+func (f *Front) answer(call *downstream.Call, a downstream.Answer, within bool) {
+	switch {
+	case a.Body != nil:
+		head, _ := a.Body.Head().(upstream.Head)
+		call.SetStatusCode(head.Status)
+		if head.Size >= 0 {
+			call.Whole(head.ContentType, a.Body, head.Size)
+		} else {
+			call.Stream(head.ContentType, a.Body)
+		}
+	case a.Refused && a.Last == logic.TimedOut:
+		call.SetRetryAfter(a.RetryAfter)
+		call.Problem(fasthttp.StatusGatewayTimeout, errTimedOut)
+	case a.Refused && within:
+		call.SetRetryAfter(a.RetryAfter)
+		call.Problem(fasthttp.StatusServiceUnavailable, errOverloaded)
+	case a.Refused:
+		call.SetRetryAfter(a.RetryAfter)
+		call.Problem(fasthttp.StatusTooManyRequests, errRate)
+	case a.Left:
+		call.Response.SetConnectionClose()
+	case a.Last == logic.TimedOut:
+		call.Problem(fasthttp.StatusGatewayTimeout, errTimedOut)
+	default:
+		call.Problem(fasthttp.StatusBadGateway, errFailed)
+	}
+}
+
+// account finds the caller by its key. Without accounts anyone may call.
+func (f *Front) account(call *downstream.Call) (int, bool) {
+	if len(f.accounts) == 0 {
+		return 0, true
+	}
+	token, ok := strings.CutPrefix(string(call.Request.Header.Peek(fasthttp.HeaderAuthorization)), "Bearer ")
+	if !ok {
+		return 0, false
+	}
+	i, ok := f.accounts[strings.TrimSpace(token)]
+	return i, ok
+}
+
+// patience is the class's deadline, or less where the client says so.
+func patience(call *downstream.Call, c Class) (time.Duration, error) {
+	text := string(call.Request.Header.Peek(headerWait))
+	if text == "" {
+		return c.Deadline.Duration, nil
+	}
+	ms, err := strconv.ParseUint(text, 10, 31)
+	if err != nil {
+		return 0, &invalid{headerWait, headerWait + " is not a number of milliseconds"}
+	}
+	return min(c.Deadline.Duration, time.Duration(ms)*time.Millisecond), nil
+}
+
+// message is what goes on to a backend. The account's key stays here.
+func (f *Front) message(call *downstream.Call, body []byte, stream bool) *upstream.Message {
+	m := &upstream.Message{Method: fasthttp.MethodPost, URI: string(call.Request.Header.RequestURI()),
+		Body: body, Stream: stream, Header: [][2]string{{fasthttp.HeaderContentType, jsonType}}}
+	for _, name := range []string{headerRequestID, fasthttp.HeaderAccept} {
+		if v := call.Request.Header.Peek(name); len(v) > 0 {
+			m.Header = append(m.Header, [2]string{name, string(v)})
+		}
+	}
+	return m
+}
+
+// Problem answers with an error object.
+func Problem(ctx *fasthttp.RequestCtx, status int, fault error) {
+	kind, code := "invalid_request_error", ""
+	switch {
+	case status == fasthttp.StatusUnauthorized:
+		code = "invalid_api_key"
+	case status == fasthttp.StatusNotFound:
+		code = "unknown_url"
+	case status == fasthttp.StatusTooManyRequests:
+		kind, code = "rate_limit_error", "rate_limit_exceeded"
+	case status == fasthttp.StatusServiceUnavailable:
+		kind, code = "server_error", "overloaded"
+	case status == fasthttp.StatusGatewayTimeout:
+		kind, code = "server_error", "timeout"
+	case status >= fasthttp.StatusInternalServerError:
+		kind = "server_error"
+	}
+	type object struct {
+		Message string  `json:"message"`
+		Type    string  `json:"type"`
+		Param   *string `json:"param"`
+		Code    *string `json:"code"`
+	}
+	o := object{Message: fault.Error(), Type: kind}
+	var field *invalid
+	if errors.As(fault, &field) && field.param != "" {
+		o.Param = &field.param
+	}
+	if code != "" {
+		o.Code = &code
+	}
+	body, err := json.Marshal(map[string]object{"error": o})
+	if err != nil { // strings always marshal
+		body = []byte(`{"error":{"message":"internal error"}}`)
+	}
+	ctx.Response.ResetBody()
+	ctx.SetStatusCode(status)
+	ctx.SetContentType(jsonType)
+	ctx.SetBody(body)
+}
--- a/router/api.go
+++ b/router/api.go
@@ -26,10 +26,11 @@
 type Client interface {
 	// Stream gives the answer: all of it up to io.EOF. Any other error means
 	// that it broke off, and the client must be able to see that.
-	Stream(answer io.ReadCloser)
-	// Refuse says that trying again, after the given time, is harmless.
-	Refuse(after time.Duration)
-	// Fail says that the request was given up; last is how its last attempt ended.
+	Stream(Answer)
+	// Refuse says that trying again, after the given time, is harmless; last is
+	// how the last attempt ended, NotSent if there was none.
+	Refuse(after time.Duration, last logic.Status)
+	// Fail says that the request was given up.
 	Fail(last logic.Status)
 }
 
@@ -43,6 +44,8 @@
 // Answer is a worker's answer that has begun.
 type Answer interface {
 	io.ReadCloser
+	// Head is what the transport has to tell the front beside the bytes.
+	Head() any
 	// Kept is the number of prompt tokens found kept, known after io.EOF.
 	Kept() uint32
 }
--- a/router/book.go
+++ b/router/book.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"lichenshelf/logic"
 )
 
@@ -15,6 +17,7 @@
 	core      *Core
 	transport Transport
 	count     Counters
+	log       logrus.FieldLogger
 }
 
 func (b *book) refuse(ex *exchange, after time.Duration) {
@@ -22,7 +25,8 @@
 		return
 	}
 	b.count.Add("answers_refused", 1)
-	ex.client.Refuse(after)
+	b.note(ex, "refused")
+	ex.client.Refuse(after, ex.last)
 	b.close(ex)
 }
 
@@ -31,6 +35,7 @@
 		return
 	}
 	b.count.Add("answers_failed", 1)
+	b.note(ex, "failed")
 	ex.client.Fail(ex.last)
 	b.close(ex)
 }
@@ -42,6 +47,12 @@
 	ex.client.Fail(logic.NotSent)
 }
 
+// note writes a request's end to the log, for who looks for what went wrong.
+func (b *book) note(ex *exchange, end string) {
+	b.log.WithFields(logrus.Fields{"request": ex.Name, "class": ex.Class, "attempts": ex.sends,
+		"last": statusNames[ex.last], "ms": time.Since(ex.Received).Milliseconds()}).Debug(end)
+}
+
 // answered notes how an answer that had begun has ended.
 func (b *book) answered(s logic.Status) {
 	switch s {
--- a/router/core.go
+++ b/router/core.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"io"
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"lichenshelf/logic"
 )
 
@@ -23,8 +26,9 @@
 	MaxAttempts int
 	// MaxOpen bounds the requests in hand; more are refused at the door.
 	MaxOpen int
-	// Log takes what the decisions have to say; it may be nil.
-	Log func(string)
+	// Log takes what the decisions have to say, and at the debug level how each
+	// request ended; nil drops it.
+	Log logrus.FieldLogger
 }
 
 // Core is the router proper. Its chain is: intake, admission, routing, sender,
@@ -58,6 +62,11 @@
 
 // New returns a core; Run starts it.
 func New(cfg Config) *Core {
+	if cfg.Log == nil {
+		silent := logrus.New()
+		silent.SetOutput(io.Discard)
+		cfg.Log = silent
+	}
 	c := &Core{mail: make(chan func(), mailboxSize), stopped: make(chan struct{})}
 	c.roster.workers = map[logic.ServerID]*Worker{}
 	c.intake = intake{core: c, limit: int64(cfg.MaxOpen), count: cfg.Counters}
@@ -65,7 +74,7 @@
 	c.routing = routing{core: c, decider: cfg.Decider, start: time.Now(), log: cfg.Log}
 	c.sender = sender{core: c, transport: cfg.Transport, most: cfg.MaxAttempts, count: cfg.Counters}
 	c.relay = relay{core: c}
-	c.book = book{core: c, transport: cfg.Transport, count: cfg.Counters}
+	c.book = book{core: c, transport: cfg.Transport, count: cfg.Counters, log: cfg.Log}
 	return c
 }
 
--- /dev/null
+++ b/router/core_test.go
@@ -0,0 +1,178 @@
+package router
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lichenshelf/logic"
+	"lichenshelf/metrics"
+)
+
+// decide is a decider made of a function of single events.
+type decide func(logic.Event) []logic.Action
+
+func (d decide) Handle(_ logic.Time, events []logic.Event, actions []logic.Action) []logic.Action {
+	for _, e := range events {
+		actions = append(actions, d(e)...)
+	}
+	return actions
+}
+
+// wires is a transport that only notes what it is asked for.
+type wires struct {
+	sent     chan Sink
+	gaveUp   chan struct{}
+	released chan string
+}
+
+func newWires() *wires {
+	return &wires{sent: make(chan Sink, 16), gaveUp: make(chan struct{}, 16), released: make(chan string, 16)}
+}
+
+func (w *wires) Send(_ Attempt, s Sink) func() {
+	w.sent <- s
+	return sync.OnceFunc(func() { w.gaveUp <- struct{}{} })
+}
+func (w *wires) Release(name string, _ []*Worker) { w.released <- name }
+func (w *wires) Forget(*Worker)                   {}
+
+// caller notes the answers it gets.
+type caller struct{ answers chan string }
+
+func (c caller) Stream(Answer)                      { c.answers <- "stream" }
+func (c caller) Refuse(time.Duration, logic.Status) { c.answers <- "refused" }
+func (c caller) Fail(logic.Status)                  { c.answers <- "failed" }
+
+type text struct{ io.Reader }
+
+func (text) Close() error { return nil }
+func (text) Head() any    { return nil }
+func (text) Kept() uint32 { return 7 }
+
+func run(t *testing.T, d decide, w *wires) (*Core, *metrics.Set) {
+	counters := &metrics.Set{}
+	c := New(Config{Decider: d, Transport: w, Counters: counters, MaxAttempts: 3, MaxOpen: 2})
+	ctx, cancel := context.WithCancel(context.Background())
+	go c.Run(ctx)
+	t.Cleanup(func() { cancel(); <-c.stopped })
+	c.Discovered([]Member{{Member: logic.Member{Server: 5}, Name: "s", Addr: "x:1"}}, true)
+	return c, counters
+}
+
+func submit(c *Core, name string) (caller, Ticket) {
+	who := caller{make(chan string, 4)}
+	return who, c.Submit(&Request{Name: name, Received: time.Now(), Request: logic.Request{Patience: time.Minute}}, who)
+}
+
+// sendAll sends each arrival on and, where an attempt ends unserved, refuses and releases.
+func sendAll(ended chan<- logic.Event) decide {
+	return func(e logic.Event) []logic.Action {
+		switch e.Kind {
+		case logic.Arrived:
+			return []logic.Action{{Kind: logic.Send, ID: e.Request.ID, Server: 5, After: time.Hour}}
+		case logic.AttemptEnded:
+			ended <- e
+			return []logic.Action{{Kind: logic.Refuse, ID: e.ID}, {Kind: logic.Release, ID: e.ID}}
+		}
+		return nil
+	}
+}
+
+func TestAnswerThatCrossesItsEndIsVoid(t *testing.T) {
+	ended, w := make(chan logic.Event, 4), newWires()
+	c, _ := run(t, sendAll(ended), w)
+	who, _ := submit(c, "a")
+	sink := <-w.sent
+	sink.Ended(Outcome{Status: logic.ServerError})
+	sink.Started(text{})
+	sink.Ended(Outcome{Status: logic.Served})
+	require.Equal(t, "refused", <-who.answers)
+	require.Equal(t, logic.ServerError, (<-ended).Status)
+	require.Eventually(t, func() bool { return c.Open() == 0 }, time.Minute, time.Millisecond)
+	require.Empty(t, who.answers, "one final answer")
+	require.Empty(t, ended)
+}
+
+// A read can end well just as it is cut off. The first release may overtake
+// that, so a second one has to follow.
+func TestReadThatWasCutOffIsReleasedTwice(t *testing.T) {
+	ended, w := make(chan logic.Event, 4), newWires()
+	c, _ := run(t, sendAll(ended), w)
+	submit(c, "a")
+	(<-w.sent).Ended(Outcome{Status: logic.ConnectionReset})
+	require.Equal(t, "a", <-w.released)
+	require.Equal(t, "a", <-w.released)
+}
+
+func TestLeavingGivesUpTheAttemptAndReleases(t *testing.T) {
+	ended, w := make(chan logic.Event, 4), newWires()
+	c, _ := run(t, sendAll(ended), w)
+	who, ticket := submit(c, "a")
+	<-w.sent
+	ticket.Leave()
+	<-w.gaveUp
+	e := <-ended
+	require.Equal(t, logic.Cancelled, e.Status)
+	require.True(t, e.Closed)
+	require.Equal(t, "a", <-w.released)
+	require.Empty(t, who.answers, "nobody is there to be answered")
+}
+
+func TestDoorBoundsWhatIsInHandAndNamesAreUnique(t *testing.T) {
+	w := newWires()
+	c, counters := run(t, sendAll(make(chan logic.Event, 4)), w)
+	submit(c, "a")
+	<-w.sent
+	again, _ := submit(c, "a")
+	require.Equal(t, "failed", <-again.answers)
+	submit(c, "b")
+	<-w.sent
+	third, _ := submit(c, "c")
+	require.Equal(t, "refused", <-third.answers)
+	require.EqualValues(t, 1, counters.Get("requests_refused_at_the_door"))
+}
+
+func TestSendToALeavingWorkerNeverHappens(t *testing.T) {
+	ended, w := make(chan logic.Event, 4), newWires()
+	c, _ := run(t, sendAll(ended), w)
+	c.Discovered([]Member{{Member: logic.Member{Server: 5, Health: logic.Draining}, Name: "s", Addr: "x:1"}}, false)
+	submit(c, "a")
+	require.Equal(t, logic.Full, (<-ended).Status)
+	require.Empty(t, w.sent)
+}
+
+func TestRelayTellsHowAnAnswerEnded(t *testing.T) {
+	for _, tc := range []struct {
+		read io.Reader
+		want logic.Status
+	}{{eof{}, logic.Served}, {broken{}, logic.ConnectionReset}} {
+		ended, w := make(chan logic.Event, 4), newWires()
+		c, _ := run(t, sendAll(ended), w)
+		got := make(chan Answer, 1)
+		c.Submit(&Request{Name: "a", Received: time.Now()}, streams{got})
+		(<-w.sent).Started(text{tc.read})
+		_, _ = io.ReadAll(<-got)
+		e := <-ended
+		require.Equal(t, tc.want, e.Status)
+		require.True(t, e.Closed)
+	}
+}
+
+type streams struct{ got chan Answer }
+
+func (s streams) Stream(a Answer)                  { s.got <- a }
+func (streams) Refuse(time.Duration, logic.Status) {}
+func (streams) Fail(logic.Status)                  {}
+
+type eof struct{}
+
+func (eof) Read([]byte) (int, error) { return 0, io.EOF }
+
+type broken struct{}
+
+func (broken) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
--- a/router/intake.go
+++ b/router/intake.go
@@ -1,6 +1,10 @@
 package router
 
-import "time"
+import (
+	"time"
+
+	"lichenshelf/logic"
+)
 
 // refusedFor is the advice that goes with a refusal at the door.
 const refusedFor = time.Second
@@ -22,13 +26,13 @@
 func (c *Core) Submit(r *Request, client Client) Ticket { return c.intake.take(r, client) }
 
 func (in *intake) take(r *Request, client Client) Ticket {
-	ex := &exchange{Request: r, client: client}
+	ex := &exchange{Request: r, client: client, last: logic.NotSent}
 	in.count.Add("requests_taken", 1)
 	if n := in.core.open.Add(1); in.limit > 0 && n > in.limit {
 		in.core.open.Add(-1)
 		ex.closed = true
 		in.count.Add("requests_refused_at_the_door", 1)
-		client.Refuse(refusedFor)
+		client.Refuse(refusedFor, logic.NotSent)
 		return Ticket{in.core, ex}
 	}
 	in.core.post(func() { in.core.admission.admit(ex) })
--- a/router/relay.go
+++ b/router/relay.go
@@ -20,6 +20,7 @@
 	ex.answered, ex.closed = true, true
 	r.core.routing.push(logic.Event{Kind: logic.AnswerStarted, ID: ex.ID, Attempt: a.number, Server: a.server,
 		Latency: time.Since(a.sentAt)})
+	r.core.book.note(ex, "answering")
 	ex.client.Stream(&relayed{Answer: answer, attempt: a})
 }
 
--- a/router/route.go
+++ b/router/route.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"lichenshelf/logic"
 )
 
@@ -14,7 +16,7 @@
 	start   time.Time
 	events  []logic.Event
 	actions []logic.Action
-	log     func(string)
+	log     logrus.FieldLogger
 }
 
 // now is the wall clock at the start plus monotonic time since: the times that
@@ -47,9 +49,7 @@
 			r.core.post(func() { r.push(logic.Event{Kind: logic.TimerFired, Token: token}) })
 		})
 	case logic.Log:
-		if r.log != nil {
-			r.log(a.Text)
-		}
+		r.log.Info(a.Text)
 	default:
 		if ex == nil { // ended meanwhile, which the decisions may not know yet
 			return
--- /dev/null
+++ b/test/harness_test.go
@@ -0,0 +1,416 @@
+// Package test starts the real program as a process and talks to it as clients,
+// workers and discovery would.
+package test
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	patient = 20 * time.Second // for what must happen at last
+	soon    = 2 * time.Millisecond
+)
+
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "lichenshelf")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(dir, "lichenshelf")
+	build := exec.Command("go", "build", "-o", binary, "lichenshelf/cmd/lichenshelf")
+	if out, err := build.CombinedOutput(); err != nil {
+		panic(fmt.Sprintf("%v: %s", err, out))
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+func eventually(t *testing.T, f func() bool, what string) {
+	t.Helper()
+	require.Eventually(t, f, patient, soon, what)
+}
+
+func freeAddr(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// program is a running lichenshelf.
+type program struct {
+	t    *testing.T
+	addr string
+	cmd  *exec.Cmd
+	mu   sync.Mutex
+	log  bytes.Buffer
+	exit chan error
+}
+
+func (p *program) Write(b []byte) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log.Write(b)
+}
+
+func (p *program) logged(text string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return strings.Contains(p.log.String(), text)
+}
+
+func start(t *testing.T, addr string, env []string, args ...string) *program {
+	p := &program{t: t, addr: addr, cmd: exec.Command(binary, args...), exit: make(chan error, 1)}
+	p.cmd.Stdout, p.cmd.Stderr = p, p
+	p.cmd.Dir = t.TempDir()
+	p.cmd.Env = append(os.Environ(), env...)
+	require.NoError(t, p.cmd.Start())
+	go func() { p.exit <- p.cmd.Wait() }()
+	t.Cleanup(func() {
+		_ = p.cmd.Process.Kill()
+		if t.Failed() {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			t.Logf("the program's log:\n%s", p.log.String())
+		}
+	})
+	return p
+}
+
+func (p *program) status(method, path string) int {
+	req, err := http.NewRequest(method, "http://"+p.addr+path, nil)
+	require.NoError(p.t, err)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+func (p *program) waitReady() *program {
+	p.t.Helper()
+	eventually(p.t, func() bool { return p.status(http.MethodGet, "/healthz") == 200 }, "the program is ready")
+	return p
+}
+
+func (p *program) signal(s syscall.Signal) { require.NoError(p.t, p.cmd.Process.Signal(s)) }
+
+func (p *program) waitExit() {
+	p.t.Helper()
+	select {
+	case err := <-p.exit:
+		require.NoError(p.t, err, "exit code")
+	case <-time.After(patient):
+		p.t.Fatal("the program did not end")
+	}
+}
+
+// call is one call that a worker got, whole.
+type call struct {
+	method, uri, id string
+	header          http.Header
+	body            []byte
+	at              time.Time
+}
+
+// worker is a stand-in for a worker.
+type worker struct {
+	*httptest.Server
+	name, kind string
+	serve      func(w http.ResponseWriter, r *http.Request) // instead of its kind's answer
+	mu         sync.Mutex
+	calls      []call
+	conns      int
+	open       int
+}
+
+// What the kinds answer by themselves.
+const (
+	events = "data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n"
+	rest   = "data: {\"usage\":{\"prompt_tokens_details\":{\"cached_tokens\":64}}}\n\ndata: [DONE]\n\n"
+)
+
+func newWorker(t *testing.T, name, kind string, serve func(http.ResponseWriter, *http.Request)) *worker {
+	k := &worker{name: name, kind: kind, serve: serve}
+	k.Server = httptest.NewUnstartedServer(http.HandlerFunc(k.handle))
+	k.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		switch s {
+		case http.StateNew:
+			k.conns++
+			k.open++
+		case http.StateClosed, http.StateHijacked:
+			k.open--
+		}
+	}
+	k.Start()
+	t.Cleanup(func() { k.CloseClientConnections(); k.Close() })
+	return k
+}
+
+func (k *worker) handle(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	k.mu.Lock()
+	k.calls = append(k.calls, call{r.Method, r.RequestURI, r.Header.Get("X-Correlation-Id"), r.Header.Clone(), body, time.Now()})
+	k.mu.Unlock()
+	switch {
+	case r.Method == http.MethodDelete:
+		w.WriteHeader(http.StatusNoContent)
+	case k.serve != nil:
+		k.serve(w, r)
+	case k.kind == "reader":
+		read(w, r)
+	default:
+		write(w, r)
+	}
+}
+
+func read(w http.ResponseWriter, _ *http.Request) {
+	w.WriteHeader(http.StatusAccepted)
+	_, _ = io.WriteString(w, `{"cached_tokens":64}`)
+}
+
+func write(w http.ResponseWriter, _ *http.Request) {
+	begin(w)
+	_, _ = io.WriteString(w, rest)
+}
+
+// begin sends a stream's first event.
+func begin(w http.ResponseWriter) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	_, _ = io.WriteString(w, events)
+	w.(http.Flusher).Flush()
+}
+
+// cut ends the connection without another byte.
+func cut(w http.ResponseWriter, _ *http.Request) {
+	c, _, err := w.(http.Hijacker).Hijack()
+	if err == nil {
+		_ = c.Close()
+	}
+}
+
+// silent answers nothing until the router closes the connection.
+func silent(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+
+func (k *worker) got(method string) []call {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var out []call
+	for _, c := range k.calls {
+		if c.method == method {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+func posts(workers ...*worker) (n int) {
+	for _, k := range workers {
+		n += len(k.got(http.MethodPost))
+	}
+	return n
+}
+
+// released tells whether the named request's state was let go of at any of them.
+func released(id string, workers ...*worker) bool {
+	for _, k := range workers {
+		for _, c := range k.got(http.MethodDelete) {
+			if c.uri == "/v1/holds/"+id {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// discovery is a stand-in for the discovery agent.
+type discovery struct {
+	*httptest.Server
+	mu         sync.Mutex
+	generation int
+	lines      []string      // by generation, from 1
+	more       chan struct{} // closed when a line is added
+	from       []string      // what watches asked for
+}
+
+func newDiscovery(t *testing.T) *discovery {
+	d := &discovery{more: make(chan struct{})}
+	d.Server = httptest.NewServer(http.HandlerFunc(d.watch))
+	t.Cleanup(func() { d.CloseClientConnections(); d.Close() })
+	return d
+}
+
+func (d *discovery) watch(w http.ResponseWriter, r *http.Request) {
+	d.mu.Lock()
+	d.from = append(d.from, r.URL.Query().Get("from"))
+	d.mu.Unlock()
+	var sent int
+	_, _ = fmt.Sscan(r.URL.Query().Get("from"), &sent)
+	w.(http.Flusher).Flush()
+	for {
+		d.mu.Lock()
+		lines, more := d.lines, d.more
+		d.mu.Unlock()
+		for ; sent < len(lines); sent++ {
+			_, _ = io.WriteString(w, lines[sent]+"\n")
+		}
+		w.(http.Flusher).Flush()
+		select {
+		case <-more:
+		case <-time.After(time.Second):
+			_, _ = io.WriteString(w, "\n")
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (d *discovery) say(line string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.lines = append(d.lines, line)
+	close(d.more)
+	d.more = make(chan struct{})
+}
+
+func (d *discovery) list(reset bool, lifecycle string, workers ...*worker) {
+	d.mu.Lock()
+	generation := len(d.lines) + 1
+	d.mu.Unlock()
+	d.say(listText(generation, reset, lifecycle, workers...))
+}
+
+func listText(generation int, reset bool, lifecycle string, workers ...*worker) string {
+	type instance map[string]any
+	l := map[string]any{"generation": generation, "reset": reset}
+	list := []instance{}
+	for _, k := range workers {
+		list = append(list, instance{"instanceId": k.name, "hostPort": k.Listener.Addr().String(), "zone": "z1",
+			"machineType": k.kind, "cell": 1, "lifecycle": lifecycle, "weight": 1.0, "startedAtMs": 0})
+	}
+	l["instances"] = list
+	text, err := json.Marshal(l)
+	if err != nil {
+		panic(err)
+	}
+	return string(text)
+}
+
+const settings = `{"balancers":1,"my-zone":0,"zones":["z1","z2"],"skus":["reader","writer","mixed"],
+ "bounds":{"cancel":true,"retry-after":true,"max-retry-after-ns":2000000000,"most-tries":5,
+  "connect-timeout-ns":250000000,"conn-idle-ns":%d,"open-cap":1000},
+ "categories":[
+  {"name":"query","effect":"repeatable","group":"all","points":1.0,"target-ns":1500000000,"late-share":0.2},
+  {"name":"file","effect":"once","group":"all","points":3.0,"target-ns":1500000000,"late-share":0.2}],
+ "extra":{"aim-us-per-1000-prompt-tokens":[40000.0,40000.0],"token-aim-ns":[60000000,60000000],
+  "kind-memory-tokens":[200000,200000,200000],"role-by-kind":["read","write","both"],"release-ns":300000000,
+  "read-in-place":false},
+ "realms":[{"name":"acme","quota-per-s":1000.0,"share":1.0}],
+ "safety":{"cold-share":0.3,"fall-multiple":2.5,"fall-ns":1500000000,"stop-sending-within-ns":250000000,
+  "warm-within-ns":10000000000},"load-info":{"columns":[],"how":"none"},"over-share-worth":0.1}`
+
+const connIdle = 30 * time.Second
+
+func config(t *testing.T, known string, idle time.Duration) string {
+	file := filepath.Join(t.TempDir(), "config.json")
+	text := fmt.Sprintf(`{"name":"n1","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
+		"known":%s,"settings":%s}`, known, fmt.Sprintf(settings, idle.Nanoseconds()))
+	require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+	return file
+}
+
+// platform starts the program with a discovery that lists the workers.
+func platform(t *testing.T, workers ...*worker) (*program, *discovery) {
+	d := newDiscovery(t)
+	d.list(true, "in_service", workers...)
+	return platformAt(t, d, connIdle).waitReady(), d
+}
+
+func platformAt(t *testing.T, d *discovery, idle time.Duration) *program {
+	addr := freeAddr(t)
+	return start(t, addr, []string{"ROUTER_LISTEN=" + addr, "ROUTER_NAME=n1",
+		"ROUTER_DISCOVERY=" + d.Listener.Addr().String(),
+		"ROUTER_CONFIG=" + config(t, `{"generation":0,"reset":true,"instances":[]}`, idle)}, "serve")
+}
+
+var ids struct {
+	sync.Mutex
+	last int
+}
+
+func newID() string {
+	ids.Lock()
+	defer ids.Unlock()
+	ids.last++
+	return fmt.Sprintf("%016x", ids.last)
+}
+
+// answer is what a client got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error // met while reading the body
+	took   time.Duration
+}
+
+const prompt = `{"model":"chat","stream":true,  "messages":[{"role":"user","content":"ab\u00e9"}]}`
+
+func (p *program) request(class, id string, patience time.Duration) *http.Request {
+	req, err := http.NewRequest(http.MethodPost, "http://"+p.addr+"/v1/chat/completions?x=1&y=%2F", strings.NewReader(prompt))
+	require.NoError(p.t, err)
+	for k, v := range map[string]string{"X-Correlation-Id": id, "X-Service-Class": class, "X-Account": "acme",
+		"X-Session-Key": id, "X-Time-Left-Ms": fmt.Sprint(patience.Milliseconds()),
+		"X-Facts": "prefix=" + id + ",prompt_len=5120,prefix_len=2048,max_out=800"} {
+		req.Header.Set(k, v)
+	}
+	return req
+}
+
+func (p *program) ask(class, id string, patience time.Duration) answer {
+	return do(p.request(class, id, patience))
+}
+
+func do(req *http.Request) answer {
+	from := time.Now()
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return answer{resp.StatusCode, resp.Header, string(body), err, time.Since(from)}
+}
+
+// firstLine reads one line of a stream that is still open.
+func firstLine(t *testing.T, resp *http.Response) string {
+	line, err := bufio.NewReader(resp.Body).ReadString('\n')
+	require.NoError(t, err)
+	return line
+}
--- /dev/null
+++ b/test/modelapi_test.go
@@ -0,0 +1,316 @@
+package test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	chatPath   = "/v1/chat/completions"
+	embedPath  = "/v1/embeddings"
+	rerankPath = "/v1/rerank"
+)
+
+// model answers the three kinds as a model server would.
+func model(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case chatPath:
+		write(w, r)
+	case embedPath:
+		answerJSON(w, `{"object":"list","data":[{"object":"embedding","index":0,"embedding":[0.1]}],"model":"m"}`)
+	case rerankPath:
+		answerJSON(w, `{"id":"x","results":[{"index":1,"relevance_score":0.9},{"index":0,"relevance_score":0.1}]}`)
+	}
+}
+
+func answerJSON(w http.ResponseWriter, text string) {
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = io.WriteString(w, text)
+}
+
+// api is a running model API and its file.
+type api struct {
+	*program
+	file     string
+	settings string
+}
+
+// modelAPI starts the front before the given stand-ins. Settings are further
+// lines of its file.
+func modelAPI(t *testing.T, settings string, backends ...*worker) *api {
+	addr := freeAddr(t)
+	a := &api{file: filepath.Join(t.TempDir(), "modelapi.toml"),
+		settings: fmt.Sprintf("listen = %q\n%s\n", addr, settings)}
+	a.write(t, nil, backends...)
+	a.program = start(t, addr, nil, "serve", "--modelapi", a.file).waitReady()
+	return a
+}
+
+func (a *api) write(t *testing.T, draining *worker, backends ...*worker) {
+	var text strings.Builder
+	text.WriteString(a.settings)
+	for _, b := range backends {
+		fmt.Fprintf(&text, "[[backend]]\nname = %q\naddr = %q\ndraining = %v\n", b.name, b.Listener.Addr(), b == draining)
+	}
+	require.NoError(t, os.WriteFile(a.file, []byte(text.String()), 0o600))
+}
+
+func (a *api) post(path, key, body string) answer {
+	req, err := http.NewRequest(http.MethodPost, "http://"+a.addr+path, strings.NewReader(body))
+	require.NoError(a.t, err)
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	return do(req)
+}
+
+const (
+	chatBody  = `{"model":"m","stream":true,"messages":[{"role":"system","content":"charts"},{"role":"user","content":"depth?"}]}`
+	embedBody = `{"model":"m","input":["a notice","another"]}`
+)
+
+func rerankBody(passages int) string {
+	docs := make([]string, passages)
+	for i := range docs {
+		docs[i] = fmt.Sprintf("correction %d of the light at the mole's head", i)
+	}
+	text, err := json.Marshal(map[string]any{"model": "m", "query": "which light?", "documents": docs, "top_n": 3})
+	if err != nil {
+		panic(err)
+	}
+	return string(text)
+}
+
+// fault reads an error object and checks its form.
+func fault(t *testing.T, a answer) (kind string) {
+	t.Helper()
+	var body struct {
+		Error struct{ Message, Type string }
+	}
+	require.NoError(t, json.Unmarshal([]byte(a.body), &body), a.body)
+	require.NotEmpty(t, body.Error.Message)
+	require.Equal(t, "application/json", a.header.Get("Content-Type"))
+	return body.Error.Type
+}
+
+func TestModelAPIServesAllThreeKinds(t *testing.T) {
+	b := newWorker(t, "m-a", "model", model)
+	a := modelAPI(t, "", b)
+	chat := a.post(chatPath, "", chatBody)
+	require.Equal(t, 200, chat.status)
+	require.Equal(t, events+rest, chat.body)
+	require.Equal(t, "text/event-stream", chat.header.Get("Content-Type"))
+	embed := a.post(embedPath, "", embedBody)
+	require.Equal(t, 200, embed.status)
+	require.Contains(t, embed.body, `"embedding":[0.1]`)
+	require.Equal(t, "application/json", embed.header.Get("Content-Type"))
+	ranked := a.post(rerankPath, "", rerankBody(300))
+	require.Equal(t, 200, ranked.status)
+	require.Contains(t, ranked.body, "relevance_score")
+	calls := b.got(http.MethodPost)
+	require.Len(t, calls, 3)
+	require.Equal(t, embedBody, string(calls[1].body), "the body passes unchanged")
+	require.Empty(t, calls[1].header.Get("Authorization"))
+}
+
+func TestModelAPITellsFaultsApart(t *testing.T) {
+	strict := newWorker(t, "m-a", "model", func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusUnprocessableEntity)
+		_, _ = io.WriteString(w, `{"error":{"message":"no such dimension"}}`)
+	})
+	a := modelAPI(t, "max_body_bytes = 4096", strict)
+	for body, path := range map[string]string{
+		`{`: chatPath, `{"model":"m","messages":[]}`: chatPath, `{"messages":[{"role":"user","content":"x"}]}`: chatPath,
+		`{"model":"m","messages":[{"role":"king","content":"x"}]}`: chatPath,
+		`{"model":"m","input":[]}`:                                 embedPath, `{"model":"m","input":7}`: embedPath,
+		`{"model":"m","input":"x","encoding_format":"odd"}`: embedPath,
+		`{"model":"m","query":"","documents":["a"]}`:        rerankPath, `{"model":"m","query":"q","documents":[]}`: rerankPath,
+		`{"model":"m","query":"q","documents":[3]}`: rerankPath, `{"model":"m","query":"q","documents":["a"],"top_n":0}`: rerankPath,
+	} {
+		bad := a.post(path, "", body)
+		require.Equal(t, 400, bad.status, body)
+		require.Equal(t, "invalid_request_error", fault(t, bad))
+	}
+	require.Zero(t, posts(strict))
+	require.Equal(t, 404, a.post("/v1/else", "", "{}").status)
+	require.Equal(t, 405, a.status(http.MethodGet, rerankPath))
+	big := a.post(rerankPath, "", rerankBody(300))
+	if big.err == nil { // the answer may cross the rest of the body
+		require.Equal(t, 413, big.status)
+		fault(t, big)
+	}
+	passed := a.post(embedPath, "", embedBody)
+	require.Equal(t, http.StatusUnprocessableEntity, passed.status, "a client's mistake is told by the backend")
+	require.Equal(t, 1, posts(strict), "and not tried elsewhere")
+}
+
+func TestModelAPIKnowsAccounts(t *testing.T) {
+	b := newWorker(t, "m-a", "model", model)
+	a := modelAPI(t, "[[account]]\nname = \"desk\"\nkey = \"k1\"", b)
+	require.Equal(t, 401, a.post(embedPath, "", embedBody).status)
+	require.Equal(t, 401, a.post(embedPath, "k2", embedBody).status)
+	require.Equal(t, 200, a.post(embedPath, "k1", embedBody).status)
+}
+
+func TestModelAPIDeadline(t *testing.T) {
+	b := newWorker(t, "m-a", "model", silent)
+	a := modelAPI(t, "[embeddings]\naim = \"100ms\"\ndeadline = \"400ms\"", b)
+	late := a.post(embedPath, "", embedBody)
+	require.Equal(t, http.StatusGatewayTimeout, late.status)
+	fault(t, late)
+	require.Less(t, late.took, 458*time.Millisecond)
+}
+
+func TestModelAPIRefusesWithAdvice(t *testing.T) {
+	full := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTooManyRequests) }
+	b := newWorker(t, "m-a", "model", full)
+	a := modelAPI(t, "[embeddings]\naim = \"100ms\"\ndeadline = \"300ms\"", b)
+	r := a.post(embedPath, "", embedBody)
+	require.Equal(t, http.StatusServiceUnavailable, r.status)
+	require.NotEmpty(t, r.header.Get("Retry-After"))
+	fault(t, r)
+}
+
+// An embeddings answer is read whole, so one that breaks off can be had elsewhere.
+func TestEmbeddingsThatBreakOffAreTriedElsewhere(t *testing.T) {
+	var once sync.Once
+	breaks := func(w http.ResponseWriter, r *http.Request) {
+		broken := false
+		once.Do(func() {
+			broken = true
+			w.Header().Set("Content-Type", "application/json")
+			w.Header().Set("Content-Length", "1000")
+			_, _ = io.WriteString(w, `{"object":"list","data":[`)
+			w.(http.Flusher).Flush()
+			cut(w, r)
+		})
+		if !broken {
+			model(w, r)
+		}
+	}
+	x, y := newWorker(t, "m-a", "model", breaks), newWorker(t, "m-b", "model", breaks)
+	a := modelAPI(t, "", x, y)
+	r := a.post(embedPath, "", embedBody)
+	require.NoError(t, r.err)
+	require.Equal(t, 200, r.status)
+	require.Contains(t, r.body, `"embedding":[0.1]`)
+	require.Equal(t, 2, posts(x, y))
+}
+
+// All three kinds at once, one account far past its quota with batches of
+// hundreds of passages, stand-ins that fill up and break off, and one that
+// drains meanwhile: each call ends once, and nothing reaches the drained one
+// after the window.
+func TestMixUnderASurgeAndADrain(t *testing.T) {
+	var breakOff sync.Map
+	limited := func() func(http.ResponseWriter, *http.Request) {
+		slots := make(chan struct{}, 8)
+		return func(w http.ResponseWriter, r *http.Request) {
+			select {
+			case slots <- struct{}{}:
+				defer func() { <-slots }()
+			default:
+				w.WriteHeader(http.StatusTooManyRequests)
+				return
+			}
+			time.Sleep(2 * time.Millisecond) // the work
+			if _, seen := breakOff.LoadOrStore(r.URL.Path+r.RemoteAddr, true); !seen && r.URL.Path == embedPath {
+				w.Header().Set("Content-Length", "1000")
+				_, _ = io.WriteString(w, `{"object"`)
+				cut(w, r)
+				return
+			}
+			model(w, r)
+		}
+	}
+	x, y, z := newWorker(t, "m-a", "model", limited()), newWorker(t, "m-b", "model", limited()), newWorker(t, "m-c", "model", limited())
+	a := modelAPI(t, `[[account]]
+name = "desk"
+key = "k1"
+quota_per_s = 1000.0
+[[account]]
+name = "surging"
+key = "k2"
+quota_per_s = 2.0`, x, y, z)
+
+	const each = 60
+	bodies := map[string]string{chatPath: chatBody, embedPath: embedBody, rerankPath: rerankBody(400)}
+	type result struct {
+		answer
+		path, key string
+	}
+	results := make(chan result, 6*each)
+	run := func(path, key string) {
+		for range each {
+			results <- result{a.post(path, key, bodies[path]), path, key}
+		}
+	}
+	for path := range bodies {
+		go run(path, "k1")
+		go run(path, "k2")
+	}
+	eventually(t, func() bool { return posts(z) > 10 }, "the third one is in use")
+	a.write(t, z, x, y, z)
+	told := time.Now()
+	a.signal(syscall.SIGHUP)
+	served := map[string]int{}
+	for range 6 * each {
+		r := <-results
+		require.NoError(t, r.err)
+		switch r.status {
+		case 200:
+			served[r.key]++
+		case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+			require.NotEmpty(t, r.header.Get("Retry-After"))
+			fault(t, r.answer)
+		default:
+			require.Contains(t, []int{http.StatusBadGateway, http.StatusGatewayTimeout}, r.status)
+			fault(t, r.answer)
+		}
+	}
+	require.NotZero(t, served["k1"])
+	require.True(t, a.logged("backends read again"))
+	// The window has passed: whatever comes now goes elsewhere.
+	before := posts(x, y)
+	time.Sleep(max(0, 250*time.Millisecond-time.Since(told)))
+	for path, body := range bodies {
+		for range 5 {
+			a.post(path, "k1", body)
+		}
+	}
+	require.Greater(t, posts(x, y), before)
+	for _, c := range z.got(http.MethodPost) {
+		require.Less(t, c.at.Sub(told), 250*time.Millisecond)
+	}
+	a.signal(syscall.SIGTERM)
+	a.waitExit()
+	// What was taken is what was answered, refused and failed, once each.
+	sum := a.counter("answers_served") + a.counter("answers_refused") + a.counter("answers_failed") +
+		a.counter("requests_refused_at_the_door")
+	require.Equal(t, a.counter("requests_taken"), sum)
+	require.Zero(t, a.counter("answers_broken"))
+}
+
+// counter reads a counter as it was printed last.
+func (p *program) counter(name string) (n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	i := bytes.LastIndex(p.log.Bytes(), []byte("\n"+name+" "))
+	if i >= 0 {
+		_, err := fmt.Sscan(string(p.log.Bytes()[i+len(name)+2:]), &n)
+		require.NoError(p.t, err)
+	}
+	return n
+}
--- /dev/null
+++ b/test/platform_test.go
@@ -0,0 +1,299 @@
+package test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const patience = 6 * time.Second
+
+func pair(t *testing.T, writer func(http.ResponseWriter, *http.Request)) (r, w *worker) {
+	return newWorker(t, "s-00000001", "reader", nil), newWorker(t, "s-00000002", "writer", writer)
+}
+
+func TestRequestPassesReaderAndWriterUnchanged(t *testing.T) {
+	r, w := pair(t, nil)
+	p, _ := platform(t, r, w)
+	id := newID()
+	a := p.ask("query", id, patience)
+	require.NoError(t, a.err)
+	require.Equal(t, 200, a.status)
+	require.Equal(t, events+rest, a.body)
+	for _, k := range []*worker{r, w} {
+		calls := k.got(http.MethodPost)
+		require.Len(t, calls, 1)
+		require.Equal(t, prompt, string(calls[0].body))
+		require.Equal(t, "/v1/chat/completions?x=1&y=%2F", calls[0].uri)
+		require.Equal(t, id, calls[0].id)
+		left, err := strconv.Atoi(calls[0].header.Get("X-Time-Left-Ms"))
+		require.NoError(t, err)
+		require.LessOrEqual(t, left, int(patience.Milliseconds()))
+		require.Greater(t, left, 0)
+	}
+}
+
+func TestEventsPassAsTheyCome(t *testing.T) {
+	more := make(chan struct{})
+	r, w := pair(t, func(w http.ResponseWriter, _ *http.Request) {
+		begin(w)
+		<-more
+		_, _ = io.WriteString(w, rest)
+	})
+	p, _ := platform(t, r, w)
+	resp, err := http.DefaultClient.Do(p.request("query", newID(), patience))
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	require.Equal(t, strings.TrimSuffix(events, "\n"), firstLine(t, resp))
+	close(more) // only now does the worker go on
+	_, err = io.ReadAll(resp.Body)
+	require.NoError(t, err)
+}
+
+// A stream that breaks must not look whole: its client would take it for served.
+func TestBrokenStreamHasNoLastChunk(t *testing.T) {
+	r, w := pair(t, func(w http.ResponseWriter, r *http.Request) {
+		begin(w)
+		cut(w, r)
+	})
+	p, _ := platform(t, r, w)
+	a := p.ask("query", newID(), patience)
+	require.Equal(t, 200, a.status)
+	require.Equal(t, events, a.body)
+	require.ErrorIs(t, a.err, io.ErrUnexpectedEOF)
+	require.Equal(t, 1, posts(w), "nothing more is sent once an answer has begun")
+}
+
+func TestOnceIsNotSentAgainAfterAReset(t *testing.T) {
+	r, w := pair(t, cut)
+	other := newWorker(t, "s-00000003", "writer", cut)
+	p, _ := platform(t, r, w, other)
+	a := p.ask("file", newID(), patience)
+	require.Equal(t, http.StatusBadGateway, a.status, "it may have run, so it must not look refused")
+	require.Equal(t, 1, posts(w, other))
+}
+
+func TestRepeatableIsSentAgainAfterAReset(t *testing.T) {
+	r, w := pair(t, cut)
+	other := newWorker(t, "s-00000003", "writer", cut)
+	p, _ := platform(t, r, w, other)
+	a := p.ask("query", newID(), patience)
+	require.NotEqual(t, 200, a.status)
+	require.Greater(t, posts(w, other), 1)
+}
+
+func TestOnceIsSentAgainWhereItNeverRan(t *testing.T) {
+	full := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Unprocessed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	r, w := pair(t, full)
+	mixed := newWorker(t, "s-00000003", "mixed", func(w http.ResponseWriter, _ *http.Request) { full(w, nil) })
+	good := newWorker(t, "s-00000004", "writer", nil)
+	p, d := platform(t, r, w, mixed)
+	d.list(false, "in_service", good)
+	eventually(t, func() bool { return p.ask("file", newID(), patience).status == 200 }, "the writer with room is found")
+}
+
+func TestClientThatLeavesEndsItsAttemptAndHolds(t *testing.T) {
+	gone := make(chan struct{})
+	r, w := pair(t, func(_ http.ResponseWriter, r *http.Request) {
+		silent(nil, r)
+		close(gone)
+	})
+	p, _ := platform(t, r, w)
+	ctx, leave := context.WithCancel(context.Background())
+	id := newID()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, err := http.DefaultClient.Do(p.request("query", id, patience).WithContext(ctx))
+		require.Error(t, err)
+	}()
+	eventually(t, func() bool { return posts(w) == 1 }, "the writer has it")
+	leave()
+	<-done
+	select {
+	case <-gone:
+	case <-time.After(patient):
+		t.Fatal("the attempt went on")
+	}
+	eventually(t, func() bool { return released(id, r, w) }, "what the reader held is let go of")
+}
+
+// With no writer the state waits at the reader: it must be let go of in time,
+// and a worker that cannot be reached must not keep that from happening.
+func TestHeldStateIsLetGoOfWhereNobodyTakesIt(t *testing.T) {
+	r := newWorker(t, "s-00000001", "reader", nil)
+	dead := newWorker(t, "s-00000002", "reader", nil)
+	p, _ := platform(t, r, dead)
+	dead.CloseClientConnections()
+	dead.Close()
+	id := newID()
+	a := p.ask("query", id, patience)
+	require.Equal(t, http.StatusServiceUnavailable, a.status)
+	require.NotEmpty(t, a.header.Get("Retry-After"))
+	eventually(t, func() bool { return released(id, r) }, "the state is let go of")
+	calls := r.got(http.MethodPost)
+	took := r.got(http.MethodDelete)[0].at.Sub(calls[len(calls)-1].at)
+	require.Less(t, took, 600*time.Millisecond)
+}
+
+func TestSilentWorkerEndsAtTheDeadline(t *testing.T) {
+	r, w := pair(t, silent)
+	p, _ := platform(t, r, w)
+	const short = 400 * time.Millisecond
+	a := p.ask("file", newID(), short)
+	require.Equal(t, http.StatusGatewayTimeout, a.status)
+	require.Less(t, a.took, short+58*time.Millisecond)
+}
+
+func TestNothingGoesToADrainingWorker(t *testing.T) {
+	r, w := pair(t, nil)
+	leaving := newWorker(t, "s-00000003", "reader", nil)
+	p, d := platform(t, r, w, leaving)
+	eventually(t, func() bool { p.ask("query", newID(), patience); return posts(leaving) > 0 }, "both readers serve")
+	d.list(false, "terminating", leaving)
+	told := time.Now()
+	const window = 250 * time.Millisecond
+	for time.Since(told) < 2*window {
+		require.Equal(t, 200, p.ask("query", newID(), patience).status)
+	}
+	for _, c := range leaving.got(http.MethodPost) {
+		require.Less(t, c.at.Sub(told), window)
+	}
+}
+
+func TestBadInputIsToldApart(t *testing.T) {
+	r, w := pair(t, nil)
+	p, _ := platform(t, r, w)
+	const path = "/v1/chat/completions"
+	require.Equal(t, 404, p.status(http.MethodPost, "/v1/else"))
+	require.Equal(t, 405, p.status(http.MethodGet, path))
+	require.Equal(t, 400, p.status(http.MethodPost, path))
+	for header, value := range map[string]string{"X-Correlation-Id": "a/b", "X-Service-Class": "none",
+		"X-Time-Left-Ms": "soon", "X-Facts": "prompt_len=many", "X-Weight-Hint": "-1"} {
+		req := p.request("query", newID(), patience)
+		req.Header.Set(header, value)
+		require.Equal(t, 400, do(req).status, header)
+	}
+	req := p.request("query", newID(), patience)
+	req.Body = io.NopCloser(strings.NewReader(strings.Repeat("x", 256<<10+1)))
+	req.ContentLength = 256<<10 + 1
+	req.Header.Set("Connection", "close")
+	require.Equal(t, 413, do(req).status)
+	require.Zero(t, posts(r, w))
+}
+
+func TestBadDiscoveryLineLeavesTheOldList(t *testing.T) {
+	r, w := pair(t, nil)
+	p, d := platform(t, r, w)
+	d.say(`{"generation":2,"reset":true,"instances":[{"instanceId":"s-9","hostPort":"nowhere","lifecycle":"odd"}]}`)
+	eventually(t, func() bool { return p.logged("discovery watch ended") }, "the line is logged")
+	require.Equal(t, 200, p.ask("query", newID(), patience).status)
+	eventually(t, func() bool { d.mu.Lock(); defer d.mu.Unlock(); return len(d.from) > 1 && d.from[1] == "1" },
+		"the watch goes on from the last good list")
+}
+
+func TestReadyOnlyWithAListAndServesFromAnOldOne(t *testing.T) {
+	r, w := pair(t, nil)
+	d := newDiscovery(t)
+	p := platformAt(t, d, connIdle)
+	eventually(t, func() bool { return p.status(http.MethodGet, "/healthz") == 503 }, "not ready without a worker")
+	d.list(true, "in_service", r, w)
+	p.waitReady()
+
+	addr := freeAddr(t) // a discovery that is down: the known workers have to do
+	old := start(t, addr, []string{"ROUTER_LISTEN=" + addr, "ROUTER_DISCOVERY=" + freeAddr(t),
+		"ROUTER_CONFIG=" + config(t, listText(7, true, "in_service", r, w), connIdle)}, "serve").waitReady()
+	require.Equal(t, 200, old.ask("query", newID(), patience).status)
+}
+
+// A worker closes idle connections; a request written to one just then is lost.
+func TestIdleConnectionsAreClosedBeforeWorkersDo(t *testing.T) {
+	r, w := pair(t, nil)
+	d := newDiscovery(t)
+	d.list(true, "in_service", r, w)
+	p := platformAt(t, d, 300*time.Millisecond).waitReady()
+	require.Equal(t, 200, p.ask("query", newID(), patience).status)
+	require.Equal(t, 200, p.ask("query", newID(), patience).status)
+	eventually(t, func() bool { w.mu.Lock(); defer w.mu.Unlock(); return w.open == 0 }, "the router closes it")
+	require.Equal(t, 1, w.conns, "until then it is used again")
+}
+
+func TestTermFinishesWhatIsInHandAndServesWhatStillComes(t *testing.T) {
+	more := make(chan struct{})
+	r, w := pair(t, func(w http.ResponseWriter, _ *http.Request) {
+		begin(w)
+		<-more
+		_, _ = io.WriteString(w, rest)
+	})
+	p, _ := platform(t, r, w)
+	resp, err := http.DefaultClient.Do(p.request("query", newID(), patience))
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	p.signal(syscall.SIGTERM)
+	eventually(t, func() bool { return p.logged("stopping") }, "the signal is taken")
+	late := make(chan answer)
+	go func() {
+		req := p.request("query", newID(), patience)
+		late <- do(req)
+	}()
+	eventually(t, func() bool { return posts(w) == 2 }, "a request that comes later is served too")
+	close(more)
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.Equal(t, events+rest, string(body))
+	a := <-late
+	require.NoError(t, a.err)
+	require.Equal(t, 200, a.status)
+	p.waitExit()
+	require.True(t, p.logged("answers_served 2"), "the counters are printed at exit")
+}
+
+func TestCountersAreToldOnRequest(t *testing.T) {
+	r, w := pair(t, nil)
+	p, _ := platform(t, r, w)
+	for range 3 {
+		require.Equal(t, 200, p.ask("query", newID(), patience).status)
+	}
+	p.signal(syscall.SIGUSR1)
+	eventually(t, func() bool { return p.logged("requests_taken 3") && p.logged("attempts_sent 6") }, "the counters")
+}
+
+func TestManyAtOnceEndOnceEach(t *testing.T) {
+	r, w := pair(t, nil)
+	mixed := newWorker(t, "s-00000003", "mixed", nil)
+	p, _ := platform(t, r, w, mixed)
+	const n = 100
+	answers := make(chan answer, n)
+	names := map[string]bool{}
+	for range n {
+		id := newID()
+		names[id] = true
+		go func() { answers <- p.ask("query", id, patience) }()
+	}
+	for range n {
+		a := <-answers
+		require.NoError(t, a.err)
+		require.Contains(t, []int{200, 503}, a.status)
+	}
+	sent := map[string]int{}
+	for _, k := range []*worker{w, mixed} {
+		for _, c := range k.got(http.MethodPost) {
+			require.True(t, names[c.id], fmt.Sprintf("unknown id %q", c.id))
+			sent[c.id]++
+		}
+	}
+	for id, times := range sent {
+		require.Equal(t, 1, times, id)
+	}
+}
--- /dev/null
+++ b/test/store_test.go
@@ -0,0 +1,112 @@
+package test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// replicas starts three routers that share a store; the first has the model API.
+func replicas(t *testing.T, modelSettings string) (programs []*program, apis []string, front *program) {
+	var peers strings.Builder
+	for i := range 3 {
+		apis = append(apis, freeAddr(t))
+		fmt.Fprintf(&peers, "[[peer]]\nid = \"r%d\"\nraft = %q\napi = %q\n", i, freeAddr(t), apis[i])
+	}
+	listen := freeAddr(t)
+	file := filepath.Join(t.TempDir(), "modelapi.toml")
+	require.NoError(t, os.WriteFile(file, []byte(fmt.Sprintf("listen = %q\n%s", listen, modelSettings)), 0o600))
+	for i := range 3 {
+		dir := t.TempDir()
+		own := filepath.Join(dir, "store.toml")
+		text := fmt.Sprintf("id = \"r%d\"\ndata_dir = %q\n%s", i, filepath.Join(dir, "data"), peers.String())
+		require.NoError(t, os.WriteFile(own, []byte(text), 0o600))
+		args := []string{"serve", "--store", own}
+		if i == 0 {
+			args = append(args, "--modelapi", file)
+		}
+		programs = append(programs, start(t, listen, nil, args...))
+	}
+	return programs, apis, programs[0]
+}
+
+// storeCall calls the store's API, until there is a leader to answer.
+func storeCall(t *testing.T, method, url, body string) (status int, out map[string]any) {
+	t.Helper()
+	eventually(t, func() bool {
+		req, err := http.NewRequest(method, url, strings.NewReader(body))
+		require.NoError(t, err)
+		a := do(req)
+		status, out = a.status, nil
+		_ = json.Unmarshal([]byte(a.body), &out)
+		return a.err == nil && status < 500
+	}, "the store answers")
+	return status, out
+}
+
+func TestBackendsRegisterAndLostSessionsTakeThemAway(t *testing.T) {
+	b := newWorker(t, "m-a", "model", model)
+	programs, apis, front := replicas(t, "")
+	at := "http://" + apis[1]
+	status, _ := storeCall(t, http.MethodPost, at+"/v1/nodes/backends", "")
+	require.Contains(t, []int{201, 409}, status)
+	eventually(t, func() bool { return front.status(http.MethodGet, "/healthz") == 503 }, "no backend yet")
+
+	_, session := storeCall(t, http.MethodPost, at+"/v1/sessions", `{"timeout_ms":3000}`)
+	id := session["session"].(string)
+	status, _ = storeCall(t, http.MethodPost, at+"/v1/nodes/backends/m-a?session="+id, fmt.Sprintf(`{"addr":%q}`, b.Listener.Addr()))
+	require.Equal(t, 201, status)
+	front.waitReady()
+	a := &api{program: front}
+	require.Equal(t, 200, a.post(embedPath, "", embedBody).status)
+
+	// Any replica tells of it, one that does not lead a moment later.
+	eventually(t, func() bool {
+		_, node := storeCall(t, http.MethodGet, at+"/v1/nodes/backends/m-a", "")
+		stat, _ := node["stat"].(map[string]any)
+		return stat["ephemeral"] == id
+	}, "the node is ephemeral")
+	// Its owner says nothing more.
+	eventually(t, func() bool { return front.status(http.MethodGet, "/healthz") == 503 }, "the backend is gone")
+	status, _ = storeCall(t, http.MethodPut, at+"/v1/sessions/"+id, "")
+	require.Equal(t, 404, status)
+	for _, p := range programs {
+		p.signal(syscall.SIGTERM)
+	}
+	for _, p := range programs {
+		p.waitExit()
+	}
+}
+
+func TestRegisteredDrainStopsSends(t *testing.T) {
+	x, y := newWorker(t, "m-a", "model", model), newWorker(t, "m-b", "model", model)
+	_, apis, front := replicas(t, "")
+	at := "http://" + apis[2] + "/v1/nodes/backends"
+	storeCall(t, http.MethodPost, at, "")
+	for _, b := range []*worker{x, y} {
+		storeCall(t, http.MethodPost, at+"/"+b.name, fmt.Sprintf(`{"addr":%q}`, b.Listener.Addr()))
+	}
+	front.waitReady()
+	a := &api{program: front}
+	eventually(t, func() bool { a.post(embedPath, "", embedBody); return posts(x) > 0 && posts(y) > 0 }, "both serve")
+	status, _ := storeCall(t, http.MethodPut, at+"/m-b?version=0", fmt.Sprintf(`{"addr":%q,"draining":true}`, y.Listener.Addr()))
+	require.Equal(t, 204, status)
+	told := time.Now()
+	time.Sleep(250 * time.Millisecond) // the window
+	for range 20 {
+		require.Equal(t, 200, a.post(embedPath, "", embedBody).status)
+	}
+	for _, c := range y.got(http.MethodPost) {
+		require.Less(t, c.at.Sub(told), 250*time.Millisecond)
+	}
+	status, _ = storeCall(t, http.MethodPut, at+"/m-b?version=0", "{}")
+	require.Equal(t, 409, status, "the version has moved on")
+}
--- a/upstream/body.go
+++ b/upstream/body.go
@@ -104,6 +104,20 @@
 	return nil
 }
 
+// Head is what a front needs to know of an answer beside its bytes.
+type Head struct {
+	Status      int
+	ContentType string
+	Size        int // -1 where the answer comes bit by bit
+}
+
+func headOf(resp *fasthttp.Response, size int) Head {
+	return Head{resp.StatusCode(), string(resp.Header.ContentType()), size}
+}
+
+// Head implements router.Answer.
+func (b *body) Head() any { return headOf(b.resp, -1) }
+
 // Kept implements router.Answer.
 func (b *body) Kept() uint32 { return CachedTokens(b.tail) }
 
@@ -126,7 +140,7 @@
 // buffered is an answer that was read whole before it counted as begun.
 type buffered struct {
 	rest []byte
-	kept uint32
+	head Head
 }
 
 func (b *buffered) Read(p []byte) (int, error) {
@@ -140,7 +154,9 @@
 
 func (b *buffered) Close() error { return nil }
 
-func (b *buffered) Kept() uint32 { return b.kept }
+func (b *buffered) Head() any { return b.head }
+
+func (b *buffered) Kept() uint32 { return 0 }
 
 // CachedTokens finds the last count of prompt tokens found kept in an answer; 0
 // if there is none.
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -36,7 +36,10 @@
 	StreamStall    time.Duration // a stream without a byte for so long is broken
 	WaitHeader     string        // tells a worker how long its answer is waited for
 	ReleasePath    string        // where held state is let go of, before the request's name
-	// Judge maps an answer that is not a 200 to its outcome.
+	// Final tells which other statuses are answers for the client, as a 200 is.
+	// It may be nil.
+	Final func(status int) bool
+	// Judge maps all that is no answer to its outcome.
 	Judge    func(status int, header *fasthttp.ResponseHeader, body []byte) router.Outcome
 	Counters router.Counters
 }
@@ -140,8 +143,8 @@
 		x.sink.Ended(router.Outcome{Status: logic.ServerError})
 	case err != nil:
 		x.broken(c)
-	case resp.StatusCode() == fasthttp.StatusOK:
-		x.sink.Started(&buffered{rest: whole})
+	case resp.StatusCode() == fasthttp.StatusOK, x.client.cfg.Final != nil && x.client.cfg.Final(resp.StatusCode()):
+		x.sink.Started(&buffered{whole, headOf(resp, len(whole))})
 	default:
 		x.sink.Ended(x.client.cfg.Judge(resp.StatusCode(), &resp.Header, whole))
 	}
