Keep streams open through SIGTERM; release last at draining workers; register command

Seen by reading: the front marked a connection idle when its handler returned, but fasthttp writes the stream after that, so 0.5 s after SIGTERM the stop closed streams in hand (downstream/server.go, handle). The process test held its stream for less than that; it now waits for an idle connection to be closed first, and fails without the change.

Releases now also go to draining workers, after all others: they run still. The register command keeps a backend registered in the store. Unit tests for the transport: resets on reused connections, closed idle connections, silent streams, bounds.

--- a/downstream/listener.go
+++ b/downstream/listener.go
@@ -56,7 +56,8 @@
 type conn struct {
 	net.Conn
 	home     *listener
-	idle     atomic.Bool  // nothing of a next request has come
+	idle     atomic.Bool  // nothing of a next request has come, and the last one is answered
+	called   bool         // a request has been handled since the server last read
 	lastRead atomic.Int64 // when the latest bytes came, in Unix nanoseconds
 	deadline time.Time    // the server's own
 	watching chan struct{}
@@ -89,6 +90,12 @@
 
 // Read implements net.Conn for the server.
 func (c *conn) Read(p []byte) (int, error) {
+	if c.called {
+		// Only now is the answer out: a stream goes on long after its handler has
+		// returned, and must not be closed as idle.
+		c.called = false
+		c.idle.Store(true)
+	}
 	if c.watching != nil {
 		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 		<-c.watching
--- a/downstream/server.go
+++ b/downstream/server.go
@@ -44,7 +44,6 @@
 	http     *fasthttp.Server
 	listener *listener
 	stopping atomic.Bool
-	busy     atomic.Int64 // calls in hand
 	lastCall atomic.Int64 // when the latest came, in Unix nanoseconds
 }
 
@@ -96,13 +95,13 @@
 	for {
 		s.listener.closeIdle()
 		since := time.Since(time.Unix(0, s.lastCall.Load()))
-		if s.busy.Load() == 0 && s.listener.count() == 0 && since > quietFor {
+		if s.listener.count() == 0 && since > quietFor {
 			break
 		}
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
-			return fmt.Errorf("stop with %d calls in hand: %w", s.busy.Load(), ctx.Err())
+			return fmt.Errorf("stop with %d connections open: %w", s.listener.count(), ctx.Err())
 		}
 	}
 	if err := s.listener.Close(); err != nil {
@@ -115,16 +114,14 @@
 func (s *Server) Stopping() bool { return s.stopping.Load() }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
-	s.busy.Add(1)
 	s.lastCall.Store(time.Now().UnixNano())
-	defer s.busy.Add(-1)
 	c := ctx.Conn().(*conn)
+	c.called = true
 	call := &Call{RequestCtx: ctx, server: s, conn: c, Received: time.Unix(0, c.lastRead.Load())}
 	s.cfg.Handler(call)
 	if s.stopping.Load() {
 		ctx.Response.SetConnectionClose()
 	}
-	c.idle.Store(true)
 }
 
 // unreadable answers what is no request that can be served.
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -57,6 +57,7 @@
 				Name: "check-config", Usage: "read the files that serve would and say what they hold", Flags: flags,
 				Action: func(_ context.Context, c *cli.Command) error { return check(c.Root().Writer, files(c)) },
 			},
+			registerCommand(log),
 			{
 				Name: "version", Usage: "print the version",
 				Action: func(_ context.Context, c *cli.Command) error {
--- a/router/roster.go
+++ b/router/roster.go
@@ -82,16 +82,19 @@
 	return r.workers[id]
 }
 
-// running returns the workers that may be asked for anything, in random order.
+// running returns the workers in random order, those that are leaving last: they
+// run still, and take a release where no other does.
 func (r *roster) running() []*Worker {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	var out []*Worker
+	var out, leaving []*Worker
 	for _, w := range r.workers {
 		if w.MaySend() {
 			out = append(out, w)
+		} else {
+			leaving = append(leaving, w)
 		}
 	}
 	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
-	return out
+	return append(out, leaving...)
 }
--- /dev/null
+++ b/store/client.go
@@ -0,0 +1,131 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"path"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	callWait     = 5 * time.Second
+	mostHops     = 3 // of replicas that send the caller on to the leader
+	registerWait = 200 * time.Millisecond
+	touchShare   = 3 // of a session's time-out, between two touches
+)
+
+// Client speaks with the API of the replicas at the given addresses.
+type Client struct {
+	addrs []string
+	http  fasthttp.Client
+}
+
+// NewClient returns a client that asks the replicas in turn.
+func NewClient(addrs ...string) *Client {
+	return &Client{addrs: addrs, http: fasthttp.Client{
+		ReadTimeout: callWait, WriteTimeout: callWait,
+		// A create that went out twice would meet its own node.
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+	}}
+}
+
+// call asks one replica after the other until one gives an answer of its own.
+func (c *Client) call(method, uri string, body []byte) (status int, answer []byte, err error) {
+	err = errors.New("no replica to ask")
+	for _, addr := range c.addrs {
+		if status, answer, err = c.ask(addr, method, uri, body); err == nil && status < fasthttp.StatusInternalServerError {
+			return status, answer, nil
+		}
+		if err == nil {
+			err = fmt.Errorf("%s answered %d: %s", addr, status, answer)
+		}
+	}
+	return 0, nil, fmt.Errorf("ask the store: %w", err)
+}
+
+func (c *Client) ask(addr, method, uri string, body []byte) (int, []byte, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(method)
+	req.SetRequestURI("http://" + addr + uri)
+	req.SetBody(body)
+	if err := c.http.DoRedirects(req, resp, mostHops); err != nil {
+		return 0, nil, fmt.Errorf("%s: %w", addr, err)
+	}
+	return resp.StatusCode(), append([]byte(nil), resp.Body()...), nil
+}
+
+// expect makes all but the given statuses an error.
+func (c *Client) expect(method, uri string, body []byte, statuses ...int) ([]byte, error) {
+	status, answer, err := c.call(method, uri, body)
+	if err != nil {
+		return nil, err
+	}
+	for _, s := range statuses {
+		if s == status {
+			return answer, nil
+		}
+	}
+	err = fmt.Errorf("%s %s: status %d: %s", method, uri, status, answer)
+	if status == fasthttp.StatusNotFound {
+		err = fmt.Errorf("%w: %w", ErrNoSession, err)
+	}
+	return nil, err
+}
+
+// Register keeps an ephemeral node with the data until ctx ends, over as many
+// sessions as it takes. The node's parent is made if it is missing. What goes
+// wrong meanwhile is told to problem.
+func (c *Client) Register(ctx context.Context, node string, data []byte, timeout time.Duration, problem func(error)) {
+	for ctx.Err() == nil {
+		if err := c.register(ctx, node, data, timeout); err != nil && ctx.Err() == nil {
+			problem(err)
+		}
+		select {
+		case <-time.After(registerWait):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// register is one session, until it is lost or ctx ends.
+func (c *Client) register(ctx context.Context, node string, data []byte, timeout time.Duration) error {
+	if _, err := c.expect(fasthttp.MethodPost, nodesPath+path.Dir(node), nil, fasthttp.StatusCreated, fasthttp.StatusConflict); err != nil {
+		return err
+	}
+	text, err := c.expect(fasthttp.MethodPost, sessionsPath, []byte(`{"timeout_ms":`+strconv.FormatInt(timeout.Milliseconds(), 10)+`}`), fasthttp.StatusCreated)
+	if err != nil {
+		return err
+	}
+	var s struct {
+		Session string `json:"session"`
+	}
+	if err := json.Unmarshal(text, &s); err != nil {
+		return fmt.Errorf("session: %w", err)
+	}
+	session := sessionsPath + "/" + s.Session
+	defer func() { _, _, _ = c.call(fasthttp.MethodDelete, session, nil) }()
+	// The node of an earlier session may stand until that has timed out.
+	if _, err := c.expect(fasthttp.MethodPost, nodesPath+node+"?session="+s.Session, data, fasthttp.StatusCreated); err != nil {
+		return err
+	}
+	touch := time.NewTicker(timeout / touchShare)
+	defer touch.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-touch.C:
+		}
+		if _, err := c.expect(fasthttp.MethodPut, session, nil, fasthttp.StatusNoContent); errors.Is(err, ErrNoSession) {
+			return err
+		}
+	}
+}
--- a/test/platform_test.go
+++ b/test/platform_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -240,6 +241,9 @@
 	resp, err := http.DefaultClient.Do(p.request("query", newID(), patience))
 	require.NoError(t, err)
 	defer resp.Body.Close()
+	idle, err := net.Dial("tcp", p.addr)
+	require.NoError(t, err)
+	defer idle.Close()
 	p.signal(syscall.SIGTERM)
 	eventually(t, func() bool { return p.logged("stopping") }, "the signal is taken")
 	late := make(chan answer)
@@ -248,6 +252,8 @@
 		late <- do(req)
 	}()
 	eventually(t, func() bool { return posts(w) == 2 }, "a request that comes later is served too")
+	_, err = idle.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF, "idle connections are closed, but not those with a stream")
 	close(more)
 	body, err := io.ReadAll(resp.Body)
 	require.NoError(t, err)
--- a/test/store_test.go
+++ b/test/store_test.go
@@ -60,23 +60,24 @@
 	require.Contains(t, []int{201, 409}, status)
 	eventually(t, func() bool { return front.status(http.MethodGet, "/healthz") == 503 }, "no backend yet")
 
-	_, session := storeCall(t, http.MethodPost, at+"/v1/sessions", `{"timeout_ms":3000}`)
-	id := session["session"].(string)
-	status, _ = storeCall(t, http.MethodPost, at+"/v1/nodes/backends/m-a?session="+id, fmt.Sprintf(`{"addr":%q}`, b.Listener.Addr()))
-	require.Equal(t, 201, status)
+	// The backend's registration is kept by a process beside it.
+	beside := start(t, "", nil, "register", "--store", apis[2], "--store", apis[1], "--name", "m-a",
+		"--addr", b.Listener.Addr().String(), "--timeout", "1s")
 	front.waitReady()
 	a := &api{program: front}
 	require.Equal(t, 200, a.post(embedPath, "", embedBody).status)
-
 	// Any replica tells of it, one that does not lead a moment later.
-	eventually(t, func() bool {
-		_, node := storeCall(t, http.MethodGet, at+"/v1/nodes/backends/m-a", "")
-		stat, _ := node["stat"].(map[string]any)
-		return stat["ephemeral"] == id
-	}, "the node is ephemeral")
-	// Its owner says nothing more.
+	node := func() map[string]any {
+		_, n := storeCall(t, http.MethodGet, at+"/v1/nodes/backends/m-a", "")
+		stat, _ := n["stat"].(map[string]any)
+		return stat
+	}
+	eventually(t, func() bool { return node() != nil }, "the node is there")
+	require.NotEmpty(t, node()["ephemeral"])
+	session := node()["ephemeral"].(string)
+	beside.signal(syscall.SIGKILL) // its session is lost, and the backend is gone with it
 	eventually(t, func() bool { return front.status(http.MethodGet, "/healthz") == 503 }, "the backend is gone")
-	status, _ = storeCall(t, http.MethodPut, at+"/v1/sessions/"+id, "")
+	status, _ = storeCall(t, http.MethodPut, at+"/v1/sessions/"+session, "")
 	require.Equal(t, 404, status)
 	for _, p := range programs {
 		p.signal(syscall.SIGTERM)
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -225,9 +225,7 @@
 	if c.cfg.ReleasePath == "" {
 		return
 	}
-	slices.SortStableFunc(workers, func(a, b *router.Worker) int {
-		return b2i(c.pool.idleAt(b)) - b2i(c.pool.idleAt(a))
-	})
+	slices.SortStableFunc(workers, func(a, b *router.Worker) int { return c.releaseRank(a) - c.releaseRank(b) })
 	go func() {
 		for _, w := range workers {
 			if err := c.release(name, w); err == nil {
@@ -239,11 +237,14 @@
 	}()
 }
 
-func b2i(b bool) int {
-	if b {
-		return 1
+func (c *Client) releaseRank(w *router.Worker) int {
+	switch {
+	case !w.MaySend():
+		return 2
+	case c.pool.idleAt(w):
+		return 0
 	}
-	return 0
+	return 1
 }
 
 func (c *Client) release(name string, w *router.Worker) error {
--- /dev/null
+++ b/upstream/client_test.go
@@ -0,0 +1,177 @@
+package upstream
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"lichenshelf/logic"
+	"lichenshelf/metrics"
+	"lichenshelf/router"
+)
+
+// ends is a sink that hands on what it is told.
+type ends struct {
+	outcomes chan router.Outcome
+	answers  chan router.Answer
+}
+
+func (e ends) Started(a router.Answer) { e.answers <- a }
+func (e ends) Ended(o router.Outcome)  { e.outcomes <- o }
+
+// against starts a worker that serves each connection with f, and a client.
+func against(t *testing.T, f func(net.Conn)) (*Client, *router.Worker, *metrics.Set) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go f(c)
+		}
+	}()
+	counters := &metrics.Set{}
+	return New(Config{ConnectTimeout: time.Second, ConnIdle: time.Minute, MaxConns: 2, MaxAnswer: 1 << 10,
+		StreamStall: 200 * time.Millisecond, WaitHeader: "X-Wait", ReleasePath: "/holds/", Counters: counters,
+		Judge: func(status int, _ *fasthttp.ResponseHeader, _ []byte) router.Outcome {
+			if status == http.StatusAccepted {
+				return router.Outcome{Status: logic.PromptRead}
+			}
+			return router.Outcome{Status: logic.ServerError}
+		}}), &router.Worker{Name: "w", Addr: l.Addr().String()}, counters
+}
+
+func send(c *Client, w *router.Worker, stream bool) (ends, func()) {
+	e := ends{make(chan router.Outcome, 4), make(chan router.Answer, 4)}
+	m := &Message{Method: "POST", URI: "/x", Body: []byte("body"), Stream: stream}
+	return e, c.Send(router.Attempt{Request: &router.Request{Name: "a", Payload: m}, Worker: w, Wait: time.Second}, e)
+}
+
+// request reads one request whole.
+func request(c net.Conn) bool {
+	req := fasthttp.AcquireRequest()
+	return req.Read(bufio.NewReader(c)) == nil
+}
+
+const accepted = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"
+
+func TestOutcomeTellsWhetherItMayHaveRun(t *testing.T) {
+	c, w, _ := against(t, func(nc net.Conn) {
+		request(nc)
+		_ = nc.Close()
+	})
+	e, _ := send(c, w, true)
+	require.Equal(t, logic.ConnectionReset, (<-e.outcomes).Status, "its last byte was written")
+	nobody := &router.Worker{Name: "n", Addr: "127.0.0.1:1"}
+	e, _ = send(c, nobody, true)
+	require.Equal(t, logic.ConnectFailed, (<-e.outcomes).Status)
+}
+
+// A worker that closes a kept connection just as a request goes out on it must
+// look like a reset, and must not get it twice.
+func TestResetOnAReusedConnectionIsNotSentAgain(t *testing.T) {
+	got := make(chan int, 8)
+	c, w, counters := against(t, func(nc net.Conn) {
+		for n := 1; request(nc); n++ {
+			got <- n
+			if n == 2 {
+				_ = nc.Close()
+				return
+			}
+			_, _ = nc.Write([]byte(accepted))
+		}
+	})
+	e, _ := send(c, w, true)
+	require.Equal(t, logic.PromptRead, (<-e.outcomes).Status)
+	e, _ = send(c, w, true)
+	require.Equal(t, logic.ConnectionReset, (<-e.outcomes).Status)
+	require.Equal(t, 1, <-got)
+	require.Equal(t, 2, <-got)
+	require.Empty(t, got)
+	require.EqualValues(t, 1, counters.Get("connections_opened"))
+}
+
+// An idle connection that the worker has closed is not used again.
+func TestClosedIdleConnectionIsReplaced(t *testing.T) {
+	closed := make(chan struct{}, 8)
+	c, w, counters := against(t, func(nc net.Conn) {
+		request(nc)
+		_, _ = nc.Write([]byte(accepted))
+		_ = nc.Close()
+		closed <- struct{}{}
+	})
+	for range 2 {
+		e, _ := send(c, w, true)
+		require.Equal(t, logic.PromptRead, (<-e.outcomes).Status)
+		<-closed
+	}
+	require.EqualValues(t, 2, counters.Get("connections_opened"))
+}
+
+// A worker that vanishes leaves its stream open and silent.
+func TestSilentStreamCountsAsBroken(t *testing.T) {
+	c, w, _ := against(t, func(nc net.Conn) {
+		request(nc)
+		_, _ = nc.Write([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n"))
+	})
+	e, _ := send(c, w, true)
+	a := <-e.answers
+	buf := make([]byte, 8)
+	n, err := a.Read(buf)
+	require.NoError(t, err)
+	require.Equal(t, "x", string(buf[:n]))
+	_, err = a.Read(buf)
+	require.Error(t, err)
+}
+
+func TestAnswerReadWholeIsBounded(t *testing.T) {
+	c, w, _ := against(t, func(nc net.Conn) {
+		request(nc)
+		_, _ = nc.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 4096\r\n\r\n"))
+		_, _ = nc.Write(make([]byte, 4096))
+	})
+	e, _ := send(c, w, false)
+	require.Equal(t, logic.ServerError, (<-e.outcomes).Status)
+}
+
+// Neither counted nor chunked, an answer that ends cannot be told whole from broken.
+func TestAnswerWithoutAnEndIsAReset(t *testing.T) {
+	c, w, _ := against(t, func(nc net.Conn) {
+		request(nc)
+		_, _ = nc.Write([]byte("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{}"))
+		_ = nc.Close()
+	})
+	e, _ := send(c, w, false)
+	require.Equal(t, logic.ConnectionReset, (<-e.outcomes).Status)
+}
+
+func TestConnectionsAreBounded(t *testing.T) {
+	hold := make(chan struct{})
+	c, w, _ := against(t, func(net.Conn) { <-hold })
+	defer close(hold)
+	_, first := send(c, w, true)
+	_, second := send(c, w, true)
+	require.Eventually(t, func() bool { c.pool.mu.Lock(); defer c.pool.mu.Unlock(); return c.pool.open == 2 },
+		time.Minute, time.Millisecond)
+	e, _ := send(c, w, true)
+	require.Equal(t, logic.Full, (<-e.outcomes).Status)
+	first()
+	second()
+	require.Eventually(t, func() bool { c.pool.mu.Lock(); defer c.pool.mu.Unlock(); return c.pool.open == 0 },
+		time.Minute, time.Millisecond)
+}
+
+func TestCachedTokens(t *testing.T) {
+	require.EqualValues(t, 4096, CachedTokens([]byte(`{"cached_tokens":1} {"x":{"cached_tokens": 4096}}`)))
+	for _, text := range []string{"", `{"cached_tokens":}`, `{"cached_tokens":-4}`, `{"cached_tokens":99999999999}`} {
+		require.Zero(t, CachedTokens([]byte(text)), text)
+	}
+}
