--- a/downstream/server.go
+++ b/downstream/server.go
@@ -32,7 +32,8 @@
 	Core     *router.Core
 	Handler  func(*Call) // answers each call, once
 	Problem  func(ctx *fasthttp.RequestCtx, status int, fault error)
-	MaxBody  int // bound of a request's body
+	MaxBody  int   // bound of a request's body
+	MaxBytes int64 // bound of all bodies in hand together
 	MaxConns int
 	Counters router.Counters
 	Log      *logrus.Logger
@@ -44,6 +45,7 @@
 	http     *fasthttp.Server
 	listener *listener
 	stopping atomic.Bool
+	bytes    atomic.Int64 // of bodies in hand
 	lastCall atomic.Int64 // when the latest came, in Unix nanoseconds
 }
 
@@ -142,6 +144,8 @@
 	ctx.Response.SetConnectionClose()
 }
 
+var errNoRoom = errors.New("too much is in hand, try again later")
+
 var errUnreadable = errors.New("the request can't be read, or is too large")
 
 // Call is one call of a client.
@@ -223,9 +227,19 @@
 	return n, err
 }
 
-// SetRetryAfter tells the client when to come back, in seconds.
-func (c *Call) SetRetryAfter(after time.Duration) {
-	if after > 0 {
-		c.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+// TakeBody returns the call's body, which is the caller's from then on.
+func (c *Call) TakeBody() []byte { return c.Request.SwapBody(nil) }
+
+// Room takes room for the call's body until its answer begins or it is answered
+// otherwise. Without room it answers so. Memory is bounded by this: that many
+// clients, each with the largest body, would go over the limit.
+func (c *Call) Room() (release func(), ok bool) {
+	size := int64(len(c.Request.Body()))
+	if s := c.server; s.cfg.MaxBytes > 0 && s.bytes.Add(size) > s.cfg.MaxBytes {
+		s.bytes.Add(-size)
+		c.Response.Header.Set(fasthttp.HeaderRetryAfter, "1")
+		c.Problem(fasthttp.StatusServiceUnavailable, errNoRoom)
+		return nil, false
 	}
+	return func() { c.server.bytes.Add(-size) }, true
 }
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -30,6 +30,7 @@
 	spareSockets   = 64          // for discovery, the listener, files and the runtime
 	workerPart     = 0.4         // of the other sockets; the rest is for clients
 	memoryPart     = 0.7         // of the limit, from where on the collector works harder
+	bodiesPart     = 0.25        // of the limit, for the bodies of requests in hand
 	settleWait     = time.Second // for discovery's first word, where workers are known already
 	storeWait      = 10 * time.Second
 )
@@ -123,8 +124,9 @@
 	if err != nil {
 		return err
 	}
-	if cfg.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(float64(cfg.MemoryMB<<20) * memoryPart))
+	memory := int64(cfg.MemoryMB) << 20
+	if memory > 0 {
+		debug.SetMemoryLimit(int64(float64(memory) * memoryPart))
 	}
 	if cfg.Cores > 0 {
 		runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Cores))))
@@ -144,7 +146,8 @@
 		return settled && !d.stopping.Load()
 	}
 	return d.listen(cfg.Listen, core, downstream.Config{Handler: platform.NewFront(cfg, ready).Handle,
-		Problem: platform.Problem, MaxBody: platform.MaxBody, MaxConns: clients})
+		Problem: platform.Problem, MaxBody: platform.MaxBody,
+		MaxBytes: int64(float64(memory) * bodiesPart), MaxConns: clients})
 }
 
 func (d *daemon) startModelAPI(ctx context.Context) error {
@@ -170,7 +173,8 @@
 	}
 	ready := func() bool { return d.fleet.Ready() && !d.stopping.Load() }
 	return d.listen(cfg.Listen, core, downstream.Config{Handler: modelapi.NewFront(cfg, ready).Handle,
-		Problem: modelapi.Problem, MaxBody: cfg.MaxBody, MaxConns: clients})
+		Problem: modelapi.Problem, MaxBody: cfg.MaxBody,
+		MaxBytes: cfg.MaxBytes, MaxConns: clients})
 }
 
 // override takes over the configuration that the store holds, if it holds one.
--- a/router/relay.go
+++ b/router/relay.go
@@ -21,6 +21,7 @@
 	r.core.routing.push(logic.Event{Kind: logic.AnswerStarted, ID: ex.ID, Attempt: a.number, Server: a.server,
 		Latency: time.Since(a.sentAt)})
 	r.core.book.note(ex, "answering")
+	ex.Payload = nil // a stream may last, and its request's message has been sent
 	ex.client.Stream(&relayed{Answer: answer, attempt: a})
 }
 
