End one request's watch before the next begins on the same connection

Seen: a test that sends requests along with each other met a data race: two watches read one client connection. The server had both requests in its buffer and never read in between, which was all that ended a watch (downstream/listener.go, watch). A byte of a third request could be lost to the wrong one.

--- a/downstream/listener.go
+++ b/downstream/listener.go
@@ -69,6 +69,10 @@
 // watch calls left once if the client closes the connection. It ends when the
 // server reads again.
 func (c *conn) watch(left func()) {
+	c.endWatch() // of an earlier request, where this one came along with it
+	if c.err != nil || len(c.byte1) > 0 {
+		return // the server will meet it, and there is nothing to read ahead of it
+	}
 	done := make(chan struct{})
 	c.watching = done
 	_ = c.Conn.SetReadDeadline(time.Time{})
@@ -88,6 +92,17 @@
 	}()
 }
 
+// endWatch takes the connection back from the watch.
+func (c *conn) endWatch() {
+	if c.watching == nil {
+		return
+	}
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+	<-c.watching
+	c.watching = nil
+	_ = c.Conn.SetReadDeadline(c.deadline)
+}
+
 // Read implements net.Conn for the server.
 func (c *conn) Read(p []byte) (int, error) {
 	if c.called {
@@ -96,12 +111,7 @@
 		c.called = false
 		c.idle.Store(true)
 	}
-	if c.watching != nil {
-		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
-		<-c.watching
-		c.watching = nil
-		_ = c.Conn.SetReadDeadline(c.deadline)
-	}
+	c.endWatch()
 	if c.err != nil {
 		return 0, c.err
 	}
