--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -32,7 +32,7 @@
 	memoryPart     = 0.7         // of the limit, from where on the collector works harder
 	bodiesPart     = 0.25        // of the limit, for the bodies of requests in hand
 	settleWait     = time.Second // for discovery's first word, where workers are known already
-	storeWait      = 10 * time.Second
+	storeWait      = 30 * time.Second
 )
 
 // options are the files that serve was given; an empty one is not used.
--- /dev/null
+++ b/test/cli_test.go
@@ -0,0 +1,40 @@
+package test
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func command(t *testing.T, args ...string) (string, error) {
+	cmd := exec.Command(binary, args...)
+	cmd.Dir = ".." // where the shipped files are
+	cmd.Env = append(os.Environ(), "ROUTER_LISTEN=127.0.0.1:1", "ROUTER_DISCOVERY=127.0.0.1:2")
+	out, err := cmd.CombinedOutput()
+	return string(out), err
+}
+
+func TestCommandLine(t *testing.T) {
+	out, err := command(t, "version")
+	require.NoError(t, err)
+	require.Contains(t, out, "lichenshelf")
+
+	good := config(t, `{"generation":1,"reset":true,"instances":[]}`, connIdle)
+	out, err = command(t, "check-config", "--config", good)
+	require.NoError(t, err, out)
+	require.Contains(t, out, "2 classes")
+	require.Contains(t, out, "model API: off")
+	require.Contains(t, out, "store: off")
+
+	bad := filepath.Join(t.TempDir(), "bad.json")
+	require.NoError(t, os.WriteFile(bad, []byte(`{"settings":{"balancers":"many"}}`), 0o600))
+	for _, args := range [][]string{{"check-config", "--config", bad}, {"check-config", "--modelapi", "nowhere.toml"},
+		{"serve"}, {"serve", "--log-level", "loud"}, {"register", "--store", "127.0.0.1:1", "--name", "x", "--addr", "nowhere"}} {
+		out, err = command(t, args...)
+		require.Error(t, err, args)
+		require.Contains(t, out, "lichenshelf ends", args)
+	}
+}
--- a/test/modelapi_test.go
+++ b/test/modelapi_test.go
@@ -123,6 +123,8 @@
 	require.Len(t, calls, 3)
 	require.Equal(t, embedBody, string(calls[1].body), "the body passes unchanged")
 	require.Empty(t, calls[1].header.Get("Authorization"))
+	require.NotEmpty(t, embed.header.Get("X-Request-Id"))
+	require.Equal(t, embed.header.Get("X-Request-Id"), calls[1].header.Get("X-Request-Id"))
 }
 
 func TestModelAPITellsFaultsApart(t *testing.T) {
