Tie the process tests' cached verdict to the program; drop dead code

Seen: after a change of the program alone, go test ./... answered (cached) for ./test, since its build of the binary is a subprocess. The test package now imports what the program is made of.

--- a/downstream/server.go
+++ b/downstream/server.go
@@ -10,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
 	"lichenshelf/logic"
@@ -36,7 +35,6 @@
 	MaxBytes int64 // bound of all bodies in hand together
 	MaxConns int
 	Counters router.Counters
-	Log      *logrus.Logger
 }
 
 // Server is a front's client side.
@@ -53,19 +51,18 @@
 func NewServer(l net.Listener, cfg Config) *Server {
 	s := &Server{cfg: cfg, listener: &listener{Listener: l, conns: map[*conn]bool{}}}
 	s.http = &fasthttp.Server{
-		Handler:                       s.handle,
-		ErrorHandler:                  s.unreadable,
-		Concurrency:                   cfg.MaxConns,
-		ReadBufferSize:                headBuffer,
-		MaxRequestBodySize:            cfg.MaxBody,
-		ReadTimeout:                   bodyWait,
-		IdleTimeout:                   idleWait,
-		NoDefaultServerHeader:         true,
-		NoDefaultDate:                 true,
-		DisablePreParseMultipartForm:  true,
-		DisableHeaderNamesNormalizing: false,
-		SecureErrorLogMessage:         true,
-		Logger:                        quiet{},
+		Handler:                      s.handle,
+		ErrorHandler:                 s.unreadable,
+		Concurrency:                  cfg.MaxConns,
+		ReadBufferSize:               headBuffer,
+		MaxRequestBodySize:           cfg.MaxBody,
+		ReadTimeout:                  bodyWait,
+		IdleTimeout:                  idleWait,
+		NoDefaultServerHeader:        true,
+		NoDefaultDate:                true,
+		DisablePreParseMultipartForm: true,
+		SecureErrorLogMessage:        true,
+		Logger:                       quiet{},
 	}
 	return s
 }
@@ -112,9 +109,6 @@
 	return nil
 }
 
-// Stopping tells whether Stop has been called.
-func (s *Server) Stopping() bool { return s.stopping.Load() }
-
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	s.lastCall.Store(time.Now().UnixNano())
 	c := ctx.Conn().(*conn)
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -21,6 +21,10 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	// The program is built by a command, which go test does not see: without this
+	// it would repeat an old verdict after a change of the program.
+	_ "lichenshelf/internal/cli"
 )
 
 const (
@@ -253,11 +257,10 @@
 // discovery is a stand-in for the discovery agent.
 type discovery struct {
 	*httptest.Server
-	mu         sync.Mutex
-	generation int
-	lines      []string      // by generation, from 1
-	more       chan struct{} // closed when a line is added
-	from       []string      // what watches asked for
+	mu    sync.Mutex
+	lines []string      // by generation, from 1
+	more  chan struct{} // closed when a line is added
+	from  []string      // what watches asked for
 }
 
 func newDiscovery(t *testing.T) *discovery {
