--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -41,7 +41,7 @@
 		panic(err)
 	}
 	binary = filepath.Join(dir, "lichenshelf")
-	build := exec.Command("go", "build", "-o", binary, "lichenshelf/cmd/lichenshelf")
+	build := exec.Command("go", "build", "-race", "-o", binary, "lichenshelf/cmd/lichenshelf")
 	if out, err := build.CombinedOutput(); err != nil {
 		panic(fmt.Sprintf("%v: %s", err, out))
 	}
@@ -93,6 +93,7 @@
 	go func() { p.exit <- p.cmd.Wait() }()
 	t.Cleanup(func() {
 		_ = p.cmd.Process.Kill()
+		require.False(t, p.logged("DATA RACE"))
 		if t.Failed() {
 			p.mu.Lock()
 			defer p.mu.Unlock()
