Let SIGTERM end a start that waits for the store's leader

The start polled for up to 30 s before any signal was looked at (internal/cli/serve.go, override). The process test starts one replica of three and ends it; before, it would have waited out the 30 s.

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -32,6 +32,7 @@
 	memoryPart     = 0.7         // of the limit, from where on the collector works harder
 	bodiesPart     = 0.25        // of the limit, for the bodies of requests in hand
 	settleWait     = time.Second // for discovery's first word, where workers are known already
+	storeLook      = 10 * time.Millisecond
 	storeWait      = 30 * time.Second
 )
 
@@ -68,7 +69,15 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer d.closeStore()
-	if err := d.start(ctx); err != nil {
+	// A start that waits for the store must not keep a SIGTERM waiting.
+	starting, started := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	err := d.start(ctx, starting)
+	ended := starting.Err() != nil
+	started()
+	if err != nil && ended {
+		return nil
+	}
+	if err != nil {
 		return err
 	}
 	for {
@@ -88,7 +97,9 @@
 	}
 }
 
-func (d *daemon) start(ctx context.Context) error {
+// start starts what is on, to run until ctx ends; starting ends when the program is
+// told to stop meanwhile.
+func (d *daemon) start(ctx, starting context.Context) error {
 	if d.opts.store != "" {
 		if err := d.startStore(); err != nil {
 			return fmt.Errorf("start the store: %w", err)
@@ -100,7 +111,7 @@
 		}
 	}
 	if d.opts.modelAPI != "" {
-		if err := d.startModelAPI(ctx); err != nil {
+		if err := d.startModelAPI(ctx, starting); err != nil {
 			return fmt.Errorf("start the model API: %w", err)
 		}
 	}
@@ -150,13 +161,13 @@
 		MaxBytes: int64(float64(memory) * bodiesPart), MaxConns: clients})
 }
 
-func (d *daemon) startModelAPI(ctx context.Context) error {
+func (d *daemon) startModelAPI(ctx, starting context.Context) error {
 	cfg, err := modelapi.LoadConfig(d.opts.modelAPI)
 	if err != nil || cfg.Listen == "" {
 		return err
 	}
 	if d.replica != nil {
-		if err := d.override(cfg); err != nil {
+		if err := d.override(starting, cfg); err != nil {
 			return err
 		}
 	}
@@ -180,13 +191,17 @@
 // override takes over the configuration that the store holds, if it holds one.
 // The store is waited for: a router must not start with another configuration
 // than its fellows for want of patience.
-func (d *daemon) override(cfg *modelapi.Config) error {
-	deadline := time.Now().Add(storeWait)
+func (d *daemon) override(ctx context.Context, cfg *modelapi.Config) error {
+	ctx, cancel := context.WithTimeout(ctx, storeWait)
+	defer cancel()
+	look := time.NewTicker(storeLook)
+	defer look.Stop()
 	for !d.replica.Current() {
-		if time.Now().After(deadline) {
-			return errors.New("the store has no leader to read the configuration from")
+		select {
+		case <-look.C:
+		case <-ctx.Done():
+			return fmt.Errorf("the store has no leader to read the configuration from: %w", ctx.Err())
 		}
-		time.Sleep(10 * time.Millisecond)
 	}
 	text, _, err := d.replica.Get(modelapi.ConfigPath)
 	if errors.Is(err, store.ErrNoNode) {
--- a/test/store_test.go
+++ b/test/store_test.go
@@ -87,6 +87,16 @@
 	}
 }
 
+// A router that waits for the store's leader must still end when told to.
+func TestTermEndsAStartThatWaitsForTheStore(t *testing.T) {
+	programs, _, front := replicas(t, "")
+	programs[1].signal(syscall.SIGKILL)
+	programs[2].signal(syscall.SIGKILL)
+	eventually(t, func() bool { return front.logged("store open") }, "the start has come to the store")
+	front.signal(syscall.SIGTERM)
+	front.waitExit()
+}
+
 func TestRegisteredDrainStopsSends(t *testing.T) {
 	x, y := newWorker(t, "m-a", "model", model), newWorker(t, "m-b", "model", model)
 	_, apis, front := replicas(t, "")
