Follow discovery to its new address on SIGHUP

Checked: reload in internal/cli/serve.go read the model API's backends only, so the watch stayed at an address that accepts no more connections, and the list in hand aged. Ruled out: a list that arrived but was not applied.

Now the platform's file is read again and the watch goes over at once. Since nothing promises that another discovery counts alike, its whole list is asked for first. The file counts where it names something new, even past ROUTER_DISCOVERY, which a running process cannot be given anew. The process test fails without this.

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -47,6 +47,7 @@
 	counters *metrics.Set
 	opts     options
 	fronts   []front
+	watch    *platform.Watch
 	fleet    *modelapi.Fleet
 	replica  *store.Replica
 	api      *store.API
@@ -149,11 +150,11 @@
 	}
 	core := d.core(ctx, logic.New(cfg.Settings, cfg.Seed), platform.NewTransport(cfg, workers, d.counters),
 		cfg.Settings.MaxAttempts, open)
-	watch := platform.NewWatch(cfg, core, d.log)
-	go watch.Run(ctx)
+	d.watch = platform.NewWatch(cfg, core, d.log)
+	go d.watch.Run(ctx)
 	started := time.Now()
 	ready := func() bool {
-		settled := watch.Told() || len(cfg.Known.Instances) > 0 && time.Since(started) > settleWait
+		settled := d.watch.Told() || len(cfg.Known.Instances) > 0 && time.Since(started) > settleWait
 		return settled && !d.stopping.Load()
 	}
 	return d.listen(cfg.Listen, core, downstream.Config{Handler: platform.NewFront(cfg, ready).Handle,
@@ -271,11 +272,20 @@
 	}
 }
 
-// reload reads the list of backends again.
+// reload reads the files again that may change while the router runs. What can't
+// be read leaves things as they are.
 func (d *daemon) reload() {
-	if d.fleet == nil {
-		return
+	if d.watch != nil {
+		if err := d.watch.Reload(d.opts.platform); err != nil {
+			d.log.WithError(err).Error("configuration not read again, discovery stays as it is")
+		}
+	}
+	if d.fleet != nil {
+		d.reloadBackends()
 	}
+}
+
+func (d *daemon) reloadBackends() {
 	cfg, err := modelapi.LoadConfig(d.opts.modelAPI)
 	if err == nil {
 		err = d.fleet.SetFile(cfg.Backends)
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -66,6 +66,7 @@
 type program struct {
 	t    *testing.T
 	addr string
+	file string // the platform's configuration
 	cmd  *exec.Cmd
 	mu   sync.Mutex
 	log  bytes.Buffer
@@ -262,16 +263,34 @@
 	lines []string      // by generation, from 1
 	more  chan struct{} // closed when a line is added
 	from  []string      // what watches asked for
+	whole string        // the list, where it is asked for
 }
 
-func newDiscovery(t *testing.T) *discovery {
-	d := &discovery{more: make(chan struct{})}
-	d.Server = httptest.NewServer(http.HandlerFunc(d.watch))
+func newDiscovery(t *testing.T) *discovery { return newDiscoveryAt(t, "127.0.0.1:0", "") }
+
+// newDiscoveryAt listens at an address and has a whole list, its first generation.
+func newDiscoveryAt(t *testing.T, addr, whole string) *discovery {
+	d := &discovery{more: make(chan struct{}), whole: whole}
+	d.Server = httptest.NewUnstartedServer(http.HandlerFunc(d.watch))
+	l, err := net.Listen("tcp", addr)
+	require.NoError(t, err)
+	_ = d.Listener.Close()
+	d.Listener = l
+	if whole != "" {
+		d.say(whole)
+	}
+	d.Start()
 	t.Cleanup(func() { d.CloseClientConnections(); d.Close() })
 	return d
 }
 
 func (d *discovery) watch(w http.ResponseWriter, r *http.Request) {
+	if !r.URL.Query().Has("watch") {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		_, _ = io.WriteString(w, d.whole)
+		return
+	}
 	d.mu.Lock()
 	d.from = append(d.from, r.URL.Query().Get("from"))
 	d.mu.Unlock()
@@ -366,10 +385,18 @@
 }
 
 func platformAt(t *testing.T, d *discovery, idle time.Duration) *program {
-	addr := freeAddr(t)
-	return start(t, addr, []string{"ROUTER_LISTEN=" + addr, "ROUTER_NAME=n1",
-		"ROUTER_DISCOVERY=" + d.Listener.Addr().String(),
-		"ROUTER_CONFIG=" + config(t, `{"generation":0,"reset":true,"instances":[]}`, idle)}, "serve")
+	addr, file := freeAddr(t), config(t, `{"generation":0,"reset":true,"instances":[]}`, idle)
+	p := start(t, addr, []string{"ROUTER_LISTEN=" + addr, "ROUTER_NAME=n1",
+		"ROUTER_DISCOVERY=" + d.Listener.Addr().String(), "ROUTER_CONFIG=" + file}, "serve")
+	p.file = file
+	return p
+}
+
+// reconfigure replaces the platform's configuration and has it read again.
+func (p *program) reconfigure(text string) {
+	require.NoError(p.t, os.WriteFile(p.file+".new", []byte(text), 0o600))
+	require.NoError(p.t, os.Rename(p.file+".new", p.file))
+	p.signal(syscall.SIGHUP)
 }
 
 var ids struct {
--- a/test/platform_test.go
+++ b/test/platform_test.go
@@ -6,8 +6,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -303,3 +305,46 @@
 		require.Equal(t, 1, times, id)
 	}
 }
+
+// SIGHUP brings another address of discovery, while the old one goes. Until the
+// new one speaks the workers in hand serve on; then its list counts as a whole,
+// though it counts its versions otherwise: a watch from the old version would
+// leave out that a worker is gone.
+func TestReloadMovesToTheNewDiscovery(t *testing.T) {
+	more := make(chan struct{})
+	finish := sync.OnceFunc(func() { close(more) })
+	r, w := pair(t, held(more))
+	gone := newWorker(t, "s-00000003", "reader", nil)
+	p, d := platform(t, r, w, gone)
+	p.told(d.list(false, "in_service", gone))
+	t.Cleanup(finish)
+	resp, err := http.DefaultClient.Do(p.request("query", newID(), patience))
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	good, err := os.ReadFile(p.file)
+	require.NoError(t, err)
+	p.reconfigure(`{"discovery":`)
+	eventually(t, func() bool { return p.logged("discovery stays as it is") }, "a file that can't be read is told")
+	addr := freeAddr(t)
+	p.reconfigure(fmt.Sprintf(`{"discovery":%q,%s`, addr, good[1:]))
+	eventually(t, func() bool { return p.logged("connect to discovery: dial tcp " + addr) }, "the new address is tried")
+	again, err := http.DefaultClient.Do(p.request("query", newID(), patience))
+	require.NoError(t, err)
+	defer again.Body.Close()
+	require.Equal(t, 200, again.StatusCode, "the workers in hand serve until discovery speaks")
+
+	next := newDiscoveryAt(t, addr, listText(1, true, "in_service", r, w))
+	eventually(t, func() bool { next.mu.Lock(); defer next.mu.Unlock(); return len(next.from) == 1 }, "it is watched")
+	require.Equal(t, "1", next.from[0])
+	before := posts(gone)
+	finish()
+	for range 10 {
+		require.Equal(t, 200, p.ask("query", newID(), patience).status)
+	}
+	require.Equal(t, before, posts(gone), "the whole list lacks it")
+	for _, open := range []*http.Response{resp, again} {
+		body, err := io.ReadAll(open.Body)
+		require.NoError(t, err)
+		require.Equal(t, events+rest, string(body), "what was in hand is served to its end")
+	}
+}
