Let idle and half-sent client connections give way; refuse ambiguous heads

Checked: shares() gives 269 of 512 descriptors to clients, handed to fasthttp as Concurrency; past it the server writes 503 and closes (its Serve loop), and with idleWait 10 min a place that was asked through once is never free again.

Now downstream/listener.go bounds the connections: what lingers, then what has waited longest, then what sends slowest gives way, a request in hand never. A request must be whole in 2.5 s (bodyWait was 30 s). Bodies are read by us, room being taken for what has come: announced sizes used to be allocated by the hundreds. downstream/head.go refuses heads that can be read in two ways; the probe, now a test, showed that Content-Length beside Transfer-Encoding was served, most others were refused by fasthttp already.

--- a/downstream/server.go
+++ b/downstream/server.go
@@ -18,9 +18,9 @@
 
 const (
 	headBuffer  = 16 << 10
-	bodyWait    = 30 * time.Second // for the rest of a request that has begun to come
-	writeWait   = 10 * time.Second // for a client that does not take its answer
-	idleWait    = 10 * time.Minute // for a client's next request
+	wholeWait   = 2500 * time.Millisecond // for a request, whole; a new connection's counts from its start
+	writeWait   = 10 * time.Second        // for a client that does not take its answer
+	idleWait    = 10 * time.Minute        // for a client's next request
 	lingerAfter = 500 * time.Millisecond
 	quietFor    = 300 * time.Millisecond
 	lookEvery   = 20 * time.Millisecond
@@ -32,7 +32,7 @@
 	Handler  func(*Call) // answers each call, once
 	Problem  func(ctx *fasthttp.RequestCtx, status int, fault error)
 	MaxBody  int   // bound of a request's body
-	MaxBytes int64 // bound of all bodies in hand together
+	MaxBytes int64 // bound of all bodies in hand together; 0 means none
 	MaxConns int
 	Counters router.Counters
 }
@@ -43,20 +43,22 @@
 	http     *fasthttp.Server
 	listener *listener
 	stopping atomic.Bool
-	bytes    atomic.Int64 // of bodies in hand
+	bodies   room
 	lastCall atomic.Int64 // when the latest came, in Unix nanoseconds
 }
 
 // NewServer returns a server for the listener.
 func NewServer(l net.Listener, cfg Config) *Server {
-	s := &Server{cfg: cfg, listener: &listener{Listener: l, conns: map[*conn]bool{}}}
+	s := &Server{cfg: cfg, listener: &listener{Listener: l, most: cfg.MaxConns, count: cfg.Counters, conns: map[*conn]bool{}}}
+	s.bodies.most = cfg.MaxBytes
 	s.http = &fasthttp.Server{
 		Handler:                      s.handle,
 		ErrorHandler:                 s.unreadable,
-		Concurrency:                  cfg.MaxConns,
+		Concurrency:                  2 * cfg.MaxConns, // the listener bounds them; those that it closed end a little later
+		StreamRequestBody:            true,             // or what is announced is allocated before anybody has looked at it
 		ReadBufferSize:               headBuffer,
 		MaxRequestBodySize:           cfg.MaxBody,
-		ReadTimeout:                  bodyWait,
+		ReadTimeout:                  wholeWait,
 		IdleTimeout:                  idleWait,
 		NoDefaultServerHeader:        true,
 		NoDefaultDate:                true,
@@ -94,13 +96,13 @@
 	for {
 		s.listener.closeIdle()
 		since := time.Since(time.Unix(0, s.lastCall.Load()))
-		if s.listener.count() == 0 && since > quietFor {
+		if s.listener.open() == 0 && since > quietFor {
 			break
 		}
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
-			return fmt.Errorf("stop with %d connections open: %w", s.listener.count(), ctx.Err())
+			return fmt.Errorf("stop with %d connections open: %w", s.listener.open(), ctx.Err())
 		}
 	}
 	if err := s.listener.Close(); err != nil {
@@ -111,20 +113,30 @@
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	s.lastCall.Store(time.Now().UnixNano())
-	c := ctx.Conn().(*conn)
-	c.called = true
-	call := &Call{RequestCtx: ctx, server: s, conn: c, Received: time.Unix(0, c.lastRead.Load())}
-	s.cfg.Handler(call)
+	call := &Call{RequestCtx: ctx, server: s, conn: ctx.Conn().(*conn)}
+	if err := checkHead(&ctx.Request.Header); err != nil {
+		call.Problem(fasthttp.StatusBadRequest, err)
+		call.end()
+	} else {
+		s.cfg.Handler(call)
+		if size := ctx.Request.Header.ContentLength(); !call.read && (size == -1 || size > 0) {
+			call.end()
+		}
+	}
 	if s.stopping.Load() {
 		ctx.Response.SetConnectionClose()
 	}
+	call.conn.enter(serving)
 }
 
 // unreadable answers what is no request that can be served.
 func (s *Server) unreadable(ctx *fasthttp.RequestCtx, err error) {
 	status := fasthttp.StatusBadRequest
 	var small *fasthttp.ErrSmallBuffer
+	var late net.Error
 	switch {
+	case errors.As(err, &late) && late.Timeout():
+		status = fasthttp.StatusRequestTimeout
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		status = fasthttp.StatusRequestEntityTooLarge
 	case errors.As(err, &small):
@@ -133,21 +145,26 @@
 	s.cfg.Counters.Add("calls_answered_"+strconv.Itoa(status), 1)
 	s.cfg.Problem(ctx, status, errUnreadable)
 	if c, ok := ctx.Conn().(*conn); ok {
-		c.linger = true
+		c.linger = c.lastRead.Load() > 0 // or nothing can be on its way
 	}
 	ctx.Response.SetConnectionClose()
 }
 
-var errNoRoom = errors.New("too much is in hand, try again later")
-
 var errUnreadable = errors.New("the request can't be read, or is too large")
 
 // Call is one call of a client.
 type Call struct {
 	*fasthttp.RequestCtx
-	Received time.Time // when its last byte came
+	Received time.Time // when its last byte came, once its body is read
 	server   *Server
 	conn     *conn
+	read     bool // its body has been read whole
+}
+
+// end closes the connection after the answer. Nothing that comes on it is served.
+func (c *Call) end() {
+	c.conn.linger = true
+	c.Response.SetConnectionClose()
 }
 
 // Problem answers with a status and what is wrong.
@@ -220,20 +237,3 @@
 	_ = t.conn.SetWriteDeadline(time.Now().Add(writeWait))
 	return n, err
 }
-
-// TakeBody returns the call's body, which is the caller's from then on.
-func (c *Call) TakeBody() []byte { return c.Request.SwapBody(nil) }
-
-// Room takes room for the call's body until its answer begins or it is answered
-// otherwise. Without room it answers so. Memory is bounded by this: that many
-// clients, each with the largest body, would go over the limit.
-func (c *Call) Room() (release func(), ok bool) {
-	size := int64(len(c.Request.Body()))
-	if s := c.server; s.cfg.MaxBytes > 0 && s.bytes.Add(size) > s.cfg.MaxBytes {
-		s.bytes.Add(-size)
-		c.Response.Header.Set(fasthttp.HeaderRetryAfter, "1")
-		c.Problem(fasthttp.StatusServiceUnavailable, errNoRoom)
-		return nil, false
-	}
-	return func() { c.server.bytes.Add(-size) }, true
-}
--- a/downstream/server_test.go
+++ b/downstream/server_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -14,11 +16,14 @@
 	"lichenshelf/metrics"
 )
 
+// most is how many connections the servers here hold.
+const most = 16
+
 // serve starts a server with the handler and returns its URL.
 func serve(t *testing.T, cfg Config) (*Server, string) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	cfg.MaxBody, cfg.MaxConns, cfg.Counters = 1<<10, 16, &metrics.Set{}
+	cfg.MaxBody, cfg.MaxConns, cfg.Counters = 1<<10, most, &metrics.Set{}
 	cfg.Problem = func(ctx *fasthttp.RequestCtx, status int, fault error) {
 		ctx.SetStatusCode(status)
 		ctx.SetBodyString(fault.Error())
@@ -37,7 +42,10 @@
 }
 
 func post(t *testing.T, url string, size int) *http.Response {
-	resp, err := http.Post(url, "text/plain", strings.NewReader(strings.Repeat("x", size)))
+	req, err := http.NewRequest(http.MethodPost, url, strings.NewReader(strings.Repeat("x", size)))
+	require.NoError(t, err)
+	req.Close = true // or it may meet a connection that has just given way
+	resp, err := http.DefaultClient.Do(req)
 	require.NoError(t, err)
 	require.NoError(t, resp.Body.Close())
 	return resp
@@ -48,12 +56,12 @@
 func TestBodiesInHandAreBounded(t *testing.T) {
 	holding, goOn := make(chan struct{}), make(chan struct{})
 	_, url := serve(t, Config{MaxBytes: 1000, Handler: func(c *Call) {
-		release, ok := c.Room()
+		body, release, ok := c.Body()
 		if !ok {
 			return
 		}
 		defer release()
-		if len(c.TakeBody()) == 600 {
+		if len(body) == 600 {
 			holding <- struct{}{}
 			<-goOn
 		}
@@ -97,3 +105,107 @@
 		answers = append(answers, buf[:n]...)
 	}
 }
+
+// dial sends text on a connection of its own.
+func dial(t *testing.T, url, text string) net.Conn {
+	c, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	_, err = c.Write([]byte(text))
+	require.NoError(t, err)
+	return c
+}
+
+// What parsers read differently may hide a second request in a body. It must be
+// refused, and nothing behind it served.
+func TestHeadsThatCanBeReadInTwoWaysAreRefused(t *testing.T) {
+	served := make(chan string, 100)
+	_, url := serve(t, Config{Handler: func(c *Call) {
+		if _, release, ok := c.Body(); ok {
+			release()
+			served <- string(c.Path())
+		}
+	}})
+	const next = "GET /hidden HTTP/1.1\r\nHost: x\r\n\r\n"
+	good := "POST /good HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\nConnection: close\r\n\r\n{}"
+	for _, head := range []string{
+		"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n",
+		"Transfer-Encoding: identity\r\n\r\n", "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+		"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n", "Transfer-Encoding:\r\n chunked\r\n\r\n0\r\n\r\n",
+		"Content-Length: 2\r\nContent-Length: 2\r\n\r\n{}", "Content-Length: 2, 2\r\n\r\n{}",
+		"Content-Length: -2\r\n\r\n{}", "Content-Length: +2\r\n\r\n{}", "Content-Length: 0x2\r\n\r\n{}",
+		"Content-Length: \r\n\r\n", "Content-Length: 99999999999999999999\r\n\r\n{}",
+		"Content-Length: 99999999999\r\n\r\n{}", "Content-Length: 2000\r\n\r\n{}", "X\r\n\r\n", " X: y\r\n\r\n",
+		"X: a\r\n b\r\n\r\n", "X(: y\r\n\r\n", "X: a\x00b\r\n\r\n", "X: a\rContent-Length: 2\r\n\r\n",
+		"X: y\nContent-Length: 0\r\n\r\n", "Host: y\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+		"Transfer-Encoding: chunked\r\n\r\n-1\r\n", "Transfer-Encoding: chunked\r\n\r\n2\r\n{}X\r\n0\r\n\r\n",
+		"Transfer-Encoding: chunked\r\n\r\nffffffffffffffff1\r\n{}", "X: " + strings.Repeat("y", headBuffer) + "\r\n\r\n",
+	} {
+		c := dial(t, url, "POST /bad HTTP/1.1\r\nHost: x\r\n"+head+next)
+		require.NoError(t, c.SetReadDeadline(time.Now().Add(10*time.Second)))
+		text, err := io.ReadAll(c)
+		require.NoError(t, err, "%q is neither closed nor answered", head)
+		require.Regexp(t, "^HTTP/1.1 4[0-9][0-9] ", string(text), "%q", head)
+		require.Equal(t, 1, strings.Count(string(text), "HTTP/1.1"), "%q", head)
+		require.Empty(t, served, "%q", head)
+	}
+	_, err := io.ReadAll(dial(t, url, good))
+	require.NoError(t, err)
+	require.Equal(t, "/good", <-served)
+}
+
+// Clients that connect and say nothing, or stop half-way, come by the hundreds:
+// each is closed in good time, and the others find a place meanwhile.
+func TestSilentClientsGiveWay(t *testing.T) {
+	s, url := serve(t, Config{MaxBytes: 64 << 10, Handler: func(c *Call) {
+		if _, release, ok := c.Body(); ok {
+			release()
+		}
+	}})
+	var bad []net.Conn
+	for range 4 * most {
+		bad = append(bad, dial(t, url, ""))
+	}
+	require.LessOrEqual(t, s.listener.open(), most)
+	for range 2 * most {
+		bad = append(bad, dial(t, url, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1000\r\n\r\n{"))
+		require.Equal(t, http.StatusOK, post(t, url, 10).StatusCode)
+	}
+	from := time.Now()
+	for _, c := range bad {
+		require.NoError(t, c.SetReadDeadline(from.Add(10*time.Second)))
+		if _, err := io.Copy(io.Discard, c); err != nil {
+			require.ErrorIs(t, err, syscall.ECONNRESET)
+		}
+	}
+	require.Less(t, time.Since(from), wholeWait+2*time.Second)
+}
+
+// A connection kept for good by a client that asked once gives way to new ones,
+// one with a request in hand does not.
+func TestIdleConnectionsGiveWay(t *testing.T) {
+	began, goOn := make(chan struct{}), make(chan struct{})
+	s, url := serve(t, Config{Handler: func(c *Call) {
+		if _, release, ok := c.Body(); ok {
+			release()
+			if string(c.Path()) == "/held" {
+				began <- struct{}{}
+				<-goOn
+			}
+		}
+	}})
+	held := dial(t, url, "GET /held HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+	<-began
+	for range 4 * most {
+		c := dial(t, url, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+		_, err := c.Read(make([]byte, 256))
+		require.NoError(t, err)
+	}
+	require.LessOrEqual(t, s.listener.open(), most)
+	close(goOn)
+	text, err := io.ReadAll(held)
+	require.NoError(t, err)
+	require.Contains(t, string(text), "200 OK")
+}
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -27,7 +27,7 @@
 
 const (
 	defaultSockets = 1024
-	spareSockets   = 64          // for discovery, the listener, files and the runtime
+	spareSockets   = 40          // for discovery, the listener, files and the runtime
 	workerPart     = 0.4         // of the other sockets; the rest is for clients
 	memoryPart     = 0.7         // of the limit, from where on the collector works harder
 	bodiesPart     = 0.25        // of the limit, for the bodies of requests in hand
--- a/modelapi/front.go
+++ b/modelapi/front.go
@@ -100,12 +100,11 @@
 		call.Problem(fasthttp.StatusUnauthorized, errKey)
 		return
 	}
-	release, ok := call.Room()
+	body, release, ok := call.Body()
 	if !ok {
 		return
 	}
 	defer release()
-	body := call.TakeBody()
 	p, err := e.read(body)
 	if err == nil {
 		p.Patience, err = patience(call, e.class)
