Give every answer its own time to be written

Checked with traces at every place that ends a client's connection: none of them was evicted or dropped. All came in the jam at 49 to 58 s, when refusals went out on connections that had carried a stream more than 10 s before. timed.Read in downstream/server.go set a write deadline after each event, the last one stayed, and only Stream cleared it: a Problem on that connection was cut off before its first byte. Workers that broke off (17 streams) ruled out.

Now the deadline is set anew for each answer. The test fails without that.

--- a/downstream/server.go
+++ b/downstream/server.go
@@ -19,8 +19,8 @@
 const (
 	headBuffer  = 16 << 10
 	wholeWait   = 2500 * time.Millisecond // for a request, whole; a new connection's counts from its start
-	writeWait   = 10 * time.Second        // for a client that does not take its answer
-	idleWait    = 10 * time.Minute        // for a client's next request
+	defaultWait = 10 * time.Second
+	idleWait    = 10 * time.Minute // for a client's next request
 	lingerAfter = 500 * time.Millisecond
 	quietFor    = 300 * time.Millisecond
 	lookEvery   = 20 * time.Millisecond
@@ -35,6 +35,8 @@
 	MaxBytes int64 // bound of all bodies in hand together; 0 means none
 	MaxConns int
 	Counters router.Counters
+
+	writeWait time.Duration // for a client to take its answer, or its next event; 0 means the default
 }
 
 // Server is a front's client side.
@@ -49,6 +51,9 @@
 
 // NewServer returns a server for the listener.
 func NewServer(l net.Listener, cfg Config) *Server {
+	if cfg.writeWait == 0 {
+		cfg.writeWait = defaultWait
+	}
 	s := &Server{cfg: cfg, listener: &listener{Listener: l, most: cfg.MaxConns, count: cfg.Counters, conns: map[*conn]bool{}}}
 	s.bodies.most = cfg.MaxBytes
 	s.http = &fasthttp.Server{
@@ -127,8 +132,13 @@
 		ctx.Response.SetConnectionClose()
 	}
 	call.conn.enter(serving)
+	s.allow(call.conn)
 }
 
+// allow gives the answer its time to be taken. Each one needs it anew: a deadline
+// left over from an earlier stream would cut the next answer off.
+func (s *Server) allow(c *conn) { _ = c.SetWriteDeadline(time.Now().Add(s.cfg.writeWait)) }
+
 // unreadable answers what is no request that can be served.
 func (s *Server) unreadable(ctx *fasthttp.RequestCtx, err error) {
 	status := fasthttp.StatusBadRequest
@@ -146,6 +156,7 @@
 	s.cfg.Problem(ctx, status, errUnreadable)
 	if c, ok := ctx.Conn().(*conn); ok {
 		c.linger = c.lastRead.Load() > 0 // or nothing can be on its way
+		s.allow(c)
 	}
 	ctx.Response.SetConnectionClose()
 }
@@ -216,8 +227,7 @@
 // connection without the last chunk.
 func (c *Call) Stream(contentType string, body io.ReadCloser) {
 	c.SetContentType(contentType)
-	_ = c.conn.SetWriteDeadline(time.Time{})
-	c.Response.SetBodyStream(&timed{ReadCloser: body, conn: c.conn}, -1)
+	c.Response.SetBodyStream(&timed{ReadCloser: body, conn: c.conn, server: c.server}, -1)
 }
 
 // Whole sends a body whose length is known.
@@ -229,11 +239,12 @@
 // timed gives every event its own time to be taken, not the answer as a whole.
 type timed struct {
 	io.ReadCloser
-	conn *conn
+	conn   *conn
+	server *Server
 }
 
 func (t *timed) Read(p []byte) (int, error) {
 	n, err := t.ReadCloser.Read(p)
-	_ = t.conn.SetWriteDeadline(time.Now().Add(writeWait))
+	t.server.allow(t.conn)
 	return n, err
 }
--- a/downstream/server_test.go
+++ b/downstream/server_test.go
@@ -1,6 +1,7 @@
 package downstream
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -209,3 +210,28 @@
 	require.NoError(t, err)
 	require.Contains(t, string(text), "200 OK")
 }
+
+// A stream's deadline must not outlast it: a refusal that came later on the same
+// connection was cut off by it, and the request lost.
+func TestAnswerAfterAStreamHasItsOwnTime(t *testing.T) {
+	const wait = 50 * time.Millisecond
+	_, url := serve(t, Config{writeWait: wait, Handler: func(c *Call) {
+		if string(c.Path()) == "/stream" {
+			c.Stream("text/plain", io.NopCloser(strings.NewReader("whole")))
+			return
+		}
+		time.Sleep(2 * wait) // the stream's time is over
+		c.Problem(http.StatusServiceUnavailable, errNoRoom)
+	}})
+	c := dial(t, url, "")
+	answers := bufio.NewReader(c)
+	for _, tc := range []struct{ path, want string }{{"/stream", "whole"}, {"/refused", errNoRoom.Error()}} {
+		_, err := c.Write([]byte("GET " + tc.path + " HTTP/1.1\r\nHost: x\r\n\r\n"))
+		require.NoError(t, err)
+		resp, err := http.ReadResponse(answers, nil)
+		require.NoError(t, err)
+		body, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		require.Equal(t, tc.want, string(body))
+	}
+}
