Hand on whole chunks only, and end an attempt whose answer's head does not end

Checked with spoilt answers against the worker client, now tests: a head that stops half-way held the attempt until the client's deadline; a chunk declared at 3 GB was relayed for as long as it came; a chunk that did not fit its size was passed on before that showed, so that the attempt could no longer be made again. Noise and over-long heads were refused already. fasthttp hands on parts of chunks and has no bound for one, hence upstream/chunked.go. An answer that is neither counted nor chunked counts as broken at once. A connection with more behind the answer than belongs to it is closed instead of kept.

--- a/router/send.go
+++ b/router/send.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"lichenshelf/logic"
 )
 
@@ -20,6 +22,7 @@
 	ex     *exchange
 	number int
 	server logic.ServerID
+	worker string
 	sentAt time.Time
 	timer  *time.Timer
 	giveUp func()
@@ -29,6 +32,9 @@
 func (s *sender) send(ex *exchange, server logic.ServerID, wait time.Duration) {
 	a := &attempt{core: s.core, ex: ex, number: ex.sends, server: server, sentAt: time.Now()}
 	w := s.core.roster.worker(server)
+	if w != nil {
+		a.worker = w.Name
+	}
 	switch {
 	case ex.closed || ex.attempt != nil || s.most > 0 && ex.sends >= s.most:
 		s.report(a, Outcome{Status: logic.NotSent})
@@ -85,6 +91,8 @@
 // report tells the decisions and the counters.
 func (s *sender) report(a *attempt, o Outcome) {
 	s.count.Add("attempts_"+statusNames[o.Status], 1)
+	s.core.book.log.WithFields(logrus.Fields{"request": a.ex.Name, "attempt": a.number, "worker": a.worker,
+		"outcome": statusNames[o.Status], "kept": o.Kept, "ms": time.Since(a.sentAt).Milliseconds()}).Debug("attempt ended")
 	s.core.routing.push(logic.Event{Kind: logic.AttemptEnded, ID: a.ex.ID, Attempt: a.number, Server: a.server,
 		Latency: time.Since(a.sentAt), Status: o.Status, Closed: a.ex.closed, Kept: o.Kept})
 }
--- a/upstream/body.go
+++ b/upstream/body.go
@@ -17,9 +17,10 @@
 type body struct {
 	attempt *attempt
 	conn    *conn
-	resp    *fasthttp.Response
-	first   []byte // read ahead, to see that the answer has begun
-	tail    []byte // its latest bytes, which tell what was found kept
+	head    *fasthttp.ResponseHeader
+	stream  io.Reader // nil for a status that has no body
+	first   []byte    // read ahead, to see that the answer has begun
+	tail    []byte    // its latest bytes, which tell what was found kept
 	stall   time.Duration
 	err     error
 }
@@ -27,8 +28,34 @@
 // tailSize holds the event that tells the use of the prompt, and the end mark.
 const tailSize = 512
 
-func newBody(x *attempt, c *conn, resp *fasthttp.Response) *body {
-	return &body{attempt: x, conn: c, resp: resp, stall: x.client.cfg.StreamStall}
+// errNoEnd is for a body neither counted nor chunked: whole can't be told from broken.
+var errNoEnd = errors.New("an answer without an end")
+
+func newBody(x *attempt, c *conn, head *fasthttp.ResponseHeader) (*body, error) {
+	b := &body{attempt: x, conn: c, head: head, stall: x.client.cfg.StreamStall}
+	size := head.ContentLength()
+	switch {
+	case head.StatusCode() == fasthttp.StatusNoContent || head.StatusCode() == fasthttp.StatusNotModified:
+	case size >= 0:
+		b.stream = &counted{io.LimitedReader{R: c.br, N: int64(size)}}
+	case size == -1:
+		b.stream = &chunked{br: c.br}
+	default:
+		return nil, errNoEnd
+	}
+	return b, nil
+}
+
+// counted is a body of a known length.
+type counted struct{ io.LimitedReader }
+
+// Read implements io.Reader.
+func (c *counted) Read(p []byte) (int, error) {
+	n, err := c.LimitedReader.Read(p)
+	if c.N > 0 {
+		err = short(err)
+	}
+	return n, err
 }
 
 // await reads the first bytes of a stream.
@@ -66,18 +93,13 @@
 
 // read passes on what the connection has, and at the end gives it back.
 func (b *body) read(p []byte) (int, error) {
-	stream := b.resp.BodyStream()
-	if stream == nil { // a status that has no body
+	if b.stream == nil {
 		b.finish()
 		return 0, io.EOF
 	}
-	n, err := stream.Read(p)
+	n, err := b.stream.Read(p)
 	b.tail = append(b.tail, p[:n]...)
 	b.tail = b.tail[max(0, len(b.tail)-tailSize):]
-	if err == io.EOF && b.resp.Header.ContentLength() < -1 {
-		// Neither counted nor chunked: it cannot be told whole from broken.
-		err = io.ErrUnexpectedEOF
-	}
 	switch {
 	case err == io.EOF:
 		b.finish()
@@ -91,7 +113,7 @@
 	if !b.attempt.disown() {
 		return
 	}
-	if b.resp.ConnectionClose() {
+	if b.head.ConnectionClose() {
 		_ = b.conn.Close()
 		return
 	}
@@ -111,12 +133,12 @@
 	Size        int // -1 where the answer comes bit by bit
 }
 
-func headOf(resp *fasthttp.Response, size int) Head {
-	return Head{resp.StatusCode(), string(resp.Header.ContentType()), size}
+func headOf(h *fasthttp.ResponseHeader, size int) Head {
+	return Head{h.StatusCode(), string(h.ContentType()), size}
 }
 
 // Head implements router.Answer.
-func (b *body) Head() any { return headOf(b.resp, -1) }
+func (b *body) Head() any { return headOf(b.head, -1) }
 
 // Kept implements router.Answer.
 func (b *body) Kept() uint32 { return CachedTokens(b.tail) }
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -16,6 +16,8 @@
 	"lichenshelf/router"
 )
 
+var errInterim = errors.New("nothing but heads that announce an answer")
+
 // Message is a request as it goes to a worker; the payload of a router.Request.
 type Message struct {
 	Method string
@@ -121,14 +123,18 @@
 		x.sink.Ended(router.Outcome{Status: status})
 		return
 	}
-	resp := &fasthttp.Response{StreamBody: true}
-	if err := resp.ReadLimitBody(c.br, 0); err != nil {
+	head, err := readHead(c)
+	if err != nil {
+		x.broken(c)
+		return
+	}
+	body, err := newBody(x, c, head)
+	if err != nil {
 		x.broken(c)
 		return
 	}
-	body := newBody(x, c, resp)
 	msg := x.Request.Payload.(*Message)
-	if resp.StatusCode() == fasthttp.StatusOK && msg.Stream {
+	if head.StatusCode() == fasthttp.StatusOK && msg.Stream {
 		if err := body.await(); err != nil {
 			x.broken(c)
 			return
@@ -143,11 +149,41 @@
 		x.sink.Ended(router.Outcome{Status: logic.ServerError})
 	case err != nil:
 		x.broken(c)
-	case resp.StatusCode() == fasthttp.StatusOK, x.client.cfg.Final != nil && x.client.cfg.Final(resp.StatusCode()):
-		x.sink.Started(&buffered{whole, headOf(resp, len(whole))})
+	case head.StatusCode() == fasthttp.StatusOK, x.client.cfg.Final != nil && x.client.cfg.Final(head.StatusCode()):
+		x.sink.Started(&buffered{whole, headOf(head, len(whole))})
 	default:
-		x.sink.Ended(x.client.cfg.Judge(resp.StatusCode(), &resp.Header, whole))
+		x.sink.Ended(x.client.cfg.Judge(head.StatusCode(), head, whole))
+	}
+}
+
+// headWait is for an answer's head once it has begun: one that does not end must
+// not look like a worker that is still at work.
+const headWait = time.Second
+
+// mostInterim bounds the 1xx heads before an answer.
+const mostInterim = 100
+
+// readHead reads the head of an answer, past those that announce it.
+func readHead(c *conn) (*fasthttp.ResponseHeader, error) {
+	var h fasthttp.ResponseHeader
+	for range mostInterim {
+		if _, err := c.br.Peek(1); err != nil {
+			return nil, fmt.Errorf("wait for answer: %w", err)
+		}
+		if err := c.SetReadDeadline(time.Now().Add(headWait)); err != nil {
+			return nil, fmt.Errorf("read head: %w", err)
+		}
+		if err := h.Read(c.br); err != nil {
+			return nil, fmt.Errorf("read head: %w", err)
+		}
+		if err := c.SetReadDeadline(time.Time{}); err != nil {
+			return nil, fmt.Errorf("read head: %w", err)
+		}
+		if status := h.StatusCode(); status >= fasthttp.StatusOK {
+			return &h, nil
+		}
 	}
+	return nil, errInterim
 }
 
 // broken reports a connection that ended after the request's last byte.
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -175,3 +177,81 @@
 		require.Zero(t, CachedTokens([]byte(text)), text)
 	}
 }
+
+const (
+	streamHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	wholeText  = "2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"
+)
+
+// replies serves each connection's first request with text and leaves it open, as
+// a worker does whose answer arrives spoilt. It notes when the client closes it.
+func replies(text string, closed chan<- struct{}) func(net.Conn) {
+	return func(nc net.Conn) {
+		if !request(nc) {
+			return
+		}
+		_, _ = nc.Write([]byte(text))
+		_, _ = nc.Read(make([]byte, 1))
+		closed <- struct{}{}
+	}
+}
+
+// An answer that is spoilt before its first event has to end the attempt at once:
+// the worker's connection stays open, and waiting would cost the client its time.
+// The connection is of no further use.
+func TestAnswerSpoiltFromTheStartIsAReset(t *testing.T) {
+	for _, text := range []string{
+		"noise \x00\xff that is no head\r\n\r\n", "noise without an end", "HTTP/1.1 200 OK\r\nX: ",
+		"HTTP/1.1 200 OK\r\nX: " + strings.Repeat("y", 2*readBuffer), "HTTP/1.1 abc OK\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\nab", "HTTP/1.1 200 OK\r\n\r\nab",
+		strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", mostInterim+1),
+		streamHead + "zz\r\nab\r\n", streamHead + "-2\r\nab\r\n", streamHead + "\r\nab\r\n",
+		streamHead + "1\r\nab\r\n0\r\n\r\n", streamHead + "C0000000\r\nab", streamHead + "fffffffffffffffff\r\nab",
+		streamHead + "2\nab\n", streamHead + strings.Repeat("0", 2*readBuffer),
+	} {
+		closed := make(chan struct{}, 1)
+		c, w, _ := against(t, replies(text, closed))
+		from := time.Now()
+		e, _ := send(c, w, true)
+		select {
+		case o := <-e.outcomes:
+			require.Equal(t, logic.ConnectionReset, o.Status, "%.60q", text)
+		case <-e.answers:
+			t.Fatalf("%.60q began an answer", text)
+		}
+		<-closed
+		require.Less(t, time.Since(from), headWait+2*time.Second, "%.60q", text)
+	}
+}
+
+// One that is spoilt later must break off, not go on as if it were whole.
+func TestStreamSpoiltLaterBreaksOff(t *testing.T) {
+	for _, text := range []string{"zz\r\nab\r\n", "1\r\nab\r\n0\r\n\r\n", "C0000000\r\n" + strings.Repeat("x", 1<<20),
+		"0\r\nX: y", "1\r\nb"} {
+		closed := make(chan struct{}, 1)
+		c, w, _ := against(t, replies(streamHead+"1\r\na\r\n"+text, closed))
+		e, _ := send(c, w, true)
+		a := <-e.answers
+		got, err := io.ReadAll(a)
+		require.Error(t, err, "%.60q", text)
+		require.Equal(t, "a", string(got), "%.60q", text)
+		<-closed
+	}
+}
+
+// Good answers may bring more than belongs to them. What comes behind one must not
+// be taken for the next.
+func TestAnswersWithMoreThanBelongsToThem(t *testing.T) {
+	c, w, counters := against(t, func(nc net.Conn) {
+		request(nc)
+		_, _ = nc.Write([]byte("HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" +
+			streamHead + wholeText + streamHead + "5\r\nother\r\n0\r\n\r\n"))
+	})
+	for range 2 {
+		e, _ := send(c, w, true)
+		got, err := io.ReadAll(<-e.answers)
+		require.NoError(t, err)
+		require.Equal(t, "abc", string(got))
+	}
+	require.EqualValues(t, 2, counters.Get("connections_opened"))
+}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -115,7 +115,8 @@
 
 // put keeps a connection whose last answer was read to its end.
 func (p *pool) put(w *router.Worker, c *conn) {
-	if c.SetDeadline(time.Time{}) != nil || !w.MaySend() {
+	// What is behind the answer belongs to nobody, and would be taken for the next.
+	if c.br.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil || !w.MaySend() {
 		_ = c.Close()
 		return
 	}
