Send nothing for a request before its release has been taken

Checked with the debug log and traces of releases: the first 410 is right, the state had been fetched. The second came less than 1 ms after a read that had ended well. In each of these chains the DELETE and the new read went out in the same millisecond, on connections of their own. A late DELETE (all were answered at once by the first worker asked), the second release 60 ms later (it does not go out once something more is sent) and a queue that is full (the answer was 410) are ruled out. book.release and sender.send started both without an order.

Now sender.send holds the attempt until the release has been taken; its time-out runs.

The test fails without the change.

--- a/router/api.go
+++ b/router/api.go
@@ -69,8 +69,9 @@
 	// Send starts an attempt. The returned function gives it up, at any time.
 	Send(Attempt, Sink) (giveUp func())
 	// Release asks the given workers, one after the other until one took it, to
-	// let go of all that is held for the named request.
-	Release(name string, workers []*Worker)
+	// let go of all that is held for the named request. It calls done, once and
+	// later, when that has ended either way.
+	Release(name string, workers []*Worker, done func())
 	// Forget drops what is kept of a worker that has left or restarted.
 	Forget(*Worker)
 }
--- a/router/book.go
+++ b/router/book.go
@@ -91,7 +91,7 @@
 // request is being read elsewhere by then, whose state it would take away.
 func (b *book) release(ex *exchange) {
 	b.count.Add("releases", 1)
-	b.transport.Release(ex.Name, b.core.roster.running())
+	b.letGo(ex)
 	if !ex.unsure {
 		return
 	}
@@ -100,7 +100,22 @@
 	time.AfterFunc(crossing, func() {
 		b.core.post(func() {
 			if ex.sends == sends && !ex.answered {
-				b.transport.Release(ex.Name, b.core.roster.running())
+				b.letGo(ex)
+			}
+		})
+	})
+}
+
+// letGo asks the workers once. It goes on a connection of its own, so an attempt
+// that is sent right after it could be overtaken, and the state that a new read
+// leaves be lost to it: that attempt waits.
+func (b *book) letGo(ex *exchange) {
+	ex.releases++
+	b.transport.Release(ex.Name, b.core.roster.running(), func() {
+		b.core.post(func() {
+			ex.releases--
+			if ex.releases == 0 && ex.attempt != nil {
+				b.core.sender.start(ex.attempt)
 			}
 		})
 	})
--- a/router/core.go
+++ b/router/core.go
@@ -58,6 +58,7 @@
 	closed   bool // it has its final answer, or the client has gone
 	answered bool // an answer has begun
 	unsure   bool // a read was cut off: the worker may hold its state all the same
+	releases int  // that are out; what is sent meanwhile waits for them
 }
 
 // New returns a core; Run starts it.
--- a/router/core_test.go
+++ b/router/core_test.go
@@ -28,6 +28,7 @@
 	sent     chan Sink
 	gaveUp   chan struct{}
 	released chan string
+	taken    chan struct{} // a release waits for this, where it is set
 }
 
 func newWires() *wires {
@@ -38,8 +39,16 @@
 	w.sent <- s
 	return sync.OnceFunc(func() { w.gaveUp <- struct{}{} })
 }
-func (w *wires) Release(name string, _ []*Worker) { w.released <- name }
-func (w *wires) Forget(*Worker)                   {}
+func (w *wires) Release(name string, _ []*Worker, done func()) {
+	w.released <- name
+	go func() {
+		if w.taken != nil {
+			<-w.taken
+		}
+		done()
+	}()
+}
+func (w *wires) Forget(*Worker) {}
 
 // caller notes the answers it gets.
 type caller struct{ answers chan string }
@@ -109,6 +118,34 @@
 	require.Equal(t, "a", <-w.released)
 }
 
+// The release goes on a connection of its own. Overtaken by the next read, it takes
+// away the state that this one leaves, and the writer turns the request away.
+func TestSendWaitsForTheReleaseBeforeIt(t *testing.T) {
+	w := newWires()
+	w.taken = make(chan struct{})
+	decided := make(chan struct{}, 1)
+	c, _ := run(t, func(e logic.Event) []logic.Action {
+		switch e.Kind {
+		case logic.Arrived:
+			return []logic.Action{{Kind: logic.Send, ID: e.Request.ID, Server: 5, After: time.Hour}}
+		case logic.AttemptEnded:
+			decided <- struct{}{}
+			return []logic.Action{{Kind: logic.Release, ID: e.ID}, {Kind: logic.Send, ID: e.ID, Server: 5, After: time.Hour}}
+		}
+		return nil
+	}, w)
+	submit(c, "a")
+	(<-w.sent).Ended(Outcome{Status: logic.ConnectionReset})
+	<-w.released
+	<-decided
+	settled := make(chan struct{})
+	c.post(func() { close(settled) })
+	<-settled
+	require.Empty(t, w.sent)
+	close(w.taken)
+	<-w.sent
+}
+
 func TestLeavingGivesUpTheAttemptAndReleases(t *testing.T) {
 	ended, w := make(chan logic.Event, 4), newWires()
 	c, _ := run(t, sendAll(ended), w)
--- a/router/send.go
+++ b/router/send.go
@@ -22,19 +22,17 @@
 	ex     *exchange
 	number int
 	server logic.ServerID
-	worker string
 	sentAt time.Time
 	timer  *time.Timer
-	giveUp func()
+	to     *Worker
+	wait   time.Duration
+	giveUp func() // nil until it has started
 	ended  bool
 }
 
 func (s *sender) send(ex *exchange, server logic.ServerID, wait time.Duration) {
-	a := &attempt{core: s.core, ex: ex, number: ex.sends, server: server, sentAt: time.Now()}
 	w := s.core.roster.worker(server)
-	if w != nil {
-		a.worker = w.Name
-	}
+	a := &attempt{core: s.core, ex: ex, number: ex.sends, server: server, sentAt: time.Now(), to: w, wait: wait}
 	switch {
 	case ex.closed || ex.attempt != nil || s.most > 0 && ex.sends >= s.most:
 		s.report(a, Outcome{Status: logic.NotSent})
@@ -51,7 +49,16 @@
 	a.timer = time.AfterFunc(wait, func() {
 		s.core.post(func() { s.end(a, Outcome{Status: logic.TimedOut}) })
 	})
-	a.giveUp = s.transport.Send(Attempt{Request: ex.Request, Worker: w, Wait: wait}, a)
+	if ex.releases == 0 {
+		s.start(a)
+	}
+}
+
+// start hands an attempt to the transport, once.
+func (s *sender) start(a *attempt) {
+	if a.giveUp == nil {
+		a.giveUp = s.transport.Send(Attempt{Request: a.ex.Request, Worker: a.to, Wait: a.wait - time.Since(a.sentAt)}, a)
+	}
 }
 
 // Started implements Sink.
@@ -71,7 +78,7 @@
 	}
 	a.ended = true
 	a.timer.Stop()
-	if o.Status != logic.PromptRead && o.Status != logic.Served {
+	if a.giveUp != nil && o.Status != logic.PromptRead && o.Status != logic.Served {
 		a.giveUp()
 	}
 	a.ex.attempt = nil
@@ -91,7 +98,11 @@
 // report tells the decisions and the counters.
 func (s *sender) report(a *attempt, o Outcome) {
 	s.count.Add("attempts_"+statusNames[o.Status], 1)
-	s.core.book.log.WithFields(logrus.Fields{"request": a.ex.Name, "attempt": a.number, "worker": a.worker,
+	worker := ""
+	if a.to != nil {
+		worker = a.to.Name
+	}
+	s.core.book.log.WithFields(logrus.Fields{"request": a.ex.Name, "attempt": a.number, "worker": worker,
 		"outcome": statusNames[o.Status], "kept": o.Kept, "ms": time.Since(a.sentAt).Milliseconds()}).Debug("attempt ended")
 	s.core.routing.push(logic.Event{Kind: logic.AttemptEnded, ID: a.ex.ID, Attempt: a.number, Server: a.server,
 		Latency: time.Since(a.sentAt), Status: o.Status, Closed: a.ex.closed, Kept: o.Kept})
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -257,12 +257,14 @@
 
 // Release implements router.Transport. Workers with a connection at hand are
 // asked first: what is held must be let go of within a few hundred milliseconds.
-func (c *Client) Release(name string, workers []*router.Worker) {
+func (c *Client) Release(name string, workers []*router.Worker, done func()) {
 	if c.cfg.ReleasePath == "" {
+		go done()
 		return
 	}
 	slices.SortStableFunc(workers, func(a, b *router.Worker) int { return c.releaseRank(a) - c.releaseRank(b) })
 	go func() {
+		defer done()
 		for _, w := range workers {
 			if err := c.release(name, w); err == nil {
 				return
