Leave the bound on client connections to the listener alone

Seen: TestSilentClientsGiveWay failed once with a 503 to a usual client. fasthttp's Concurrency counts goroutines, also those of connections that have just given way, so a flood met that bound first.

--- a/downstream/server.go
+++ b/downstream/server.go
@@ -56,11 +56,12 @@
 	}
 	s := &Server{cfg: cfg, listener: &listener{Listener: l, most: cfg.MaxConns, count: cfg.Counters, conns: map[*conn]bool{}}}
 	s.bodies.most = cfg.MaxBytes
+	// The listener bounds the connections. The server's own bound would turn new ones
+	// away while those that gave way to them are still ending.
 	s.http = &fasthttp.Server{
 		Handler:                      s.handle,
 		ErrorHandler:                 s.unreadable,
-		Concurrency:                  2 * cfg.MaxConns, // the listener bounds them; those that it closed end a little later
-		StreamRequestBody:            true,             // or what is announced is allocated before anybody has looked at it
+		StreamRequestBody:            true, // or what is announced is allocated before anybody has looked at it
 		ReadBufferSize:               headBuffer,
 		MaxRequestBodySize:           cfg.MaxBody,
 		ReadTimeout:                  wholeWait,
