--- /dev/null
+++ b/dnssrv/resolver.go
@@ -0,0 +1,157 @@
+package dnssrv
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"lichenshelf/dnsrule"
+)
+
+// Config is how a name is followed. All fields must be set.
+type Config struct {
+	Service string   // the SRV name
+	Servers []string // the name servers, host:port, the preferred one first
+	Family  dnsrule.Family
+	// Agree is how many of the servers must give the same; all are asked then. 0
+	// asks one after the other until one knows.
+	Agree    int
+	Timeout  time.Duration // of one question to one server, over each of UDP and TCP
+	Deadline time.Duration // of the whole look-up
+	Parallel int           // questions out at once, so descriptors
+	dnsrule.Lifetimes
+}
+
+const (
+	rounds   = 2 // through all servers, for one question
+	avoid    = 5 * time.Second
+	avoidMax = 2 * time.Minute
+)
+
+// Resolver looks one name up. It is safe for concurrent use.
+type Resolver struct {
+	cfg     Config
+	mu      sync.Mutex
+	servers *dnsrule.Servers
+}
+
+// NewResolver returns a resolver.
+func NewResolver(cfg Config) *Resolver {
+	return &Resolver{cfg: cfg, servers: dnsrule.NewServers(len(cfg.Servers), avoid, avoidMax)}
+}
+
+// Lookup asks for the name and for all that it leads to. An error means that
+// nothing is known anew, not that the name has no workers.
+func (r *Resolver) Lookup(ctx context.Context) (dnsrule.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.cfg.Deadline)
+	defer cancel()
+	if r.cfg.Agree == 0 {
+		return r.run(ctx, r.order, r.cfg.Parallel)
+	}
+	type found struct {
+		result dnsrule.Result
+		err    error
+	}
+	all := make(chan found)
+	for i := range r.cfg.Servers {
+		go func() {
+			result, err := r.run(ctx, func() []int { return []int{i} }, max(1, r.cfg.Parallel/len(r.cfg.Servers)))
+			all <- found{result, err}
+		}()
+	}
+	var results []dnsrule.Result
+	var faults []error
+	for range r.cfg.Servers {
+		if f := <-all; f.err != nil {
+			faults = append(faults, f.err)
+		} else {
+			results = append(results, f.result)
+		}
+	}
+	result, err := dnsrule.Agree(results, r.cfg.Agree)
+	if err != nil {
+		return result, errors.Join(append([]error{err}, faults...)...)
+	}
+	return result, nil
+}
+
+// run drives one look-up through the servers that order names.
+func (r *Resolver) run(ctx context.Context, order func() []int, parallel int) (dnsrule.Result, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type answered struct {
+		q   dnsrule.Question
+		a   dnsrule.Answer
+		err error
+	}
+	l := dnsrule.NewLookup(r.cfg.Service, r.cfg.Family)
+	answers := make(chan answered)
+	var queue []dnsrule.Question
+	for out := 0; ; {
+		queue = append(queue, l.Ask()...)
+		for ; len(queue) > 0 && out < parallel && !l.Done(); out++ {
+			q := queue[0]
+			queue = queue[1:]
+			go func() {
+				a, err := r.ask(ctx, q, order)
+				answers <- answered{q, a, err}
+			}()
+		}
+		if out == 0 {
+			return l.Result()
+		}
+		if l.Done() { // with an error: the rest is of no use
+			cancel()
+		}
+		got := <-answers
+		out--
+		if got.err != nil {
+			l.Failed(got.q, got.err)
+		} else {
+			l.Answered(got.q, got.a)
+		}
+	}
+}
+
+// ask puts one question to one server after the other.
+func (r *Resolver) ask(ctx context.Context, q dnsrule.Question, order func() []int) (dnsrule.Answer, error) {
+	var last error
+	for range rounds {
+		for _, i := range order() {
+			if ctx.Err() != nil {
+				break
+			}
+			a, err := exchange(ctx, r.cfg.Servers[i], q, r.cfg.Timeout)
+			if err == nil {
+				r.note(i, true)
+				return a, nil
+			}
+			last = err
+			if ctx.Err() == nil {
+				r.note(i, false)
+			}
+		}
+	}
+	if ctx.Err() != nil {
+		last = errors.Join(last, ctx.Err())
+	}
+	return dnsrule.Answer{}, fmt.Errorf("no name server answered: %w", last)
+}
+
+func (r *Resolver) order() []int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.servers.Order(time.Now())
+}
+
+func (r *Resolver) note(i int, worked bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if worked {
+		r.servers.Worked(i)
+	} else {
+		r.servers.Failed(i, time.Now())
+	}
+}
