Feed fronts from an operator's sources: DNS, a list, the store, their own

Need: the model API glued its file and the store together by itself, failed whole on one duplicate name, and nothing else could bring workers in.

The daemon has a package of its own. Weights count where the settings say so (SRV weights do).

--- /dev/null
+++ b/conffile/conffile.go
@@ -0,0 +1,144 @@
+// Package conffile reads the project's TOML files and says of what it does not
+// like where that stands: file, line, key and value.
+package conffile
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/BurntSushi/toml"
+)
+
+// File is a file that has been read.
+type File struct {
+	Path  string
+	lines map[string]int // of each key and table; members of arrays are numbered from 0
+}
+
+// Read decodes a file into a struct. A key that the struct lacks is an error:
+// a setting that is misspelt must not count as left out.
+func Read(path string, into any) (*File, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read configuration: %w", err)
+	}
+	f := &File{Path: path, lines: locate(string(text))}
+	meta, err := toml.Decode(string(text), into)
+	var fault toml.ParseError
+	if errors.As(err, &fault) {
+		key := ""
+		if fault.LastKey != "" {
+			key = "key " + fault.LastKey + ": "
+		}
+		return nil, fmt.Errorf("%s:%d: %s%s", path, fault.Position.Line, key, fault.Message)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if unknown := meta.Undecoded(); len(unknown) > 0 {
+		return nil, f.unknown(unknown[0])
+	}
+	return f, nil
+}
+
+var index = regexp.MustCompile(`\[\d+\]`)
+
+// unknown finds the line of a key that the decoder names without its numbers.
+func (f *File) unknown(key toml.Key) error {
+	name := strings.Join(key, ".")
+	line := 0
+	for at, n := range f.lines {
+		if index.ReplaceAllString(at, "") == name && (line == 0 || n < line) {
+			line = n
+		}
+	}
+	return fmt.Errorf("%s:%d: unknown key %s", f.Path, line, name)
+}
+
+// Bad is the error that a key's value makes no sense, such as of
+// "source[2].servers". A key that is left out is told at the line of its table.
+func (f *File) Bad(key string, value any, why string) error {
+	if d, ok := value.(Duration); ok {
+		value = d.Duration
+	}
+	at, line := key, 0
+	for line = f.lines[at]; line == 0 && strings.Contains(at, "."); line = f.lines[at] {
+		at = at[:strings.LastIndexByte(at, '.')]
+	}
+	if line == 0 {
+		return fmt.Errorf("%s: %s = %#v: %s", f.Path, key, value, why)
+	}
+	return fmt.Errorf("%s:%d: %s = %v: %s", f.Path, line, key, quoted(value), why)
+}
+
+func quoted(value any) any {
+	if s, ok := value.(string); ok {
+		return fmt.Sprintf("%q", s)
+	}
+	return value
+}
+
+var (
+	header = regexp.MustCompile(`^\s*(\[\[?)\s*([A-Za-z0-9_.-]+)\s*\]`)
+	setter = regexp.MustCompile(`^\s*([A-Za-z0-9_.-]+)\s*=`)
+)
+
+// locate finds the lines of all keys. It reads what our files are made of, tables
+// and bare keys; lines are for messages only, so what it misses costs a number.
+func locate(text string) map[string]int {
+	lines := map[string]int{}
+	counts := map[string]int{}
+	table := ""
+	for i, line := range strings.Split(text, "\n") {
+		if m := header.FindStringSubmatch(line); m != nil {
+			table = numbered(m[2], counts, m[1] == "[[")
+			lines[table] = i + 1
+		} else if m := setter.FindStringSubmatch(line); m != nil {
+			key := m[1]
+			if table != "" {
+				key = table + "." + key
+			}
+			if lines[key] == 0 {
+				lines[key] = i + 1
+			}
+		}
+	}
+	return lines
+}
+
+// numbered writes the numbers of arrays into a table's name: a new member of the
+// last part's array if it is one, the current one of those before.
+func numbered(name string, counts map[string]int, array bool) string {
+	parts := strings.Split(name, ".")
+	out := ""
+	for i, part := range parts {
+		if out != "" {
+			out += "."
+		}
+		out += part
+		if i == len(parts)-1 && array {
+			counts[out]++
+		}
+		if n := counts[out]; n > 0 {
+			out += fmt.Sprintf("[%d]", n-1)
+		}
+	}
+	return out
+}
+
+// Duration is a time span in a file, such as "250ms". It is never negative.
+type Duration struct{ time.Duration }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err == nil && v < 0 {
+		err = fmt.Errorf("time span %q is negative", text)
+	}
+	d.Duration = v
+	return err
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -8,12 +8,15 @@
 	"io"
 	"os"
 	"runtime/debug"
+	"strings"
 
 	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
 
+	"lichenshelf/internal/daemon"
 	"lichenshelf/modelapi"
 	"lichenshelf/platform"
+	"lichenshelf/sources"
 	"lichenshelf/store"
 )
 
@@ -35,6 +38,7 @@
 			Sources: cli.EnvVars("ROUTER_CONFIG")},
 		&cli.StringFlag{Name: "modelapi", Value: defaultModelAPI, Usage: "the model API's `FILE`"},
 		&cli.StringFlag{Name: "store", Value: defaultStore, Usage: "the replicated store's `FILE`"},
+		&cli.StringFlag{Name: "sources", Value: defaultSources, Usage: "the `FILE` of further sources of workers"},
 		&cli.StringFlag{Name: "log-level", Value: "info", Usage: "debug, info, warning or error",
 			Sources: cli.EnvVars("LICHENSHELF_LOG_LEVEL")},
 	}
@@ -50,7 +54,7 @@
 						return fmt.Errorf("log level: %w", err)
 					}
 					log.SetLevel(level)
-					return serve(ctx, files(c), log)
+					return daemon.Serve(ctx, files(c), log)
 				},
 			},
 			{
@@ -73,10 +77,11 @@
 const (
 	defaultModelAPI = "deploy/modelapi.toml"
 	defaultStore    = "deploy/store.toml"
+	defaultSources  = "deploy/sources.toml"
 )
 
 // files tells which files to use. A file that nobody named may be missing.
-func files(c *cli.Command) options {
+func files(c *cli.Command) daemon.Files {
 	named := func(flag string) string {
 		path := c.String(flag)
 		if _, err := os.Stat(path); errors.Is(err, os.ErrNotExist) && !c.IsSet(flag) {
@@ -84,17 +89,17 @@
 		}
 		return path
 	}
-	return options{platform: c.String("config"), modelAPI: named("modelapi"), store: named("store")}
+	return daemon.Files{Platform: c.String("config"), ModelAPI: named("modelapi"), Store: named("store"), Sources: named("sources")}
 }
 
 // check reads all files and prints a line for each.
-func check(w io.Writer, o options) error {
+func check(w io.Writer, o daemon.Files) error {
 	say := func(format string, args ...any) error {
 		_, err := fmt.Fprintf(w, format+"\n", args...)
 		return err
 	}
-	if o.platform != "" {
-		c, err := platform.LoadConfig(o.platform, os.Getenv)
+	if o.Platform != "" {
+		c, err := platform.LoadConfig(o.Platform, os.Getenv)
 		if err != nil {
 			return fmt.Errorf("platform: %w", err)
 		}
@@ -103,8 +108,8 @@
 			return err
 		}
 	}
-	if o.modelAPI != "" {
-		c, err := modelapi.LoadConfig(o.modelAPI)
+	if o.ModelAPI != "" {
+		c, err := modelapi.LoadConfig(o.ModelAPI)
 		if err != nil {
 			return fmt.Errorf("model API: %w", err)
 		}
@@ -112,12 +117,28 @@
 			return err
 		}
 	}
-	if o.store != "" {
-		c, err := store.LoadConfig(o.store)
+	if o.Store != "" {
+		c, err := store.LoadConfig(o.Store)
 		if err != nil {
 			return fmt.Errorf("store: %w", err)
 		}
-		return say("store: %s, %d replicas", orOff(c.ID), len(c.Peers))
+		if err := say("store: %s, %d replicas", orOff(c.ID), len(c.Peers)); err != nil {
+			return err
+		}
+	}
+	if o.Sources != "" {
+		c, err := sources.LoadConfig(o.Sources)
+		if err != nil {
+			return fmt.Errorf("sources: %w", err)
+		}
+		if len(c.Sources) == 0 {
+			return say("sources: off")
+		}
+		for _, s := range c.Sources {
+			if err := say("source %s: %s, for %s", s.Name, s.Kind, strings.Join(s.Fronts, " and ")); err != nil {
+				return err
+			}
+		}
 	}
 	return nil
 }
--- a/internal/cli/register.go
+++ b/internal/cli/register.go
@@ -12,8 +12,9 @@
 	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
 
-	"lichenshelf/modelapi"
+	"lichenshelf/membership"
 	"lichenshelf/store"
+	"lichenshelf/storesource"
 )
 
 // shortestSession leaves room for a few touches that come late.
@@ -32,21 +33,20 @@
 			&cli.DurationFlag{Name: "timeout", Value: 5 * time.Second, Usage: "how long it may be silent before it counts as gone"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			b := modelapi.Backend{Name: c.String("name"), Addr: c.String("addr"), Cell: c.Int("cell"),
-				StartedAtMs: time.Now().UnixMilli()}
-			if _, err := modelapi.Members([]modelapi.Backend{b}); err != nil {
+			data, err := json.Marshal(storesource.Registration{Addr: c.String("addr"), Cell: c.Int("cell"),
+				StartedAtMs: time.Now().UnixMilli()})
+			if err != nil {
+				return fmt.Errorf("encode registration: %w", err)
+			}
+			if _, err := storesource.Parse(c.String("name"), data, membership.Entry{}); err != nil {
 				return err
 			}
 			if c.Duration("timeout") < shortestSession {
 				return errors.New("the time-out is too short")
 			}
-			data, err := json.Marshal(b)
-			if err != nil {
-				return fmt.Errorf("encode backend: %w", err)
-			}
 			ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 			defer stop()
-			store.NewClient(c.StringSlice("store")...).Register(ctx, modelapi.BackendsPath+"/"+b.Name, data,
+			store.NewClient(c.StringSlice("store")...).Register(ctx, storesource.BackendsPath+"/"+c.String("name"), data,
 				c.Duration("timeout"), func(err error) { log.WithError(err).Warn("not registered, trying again") })
 			return nil
 		},
--- a/internal/cli/serve.go
+++ b/internal/daemon/daemon.go
@@ -1,4 +1,6 @@
-package cli
+// Package daemon runs the router: it starts what its files switch on, follows
+// signals and ends in good order.
+package daemon
 
 import (
 	"context"
@@ -22,6 +24,7 @@
 	"lichenshelf/modelapi"
 	"lichenshelf/platform"
 	"lichenshelf/router"
+	"lichenshelf/sources"
 	"lichenshelf/store"
 )
 
@@ -36,19 +39,21 @@
 	storeWait      = 30 * time.Second
 )
 
-// options are the files that serve was given; an empty one is not used.
-type options struct {
-	platform, modelAPI, store string
+// Files are what the router was given to read; an empty path is not used.
+type Files struct {
+	Platform, ModelAPI, Store, Sources string
 }
 
 // daemon is what runs: fronts, each with a core of its own, and the store.
 type daemon struct {
 	log      *logrus.Logger
 	counters *metrics.Set
-	opts     options
+	files    Files
 	fronts   []front
 	watch    *platform.Watch
-	fleet    *modelapi.Fleet
+	sources  *sources.Config          // nil without a file
+	feeds    map[string]*sources.Feed // by front, those that take sources
+	ctx      context.Context          // ends with the program; what a reload starts runs until then
 	replica  *store.Replica
 	api      *store.API
 	failed   chan error
@@ -60,9 +65,9 @@
 	server *downstream.Server
 }
 
-// serve runs until a SIGTERM has been seen through.
-func serve(ctx context.Context, opts options, log *logrus.Logger) error {
-	d := &daemon{log: log, counters: &metrics.Set{}, opts: opts, failed: make(chan error, 4)}
+// Serve runs until a SIGTERM has been seen through.
+func Serve(ctx context.Context, files Files, log *logrus.Logger) error {
+	d := &daemon{log: log, counters: &metrics.Set{}, files: files, feeds: map[string]*sources.Feed{}, failed: make(chan error, 4)}
 	defer d.printCounters()
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
@@ -101,17 +106,24 @@
 // start starts what is on, to run until ctx ends; starting ends when the program is
 // told to stop meanwhile.
 func (d *daemon) start(ctx, starting context.Context) error {
-	if d.opts.store != "" {
+	d.ctx = ctx
+	if d.files.Sources != "" {
+		var err error
+		if d.sources, err = sources.LoadConfig(d.files.Sources); err != nil {
+			return fmt.Errorf("sources: %w", err)
+		}
+	}
+	if d.files.Store != "" {
 		if err := d.startStore(); err != nil {
 			return fmt.Errorf("start the store: %w", err)
 		}
 	}
-	if d.opts.platform != "" {
+	if d.files.Platform != "" {
 		if err := d.startPlatform(ctx); err != nil {
 			return fmt.Errorf("start the platform's front: %w", err)
 		}
 	}
-	if d.opts.modelAPI != "" {
+	if d.files.ModelAPI != "" {
 		if err := d.startModelAPI(ctx, starting); err != nil {
 			return fmt.Errorf("start the model API: %w", err)
 		}
@@ -132,7 +144,7 @@
 }
 
 func (d *daemon) startPlatform(ctx context.Context) error {
-	cfg, err := platform.LoadConfig(d.opts.platform, os.Getenv)
+	cfg, err := platform.LoadConfig(d.files.Platform, os.Getenv)
 	if err != nil {
 		return err
 	}
@@ -150,7 +162,18 @@
 	}
 	core := d.core(ctx, logic.New(cfg.Settings, cfg.Seed), platform.NewTransport(cfg, workers, d.counters),
 		cfg.Settings.MaxAttempts, open)
-	d.watch = platform.NewWatch(cfg, core, d.log)
+	var taker platform.Taker = core
+	if d.sources.Takes(sources.Platform) {
+		feed, err := d.feed(sources.Platform, core, cfg)
+		if err != nil {
+			return err
+		}
+		taker = ownList{feed}
+	}
+	d.watch = platform.NewWatch(cfg, taker, d.log)
+	if own, ok := taker.(ownList); ok {
+		d.watch.Failed = own.failed
+	}
 	go d.watch.Run(ctx)
 	started := time.Now()
 	ready := func() bool {
@@ -163,7 +186,7 @@
 }
 
 func (d *daemon) startModelAPI(ctx, starting context.Context) error {
-	cfg, err := modelapi.LoadConfig(d.opts.modelAPI)
+	cfg, err := modelapi.LoadConfig(d.files.ModelAPI)
 	if err != nil || cfg.Listen == "" {
 		return err
 	}
@@ -176,14 +199,14 @@
 	settings := cfg.Settings()
 	core := d.core(ctx, logic.New(settings, uint64(time.Now().UnixNano())),
 		modelapi.NewTransport(cfg, workers, d.counters), settings.MaxAttempts, cfg.MaxOpen)
-	d.fleet = modelapi.NewFleet(core, d.log)
-	if err := d.fleet.SetFile(cfg.Backends); err != nil {
+	feed, err := d.feed(sources.ModelAPI, core, nil)
+	if err != nil {
 		return err
 	}
-	if d.replica != nil {
-		go d.fleet.Follow(ctx, d.replica)
+	if err := tellBackends(feed, cfg); err != nil {
+		return err
 	}
-	ready := func() bool { return d.fleet.Ready() && !d.stopping.Load() }
+	ready := func() bool { return feed.Ready() && !d.stopping.Load() }
 	return d.listen(cfg.Listen, core, downstream.Config{Handler: modelapi.NewFront(cfg, ready).Handle,
 		Problem: modelapi.Problem, MaxBody: cfg.MaxBody,
 		MaxBytes: cfg.MaxBytes, MaxConns: clients})
@@ -239,7 +262,7 @@
 }
 
 func (d *daemon) startStore() error {
-	cfg, err := store.LoadConfig(d.opts.store)
+	cfg, err := store.LoadConfig(d.files.Store)
 	if err != nil || cfg.ID == "" {
 		return err
 	}
@@ -272,31 +295,6 @@
 	}
 }
 
-// reload reads the files again that may change while the router runs. What can't
-// be read leaves things as they are.
-func (d *daemon) reload() {
-	if d.watch != nil {
-		if err := d.watch.Reload(d.opts.platform); err != nil {
-			d.log.WithError(err).Error("configuration not read again, discovery stays as it is")
-		}
-	}
-	if d.fleet != nil {
-		d.reloadBackends()
-	}
-}
-
-func (d *daemon) reloadBackends() {
-	cfg, err := modelapi.LoadConfig(d.opts.modelAPI)
-	if err == nil {
-		err = d.fleet.SetFile(cfg.Backends)
-	}
-	if err != nil {
-		d.log.WithError(err).Error("backends not read again, the old list stays")
-		return
-	}
-	d.log.WithField("backends", len(cfg.Backends)).Info("backends read again")
-}
-
 // stop finishes what is in hand, at all fronts at once.
 func (d *daemon) stop(ctx context.Context) error {
 	d.stopping.Store(true)
--- a/logic/api.go
+++ b/logic/api.go
@@ -77,6 +77,7 @@
 	Tenants        []Tenant
 	Kinds          []Kind
 	WritersRead    bool // a writer without a state reads the prompt itself
+	Weights        bool // a server's share of the traffic goes with its Weight, 1 being a usual one
 	CancelAllowed  bool
 	RetryAfter     bool // clients are told when to come back
 	MaxRetryAfter  time.Duration
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -553,6 +553,9 @@
 	if s.Zone != g.set.Zone {
 		v *= farScale
 	}
+	if g.set.Weights && s.Weight > 0 {
+		v /= s.Weight
+	}
 	return v
 }
 
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -70,7 +70,8 @@
 
 func (e *Entry) label() string { return e.key()[1:] }
 
-func (e *Entry) check() error {
+// Check tells what is wrong with an entry.
+func (e *Entry) Check() error {
 	if e.Name == "" && e.Addr == "" {
 		return errors.New("a worker has neither name nor address")
 	}
--- a/membership/source.go
+++ b/membership/source.go
@@ -95,7 +95,7 @@
 	for i := range r.Entries {
 		e := &r.Entries[i]
 		old := src.listings[e.key()]
-		if err := e.check(); err != nil {
+		if err := e.Check(); err != nil {
 			problems = append(problems, err)
 			if old != nil {
 				old.pass = src.pass // spoilt is not left out
--- a/modelapi/config.go
+++ b/modelapi/config.go
@@ -10,8 +10,9 @@
 
 	"github.com/BurntSushi/toml"
 
+	"lichenshelf/conffile"
 	"lichenshelf/logic"
-	"lichenshelf/router"
+	"lichenshelf/membership"
 )
 
 // Config is the second front's file.
@@ -52,28 +53,22 @@
 	QuotaPerSecond float64 `toml:"quota_per_s"`
 }
 
-// Backend is a model server.
+// Backend is a model server that the file names.
 type Backend struct {
-	Name     string `toml:"name" json:"-"`
-	Addr     string `toml:"addr" json:"addr"`
-	Cell     int    `toml:"cell" json:"cell"`
-	Draining bool   `toml:"draining" json:"draining"` // finishes what it has, gets nothing new
+	Name     string `toml:"name"`
+	Addr     string `toml:"addr"`
+	Cell     int    `toml:"cell"`
+	Draining bool   `toml:"draining"` // finishes what it has, gets nothing new
 	// StartedAtMs is when it last started, in Unix milliseconds: a fresh one is
 	// cold and gets little at first. 0 means long ago.
-	StartedAtMs int64 `toml:"started_at_ms" json:"started_at_ms"`
+	StartedAtMs int64 `toml:"started_at_ms"`
 }
 
-type duration struct{ time.Duration }
+// ConfigPath is the node of the store that may hold the text of a file like the
+// front's, which goes before it.
+const ConfigPath = "/config/modelapi"
 
-// UnmarshalText implements encoding.TextUnmarshaler.
-func (d *duration) UnmarshalText(text []byte) error {
-	v, err := time.ParseDuration(string(text))
-	if err == nil && v < 0 {
-		err = errors.New("negative")
-	}
-	d.Duration = v
-	return err
-}
+type duration = conffile.Duration
 
 // The classes, as the decisions number them.
 const (
@@ -83,7 +78,9 @@
 )
 
 func defaults() Config {
-	s := func(seconds float64) duration { return duration{time.Duration(seconds * float64(time.Second))} }
+	s := func(seconds float64) duration {
+		return duration{Duration: time.Duration(seconds * float64(time.Second))}
+	}
 	return Config{
 		MaxOpen: 128, MaxBody: 1 << 20, MaxBytes: 64 << 20, MaxAnswer: 8 << 20, Routers: 1, Attempts: 4,
 		Connect: s(0.25), ConnIdle: s(30), Stall: s(30), RetryMost: s(2), OverShare: 0.1,
@@ -96,12 +93,8 @@
 // LoadConfig reads the file. What it leaves out has a default.
 func LoadConfig(path string) (*Config, error) {
 	c := defaults()
-	meta, err := toml.DecodeFile(path, &c)
-	if err != nil {
-		return nil, fmt.Errorf("read %s: %w", path, err)
-	}
-	if unknown := meta.Undecoded(); len(unknown) > 0 {
-		return nil, fmt.Errorf("%s: unknown key %s", path, unknown[0])
+	if _, err := conffile.Read(path, &c); err != nil {
+		return nil, err
 	}
 	if err := c.check(); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
@@ -134,7 +127,7 @@
 		}
 		keys[a.Key] = true
 	}
-	_, err := Members(c.Backends)
+	_, err := Entries(c.Backends)
 	return err
 }
 
@@ -146,7 +139,7 @@
 func (c *Config) Settings() logic.Settings {
 	s := logic.Settings{
 		Gateways: c.Routers, Kinds: []logic.Kind{{Role: logic.RoleBoth}},
-		CancelAllowed: true, RetryAfter: true, MaxRetryAfter: c.RetryMost.Duration,
+		CancelAllowed: true, RetryAfter: true, Weights: true, MaxRetryAfter: c.RetryMost.Duration,
 		MaxAttempts: c.Attempts, ConnectTimeout: c.Connect.Duration, OverShareWorth: c.OverShare,
 		DrainGrace: drainGrace, ColdShare: 0.27, WarmWithin: 14 * time.Second,
 		FallMultiple: 2.5, FallAfter: 1500 * time.Millisecond, ReleaseWithin: 300 * time.Millisecond,
@@ -161,26 +154,23 @@
 	return s
 }
 
-// Members turns backends into a list for the core. Numbers come from names, so
-// that all routers of the same backends number them alike.
-func Members(backends []Backend) ([]router.Member, error) {
-	var ids router.ServerIDs
+// Entries turns the file's backends into what a source reports.
+func Entries(backends []Backend) ([]membership.Entry, error) {
 	names := map[string]bool{}
-	out := make([]router.Member, 0, len(backends))
+	out := make([]membership.Entry, 0, len(backends))
 	for _, b := range backends {
 		if b.Name == "" || names[b.Name] {
 			return nil, fmt.Errorf("backend %q needs a name of its own", b.Name)
 		}
 		names[b.Name] = true
-		if _, _, err := net.SplitHostPort(b.Addr); err != nil {
-			return nil, fmt.Errorf("backend %s: %w", b.Name, err)
-		}
-		m := router.Member{Name: b.Name, Addr: b.Addr, Member: logic.Member{Server: ids.ID(b.Name), Weight: 1,
-			Cell: b.Cell, Since: logic.Time(b.StartedAtMs * 1e6)}}
+		e := membership.Entry{Name: b.Name, Addr: b.Addr, Weight: 1, Cell: b.Cell, Since: b.StartedAtMs * int64(time.Millisecond)}
 		if b.Draining {
-			m.Health = logic.Draining
+			e.Word = membership.Draining
+		}
+		if err := e.Check(); err != nil {
+			return nil, err
 		}
-		out = append(out, m)
+		out = append(out, e)
 	}
 	return out, nil
 }
--- a/modelapi/request_test.go
+++ b/modelapi/request_test.go
@@ -1,12 +1,13 @@
 package modelapi
 
 import (
-	"fmt"
 	"os"
 	"path/filepath"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"lichenshelf/membership"
 )
 
 // A batch is one request, and weighs all that the model has to read for it.
@@ -78,13 +79,13 @@
 	require.Equal(t, 3, c.MaxOpen)
 }
 
-func TestMembersNumbersByName(t *testing.T) {
+func TestEntriesHaveNamesOfTheirOwn(t *testing.T) {
 	list := []Backend{{Name: "m-a", Addr: "h:1"}, {Name: "m-b", Addr: "h:2", Draining: true}}
-	one, err := Members(list)
-	require.NoError(t, err)
-	two, err := Members(list[1:])
+	entries, err := Entries(list)
 	require.NoError(t, err)
-	require.Equal(t, one[1].Server, two[0].Server, fmt.Sprint(one))
-	_, err = Members(append(list, list[0]))
+	require.Equal(t, membership.Draining, entries[1].Word)
+	_, err = Entries(append(list, list[0]))
 	require.Error(t, err)
+	_, err = Entries([]Backend{{Name: "m-a", Addr: "nowhere"}})
+	require.ErrorContains(t, err, "nowhere")
 }
--- /dev/null
+++ b/sources/config.go
@@ -0,0 +1,342 @@
+// Package sources runs what an operator's file names as sources of workers and
+// feeds a front's core with what package membership makes of their words.
+package sources
+
+import (
+	"fmt"
+	"net"
+	"path"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/miekg/dns"
+
+	"lichenshelf/conffile"
+	"lichenshelf/dnsrule"
+	"lichenshelf/dnssrv"
+	"lichenshelf/membership"
+	"lichenshelf/storesource"
+)
+
+// The kinds of source.
+const (
+	KindDNS   = "dns"
+	KindList  = "list"
+	KindStore = "store"
+	KindOwn   = "own" // the front's own list: discovery's, or that of its file
+)
+
+// The fronts that can take sources.
+const (
+	Platform = "platform"
+	ModelAPI = "modelapi"
+)
+
+// Own is the name of a front's own list where the file does not give another.
+const Own = "own"
+
+// Config is the operator's file. Without sources it is off.
+type Config struct {
+	Sources []Source `toml:"source"`
+	file    *conffile.File
+}
+
+// Source is one source in the file. Which keys count depends on its kind.
+type Source struct {
+	Name   string   `toml:"name"`
+	Kind   string   `toml:"kind"`
+	Fronts []string `toml:"fronts"` // who takes it; the model API if none is named
+
+	// How its words are taken; see membership.Policy.
+	EmptyTimes   int               `toml:"empty_times"`
+	EmptyOver    conffile.Duration `toml:"empty_over"`
+	LossShare    float64           `toml:"loss_share"`
+	LossTimes    int               `toml:"loss_times"`
+	LossOver     conffile.Duration `toml:"loss_over"`
+	Silent       conffile.Duration `toml:"silent"`
+	Keep         conffile.Duration `toml:"keep"`
+	GoneFor      conffile.Duration `toml:"gone_for"`
+	DampHalfLife conffile.Duration `toml:"damp_half_life"`
+	DampSuppress float64           `toml:"damp_suppress"`
+	DampReuse    float64           `toml:"damp_reuse"`
+	DampShare    float64           `toml:"damp_share"`
+
+	// What the source does not tell of its workers.
+	Cell        int    `toml:"cell"`
+	Zone        string `toml:"zone"`         // the platform's name of it
+	MachineType string `toml:"machine_type"` // likewise
+
+	// DNS.
+	Service     string            `toml:"service"`
+	Servers     []string          `toml:"servers"`
+	Family      string            `toml:"family"`
+	Agree       int               `toml:"agree"`
+	Timeout     conffile.Duration `toml:"timeout"`
+	Deadline    conffile.Duration `toml:"deadline"`
+	Parallel    int               `toml:"parallel"`
+	LifetimeMin conffile.Duration `toml:"lifetime_min"`
+	LifetimeMax conffile.Duration `toml:"lifetime_max"`
+	MissingMin  conffile.Duration `toml:"missing_min"`
+	MissingMax  conffile.Duration `toml:"missing_max"`
+	RetryMin    conffile.Duration `toml:"retry_min"`
+	RetryMax    conffile.Duration `toml:"retry_max"`
+	Spread      float64           `toml:"spread"`
+
+	// The static list.
+	Workers []Worker `toml:"worker"`
+
+	// The store.
+	Path string   `toml:"path"`
+	API  []string `toml:"api"` // replicas to ask, where this router holds none
+}
+
+// Worker is one of a static list.
+type Worker struct {
+	Name        string  `toml:"name"`
+	Addr        string  `toml:"addr"`
+	Weight      float64 `toml:"weight"`
+	Priority    int     `toml:"priority"`
+	Cell        *int    `toml:"cell"` // nil: its source's
+	Draining    bool    `toml:"draining"`
+	StartedAtMs int64   `toml:"started_at_ms"`
+}
+
+// The defaults of what is left out (zero). DNS can't tell an outage from an empty
+// fleet, so its losses are held; the other kinds mean what they say.
+func (s *Source) defaults() {
+	set := func(d *conffile.Duration, v time.Duration) {
+		if d.Duration == 0 {
+			d.Duration = v
+		}
+	}
+	if len(s.Fronts) == 0 {
+		s.Fronts = []string{ModelAPI}
+	}
+	if s.DampHalfLife.Duration > 0 {
+		s.DampSuppress, s.DampReuse, s.DampShare = or(s.DampSuppress, 4), or(s.DampReuse, 2), or(s.DampShare, 0.25)
+	}
+	if s.Kind == KindStore {
+		s.Path = or(s.Path, storesource.BackendsPath)
+	}
+	if s.Kind != KindDNS {
+		return
+	}
+	s.EmptyTimes, s.LossShare, s.LossTimes = or(s.EmptyTimes, 3), or(s.LossShare, 0.5), or(s.LossTimes, 2)
+	set(&s.EmptyOver, 30*time.Second)
+	set(&s.LossOver, 10*time.Second)
+	s.Family, s.Parallel, s.Spread = or(s.Family, "ipv4"), or(s.Parallel, 8), or(s.Spread, 0.25)
+	set(&s.Timeout, time.Second)
+	set(&s.Deadline, 8*time.Second)
+	set(&s.LifetimeMin, 5*time.Second)
+	set(&s.LifetimeMax, 5*time.Minute)
+	set(&s.MissingMin, 5*time.Second)
+	set(&s.MissingMax, 30*time.Second)
+	set(&s.RetryMin, time.Second)
+	set(&s.RetryMax, 30*time.Second)
+}
+
+func or[T comparable](v, otherwise T) T {
+	var zero T
+	if v == zero {
+		return otherwise
+	}
+	return v
+}
+
+// LoadConfig reads the file and checks it whole.
+func LoadConfig(path string) (*Config, error) {
+	c := &Config{}
+	file, err := conffile.Read(path, c)
+	if err != nil {
+		return nil, err
+	}
+	c.file = file
+	return c, c.check()
+}
+
+func (c *Config) check() error {
+	names := map[string]bool{}
+	for i := range c.Sources {
+		s := &c.Sources[i]
+		at := fmt.Sprintf("source[%d].", i)
+		bad := func(key string, value any, why string) error { return c.file.Bad(at+key, value, why) }
+		if s.Name == "" || names[s.Name] || s.Name == Own && s.Kind != KindOwn {
+			return bad("name", s.Name, "must be there, and the source's own")
+		}
+		names[s.Name] = true
+		s.defaults()
+		for _, f := range s.Fronts {
+			if f != Platform && f != ModelAPI {
+				return bad("fronts", f, "is neither platform nor modelapi")
+			}
+		}
+		p := s.Policy()
+		if key, err := p.Check(); err != nil {
+			return bad(key, s.value(key), err.Error())
+		}
+		if s.MachineType == "" && slices.Contains(s.Fronts, Platform) && s.Kind != KindOwn {
+			return bad("machine_type", "", "the platform's front must know what its workers are")
+		}
+		if err := s.checkKind(bad); err != nil {
+			return err
+		}
+	}
+	for _, front := range []string{Platform, ModelAPI} {
+		own := 0
+		for i := range c.Sources {
+			if s := &c.Sources[i]; s.Kind == KindOwn && slices.Contains(s.Fronts, front) {
+				if own++; own > 1 {
+					return c.file.Bad(fmt.Sprintf("source[%d].kind", i), s.Kind, "the front "+front+" has only one list of its own")
+				}
+			}
+		}
+	}
+	return nil
+}
+
+// value is what the file says, or the default, where a policy's check fails.
+func (s *Source) value(key string) any {
+	switch key {
+	case "loss_share":
+		return s.LossShare
+	case "damp_reuse":
+		return s.DampReuse
+	case "damp_share":
+		return s.DampShare
+	case "empty_times":
+		return s.EmptyTimes
+	}
+	return s.LossTimes
+}
+
+func (s *Source) checkKind(bad func(string, any, string) error) error {
+	switch s.Kind {
+	case KindDNS:
+		return s.checkDNS(bad)
+	case KindList:
+		for i, w := range s.Workers {
+			e := s.entry(w)
+			if err := e.Check(); err != nil {
+				return bad(fmt.Sprintf("worker[%d].addr", i), w.Addr, err.Error())
+			}
+		}
+	case KindStore:
+		if !strings.HasPrefix(s.Path, "/") || path.Clean(s.Path) != s.Path || s.Path == "/" {
+			return bad("path", s.Path, "is no path of a node")
+		}
+		for _, addr := range s.API {
+			if _, _, err := net.SplitHostPort(addr); err != nil {
+				return bad("api", addr, err.Error())
+			}
+		}
+	case KindOwn:
+	default:
+		return bad("kind", s.Kind, "is none of dns, list, store and own")
+	}
+	return nil
+}
+
+var families = map[string]dnsrule.Family{"ipv4": dnsrule.IPv4, "ipv6": dnsrule.IPv6, "both": dnsrule.Both}
+
+func (s *Source) checkDNS(bad func(string, any, string) error) error {
+	if _, ok := dns.IsDomainName(s.Service); !ok || strings.Trim(s.Service, ".") == "" {
+		return bad("service", s.Service, "is no domain name")
+	}
+	if len(s.Servers) == 0 {
+		return bad("servers", "", "names no server")
+	}
+	for _, addr := range s.Servers {
+		host, port, err := net.SplitHostPort(addr)
+		if err != nil || net.ParseIP(host) == nil || port == "" {
+			return bad("servers", addr, "is no address and port of a name server")
+		}
+	}
+	for _, r := range []struct {
+		key       string
+		low, high conffile.Duration
+	}{{"lifetime_max", s.LifetimeMin, s.LifetimeMax}, {"missing_max", s.MissingMin, s.MissingMax}, {"retry_max", s.RetryMin, s.RetryMax}, {"deadline", s.Timeout, s.Deadline}} {
+		if r.high.Duration < r.low.Duration {
+			return bad(r.key, r.high, fmt.Sprintf("is less than %v, its lower bound", r.low))
+		}
+	}
+	switch {
+	case families[s.Family] == 0:
+		return bad("family", s.Family, "is none of ipv4, ipv6 and both")
+	case s.Agree < 0 || s.Agree > len(s.Servers):
+		return bad("agree", s.Agree, fmt.Sprintf("must be between 0 and the number of servers, %d", len(s.Servers)))
+	case s.Parallel < 1 || s.Parallel > 64:
+		return bad("parallel", s.Parallel, "must be between 1 and 64")
+	case !(s.Spread >= 0 && s.Spread <= 1):
+		return bad("spread", s.Spread, "is no share between 0 and 1")
+	}
+	return nil
+}
+
+// Policy is how the source's words are taken.
+func (s *Source) Policy() membership.Policy {
+	return membership.Policy{Name: s.Name, EmptyTimes: s.EmptyTimes, EmptyOver: s.EmptyOver.Duration,
+		LossShare: s.LossShare, LossTimes: s.LossTimes, LossOver: s.LossOver.Duration, Silent: s.Silent.Duration,
+		Keep: s.Keep.Duration, GoneFor: s.GoneFor.Duration, Damping: membership.Damping{HalfLife: s.DampHalfLife.Duration,
+			Suppress: s.DampSuppress, Reuse: s.DampReuse, Share: s.DampShare}}
+}
+
+func (s *Source) entry(w Worker) membership.Entry {
+	e := membership.Entry{Name: w.Name, Addr: w.Addr, Weight: or(w.Weight, 1), Priority: w.Priority, Cell: s.Cell,
+		Since: w.StartedAtMs * int64(time.Millisecond)}
+	if w.Cell != nil {
+		e.Cell = *w.Cell
+	}
+	if w.Draining {
+		e.Word = membership.Draining
+	}
+	return e
+}
+
+func (s *Source) resolver() dnssrv.Config {
+	return dnssrv.Config{Service: s.Service, Servers: s.Servers, Family: families[s.Family], Agree: s.Agree,
+		Timeout: s.Timeout.Duration, Deadline: s.Deadline.Duration, Parallel: s.Parallel, Lifetimes: s.lifetimes()}
+}
+
+func (s *Source) lifetimes() dnsrule.Lifetimes {
+	return dnsrule.Lifetimes{Min: s.LifetimeMin.Duration, Max: s.LifetimeMax.Duration, NegMin: s.MissingMin.Duration,
+		NegMax: s.MissingMax.Duration, RetryMin: s.RetryMin.Duration, RetryMax: s.RetryMax.Duration, Spread: s.Spread}
+}
+
+// For is the sources that a front takes, in order. Where the file does not place
+// them, the front's own list comes first and, if registered is set, the workers
+// registered in this router's replica come last. Nil is a configuration, too.
+func (c *Config) For(front string, registered bool) []Source {
+	var out []Source
+	own, stored := false, !registered
+	if c != nil {
+		for _, s := range c.Sources {
+			if slices.Contains(s.Fronts, front) {
+				out = append(out, s)
+				own, stored = own || s.Kind == KindOwn, stored || s.Kind == KindStore
+			}
+		}
+	}
+	if !own {
+		out = append([]Source{{Name: Own, Kind: KindOwn, Fronts: []string{front}}}, out...)
+	}
+	if !stored {
+		out = append(out, Source{Name: KindStore, Kind: KindStore, Fronts: []string{front}, Path: storesource.BackendsPath})
+	}
+	return out
+}
+
+// Takes tells whether a front takes any source of the file.
+func (c *Config) Takes(front string) bool {
+	return c != nil && slices.ContainsFunc(c.Sources, func(s Source) bool { return slices.Contains(s.Fronts, front) })
+}
+
+// Bad is an error at a key of the i-th source that a front has found.
+func (c *Config) Bad(name, key string, value any, why string) error {
+	for i := range c.Sources {
+		if c.Sources[i].Name == name {
+			return c.file.Bad(fmt.Sprintf("source[%d].%s", i, key), value, why)
+		}
+	}
+	return fmt.Errorf("source %s: %s = %v: %s", name, key, value, why)
+}
--- a/store/client.go
+++ b/store/client.go
@@ -80,6 +80,24 @@
 	return nil, err
 }
 
+// Node reads a node. A missing one is ErrNoNode.
+func (c *Client) Node(path string) (Node, error) {
+	var n Node
+	status, answer, err := c.call(fasthttp.MethodGet, nodesPath+path, nil)
+	switch {
+	case err != nil:
+		return n, err
+	case status == fasthttp.StatusNotFound:
+		return n, fmt.Errorf("%w: %s", ErrNoNode, path)
+	case status != fasthttp.StatusOK:
+		return n, fmt.Errorf("read %s: status %d: %s", path, status, answer)
+	}
+	if err := json.Unmarshal(answer, &n); err != nil {
+		return n, fmt.Errorf("read %s: %w", path, err)
+	}
+	return n, nil
+}
+
 // Register keeps an ephemeral node with the data until ctx ends, over as many
 // sessions as it takes. The node's parent is made if it is missing. What goes
 // wrong meanwhile is told to problem.
--- a/store/config.go
+++ b/store/config.go
@@ -3,18 +3,14 @@
 import (
 	"fmt"
 
-	"github.com/BurntSushi/toml"
+	"lichenshelf/conffile"
 )
 
 // LoadConfig reads a replica's file. Without an id the store is off.
 func LoadConfig(path string) (*Config, error) {
 	var c Config
-	meta, err := toml.DecodeFile(path, &c)
-	if err != nil {
-		return nil, fmt.Errorf("read %s: %w", path, err)
-	}
-	if unknown := meta.Undecoded(); len(unknown) > 0 {
-		return nil, fmt.Errorf("%s: unknown key %s", path, unknown[0])
+	if _, err := conffile.Read(path, &c); err != nil {
+		return nil, err
 	}
 	if c.ID == "" {
 		return &c, nil
