--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -49,11 +49,9 @@
 			{
 				Name: "serve", Usage: "run the router until SIGTERM", Flags: flags,
 				Action: func(ctx context.Context, c *cli.Command) error {
-					level, err := logrus.ParseLevel(c.String("log-level"))
-					if err != nil {
-						return fmt.Errorf("log level: %w", err)
+					if err := setLevel(log, c); err != nil {
+						return err
 					}
-					log.SetLevel(level)
 					return daemon.Serve(ctx, files(c), log)
 				},
 			},
@@ -61,6 +59,7 @@
 				Name: "check-config", Usage: "read the files that serve would and say what they hold", Flags: flags,
 				Action: func(_ context.Context, c *cli.Command) error { return check(c.Root().Writer, files(c)) },
 			},
+			membersCommand(log, flags),
 			registerCommand(log),
 			{
 				Name: "version", Usage: "print the version",
--- /dev/null
+++ b/internal/cli/members.go
@@ -0,0 +1,221 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os/signal"
+	"strings"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/urfave/cli/v3"
+
+	"lichenshelf/internal/daemon"
+	"lichenshelf/membership"
+	"lichenshelf/sources"
+)
+
+// gather is how long changes are gathered before they are shown.
+const gather = 100 * time.Millisecond
+
+func membersCommand(log *logrus.Logger, common []cli.Flag) *cli.Command {
+	return &cli.Command{
+		Name:  "members",
+		Usage: "ask the sources, as a router would, and show the workers and why each is in or out",
+		Flags: append([]cli.Flag{
+			&cli.StringFlag{Name: "front", Value: sources.ModelAPI, Usage: "whose workers: `FRONT` is modelapi or platform"},
+			&cli.BoolFlag{Name: "watch", Usage: "go on and show the set again at each change"},
+			&cli.BoolFlag{Name: "json", Usage: "one JSON object a line"},
+			&cli.DurationFlag{Name: "wait", Value: 10 * time.Second, Usage: "for sources that have not spoken"},
+		}, common...),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+			defer stop()
+			log.SetLevel(logrus.WarnLevel) // the set itself shows what changes
+			if c.IsSet("log-level") {
+				if err := setLevel(log, c); err != nil {
+					return err
+				}
+			}
+			feed, err := daemon.Look(ctx, c.String("front"), files(c), log)
+			if err != nil {
+				return err
+			}
+			return showMembers(ctx, c.Root().Writer, feed, c.Bool("watch"), c.Bool("json"), c.Duration("wait"))
+		},
+	}
+}
+
+// showMembers shows the set once all sources have spoken or failed, or the wait is over.
+func showMembers(ctx context.Context, w io.Writer, feed *sources.Feed, watch, asJSON bool, wait time.Duration) error {
+	over := time.After(wait)
+	for settled := false; ; {
+		from, workers, changed := feed.View()
+		if settled || allHeard(from) {
+			settled = true
+			v := newView(time.Now(), from, workers)
+			if err := v.print(w, asJSON); err != nil {
+				return fmt.Errorf("show members: %w", err)
+			}
+			if !watch {
+				return nil
+			}
+		}
+		select {
+		case <-changed:
+			select {
+			case <-time.After(gather):
+			case <-ctx.Done():
+			}
+		case <-over:
+			settled = true
+		case <-ctx.Done():
+		}
+		if ctx.Err() != nil {
+			return nil
+		}
+	}
+}
+
+func allHeard(from []membership.SourceView) bool {
+	for _, s := range from {
+		if !s.Spoken && !s.Stale {
+			return false
+		}
+	}
+	return true
+}
+
+// view is the set as it is shown.
+type view struct {
+	At      time.Time    `json:"at"`
+	Sources []sourceView `json:"sources"`
+	Workers []workerView `json:"workers"`
+}
+
+type sourceView struct {
+	Name     string `json:"name"`
+	State    string `json:"state"`  // waiting, good, stale or expired
+	AgeMs    int64  `json:"age_ms"` // since its last word; -1: it has not spoken
+	Workers  int    `json:"workers"`
+	Held     int    `json:"held"`
+	Damped   int    `json:"damped"`
+	Priority int    `json:"priority"`
+	Fault    string `json:"fault,omitempty"`
+}
+
+type workerView struct {
+	Name     string     `json:"name"`
+	Addr     string     `json:"addr,omitempty"`
+	State    string     `json:"state"` // serving, draining or out
+	Reason   string     `json:"reason"`
+	By       string     `json:"by,omitempty"`
+	Weight   float64    `json:"weight,omitempty"`
+	Cell     int        `json:"cell"`
+	SinceMs  int64      `json:"since_ms"`
+	Conflict []string   `json:"conflict,omitempty"` // the addresses that are listed
+	Words    []wordView `json:"words"`
+}
+
+type wordView struct {
+	Source string `json:"source"`
+	Word   string `json:"word"`
+	Addr   string `json:"addr,omitempty"`
+	AgeMs  int64  `json:"age_ms"`
+	Held   bool   `json:"held,omitempty"`
+	Damped bool   `json:"damped,omitempty"`
+	Stale  bool   `json:"stale,omitempty"`
+}
+
+func newView(now time.Time, from []membership.SourceView, workers []membership.WorkerView) view {
+	v := view{At: now, Sources: []sourceView{}, Workers: []workerView{}}
+	for _, s := range from {
+		o := sourceView{Name: s.Name, State: "good", Workers: s.Workers, Held: s.Held, Damped: s.Damped, Priority: s.Priority, Fault: s.Fault}
+		switch {
+		case s.Expired:
+			o.State = "expired"
+		case s.Stale:
+			o.State = "stale"
+		case !s.Spoken:
+			o.State = "waiting"
+		}
+		o.AgeMs = -1
+		if s.Spoken {
+			o.AgeMs = now.Sub(s.LastWord).Milliseconds()
+		}
+		v.Sources = append(v.Sources, o)
+	}
+	for _, m := range workers {
+		o := workerView{Name: m.Name, State: "out", Reason: m.Reason.String(), By: m.By, Conflict: m.Conflict}
+		if m.In {
+			o.State = "serving"
+			if m.Member.Draining {
+				o.State = "draining"
+			}
+			o.Addr, o.Weight, o.Cell, o.SinceMs = m.Member.Addr, m.Member.Weight, m.Member.Cell, m.Member.Since/1e6
+		}
+		for _, word := range m.Words {
+			o.Words = append(o.Words, wordView{Source: word.Source, Word: word.Entry.Word.String(), Addr: word.Entry.Addr,
+				AgeMs: now.Sub(word.At).Milliseconds(), Held: word.Held, Damped: word.Damped, Stale: word.Stale})
+		}
+		v.Workers = append(v.Workers, o)
+	}
+	return v
+}
+
+func (v view) print(w io.Writer, asJSON bool) error {
+	if asJSON {
+		return json.NewEncoder(w).Encode(v)
+	}
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	var out strings.Builder
+	fmt.Fprintf(&out, "SOURCE\tSTATE\tLAST WORD\tWORKERS\tHELD\tDAMPED\tLAST FAULT\n")
+	for _, s := range v.Sources {
+		age := "never"
+		if s.AgeMs >= 0 {
+			age = (time.Duration(s.AgeMs) * time.Millisecond).Round(100 * time.Millisecond).String()
+		}
+		fmt.Fprintf(&out, "%s\t%s\t%s\t%d\t%d\t%d\t%s\n", s.Name, s.State, age, s.Workers, s.Held, s.Damped, strings.ReplaceAll(s.Fault, "\n", "; "))
+	}
+	fmt.Fprintf(&out, "\nWORKER\tSTATE\tADDRESS\tWHY\tWHO SAYS WHAT\n")
+	for _, m := range v.Workers {
+		why := m.Reason
+		if m.By != "" {
+			why += " (" + m.By + ")"
+		}
+		if len(m.Conflict) > 0 {
+			why += ", listed at " + strings.Join(m.Conflict, " and ")
+		}
+		var words []string
+		for _, x := range m.Words {
+			word := x.Source + ": " + x.Word
+			for _, mark := range []struct {
+				set  bool
+				text string
+			}{{x.Held, " held"}, {x.Damped, " damped"}, {x.Stale, " stale"}} {
+				if mark.set {
+					word += mark.text
+				}
+			}
+			words = append(words, word)
+		}
+		fmt.Fprintf(&out, "%s\t%s\t%s\t%s\t%s\n", m.Name, m.State, m.Addr, why, strings.Join(words, ", "))
+	}
+	if _, err := io.WriteString(t, out.String()); err != nil {
+		return err
+	}
+	return t.Flush()
+}
+
+func setLevel(log *logrus.Logger, c *cli.Command) error {
+	level, err := logrus.ParseLevel(c.String("log-level"))
+	if err != nil {
+		return fmt.Errorf("log level: %w", err)
+	}
+	log.SetLevel(level)
+	return nil
+}
--- /dev/null
+++ b/internal/daemon/look.go
@@ -0,0 +1,80 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/sirupsen/logrus"
+
+	"lichenshelf/modelapi"
+	"lichenshelf/platform"
+	"lichenshelf/router"
+	"lichenshelf/sources"
+	"lichenshelf/store"
+)
+
+// nobody is a core that takes no workers.
+type nobody struct{}
+
+func (nobody) Discovered([]router.Member, bool) {}
+
+// Look starts the sources of a front without the front, until ctx ends. The
+// store is asked over its API, at the replicas that its file names.
+func Look(ctx context.Context, front string, files Files, log *logrus.Logger) (*sources.Feed, error) {
+	if front != sources.Platform && front != sources.ModelAPI {
+		return nil, fmt.Errorf("front %q is neither platform nor modelapi", front)
+	}
+	var config *sources.Config
+	var err error
+	if files.Sources != "" {
+		if config, err = sources.LoadConfig(files.Sources); err != nil {
+			return nil, err
+		}
+	}
+	var replicas []string
+	if files.Store != "" {
+		c, err := store.LoadConfig(files.Store)
+		if err != nil {
+			return nil, fmt.Errorf("store: %w", err)
+		}
+		for _, p := range c.Peers {
+			replicas = append(replicas, p.API)
+		}
+	}
+	list := config.For(front, len(replicas) > 0 && front == sources.ModelAPI)
+	for i := range list {
+		if list[i].Kind == sources.KindStore && len(list[i].API) == 0 {
+			list[i].API = replicas
+		}
+	}
+	if front == sources.Platform {
+		return lookAtPlatform(ctx, files, config, list, log)
+	}
+	cfg := &modelapi.Config{}
+	if files.ModelAPI != "" {
+		if cfg, err = modelapi.LoadConfig(files.ModelAPI); err != nil {
+			return nil, err
+		}
+	}
+	feed := sources.NewFeed(front, nobody{}, nil, nil, log)
+	if err := feed.Apply(ctx, config, list); err != nil {
+		return nil, err
+	}
+	return feed, tellBackends(feed, cfg)
+}
+
+func lookAtPlatform(ctx context.Context, files Files, config *sources.Config, list []sources.Source, log *logrus.Logger) (*sources.Feed, error) {
+	cfg, err := platform.LoadConfig(files.Platform, os.Getenv)
+	if err != nil {
+		return nil, err
+	}
+	feed := sources.NewFeed(sources.Platform, nobody{}, nil, cfg, log)
+	if err := feed.Apply(ctx, config, list); err != nil {
+		return nil, err
+	}
+	watch := platform.NewWatch(cfg, ownList{feed}, log)
+	watch.Failed = ownList{feed}.failed
+	go watch.Run(ctx)
+	return feed, nil
+}
--- a/sources/config.go
+++ b/sources/config.go
@@ -333,7 +333,7 @@
 
 // Bad is an error at a key of the i-th source that a front has found.
 func (c *Config) Bad(name, key string, value any, why string) error {
-	for i := range c.Sources {
+	for i := 0; c != nil && i < len(c.Sources); i++ {
 		if c.Sources[i].Name == name {
 			return c.file.Bad(fmt.Sprintf("source[%d].%s", i, key), value, why)
 		}
