Drive the real program through every way that sources fail and disagree

Need: the rule must hold in the program, not only in its parts. Change: process tests with a scripted name server, a list, own files and discovery, under clients that never stop. Found with them: a router that starts with an empty list took the first full one for fresh workers and warmed the whole fleet up (1.5 s a request); only a source that has listed somebody can list somebody new, and discovery's missing start is long ago.

--- a/logic/guards_test.go
+++ b/logic/guards_test.go
@@ -513,3 +513,26 @@
 		}
 	}
 }
+
+// What waits at two readers goes with their weights, where weights count.
+func TestWeightsShareTheTraffic(t *testing.T) {
+	for weights, want := range map[bool]float64{false: 0.5, true: 0.75} {
+		set := testSettings()
+		set.Weights = weights
+		r := &rig{t: t, g: New(set, 1), now: Time(time.Hour)}
+		first, second := reader(1, 0), reader(2, 0)
+		first.Weight, second.Weight = 3, 1
+		r.g.Handle(r.now, []Event{{Kind: ServersChanged, Whole: true, Members: []Member{first, second, writer(3, 0)}}}, nil)
+		sent := map[ServerID]int{}
+		for range 40 {
+			_, actions := r.arrive(Request{PromptTokens: 500, Patience: time.Minute})
+			if a := find(actions, Send); a != nil {
+				sent[a.Server]++
+			}
+		}
+		all := sent[1] + sent[2] // what finds no room yet waits with the module
+		if share := float64(sent[1]) / float64(all); all < 20 || share < want-0.07 || share > want+0.07 {
+			t.Errorf("weights %v: %v, want a share of about %v at the first", weights, sent, want)
+		}
+	}
+}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -60,6 +60,9 @@
 	Word     Word
 }
 
+// LongAgo is the start of a worker that is known to have run for long.
+const LongAgo int64 = 1
+
 // key is the entry's identity: its name, or where it has none its address.
 func (e *Entry) key() string {
 	if e.Name != "" {
@@ -117,7 +120,7 @@
 	Cell   int
 	Zone   int
 	Kind   int
-	Since  int64 // its latest start in Unix nanoseconds; 0: long ago
+	Since  int64 // its latest start in Unix nanoseconds; 0 or LongAgo: long ago
 	// Draining means that it gets nothing new: a source says so, or it is on
 	// standby behind a better priority.
 	Draining bool
--- a/membership/plain_test.go
+++ b/membership/plain_test.go
@@ -12,9 +12,9 @@
 // whole set anew each time. It knows no bounds on losses, no damping and no
 // ageing. The properties hold the Set against it, the benchmarks as well.
 type plain struct {
-	order  []string
-	said   map[string]map[string]*plainWord
-	spoken map[string]bool
+	order []string
+	said  map[string]map[string]*plainWord
+	full  map[string]bool // it has listed a worker before
 }
 
 type plainWord struct {
@@ -25,7 +25,7 @@
 }
 
 func newPlain(sources ...string) *plain {
-	p := &plain{order: sources, said: map[string]map[string]*plainWord{}, spoken: map[string]bool{}}
+	p := &plain{order: sources, said: map[string]map[string]*plainWord{}, full: map[string]bool{}}
 	for _, s := range sources {
 		p.said[s] = map[string]*plainWord{}
 	}
@@ -52,7 +52,7 @@
 		}
 		if w.Word > Draining && e.Word <= Draining {
 			w.listedAt = 0
-			if p.spoken[r.Source] {
+			if p.full[r.Source] {
 				w.listedAt = now.UnixNano()
 			}
 		}
@@ -69,7 +69,9 @@
 			}
 		}
 	}
-	p.spoken[r.Source] = true
+	for _, w := range words {
+		p.full[r.Source] = p.full[r.Source] || w.Word <= Draining
+	}
 }
 
 func (p *plain) drop(w *plainWord, now time.Time) {
--- a/membership/set_test.go
+++ b/membership/set_test.go
@@ -237,6 +237,8 @@
 
 func TestNewWorkersAreMarkedAsFreshAndFirstOnesAreNot(t *testing.T) {
 	r := newRig(t, plainSources...)
+	r.whole("dns") // an empty list is no first one
+	r.now = r.now.Add(time.Minute)
 	r.whole("dns", on("", "h:1"))
 	require.Zero(t, r.router["h:1"].Since)
 	r.now = r.now.Add(time.Minute)
@@ -247,6 +249,8 @@
 	r.now = r.now.Add(time.Minute)
 	r.whole("dns", on("", "h:1"), on("", "h:2"))
 	require.Equal(t, fresh, r.router["h:2"].Since)
+	r.whole("list", started("a", "h:2", LongAgo))
+	require.Equal(t, LongAgo, r.router["a"].Since, "another source knows better")
 }
 
 var bounded = Policy{Name: "dns", EmptyTimes: 3, EmptyOver: 10 * time.Second, LossShare: 0.5, LossTimes: 2, LossOver: 5 * time.Second}
--- a/membership/source.go
+++ b/membership/source.go
@@ -12,6 +12,7 @@
 	Policy
 	rank     int
 	spoken   bool
+	full     bool // it has listed a worker before
 	version  uint64
 	lastWord time.Time
 	failed   time.Time // since when it is stale; zero: it is not
@@ -50,7 +51,7 @@
 	entry Entry
 	at    time.Time // when the word was first said
 	// listedAt is when the source began to list it, in Unix nanoseconds; 0 if
-	// that was with its first report.
+	// that was with its first report that listed any.
 	listedAt  int64
 	pass      uint64
 	held      bool // the source's last report leaves it out, which is not believed yet
@@ -143,6 +144,7 @@
 
 // heard notes that the source has spoken.
 func (src *source) heard(now time.Time) {
+	src.full = src.full || src.live > 0
 	src.spoken, src.lastWord, src.failed, src.fault = true, now, time.Time{}, ""
 }
 
@@ -179,7 +181,7 @@
 	s.rank(l)
 	if !wasLive && l.isLive() {
 		l.listedAt = 0
-		if src.spoken {
+		if src.full {
 			l.listedAt = now.UnixNano()
 		}
 		if l.left {
--- a/modelapi/config.go
+++ b/modelapi/config.go
@@ -163,7 +163,11 @@
 			return nil, fmt.Errorf("backend %q needs a name of its own", b.Name)
 		}
 		names[b.Name] = true
-		e := membership.Entry{Name: b.Name, Addr: b.Addr, Weight: 1, Cell: b.Cell, Since: b.StartedAtMs * int64(time.Millisecond)}
+		e := membership.Entry{Name: b.Name, Addr: b.Addr, Weight: 1, Cell: b.Cell,
+			Since: membership.LongAgo}
+		if b.StartedAtMs != 0 {
+			e.Since = b.StartedAtMs * int64(time.Millisecond)
+		}
 		if b.Draining {
 			e.Word = membership.Draining
 		}
--- a/sources/feed.go
+++ b/sources/feed.go
@@ -276,11 +276,11 @@
 	p.feed.log.WithField("source", p.name).WithError(odd).Log(level, "source says what makes no sense")
 }
 
-// Discovered takes a list in the form that a core does.
+// Discovered takes a list in the form that a core does, where no start means long ago.
 func (p *Port) Discovered(members []router.Member, whole bool) {
 	r := membership.Report{Whole: whole}
 	for _, m := range members {
-		e := membership.Entry{Name: m.Name, Addr: m.Addr, Weight: m.Weight, Cell: m.Cell, Zone: m.Zone, Kind: m.Kind, Since: int64(m.Since)}
+		e := membership.Entry{Name: m.Name, Addr: m.Addr, Weight: m.Weight, Cell: m.Cell, Zone: m.Zone, Kind: m.Kind, Since: max(int64(m.Since), membership.LongAgo)}
 		switch m.Health {
 		case logic.Draining:
 			e.Word = membership.Draining
@@ -334,6 +334,9 @@
 	m := c.Member
 	out := router.Member{Name: m.Name, Addr: m.Addr, Member: logic.Member{Server: f.ids.ID(m.Name), Weight: m.Weight,
 		Cell: m.Cell, Zone: m.Zone, Kind: m.Kind, Since: logic.Time(m.Since)}}
+	if m.Since == membership.LongAgo {
+		out.Since = 0
+	}
 	switch {
 	case c.Kind == membership.Removed:
 		out.Health = logic.Gone
--- /dev/null
+++ b/test/sources_test.go
@@ -0,0 +1,465 @@
+package test
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	mdns "github.com/miekg/dns"
+	"github.com/stretchr/testify/require"
+
+	"lichenshelf/internal/standin/dns"
+)
+
+const srvName = "_chat._tcp.test."
+
+// sourced is a running model API whose workers come from its own file, a list
+// and DNS, with clients that never stop asking.
+type sourced struct {
+	*api
+	t       *testing.T
+	dns     *dns.Server
+	sources string
+	list    []string // the lines of the list source
+	listed  []*worker
+
+	ends  atomic.Bool
+	wg    sync.WaitGroup
+	asked atomic.Int64
+	mu    sync.Mutex
+	codes map[int]int
+}
+
+const quickDNS = `[[source]]
+name = "dns"
+kind = "dns"
+service = "_chat._tcp.test"
+servers = [%s]
+agree = %d
+timeout = "100ms"
+deadline = "1s"
+lifetime_min = "50ms"
+lifetime_max = "100ms"
+missing_min = "50ms"
+missing_max = "50ms"
+retry_min = "20ms"
+retry_max = "50ms"
+empty_times = 4
+empty_over = "600ms"
+loss_times = 3
+loss_over = "300ms"
+`
+
+func startSourced(t *testing.T) *sourced {
+	s := &sourced{t: t, sources: filepath.Join(t.TempDir(), "sources.toml"), codes: map[int]int{}}
+	var err error
+	s.dns, err = dns.New()
+	require.NoError(t, err)
+	t.Cleanup(s.dns.Close)
+	s.api = &api{file: filepath.Join(t.TempDir(), "modelapi.toml")}
+	return s
+}
+
+// configure writes the sources' file: the list, then DNS.
+func (s *sourced) configure(agree int, servers ...*dns.Server) {
+	if len(servers) == 0 {
+		servers = []*dns.Server{s.dns}
+	}
+	var text strings.Builder
+	text.WriteString("[[source]]\nname = \"list\"\nkind = \"list\"\n")
+	for _, w := range s.listed {
+		fmt.Fprintf(&text, "[[source.worker]]\nname = %q\naddr = %q\n", w.name, w.Listener.Addr())
+	}
+	var addrs []string
+	for _, d := range servers {
+		addrs = append(addrs, fmt.Sprintf("%q", d.Addr()))
+	}
+	fmt.Fprintf(&text, quickDNS, strings.Join(addrs, ", "), agree)
+	require.NoError(s.t, os.WriteFile(s.sources, []byte(text.String()), 0o600))
+}
+
+// run starts the program and its clients.
+func (s *sourced) run() {
+	addr := freeAddr(s.t)
+	s.settings = fmt.Sprintf("listen = %q\nmax_open = 64\n[embeddings]\naim = \"1s\"\ndeadline = \"5s\"\n", addr)
+	s.write(s.t, nil)
+	s.program = start(s.t, addr, nil, "serve", "--modelapi", s.file, "--sources", s.sources).waitReady()
+	for range 4 {
+		s.wg.Add(1)
+		go func() {
+			defer s.wg.Done()
+			for !s.ends.Load() {
+				s.asked.Add(1)
+				a := s.post(embedPath, "", embedBody)
+				s.mu.Lock()
+				if a.err != nil {
+					a.status = -1
+				}
+				s.codes[a.status]++
+				s.mu.Unlock()
+				time.Sleep(time.Millisecond)
+			}
+		}()
+	}
+}
+
+// reload has the files read again and waits until they have been.
+func (s *sourced) reload() {
+	n := s.count("backends read again")
+	s.signal(syscall.SIGHUP)
+	eventually(s.t, func() bool { return s.count("backends read again") > n }, "the reload")
+}
+
+func (p *program) count(text string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return strings.Count(p.log.String(), text)
+}
+
+var changed = regexp.MustCompile(`msg="worker changed" addr="?([^" ]+)"? change=(\w+) draining=(\w+) .*worker="?([^" \n]+)`)
+
+// set is the workers that the program has logged as served, "~" before one that drains.
+func (p *program) set() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	in := map[string]string{}
+	for _, m := range changed.FindAllStringSubmatch(p.log.String(), -1) {
+		switch {
+		case m[2] == "removed":
+			delete(in, m[4])
+		case m[3] == "true":
+			in[m[4]] = "~" + m[4]
+		default:
+			in[m[4]] = m[4]
+		}
+	}
+	out := []string{}
+	for _, name := range in {
+		out = append(out, name)
+	}
+	slices.Sort(out)
+	return out
+}
+
+func (s *sourced) becomes(want ...string) {
+	s.t.Helper()
+	slices.Sort(want)
+	require.Eventually(s.t, func() bool { return slices.Equal(s.set(), want) }, patient, soon, "want %v, have %v", want, s.set())
+}
+
+// stays has DNS asked a few times more and requires that nothing has changed.
+func (s *sourced) stays(want ...string) {
+	s.t.Helper()
+	n, changes := len(s.dns.Queries()), s.count("worker changed")
+	eventually(s.t, func() bool { return len(s.dns.Queries()) >= n+3 }, "DNS is asked again")
+	require.Equal(s.t, changes, s.count("worker changed"), "nothing changes")
+	s.becomes(want...)
+}
+
+func srv(workers ...*worker) (lines []string) {
+	for i, w := range workers {
+		_, port, _ := strings.Cut(w.Listener.Addr().String(), ":")
+		lines = append(lines, fmt.Sprintf("%s 1 IN SRV 1 1 %s w%d.test.", srvName, port, i), fmt.Sprintf("w%d.test. 1 IN A 127.0.0.1", i))
+	}
+	return lines
+}
+
+func at(w *worker) string { return w.Listener.Addr().String() }
+
+// finish stops the clients and the program: each request had one answer.
+func (s *sourced) finish() {
+	s.ends.Store(true)
+	s.wg.Wait()
+	s.signal(syscall.SIGTERM)
+	s.waitExit()
+	all := 0
+	for code, n := range s.codes {
+		require.Contains(s.t, []int{200, http.StatusServiceUnavailable, http.StatusBadGateway}, code)
+		all += n
+	}
+	require.EqualValues(s.t, s.asked.Load(), all)
+	require.Greater(s.t, s.codes[200], 100)
+	require.Equal(s.t, s.counter("requests_taken"), s.counter("answers_served")+s.counter("answers_refused")+
+		s.counter("answers_failed")+s.counter("requests_refused_at_the_door"))
+	require.Zero(s.t, s.counter("answers_broken"))
+}
+
+// after requires that a worker got nothing later than the window after it was told.
+func after(t *testing.T, w *worker, told time.Time) {
+	t.Helper()
+	for _, c := range w.got(http.MethodPost) {
+		require.Less(t, c.at.Sub(told), 250*time.Millisecond, "a send after the window")
+	}
+}
+
+func TestDNSThatFailsTakesNobodyOut(t *testing.T) {
+	a, b := newWorker(t, "a", "model", model), newWorker(t, "b", "model", model)
+	c, d := newWorker(t, "c", "model", model), newWorker(t, "d", "model", model)
+	s := startSourced(t)
+	s.listed = []*worker{a, b}
+	s.dns.Set(srv(a, c, d)...)
+	s.configure(0)
+	s.run()
+	all := []string{"a", "b", at(c), at(d)}
+	s.becomes(all...)
+	eventually(t, func() bool { return posts(a) > 0 && posts(b) > 0 && posts(c) > 0 && posts(d) > 0 }, "all serve")
+
+	cutAt := func(n int) func(dns.Query, *mdns.Msg) dns.Reply {
+		return func(q dns.Query, m *mdns.Msg) dns.Reply {
+			if q.TCP {
+				return dns.Reply{Msgs: []*mdns.Msg{m}, Cut: n}
+			}
+			m.Truncated = true
+			return dns.Honest(m)
+		}
+	}
+	spoilt := func(spoil func(*mdns.Msg)) func(dns.Query, *mdns.Msg) dns.Reply {
+		return func(_ dns.Query, m *mdns.Msg) dns.Reply {
+			m.Answer = m.Answer[:2]
+			spoil(m)
+			return dns.Honest(m)
+		}
+	}
+	for name, script := range map[string]func(dns.Query, *mdns.Msg) dns.Reply{
+		"SERVFAIL": dns.Code(mdns.RcodeServerFailure), "REFUSED": dns.Code(mdns.RcodeRefused), "silence": dns.Silent,
+		"TCP closes midway": cutAt(40), "TCP is cut at once": cutAt(1),
+		"TCP hangs": func(q dns.Query, m *mdns.Msg) dns.Reply {
+			if q.TCP {
+				return dns.Silent(q, m)
+			}
+			m.Truncated = true
+			return dns.Honest(m)
+		},
+		"wrong id":       spoilt(func(m *mdns.Msg) { m.Id ^= 1 }),
+		"wrong question": spoilt(func(m *mdns.Msg) { m.Question[0].Name = "else.test." }),
+	} {
+		failed, works := s.count("source failed"), s.count("source works again")
+		s.dns.Script(script)
+		eventually(t, func() bool { return s.count("source failed") > failed }, name)
+		s.stays(all...)
+		s.dns.Script(nil)
+		eventually(t, func() bool { return s.count("source works again") > works }, name)
+	}
+	failed := s.count("source failed")
+	s.dns.Set(srvName+" 1 IN CNAME x.test.", "x.test. 1 IN CNAME "+srvName)
+	eventually(t, func() bool { return s.count("source failed") > failed }, "a loop of aliases")
+	s.stays(all...)
+	s.dns.Set(append(srv(a, c, d), srvName+" 1 IN SRV 1 1 9 nowhere.test.")...)
+	eventually(t, func() bool { return s.logged("target nowhere.test has no address") }, "the rest is used")
+	s.stays(all...)
+
+	// Empty answers that come and go change nothing, whichever their form.
+	for _, empty := range [][]string{{}, {srvName + " 1 IN TXT \"x\""}} {
+		for range 3 {
+			n := len(s.dns.Queries())
+			s.dns.Set(empty...)
+			eventually(t, func() bool { return len(s.dns.Queries()) >= n+2 }, "an empty answer")
+			s.dns.Set(srv(a, c, d)...)
+			s.stays(all...)
+		}
+	}
+	// One that stays is believed in the end, and takes out nobody whom the list holds.
+	s.dns.Set()
+	s.becomes("a", "b")
+	s.dns.Set(srv(a, c, d)...)
+	s.becomes(all...)
+	// All silent, then back with less than half: held until it is confirmed.
+	s.dns.Script(dns.Silent)
+	s.stays(all...)
+	s.dns.Set(srv(c)...)
+	s.dns.Script(nil)
+	s.becomes("a", "b", at(c))
+	// Most are replaced in one report: the new ones are in at once.
+	s.dns.Set(srv(d)...)
+	s.becomes("a", "b", at(c), at(d))
+	s.becomes("a", "b", at(d))
+	s.dns.Set(srvName + " 1 IN SRV 0 0 0 .") // said on purpose
+	s.becomes("a", "b")
+	s.finish()
+}
+
+func TestSourcesThatDisagree(t *testing.T) {
+	a, b := newWorker(t, "a", "model", model), newWorker(t, "b", "model", model)
+	c := newWorker(t, "c", "model", model)
+	s := startSourced(t)
+	s.listed = []*worker{a, b}
+	s.dns.Set(srv(a, b, c)...)
+	s.configure(0)
+	s.run()
+	s.becomes("a", "b", at(c))
+	s.dns.Set(srv(b, c)...) // dropped by DNS, held by the list
+	s.stays("a", "b", at(c))
+	s.listed = []*worker{a} // and the other way round: it keeps its name
+	s.configure(0)
+	s.reload()
+	s.stays("a", "b", at(c))
+
+	// An explicit word of the front's own file, under a name of its own, while DNS
+	// goes on listing the address: it drains, and stays so.
+	alias := &worker{Server: c.Server, name: "c-own"}
+	s.write(t, alias, alias)
+	s.reload()
+	s.becomes("a", "b", "~c-own")
+	told := time.Now()
+	s.dns.Set(srv(a, b)...) // re-listed within 100 ms
+	s.dns.Set(srv(a, b, c)...)
+	s.stays("a", "b", "~c-own")
+	time.Sleep(max(0, 250*time.Millisecond-time.Since(told)))
+	n := posts(a, b)
+	eventually(t, func() bool { return posts(a, b) > n+20 }, "the others go on")
+	after(t, c, told)
+	s.write(t, nil) // left out is no taking back
+	s.reload()
+	s.stays("a", "b")
+	after(t, c, told)
+	s.write(t, nil, alias)
+	s.reload()
+	s.becomes("a", "b", "c-own")
+
+	// The same worker under two names is one.
+	second := &worker{Server: a.Server, name: "a-own"}
+	s.write(t, nil, alias, second)
+	s.reload()
+	s.becomes("a-own", "b", "c-own")
+
+	// A file that makes no sense changes nothing, and says where.
+	require.NoError(t, os.WriteFile(s.sources, []byte("[[source]]\nname = \"x\"\nkind = \"dns\"\nservice = \"x\"\n"), 0o600))
+	s.reload()
+	require.True(t, s.logged(`source[0].servers = \"\": names no server`))
+	s.stays("a-own", "b", "c-own")
+
+	// A reload while a look-up hangs: what the old source learns later is void.
+	s.dns.Script(func(_ dns.Query, m *mdns.Msg) dns.Reply {
+		m.Answer = nil
+		m.Rcode = mdns.RcodeNameError
+		return dns.Reply{Msgs: []*mdns.Msg{m}, After: 90 * time.Millisecond}
+	})
+	second2, err := dns.New()
+	require.NoError(t, err)
+	defer second2.Close()
+	second2.Set(srv(a, b, c)...)
+	n = len(s.dns.Queries())
+	eventually(t, func() bool { return len(s.dns.Queries()) > n }, "a look-up is under way")
+	s.configure(0, second2)
+	s.reload()
+	n = len(second2.Queries())
+	eventually(t, func() bool { return len(second2.Queries()) > n+3 }, "the new server is asked")
+	s.becomes("a-own", "b", "c-own")
+
+	// One of three name servers lies.
+	third, err := dns.New()
+	require.NoError(t, err)
+	defer third.Close()
+	third.Set(srv(a, b, c)...)
+	s.dns.Script(nil)
+	s.dns.Set(srvName+" 1 IN SRV 1 1 1 evil.test.", "evil.test. 1 IN A 127.0.0.66")
+	s.configure(2, s.dns, second2, third)
+	s.reload()
+	s.stays("a-own", "b", "c-own")
+	require.False(t, s.logged("127.0.0.66"))
+	s.finish()
+}
+
+// Lifetimes that are absurd have bounds: 0 is no storm, and a year no blindness.
+func TestLifetimesWithoutMeasure(t *testing.T) {
+	a, b := newWorker(t, "a", "model", model), newWorker(t, "b", "model", model)
+	s := startSourced(t)
+	s.dns.Set(strings.ReplaceAll(strings.Join(srv(a), "\n"), " 1 IN", " 31536000 IN"))
+	lines := srv(a)
+	for i := range lines {
+		lines[i] = strings.Replace(lines[i], " 1 IN", " 31536000 IN", 1)
+	}
+	s.dns.Set(lines...)
+	s.configure(0)
+	s.run()
+	s.becomes(at(a))
+	for i := range lines {
+		lines[i] = strings.Replace(lines[i], "31536000", "0", 1)
+	}
+	for i, l := range srv(a, b) {
+		if i >= 2 {
+			lines = append(lines, strings.Replace(l, " 1 IN", " 0 IN", 1))
+		}
+	}
+	s.dns.Set(lines...)
+	s.becomes(at(a), at(b)) // seen, though the year is not over
+	from, n := time.Now(), len(s.dns.Queries())
+	eventually(t, func() bool { return len(s.dns.Queries()) >= n+10 }, "it is asked again")
+	require.GreaterOrEqual(t, time.Since(from), 10*25*time.Millisecond-50*time.Millisecond, "no sooner than half the least lifetime")
+	s.finish()
+}
+
+// The platform's front takes sources beside its watch: discovery's explicit word
+// wins over DNS, and workers of DNS are what the file says they are.
+func TestPlatformTakesSourcesBesideItsWatch(t *testing.T) {
+	r, w := pair(t, nil)
+	extra := newWorker(t, "extra", "writer", nil)
+	name, err := dns.New()
+	require.NoError(t, err)
+	t.Cleanup(name.Close)
+	name.Set(srv(w, extra)...)
+	file := filepath.Join(t.TempDir(), "sources.toml")
+	text := fmt.Sprintf(quickDNS, fmt.Sprintf("%q", name.Addr()), 0) + "fronts = [\"platform\"]\nzone = \"z1\"\nmachine_type = \"writer\"\ncell = 1\n"
+	require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+	d := newDiscovery(t)
+	d.list(true, "in_service", r, w)
+	addr, config := freeAddr(t), config(t, `{"generation":0,"reset":true,"instances":[]}`, connIdle)
+	p := start(t, addr, []string{"ROUTER_LISTEN=" + addr, "ROUTER_NAME=n1", "ROUTER_DISCOVERY=" + d.Listener.Addr().String(),
+		"ROUTER_CONFIG=" + config}, "serve", "--sources", file).waitReady()
+	p.file = config
+	want := []string{r.name, w.name, at(extra)}
+	slices.Sort(want)
+	require.Eventually(t, func() bool { return slices.Equal(p.set(), want) }, patient, soon, "%v", p.set())
+	eventually(t, func() bool {
+		require.Equal(t, 200, p.ask("query", newID(), patience).status)
+		return posts(w) > 0 && posts(extra) > 0
+	}, "both writers serve")
+	told := p.told(d.list(false, "terminated", w))
+	require.Equal(t, []string{"127", "s-00000001"}, []string{p.set()[0][:3], p.set()[1]})
+	time.Sleep(max(0, 250*time.Millisecond-time.Since(told)))
+	n := len(name.Queries())
+	eventually(t, func() bool { return len(name.Queries()) > n+2 }, "DNS lists it again and again")
+	for range 20 {
+		require.Equal(t, 200, p.ask("query", newID(), patience).status)
+	}
+	after(t, w, told)
+	p.signal(syscall.SIGTERM)
+	p.waitExit()
+}
+
+func TestMembersCommand(t *testing.T) {
+	a := newWorker(t, "a", "model", model)
+	name, err := dns.New()
+	require.NoError(t, err)
+	t.Cleanup(name.Close)
+	name.Set(srv(a)...)
+	s := &sourced{t: t, dns: name, listed: []*worker{a}, sources: filepath.Join(t.TempDir(), "sources.toml")}
+	s.configure(0)
+	out, err := command(t, "members", "--sources", s.sources)
+	require.NoError(t, err, out)
+	require.Regexp(t, `a +serving +127\S+ +listed \(list\) +list: serving`, out)
+	require.Regexp(t, `dns +good`, out)
+	name.Script(dns.Code(mdns.RcodeRefused))
+	out, err = command(t, "members", "--sources", s.sources, "--json", "--wait", "10s")
+	require.NoError(t, err, out)
+	require.Contains(t, out, `"name":"dns","state":"stale"`)
+	require.Contains(t, out, "REFUSED")
+	_, err = command(t, "members", "--front", "else")
+	require.Error(t, err)
+
+	watching := start(t, "", nil, "members", "--sources", s.sources, "--json", "--watch")
+	eventually(t, func() bool { return watching.logged(`"name":"a"`) }, "the set")
+	name.Script(nil)
+	eventually(t, func() bool { return watching.logged(`"name":"dns","state":"good"`) }, "a change shows")
+	watching.signal(syscall.SIGTERM)
+	watching.waitExit()
+}
