--- a/conffile/conffile.go
+++ b/conffile/conffile.go
@@ -15,8 +15,8 @@
 
 // File is a file that has been read.
 type File struct {
-	Path  string
-	lines map[string]int // of each key and table; members of arrays are numbered from 0
+	Path string
+	text string
 }
 
 // Read decodes a file into a struct. A key that the struct lacks is an error:
@@ -26,7 +26,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("read configuration: %w", err)
 	}
-	f := &File{Path: path, lines: locate(string(text))}
+	f := &File{Path: path, text: string(text)}
 	meta, err := toml.Decode(string(text), into)
 	var fault toml.ParseError
 	if errors.As(err, &fault) {
@@ -45,13 +45,12 @@
 	return f, nil
 }
 
-var index = regexp.MustCompile(`\[\d+\]`)
-
 // unknown finds the line of a key that the decoder names without its numbers.
 func (f *File) unknown(key toml.Key) error {
 	name := strings.Join(key, ".")
+	index := regexp.MustCompile(`\[\d+\]`)
 	line := 0
-	for at, n := range f.lines {
+	for at, n := range locate(f.text) {
 		if index.ReplaceAllString(at, "") == name && (line == 0 || n < line) {
 			line = n
 		}
@@ -65,8 +64,9 @@
 	if d, ok := value.(Duration); ok {
 		value = d.Duration
 	}
+	lines := locate(f.text)
 	at, line := key, 0
-	for line = f.lines[at]; line == 0 && strings.Contains(at, "."); line = f.lines[at] {
+	for line = lines[at]; line == 0 && strings.Contains(at, "."); line = lines[at] {
 		at = at[:strings.LastIndexByte(at, '.')]
 	}
 	if line == 0 {
@@ -82,14 +82,12 @@
 	return value
 }
 
-var (
-	header = regexp.MustCompile(`^\s*(\[\[?)\s*([A-Za-z0-9_.-]+)\s*\]`)
-	setter = regexp.MustCompile(`^\s*([A-Za-z0-9_.-]+)\s*=`)
-)
-
-// locate finds the lines of all keys. It reads what our files are made of, tables
+// locate finds the lines of all keys and tables; members of arrays are numbered
+// from 0. It runs only for an error, so that a start doesn't pay for it. It reads what our files are made of, tables
 // and bare keys; lines are for messages only, so what it misses costs a number.
 func locate(text string) map[string]int {
+	header := regexp.MustCompile(`^\s*(\[\[?)\s*([A-Za-z0-9_.-]+)\s*\]`)
+	setter := regexp.MustCompile(`^\s*([A-Za-z0-9_.-]+)\s*=`)
 	lines := map[string]int{}
 	counts := map[string]int{}
 	table := ""
--- a/dnsrule/rule_test.go
+++ b/dnsrule/rule_test.go
@@ -284,6 +284,9 @@
 			require.LessOrEqual(t, d, c.to)
 		}
 	}
+	for range 200 { // the first one is spread over all of it, but for the least wait
+		require.GreaterOrEqual(t, NewSchedule(times, rng).Found(0, false, true), times.Min/2)
+	}
 }
 
 func TestRetriesBackOff(t *testing.T) {
--- a/membership/set_test.go
+++ b/membership/set_test.go
@@ -517,3 +517,33 @@
 	require.Len(t, r.set.sites, 1)
 	require.LessOrEqual(t, len(r.set.timers), 2)
 }
+
+// While a loss waits, its share is that of the workers before it: the new ones
+// of the same answer must not make it look small the next time.
+func TestALossIsMeasuredAgainstWhatWasThereBefore(t *testing.T) {
+	r := newRig(t, bounded)
+	r.whole("dns", fleet(0, 4)...)
+	r.whole("dns", fleet(4, 24)...)
+	r.whole("dns", fleet(4, 24)...)
+	r.is(names(0, 24)...) // seen twice, but not for long enough
+	r.pass(6 * time.Second)
+	r.whole("dns", fleet(4, 24)...)
+	r.is(names(4, 24)...)
+}
+
+// A caller that tells the time late changes nothing of what was said when.
+func TestWhatIsDueCountsFromWhenItWasDue(t *testing.T) {
+	r := newRig(t, bounded)
+	r.whole("dns", fleet(0, 4)...)
+	lost := fleet(0, 3)
+	for i := range lost {
+		lost[i].Word = Absent
+	}
+	r.change("dns", lost...)
+	r.now = r.now.Add(time.Hour)
+	r.took(r.set.Advance(r.now))
+	r.is("h:4")
+	for _, w := range r.set.Workers() {
+		require.Equal(t, "h:4", w.Name, "the others were lost long enough ago to be forgotten")
+	}
+}
