--- a/sources/config.go
+++ b/sources/config.go
@@ -17,6 +17,8 @@
 	"lichenshelf/dnssrv"
 	"lichenshelf/membership"
 	"lichenshelf/storesource"
+	"lichenshelf/zkrule"
+	"lichenshelf/zksource"
 )
 
 // The kinds of source.
@@ -24,6 +26,7 @@
 	KindDNS   = "dns"
 	KindList  = "list"
 	KindStore = "store"
+	KindZK    = "zookeeper"
 	KindOwn   = "own" // the front's own list: discovery's, or that of its file
 )
 
@@ -86,9 +89,15 @@
 	// The static list.
 	Workers []Worker `toml:"worker"`
 
-	// The store.
+	// The store, and ZooKeeper.
 	Path string   `toml:"path"`
 	API  []string `toml:"api"` // replicas to ask, where this router holds none
+
+	// ZooKeeper, beside servers, path and parallel.
+	Format     string            `toml:"format"`
+	Session    conffile.Duration `toml:"session"`
+	Resync     conffile.Duration `toml:"resync"`
+	FlapWithin conffile.Duration `toml:"flap_within"`
 }
 
 // Worker is one of a static list.
@@ -119,6 +128,12 @@
 	if s.Kind == KindStore {
 		s.Path = or(s.Path, storesource.BackendsPath)
 	}
+	if s.Kind == KindZK {
+		s.Format, s.Parallel = or(s.Format, string(zkrule.JSON)), or(s.Parallel, 8)
+		set(&s.Session, 10*time.Second)
+		set(&s.Resync, time.Minute)
+		set(&s.FlapWithin, 10*time.Second)
+	}
 	if s.Kind != KindDNS {
 		return
 	}
@@ -221,8 +236,10 @@
 				return bad(fmt.Sprintf("worker[%d].addr", i), w.Addr, err.Error())
 			}
 		}
+	case KindZK:
+		return s.checkZK(bad)
 	case KindStore:
-		if !strings.HasPrefix(s.Path, "/") || path.Clean(s.Path) != s.Path || s.Path == "/" {
+		if !isNode(s.Path) {
 			return bad("path", s.Path, "is no path of a node")
 		}
 		for _, addr := range s.API {
@@ -232,13 +249,51 @@
 		}
 	case KindOwn:
 	default:
-		return bad("kind", s.Kind, "is none of dns, list, store and own")
+		return bad("kind", s.Kind, "is none of dns, list, store, zookeeper and own")
 	}
 	return nil
 }
 
 var families = map[string]dnsrule.Family{"ipv4": dnsrule.IPv4, "ipv6": dnsrule.IPv6, "both": dnsrule.Both}
 
+func isNode(p string) bool { return strings.HasPrefix(p, "/") && path.Clean(p) == p && p != "/" }
+
+// Bounds of a session with a ZooKeeper-style service. The service has bounds of
+// its own and tells what it has granted.
+const (
+	sessionMin = time.Second
+	sessionMax = 5 * time.Minute
+)
+
+func (s *Source) checkZK(bad func(string, any, string) error) error {
+	if len(s.Servers) == 0 {
+		return bad("servers", "", "names no server")
+	}
+	for _, addr := range s.Servers {
+		if host, port, err := net.SplitHostPort(addr); err != nil || host == "" || port == "" {
+			return bad("servers", addr, "is no address and port")
+		}
+	}
+	switch {
+	case !isNode(s.Path):
+		return bad("path", s.Path, "is no path of a node")
+	case !zkrule.Format(s.Format).Known():
+		return bad("format", s.Format, "is none of json, serverset and curator")
+	case s.Session.Duration < sessionMin || s.Session.Duration > sessionMax:
+		return bad("session", s.Session, fmt.Sprintf("must be between %v and %v", sessionMin, sessionMax))
+	case s.Resync.Duration < time.Second:
+		return bad("resync", s.Resync, "must be 1s or more")
+	case s.Parallel < 1 || s.Parallel > 64:
+		return bad("parallel", s.Parallel, "must be between 1 and 64")
+	}
+	return nil
+}
+
+func (s *Source) zookeeper() zksource.Config {
+	return zksource.Config{Servers: s.Servers, Path: s.Path, Session: s.Session.Duration, Resync: s.Resync.Duration,
+		Within: s.FlapWithin.Duration, Format: zkrule.Format(s.Format), Parallel: s.Parallel}
+}
+
 func (s *Source) checkDNS(bad func(string, any, string) error) error {
 	if _, ok := dns.IsDomainName(s.Service); !ok || strings.Trim(s.Service, ".") == "" {
 		return bad("service", s.Service, "is no domain name")
--- a/sources/config_test.go
+++ b/sources/config_test.go
@@ -17,6 +17,8 @@
 
 const dnsText = "[[source]]\nname = \"d\"\nkind = \"dns\"\nservice = \"_c._tcp.test\"\nservers = [\"127.0.0.1:53\"]\n"
 
+const zkText = "[[source]]\nname = \"z\"\nkind = \"zookeeper\"\npath = \"/w\"\nservers = [\"h:1\"]\n"
+
 func TestFaultsNameFileKeyAndValue(t *testing.T) {
 	for text, want := range map[string]string{
 		"[[source]]\nkind = \"list\"\n":                                                   `sources.toml:1: source[0].name = "": must be there`,
@@ -40,6 +42,14 @@
 		"[[source]]\nname=\"l\"\nkind=\"list\"\n[[source.worker]]\naddr=\"h\"\n":          `sources.toml:5: source[0].worker[0].addr = "h"`,
 		"[[source]]\nname=\"s\"\nkind=\"store\"\npath=\"a/b\"\n":                          `sources.toml:4: source[0].path = "a/b"`,
 		"[[source]]\nname=\"s\"\nkind=\"store\"\napi=[\"h\"]\n":                           `source[0].api = "h"`,
+		zkText + "format = \"xml\"\n":                                                     `sources.toml:6: source[0].format = "xml": is none of json`,
+		zkText + "session = \"10ms\"\n":                                                   `source[0].session = 10ms: must be between`,
+		zkText + "resync = \"1ms\"\n":                                                     `source[0].resync = 1ms`,
+		zkText + "parallel = 65\n":                                                        `source[0].parallel = 65`,
+		zkText + "path = \"/a\"\n":                                                        `path`,
+		"[[source]]\nname=\"z\"\nkind=\"zookeeper\"\nservers=[\"h:1\"]\n":                 `source[0].path = ""`,
+		"[[source]]\nname=\"z\"\nkind=\"zookeeper\"\npath=\"/a\"\nservers=[\"h\"]\n":      `source[0].servers = "h"`,
+		"[[source]]\nname=\"z\"\nkind=\"zookeeper\"\npath=\"/a\"\n":                       `source[0].servers = ""`,
 		"[[source]]\nname=\"a\"\nkind=\"own\"\n[[source]]\nname=\"b\"\nkind=\"own\"\n":    `sources.toml:6: source[1].kind = "own": the front modelapi has only one`,
 	} {
 		_, err := load(t, text)
--- a/sources/feed.go
+++ b/sources/feed.go
@@ -17,6 +17,7 @@
 	"lichenshelf/router"
 	"lichenshelf/store"
 	"lichenshelf/storesource"
+	"lichenshelf/zksource"
 )
 
 // Core is who is told of the workers; router.Core is one.
@@ -173,6 +174,9 @@
 		}
 		source := storesource.New(registry, s.Path, template)
 		return func(ctx context.Context, p *Port) { source.Run(ctx, p) }, nil
+	case KindZK:
+		source := zksource.New(s.zookeeper(), template)
+		return func(ctx context.Context, p *Port) { source.Run(ctx, p) }, nil
 	case KindList:
 		report := membership.Report{Whole: true, Final: true}
 		for _, w := range s.Workers {
