--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -71,6 +71,9 @@
 	mu   sync.Mutex
 	log  bytes.Buffer
 	exit chan error
+
+	read   int               // of the log, for served
+	served map[string]string // the workers, as the log told of their changes
 }
 
 func (p *program) Write(b []byte) (int, error) {
@@ -86,7 +89,8 @@
 }
 
 func start(t *testing.T, addr string, env []string, args ...string) *program {
-	p := &program{t: t, addr: addr, cmd: exec.Command(binary, args...), exit: make(chan error, 1)}
+	p := &program{t: t, addr: addr, cmd: exec.Command(binary, args...), exit: make(chan error, 1),
+		served: map[string]string{}}
 	p.cmd.Stdout, p.cmd.Stderr = p, p
 	p.cmd.Dir = t.TempDir()
 	p.cmd.Env = append(append(os.Environ(), "LICHENSHELF_LOG_LEVEL=debug"), env...)
--- a/test/sources_test.go
+++ b/test/sources_test.go
@@ -1,7 +1,9 @@
 package test
 
 import (
+	"bytes"
 	"fmt"
+	"maps"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -131,29 +133,30 @@
 func (p *program) set() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	in := map[string]string{}
-	for _, m := range changed.FindAllStringSubmatch(p.log.String(), -1) {
+	fresh := p.log.Bytes()[p.read:]
+	fresh = fresh[:bytes.LastIndexByte(fresh, '\n')+1]
+	p.read += len(fresh)
+	for line := range bytes.Lines(fresh) {
+		if !bytes.Contains(line, []byte("worker changed")) {
+			continue
+		}
+		m := changed.FindStringSubmatch(string(line))
 		switch {
 		case m[2] == "removed":
-			delete(in, m[4])
+			delete(p.served, m[4])
 		case m[3] == "true":
-			in[m[4]] = "~" + m[4]
+			p.served[m[4]] = "~" + m[4]
 		default:
-			in[m[4]] = m[4]
+			p.served[m[4]] = m[4]
 		}
 	}
-	out := []string{}
-	for _, name := range in {
-		out = append(out, name)
-	}
-	slices.Sort(out)
-	return out
+	return slices.Sorted(maps.Values(p.served))
 }
 
 func (s *sourced) becomes(want ...string) {
 	s.t.Helper()
 	slices.Sort(want)
-	require.Eventually(s.t, func() bool { return slices.Equal(s.set(), want) }, patient, soon, "want %v, have %v", want, s.set())
+	require.Eventually(s.t, func() bool { return slices.Equal(s.set(), want) }, patient, soon, "want %v", want)
 }
 
 // stays has DNS asked a few times more and requires that nothing has changed.
--- /dev/null
+++ b/zksource/bench_test.go
@@ -0,0 +1,71 @@
+package zksource
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"lichenshelf/internal/standin/zk"
+	"lichenshelf/membership"
+	"lichenshelf/zkrule"
+)
+
+// drained is a sink that tells when it has heard of a worker's end.
+type drained struct {
+	ready chan struct{}
+	gone  chan time.Time
+}
+
+func (d drained) Report(r membership.Report) {
+	if r.Whole {
+		d.ready <- struct{}{}
+	}
+	for _, e := range r.Entries {
+		if e.Word == membership.Gone {
+			d.gone <- time.Now()
+		}
+	}
+}
+func (d drained) Fail(error) {}
+func (d drained) Warn(error) {}
+
+// BenchmarkExpiry reports the time from the end of a worker's session to the
+// moment at which the last of 20 sources, which follow 200 nodes, has told of it.
+func BenchmarkExpiry(b *testing.B) {
+	s, err := zk.New()
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer s.Close()
+	s.Create("/w", "", 0)
+	for i := range 200 {
+		s.Create(fmt.Sprint("/w/n", i), at(i+1), int64(i+1))
+	}
+	const routers = 20
+	sink := drained{make(chan struct{}, routers), make(chan time.Time, routers)}
+	ctx, cancel := context.WithCancel(b.Context())
+	defer cancel()
+	for range routers {
+		c := Config{Servers: []string{s.Addr()}, Path: "/w", Session: 10 * time.Second, Resync: time.Hour, Within: time.Second, Format: zkrule.JSON, Parallel: 8}
+		go New(c, membership.Entry{Weight: 1}).Run(ctx, sink)
+	}
+	for range routers {
+		<-sink.ready
+	}
+	var worst time.Duration
+	for i := 0; b.Loop(); i++ {
+		from := time.Now()
+		s.Expire(int64(i%200 + 1))
+		var last time.Time
+		for range routers {
+			last = <-sink.gone
+		}
+		worst = max(worst, last.Sub(from))
+		b.StopTimer()
+		s.Create(fmt.Sprint("/w/n", i%200), at(i%200+1), int64(i%200+1))
+		time.Sleep(5 * time.Millisecond) // until the sources have read it
+		b.StartTimer()
+	}
+	b.ReportMetric(float64(worst.Microseconds())/1000, "worst-ms")
+}
