--- a/store/fsm.go
+++ b/store/fsm.go
@@ -134,6 +134,7 @@
 	if err := json.NewDecoder(r).Decode(t); err != nil {
 		return fmt.Errorf("restore the tree: %w", err)
 	}
+	t.index()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.adopt(t)
--- a/store/tree.go
+++ b/store/tree.go
@@ -6,10 +6,13 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"path"
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/google/btree"
 )
 
 // The faults of operations.
@@ -46,11 +49,61 @@
 	Nodes    map[string]*node         `json:"nodes"`
 	Sessions map[string]time.Duration `json:"sessions"` // their time-outs
 
+	// What follows from the nodes, so that neither a list of children nor the end
+	// of a session has to look at the whole tree; not in snapshots.
+	kids  map[string]*btree.BTreeG[string] // names below a node, in order
+	owned map[string]map[string]struct{}   // paths of a session's ephemeral nodes
+
 	changed func(path string) // told of every node whose data, existence or children changed
 }
 
+// degree is that of the B-trees of children: small, since most nodes have few.
+const degree = 8
+
 func newTree() *tree {
-	return &tree{Nodes: map[string]*node{"/": {}}, Sessions: map[string]time.Duration{}, changed: func(string) {}}
+	t := &tree{Nodes: map[string]*node{"/": {}}, Sessions: map[string]time.Duration{}, changed: func(string) {}}
+	t.index()
+	return t
+}
+
+// index builds anew what follows from the nodes.
+func (t *tree) index() {
+	t.kids, t.owned = map[string]*btree.BTreeG[string]{}, map[string]map[string]struct{}{}
+	for p, n := range t.Nodes {
+		if p != "/" {
+			t.link(p, n)
+		}
+	}
+}
+
+// link enters a node in the indexes.
+func (t *tree) link(p string, n *node) {
+	dir, name := path.Split(p)
+	dir = path.Clean(dir)
+	if t.kids[dir] == nil {
+		t.kids[dir] = btree.NewOrderedG[string](degree)
+	}
+	t.kids[dir].ReplaceOrInsert(name)
+	if s := n.Stat.Ephemeral; s != "" {
+		if t.owned[s] == nil {
+			t.owned[s] = map[string]struct{}{}
+		}
+		t.owned[s][p] = struct{}{}
+	}
+}
+
+// unlink takes a node out of the indexes.
+func (t *tree) unlink(p string, n *node) {
+	dir, name := path.Split(p)
+	dir = path.Clean(dir)
+	if t.kids[dir].Delete(name); t.kids[dir].Len() == 0 {
+		delete(t.kids, dir)
+	}
+	if s := n.Stat.Ephemeral; s != "" {
+		if delete(t.owned[s], p); len(t.owned[s]) == 0 {
+			delete(t.owned, s)
+		}
+	}
 }
 
 // checkPath takes absolute paths in their shortest form only.
@@ -89,7 +142,9 @@
 	if parent.Stat.Ephemeral != "" {
 		return fmt.Errorf("%w: %s", ErrEphemeral, path.Dir(p))
 	}
-	t.Nodes[p] = &node{Data: data, Stat: Stat{Created: op, Modified: op, Ephemeral: session}}
+	n := &node{Data: data, Stat: Stat{Created: op, Modified: op, Ephemeral: session}}
+	t.Nodes[p] = n
+	t.link(p, n)
 	t.childrenChanged(p)
 	return nil
 }
@@ -107,16 +162,18 @@
 }
 
 func (t *tree) remove(p string, version int64) error {
-	if _, err := t.at(p, version); err != nil {
+	n, err := t.at(p, version)
+	if err != nil {
 		return err
 	}
 	if p == "/" {
 		return fmt.Errorf("%w: the root stays", ErrBadPath)
 	}
-	if len(t.children(p)) > 0 {
+	if t.kids[p] != nil {
 		return fmt.Errorf("%w: %s", ErrNotEmpty, p)
 	}
 	delete(t.Nodes, p)
+	t.unlink(p, n)
 	t.childrenChanged(p)
 	return nil
 }
@@ -140,13 +197,15 @@
 
 // children returns the names below p, in order.
 func (t *tree) children(p string) []string {
-	var names []string
-	for other := range t.Nodes {
-		if other != "/" && path.Dir(other) == p {
-			names = append(names, path.Base(other))
-		}
-	}
-	slices.Sort(names)
+	kids := t.kids[p]
+	if kids == nil {
+		return nil
+	}
+	names := make([]string, 0, kids.Len())
+	kids.Ascend(func(name string) bool {
+		names = append(names, name)
+		return true
+	})
 	return names
 }
 
@@ -156,14 +215,8 @@
 		return fmt.Errorf("%w: %s", ErrNoSession, id)
 	}
 	delete(t.Sessions, id)
-	var gone []string
-	for p, n := range t.Nodes {
-		if n.Stat.Ephemeral == id {
-			gone = append(gone, p)
-		}
-	}
-	slices.Sort(gone) // replicas tell their watches in one order
-	for _, p := range gone {
+	// In order, so that replicas tell their watches in one.
+	for _, p := range slices.Sorted(maps.Keys(t.owned[id])) {
 		if err := t.remove(p, AnyVersion); err != nil {
 			return fmt.Errorf("end session %s: %w", id, err)
 		}
