Let ZooKeeper clients use the store: sessions, watches, multi, moves between replicas

Need: no ZooKeeper client could use the store. Change: zkfront speaks the protocol at a replica; followers hand writes to the leader and answer once they have applied them; several steps are one entry of the log, or undone; a session moves with its password, and its old connection is cut off.

--- a/store/api.go
+++ b/store/api.go
@@ -22,8 +22,10 @@
 const (
 	maxData     = 256 << 10
 	longestWait = time.Minute // of a watch
-	apiTimeout  = 90 * time.Second
-	apiConns    = 256
+	// maxCall bounds a call's body: a ZooKeeper client's frame, as JSON.
+	maxCall    = 2 << 20
+	apiTimeout = 90 * time.Second
+	apiConns   = 256
 )
 
 // Node is a node as the API tells it.
@@ -43,7 +45,7 @@
 // NewAPI returns the API of a replica.
 func NewAPI(r *Replica) *API {
 	a := &API{replica: r}
-	a.server = &fasthttp.Server{Handler: a.handle, MaxRequestBodySize: maxData, NoDefaultServerHeader: true,
+	a.server = &fasthttp.Server{Handler: a.handle, MaxRequestBodySize: maxCall, NoDefaultServerHeader: true,
 		ReadTimeout: apiTimeout, IdleTimeout: apiTimeout, Concurrency: apiConns, CloseOnShutdown: true}
 	return a
 }
@@ -67,6 +69,10 @@
 		err = a.session(ctx, strings.TrimPrefix(strings.TrimPrefix(path, sessionsPath), "/"))
 	case path == nodesPath || strings.HasPrefix(path, nodesPath+"/"):
 		err = a.node(ctx, "/"+strings.TrimPrefix(strings.TrimPrefix(path, nodesPath), "/"))
+	case path == commandsPath && ctx.IsPost():
+		err = a.serveCommand(ctx)
+	case path == touchesPath && ctx.IsPost():
+		err = a.serveTouches(ctx)
 	default:
 		err = errNoPath
 	}
@@ -107,6 +113,9 @@
 
 func (a *API) node(ctx *fasthttp.RequestCtx, path string) error {
 	data := append([]byte(nil), ctx.PostBody()...)
+	if len(data) > maxData {
+		return fmt.Errorf("%w: a node holds %d bytes at most, not %d", errInput, maxData, len(data))
+	}
 	args := ctx.QueryArgs()
 	version := int64(AnyVersion)
 	if v := args.Peek("version"); len(v) > 0 {
--- a/store/client.go
+++ b/store/client.go
@@ -27,12 +27,17 @@
 
 // NewClient returns a client that asks the replicas in turn.
 func NewClient(addrs ...string) *Client {
-	return &Client{addrs: addrs, http: fasthttp.Client{
+	return &Client{addrs: addrs, http: onceClient()}
+}
+
+// onceClient is an HTTP client that sends nothing twice on its own: a create that
+// went out twice would meet its own node.
+func onceClient() fasthttp.Client {
+	return fasthttp.Client{
 		ReadTimeout: callWait, WriteTimeout: callWait,
-		// A create that went out twice would meet its own node.
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-	}}
+	}
 }
 
 // call asks one replica after the other until one gives an answer of its own.
--- a/store/fsm.go
+++ b/store/fsm.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -18,6 +19,9 @@
 	Version int64         `json:"version,omitempty"`
 	Session string        `json:"session,omitempty"`
 	Timeout time.Duration `json:"timeout,omitempty"`
+	TimeMs  int64         `json:"time_ms,omitempty"` // of the proposer's clock
+	Claim   *claim        `json:"claim,omitempty"`
+	Steps   []Step        `json:"steps,omitempty"`
 }
 
 // The operations of the log.
@@ -27,6 +31,9 @@
 	opRemove     = "remove"
 	opSession    = "session"
 	opEndSession = "end-session"
+	opAttach     = "attach"
+	opSteps      = "steps"
+	opNothing    = "nothing" // for who waits until all before it has been applied
 )
 
 // machine applies the log to the tree, and tells watches. It implements raft.FSM.
@@ -34,6 +41,10 @@
 	mu      sync.RWMutex
 	tree    *tree
 	watches map[string]map[*Watch]bool
+	// observer is told of the changes of each operation, with the state locked.
+	observer func(index uint64, changes []Change)
+	changes  []Change      // of the operation that is being applied
+	moved    chan struct{} // closed at the next operation; nil if nobody waits
 }
 
 func newMachine() *machine {
@@ -44,10 +55,50 @@
 
 // adopt makes t the state.
 func (m *machine) adopt(t *tree) {
-	t.changed = m.fire
+	t.changed = m.note
 	m.tree = t
 }
 
+// note takes a change; it is told once the operation is through.
+func (m *machine) note(c Change) { m.changes = append(m.changes, c) }
+
+// settle tells of what an operation has changed.
+func (m *machine) settle(index uint64) {
+	m.tree.Index = index
+	for _, c := range m.changes {
+		m.fire(c.Path)
+	}
+	if m.observer != nil && len(m.changes) > 0 {
+		m.observer(index, m.changes)
+	}
+	m.changes = nil
+	if m.moved != nil {
+		close(m.moved)
+		m.moved = nil
+	}
+}
+
+// reached waits until the operation has been applied here.
+func (m *machine) reached(ctx context.Context, index uint64) error {
+	for {
+		m.mu.Lock()
+		if m.tree.Index >= index {
+			m.mu.Unlock()
+			return nil
+		}
+		if m.moved == nil {
+			m.moved = make(chan struct{})
+		}
+		moved := m.moved
+		m.mu.Unlock()
+		select {
+		case <-moved:
+		case <-ctx.Done():
+			return fmt.Errorf("operation %d is not applied here yet: %w", index, ctx.Err())
+		}
+	}
+}
+
 // fire closes the watches of a path: each tells of one change only.
 func (m *machine) fire(path string) {
 	for w := range m.watches[path] {
@@ -92,18 +143,29 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	defer m.settle(entry.Index)
+	m.tree.now = c.TimeMs
 	switch c.Op {
 	case opCreate:
 		return asResult(m.tree.create(entry.Index, c.Path, c.Data, c.Session))
 	case opSet:
 		return asResult(m.tree.set(entry.Index, c.Path, c.Data, c.Version))
 	case opRemove:
-		return asResult(m.tree.remove(c.Path, c.Version))
+		return asResult(m.tree.remove(entry.Index, c.Path, c.Version))
 	case opSession:
 		m.tree.Sessions[c.Session] = c.Timeout
+		if c.Claim != nil {
+			m.tree.Claims[c.Session] = *c.Claim
+		}
 		return nil
 	case opEndSession:
-		return asResult(m.tree.endSession(c.Session))
+		return asResult(m.tree.endSession(entry.Index, c.Session))
+	case opAttach:
+		return asResult(m.tree.attach(c.Session, c.Claim))
+	case opSteps:
+		return m.steps(entry.Index, &c)
+	case opNothing:
+		return nil
 	}
 	return fmt.Errorf("log entry %d: unknown operation %q", entry.Index, c.Op)
 }
@@ -141,6 +203,8 @@
 	for path := range m.watches {
 		m.fire(path)
 	}
+	m.changes = []Change{{Kind: StateReplaced}}
+	m.settle(t.Index)
 	return nil
 }
 
--- a/store/replica.go
+++ b/store/replica.go
@@ -16,6 +16,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/hashicorp/raft"
 	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
+	"github.com/valyala/fasthttp"
 )
 
 // ErrNotLeader says that another replica takes writes now.
@@ -33,6 +34,9 @@
 	ID      string `toml:"id"` // which of Peers this one is
 	DataDir string `toml:"data_dir"`
 	Peers   []Peer `toml:"peer"`
+	// ZooKeeper is where ZooKeeper clients connect to this replica; empty: the
+	// front is off.
+	ZooKeeper string `toml:"zookeeper"`
 
 	// Pace shortens raft's heartbeat, election and lease times where it is not 0.
 	Pace time.Duration `toml:"-"`
@@ -53,6 +57,7 @@
 	raft     *raft.Raft
 	network  *raft.NetworkTransport
 	logs     *raftboltdb.BoltStore
+	peers    fasthttp.Client // to the leader's API
 	sessions sessions
 	stop     context.CancelFunc
 	stopped  chan struct{}
@@ -72,7 +77,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("open log: %w", err)
 	}
-	r := &Replica{cfg: cfg, machine: newMachine(), logs: logs, stopped: make(chan struct{})}
+	r := &Replica{cfg: cfg, machine: newMachine(), logs: logs, stopped: make(chan struct{}), peers: onceClient()}
 	if err := r.start(self); err != nil {
 		_ = logs.Close()
 		return nil, err
@@ -167,6 +172,7 @@
 
 // apply puts a command through the log.
 func (r *Replica) apply(c command) error {
+	c.TimeMs = time.Now().UnixMilli()
 	text, err := json.Marshal(c)
 	if err != nil {
 		return fmt.Errorf("encode command: %w", err)
--- a/store/tree.go
+++ b/store/tree.go
@@ -24,6 +24,7 @@
 	ErrNoSession  = errors.New("no such session")
 	ErrEphemeral  = errors.New("an ephemeral node has no children")
 	ErrBadPath    = errors.New("malformed path")
+	ErrMoved      = errors.New("the session has moved to another connection")
 )
 
 // AnyVersion matches every version.
@@ -36,6 +37,10 @@
 	Created   uint64 `json:"created"`  // number of the operation that made it
 	Modified  uint64 `json:"modified"` // and of the latest that set its data
 	Ephemeral string `json:"ephemeral,omitempty"`
+	// ChildrenOp is the latest operation that made or removed a child.
+	ChildrenOp uint64 `json:"children_op,omitempty"`
+	CreatedMs  int64  `json:"created_ms,omitempty"` // Unix milliseconds, by the proposer's clock
+	ModifiedMs int64  `json:"modified_ms,omitempty"`
 }
 
 // node is one node of the tree. Its fields are exported for snapshots.
@@ -48,20 +53,53 @@
 type tree struct {
 	Nodes    map[string]*node         `json:"nodes"`
 	Sessions map[string]time.Duration `json:"sessions"` // their time-outs
+	// Claims are what sessions of the ZooKeeper front have beside a time-out.
+	Claims map[string]claim `json:"claims,omitempty"`
+	Index  uint64           `json:"index"` // the latest operation that was applied
 
 	// What follows from the nodes, so that neither a list of children nor the end
 	// of a session has to look at the whole tree; not in snapshots.
 	kids  map[string]*btree.BTreeG[string] // names below a node, in order
 	owned map[string]map[string]struct{}   // paths of a session's ephemeral nodes
 
-	changed func(path string) // told of every node whose data, existence or children changed
+	now     int64 // of the operation that is being applied, in Unix milliseconds
+	changed func(Change)
 }
 
+// claim says who may speak for a session: who knows the password, and of these
+// the connection that came last.
+type claim struct {
+	Password []byte `json:"password"`
+	Holder   string `json:"holder"`
+}
+
+// Change is one thing that an operation has changed.
+type Change struct {
+	Kind    ChangeKind
+	Path    string // of the node, but for the last three kinds
+	Session string // with SessionEnded and SessionMoved
+	Holder  string // with SessionMoved: who speaks for it now
+}
+
+// ChangeKind tells what has changed.
+type ChangeKind uint8
+
+// The kinds of change.
+const (
+	NodeCreated ChangeKind = iota
+	NodeDeleted
+	DataChanged
+	ChildrenChanged
+	SessionEnded
+	SessionMoved
+	StateReplaced // by a snapshot: anything may have changed
+)
+
 // degree is that of the B-trees of children: small, since most nodes have few.
 const degree = 8
 
 func newTree() *tree {
-	t := &tree{Nodes: map[string]*node{"/": {}}, Sessions: map[string]time.Duration{}, changed: func(string) {}}
+	t := &tree{Nodes: map[string]*node{"/": {}}, Sessions: map[string]time.Duration{}, Claims: map[string]claim{}, changed: func(Change) {}}
 	t.index()
 	return t
 }
@@ -142,10 +180,10 @@
 	if parent.Stat.Ephemeral != "" {
 		return fmt.Errorf("%w: %s", ErrEphemeral, path.Dir(p))
 	}
-	n := &node{Data: data, Stat: Stat{Created: op, Modified: op, Ephemeral: session}}
+	n := &node{Data: data, Stat: Stat{Created: op, Modified: op, Ephemeral: session, CreatedMs: t.now, ModifiedMs: t.now}}
 	t.Nodes[p] = n
 	t.link(p, n)
-	t.childrenChanged(p)
+	t.childrenChanged(op, p, NodeCreated)
 	return nil
 }
 
@@ -156,12 +194,12 @@
 	}
 	n.Data = data
 	n.Stat.Version++
-	n.Stat.Modified = op
-	t.changed(p)
+	n.Stat.Modified, n.Stat.ModifiedMs = op, t.now
+	t.changed(Change{Kind: DataChanged, Path: p})
 	return nil
 }
 
-func (t *tree) remove(p string, version int64) error {
+func (t *tree) remove(op uint64, p string, version int64) error {
 	n, err := t.at(p, version)
 	if err != nil {
 		return err
@@ -174,7 +212,7 @@
 	}
 	delete(t.Nodes, p)
 	t.unlink(p, n)
-	t.childrenChanged(p)
+	t.childrenChanged(op, p, NodeDeleted)
 	return nil
 }
 
@@ -188,11 +226,13 @@
 }
 
 // childrenChanged notes that p came or went.
-func (t *tree) childrenChanged(p string) {
+func (t *tree) childrenChanged(op uint64, p string, kind ChangeKind) {
 	dir := path.Dir(p)
-	t.Nodes[dir].Stat.Children++
-	t.changed(p)
-	t.changed(dir)
+	parent := t.Nodes[dir]
+	parent.Stat.Children++
+	parent.Stat.ChildrenOp = op
+	t.changed(Change{Kind: kind, Path: p})
+	t.changed(Change{Kind: ChildrenChanged, Path: dir})
 }
 
 // children returns the names below p, in order.
@@ -210,16 +250,18 @@
 }
 
 // endSession removes a session and its ephemeral nodes.
-func (t *tree) endSession(id string) error {
+func (t *tree) endSession(op uint64, id string) error {
 	if _, ok := t.Sessions[id]; !ok {
 		return fmt.Errorf("%w: %s", ErrNoSession, id)
 	}
 	delete(t.Sessions, id)
+	delete(t.Claims, id)
 	// In order, so that replicas tell their watches in one.
 	for _, p := range slices.Sorted(maps.Keys(t.owned[id])) {
-		if err := t.remove(p, AnyVersion); err != nil {
+		if err := t.remove(op, p, AnyVersion); err != nil {
 			return fmt.Errorf("end session %s: %w", id, err)
 		}
 	}
+	t.changed(Change{Kind: SessionEnded, Session: id})
 	return nil
 }
--- a/store/tree_test.go
+++ b/store/tree_test.go
@@ -72,7 +72,7 @@
 					m.nodes[p] = plainNode{string([]byte{byte(op)}), n.owner, n.version + 1}
 				}
 			case 3:
-				err = real.remove(p, v)
+				err = real.remove(op, p, v)
 				if want = there && (v == AnyVersion || v == n.version) && m.below(p) == 0; want {
 					delete(m.nodes, p)
 				}
@@ -81,7 +81,7 @@
 					continue
 				}
 				if want = m.sessions[s]; want {
-					err = real.endSession(s)
+					err = real.endSession(op, s)
 					delete(m.sessions, s)
 					for q, o := range m.nodes {
 						if o.owner == s {
@@ -99,7 +99,7 @@
 				real = newTree()
 				require.NoError(rt, json.Unmarshal(text, real))
 				real.index()
-				real.changed = func(string) {}
+				real.changed = func(Change) {}
 			}
 			require.Len(rt, real.Nodes, len(m.nodes))
 			owned := 0
@@ -157,7 +157,7 @@
 			if err := t.create(0, "/d50/new", nil, ""); err != nil || !leaf(t) {
 				b.Fatal(err)
 			}
-			if err := t.remove("/d50/new", AnyVersion); err != nil {
+			if err := t.remove(0, "/d50/new", AnyVersion); err != nil {
 				b.Fatal(err)
 			}
 		}
@@ -181,6 +181,6 @@
 	again := newMachine()
 	require.NoError(t, again.Restore(io.NopCloser(strings.NewReader(string(shot.(snapshot))))))
 	require.Equal(t, []string{"x"}, again.tree.children("/a"))
-	require.NoError(t, again.tree.endSession("s"))
+	require.NoError(t, again.tree.endSession(3, "s"))
 	require.Empty(t, again.tree.children("/a"))
 }
--- /dev/null
+++ b/zkfront/front_test.go
@@ -0,0 +1,445 @@
+package zkfront
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/go-zookeeper/zk"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"lichenshelf/store"
+	"lichenshelf/zkwire"
+)
+
+const patient = 30 * time.Second
+
+// cluster is three replicas on loopback, each with its API and its front.
+type cluster struct {
+	t     testing.TB
+	peers []store.Peer
+	dirs  []string
+	addrs []string // of the fronts
+	nodes []*member
+}
+
+type member struct {
+	replica *store.Replica
+	api     *store.API
+	front   *Server
+}
+
+func freeAddr(t testing.TB) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func newCluster(t testing.TB) *cluster {
+	c := &cluster{t: t, nodes: make([]*member, 3)}
+	dir := t.TempDir()
+	for i := range c.nodes {
+		id := fmt.Sprintf("r%d", i)
+		c.peers = append(c.peers, store.Peer{ID: id, Raft: freeAddr(t), API: freeAddr(t)})
+		c.dirs = append(c.dirs, filepath.Join(dir, id))
+		c.addrs = append(c.addrs, freeAddr(t))
+	}
+	for i := range c.nodes {
+		c.start(i)
+	}
+	t.Cleanup(func() {
+		for i := range c.nodes {
+			c.kill(i)
+		}
+	})
+	c.leader()
+	return c
+}
+
+func (c *cluster) start(i int) {
+	r, err := store.Open(store.Config{ID: c.peers[i].ID, DataDir: c.dirs[i], Peers: c.peers, Pace: 250 * time.Millisecond})
+	require.NoError(c.t, err)
+	m := &member{replica: r, api: store.NewAPI(r)}
+	api, err := net.Listen("tcp", c.peers[i].API)
+	require.NoError(c.t, err)
+	go func() { _ = m.api.Serve(api) }()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	m.front = New(r, Config{Self: c.peers[i].ID, Log: log, TimeoutMin: time.Second, MaxQueue: 512})
+	front, err := net.Listen("tcp", c.addrs[i])
+	require.NoError(c.t, err)
+	go func() { _ = m.front.Serve(front) }()
+	c.nodes[i] = m
+}
+
+func (c *cluster) kill(i int) {
+	m := c.nodes[i]
+	if m == nil {
+		return
+	}
+	c.nodes[i] = nil
+	m.front.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_ = m.api.Close(ctx)
+	require.NoError(c.t, m.replica.Close())
+}
+
+func (c *cluster) leader() (found int) {
+	require.Eventually(c.t, func() bool {
+		for i, m := range c.nodes {
+			if m != nil && m.replica.IsLeader() {
+				found = i
+				return true
+			}
+		}
+		return false
+	}, patient, time.Millisecond)
+	return found
+}
+
+// dial connects the library's client to replicas.
+func (c *cluster) dial(timeout time.Duration, at ...int) *zk.Conn {
+	var addrs []string
+	for _, i := range at {
+		addrs = append(addrs, c.addrs[i])
+	}
+	conn, events, err := zk.Connect(addrs, timeout, zk.WithLogInfo(false), zk.WithLogger(silent{}))
+	require.NoError(c.t, err)
+	c.t.Cleanup(conn.Close)
+	for deadline := time.After(patient); ; {
+		select {
+		case ev := <-events:
+			if ev.State == zk.StateHasSession {
+				return conn
+			}
+		case <-deadline:
+			c.t.Fatal("no session")
+		}
+	}
+}
+
+type silent struct{}
+
+func (silent) Printf(string, ...any) {}
+
+var open = zk.WorldACL(zk.PermAll)
+
+func (c *cluster) next(events <-chan zk.Event) zk.Event {
+	c.t.Helper()
+	select {
+	case ev := <-events:
+		return ev
+	case <-time.After(patient):
+		c.t.Fatal("no event")
+		return zk.Event{}
+	}
+}
+
+// The calls, with a client that nobody here wrote, at every replica.
+func TestConformance(t *testing.T) {
+	c := newCluster(t)
+	for i := range c.nodes {
+		root := fmt.Sprintf("/c%d", i)
+		conn := c.dial(4*time.Second, i)
+		for _, step := range []struct {
+			name string
+			do   func() error
+			want error
+		}{
+			{"create", func() error { _, err := conn.Create(root, []byte("x"), 0, open); return err }, nil},
+			{"create again", func() error { _, err := conn.Create(root, nil, 0, open); return err }, zk.ErrNodeExists},
+			{"create below nothing", func() error { _, err := conn.Create("/none/x", nil, 0, open); return err }, zk.ErrNoNode},
+			{"get nothing", func() error { _, _, err := conn.Get("/none"); return err }, zk.ErrNoNode},
+			{"children of nothing", func() error { _, _, err := conn.Children("/none"); return err }, zk.ErrNoNode},
+			{"set a wrong version", func() error { _, err := conn.Set(root, nil, 7); return err }, zk.ErrBadVersion},
+			{"delete a wrong version", func() error { return conn.Delete(root, 7) }, zk.ErrBadVersion},
+			{"ephemeral", func() error { _, err := conn.Create(root+"/e", nil, zk.FlagEphemeral, open); return err }, nil},
+			{"below an ephemeral", func() error { _, err := conn.Create(root+"/e/x", nil, 0, open); return err }, zk.ErrNoChildrenForEphemerals},
+			{"delete with children", func() error { return conn.Delete(root, -1) }, zk.ErrNotEmpty},
+			{"delete nothing", func() error { return conn.Delete(root+"/none", -1) }, zk.ErrNoNode},
+			{"closed access list", func() error {
+				_, err := conn.Create(root+"/acl", nil, 0, zk.DigestACL(zk.PermAll, "a", "b"))
+				return err
+			}, zk.ErrInvalidACL},
+			{"too much data", func() error { _, err := conn.Set(root, make([]byte, maxData+1), -1); return err }, zk.ErrBadArguments},
+			{"sync", func() error { _, err := conn.Sync(root); return err }, nil},
+		} {
+			require.Equal(t, step.want, step.do(), "%s at replica %d", step.name, i)
+		}
+		data, stat, err := conn.Get(root)
+		require.NoError(t, err)
+		require.Equal(t, "x", string(data))
+		require.EqualValues(t, 1, stat.NumChildren)
+		require.EqualValues(t, 1, stat.DataLength)
+		require.Zero(t, stat.EphemeralOwner)
+		require.Greater(t, stat.Pzxid, stat.Czxid)
+		require.Equal(t, stat.Czxid, stat.Mzxid)
+		require.WithinDuration(t, time.Now(), time.UnixMilli(stat.Ctime), time.Minute)
+		set, err := conn.Set(root, []byte("yy"), 0)
+		require.NoError(t, err)
+		require.EqualValues(t, 1, set.Version)
+		require.EqualValues(t, 1, set.NumChildren)
+		require.Greater(t, set.Mzxid, set.Czxid)
+		there, e, err := conn.Exists(root + "/e")
+		require.NoError(t, err)
+		require.True(t, there)
+		require.Equal(t, conn.SessionID(), e.EphemeralOwner)
+
+		var made []string
+		for range 3 {
+			p, err := conn.Create(root+"/s-", nil, zk.FlagSequence, open)
+			require.NoError(t, err)
+			require.Len(t, p, len(root)+3+10)
+			made = append(made, p[len(root)+1:])
+		}
+		require.True(t, slices.IsSorted(made))
+		names, _, err := conn.Children(root)
+		require.NoError(t, err)
+		require.Equal(t, append([]string{"e"}, made...), names)
+
+		// A multi is one change, or none.
+		_, stat, err = conn.Get(root)
+		require.NoError(t, err)
+		_, err = conn.Multi(&zk.CreateRequest{Path: root + "/m", Acl: open}, &zk.SetDataRequest{Path: root, Data: []byte("z"), Version: -1},
+			&zk.CheckVersionRequest{Path: root, Version: 99})
+		require.Equal(t, zk.ErrBadVersion, err)
+		again, after, err := conn.Get(root)
+		require.NoError(t, err)
+		require.Equal(t, "yy", string(again))
+		require.Equal(t, stat, after)
+		results, err := conn.Multi(&zk.CreateRequest{Path: root + "/m", Acl: open}, &zk.CheckVersionRequest{Path: root + "/m", Version: 0},
+			&zk.SetDataRequest{Path: root + "/m", Data: []byte("z"), Version: 0}, &zk.DeleteRequest{Path: root + "/" + made[0], Version: 0})
+		require.NoError(t, err)
+		require.Equal(t, root+"/m", results[0].String)
+		_, m, err := conn.Get(root + "/m")
+		require.NoError(t, err)
+		_, dir, err := conn.Get(root)
+		require.NoError(t, err)
+		require.Equal(t, m.Czxid, m.Mzxid)
+		require.Equal(t, m.Czxid, dir.Pzxid, "one entry of the log")
+		conn.Close() // the end of a session takes its ephemerals
+		other := c.dial(4*time.Second, (i+1)%3)
+		require.Eventually(t, func() bool { there, _, err := other.Exists(root + "/e"); return err == nil && !there }, patient, 5*time.Millisecond)
+	}
+}
+
+func TestWatchesOfEveryKind(t *testing.T) {
+	c := newCluster(t)
+	watcher, writer := c.dial(4*time.Second, 0), c.dial(4*time.Second, 1)
+	_, _, made, err := watcher.ExistsW("/w")
+	require.NoError(t, err)
+	_, err = writer.Create("/w", nil, 0, open)
+	require.NoError(t, err)
+	require.Equal(t, zk.EventNodeCreated, c.next(made).Type)
+	_, _, children, err := watcher.ChildrenW("/w")
+	require.NoError(t, err)
+	_, _, data, err := watcher.GetW("/w")
+	require.NoError(t, err)
+	_, err = writer.Create("/w/x", nil, 0, open)
+	require.NoError(t, err)
+	require.Equal(t, zk.EventNodeChildrenChanged, c.next(children).Type)
+	_, err = writer.Set("/w", []byte("1"), -1)
+	require.NoError(t, err)
+	require.Equal(t, zk.EventNodeDataChanged, c.next(data).Type)
+	_, _, gone, err := watcher.GetW("/w/x")
+	require.NoError(t, err)
+	require.NoError(t, writer.Delete("/w/x", -1))
+	require.Equal(t, zk.EventNodeDeleted, c.next(gone).Type)
+	// Each tells once.
+	_, _, data, err = watcher.GetW("/w")
+	require.NoError(t, err)
+	for i := range 5 {
+		_, err = writer.Set("/w", []byte{byte(i)}, -1)
+		require.NoError(t, err)
+	}
+	c.next(data)
+	select {
+	case ev, ok := <-data:
+		require.False(t, ok, "%v", ev)
+	default:
+	}
+}
+
+// A write at one replica is seen by its own session at once, and by a session
+// that moves to another replica, whichever that is.
+func TestASessionNeverSeesThePast(t *testing.T) {
+	c := newCluster(t)
+	conn := c.dial(10*time.Second, 0, 1, 2)
+	_, err := conn.Create("/n", []byte("0"), 0, open)
+	require.NoError(t, err)
+	for i := range 30 {
+		if i%10 == 5 { // move it, with watches set
+			_, _, ev, err := conn.GetW("/n")
+			require.NoError(t, err)
+			at := conn.Server()
+			for k, addr := range c.addrs {
+				if addr == at {
+					c.kill(k)
+					c.start(k)
+				}
+			}
+			want := fmt.Sprint(i)
+			require.Eventually(t, func() bool { _, err := conn.Set("/n", []byte(want), -1); return err == nil }, patient, 5*time.Millisecond)
+			require.Equal(t, zk.EventNodeDataChanged, c.next(ev).Type, "the watch has come along")
+			continue
+		}
+		want := fmt.Sprint(i)
+		var err error
+		require.Eventually(t, func() bool { _, err = conn.Set("/n", []byte(want), -1); return err == nil }, patient, 5*time.Millisecond)
+		got, _, err := conn.Get("/n")
+		if err == nil { // else its connection broke between the two
+			require.Equal(t, want, string(got))
+		}
+	}
+}
+
+// A replica that has seen less than the client must not serve it.
+func TestAReplicaThatIsBehindServesNobodyWhoHasSeenMore(t *testing.T) {
+	c := newCluster(t)
+	answer := func(hello zkwire.ConnectRequest) (*zkwire.ConnectResponse, error) {
+		raw, err := net.Dial("tcp", c.addrs[0])
+		require.NoError(t, err)
+		defer raw.Close()
+		_, err = raw.Write(zkwire.Append(nil, &hello))
+		require.NoError(t, err)
+		require.NoError(t, raw.SetReadDeadline(time.Now().Add(patient)))
+		body, err := zkwire.ReadFrame(raw, zkwire.MaxFrame)
+		if err != nil {
+			return nil, err
+		}
+		var r zkwire.ConnectResponse
+		return &r, zkwire.DecodeAll(body, &r)
+	}
+	r, err := answer(zkwire.ConnectRequest{TimeoutMs: 4000, Password: make([]byte, 16)})
+	require.NoError(t, err)
+	require.NotZero(t, r.SessionID)
+	_, err = answer(zkwire.ConnectRequest{TimeoutMs: 4000, LastZxidSeen: 1 << 40, SessionID: r.SessionID, Password: r.Password})
+	require.Error(t, err)
+	// Another password, or a session that never was, has expired.
+	for _, h := range []zkwire.ConnectRequest{{SessionID: r.SessionID, Password: make([]byte, 16)}, {SessionID: 77, Password: r.Password}} {
+		e, err := answer(h)
+		require.NoError(t, err)
+		require.Zero(t, e.TimeoutMs)
+		require.Zero(t, e.SessionID)
+	}
+	again, err := answer(zkwire.ConnectRequest{SessionID: r.SessionID, Password: r.Password})
+	require.NoError(t, err)
+	require.Equal(t, r.SessionID, again.SessionID)
+}
+
+// The leader is killed and comes back, again and again; no acknowledged create is
+// lost, and ephemerals of a lost client vanish within the stated bound.
+func TestLeadersThatDie(t *testing.T) {
+	c := newCluster(t)
+	conn := c.dial(8*time.Second, 0, 1, 2)
+	_, err := conn.Create("/d", nil, 0, open)
+	require.NoError(t, err)
+	acknowledged := map[string]bool{}
+	for round := range 3 {
+		for i := range 20 {
+			name := fmt.Sprintf("n%d-%02d", round, i)
+			if i == 10 {
+				l := c.leader()
+				c.kill(l)
+				c.start(l)
+			}
+			if _, err := conn.Create("/d/"+name, nil, 0, open); err == nil {
+				acknowledged[name] = true
+			}
+		}
+	}
+	require.Greater(t, len(acknowledged), 40)
+	for i := range c.nodes {
+		other := c.dial(8*time.Second, i)
+		_, err := other.Sync("/d")
+		require.NoError(t, err)
+		names, _, err := other.Children("/d")
+		require.NoError(t, err)
+		for name := range acknowledged {
+			require.Contains(t, names, name)
+		}
+	}
+}
+
+func TestEphemeralsOfALostClientVanish(t *testing.T) {
+	c := newCluster(t)
+	raw, err := net.Dial("tcp", c.addrs[0])
+	require.NoError(t, err)
+	defer raw.Close()
+	const timeout = time.Second
+	_, err = raw.Write(zkwire.Append(nil, &zkwire.ConnectRequest{TimeoutMs: int32(timeout.Milliseconds()), Password: make([]byte, 16)}))
+	require.NoError(t, err)
+	_, err = zkwire.ReadFrame(raw, zkwire.MaxFrame)
+	require.NoError(t, err)
+	_, err = raw.Write(zkwire.Append(nil, &zkwire.RequestHeader{Xid: 1, Op: zkwire.OpCreate},
+		&zkwire.CreateRequest{Path: "/e", ACL: []zkwire.ACL{{Perms: allRights, Scheme: "world", ID: "anyone"}}, Flags: zkwire.FlagEphemeral}))
+	require.NoError(t, err)
+	_, err = zkwire.ReadFrame(raw, zkwire.MaxFrame)
+	require.NoError(t, err)
+	last := time.Now() // it says nothing from here on, but its connection stays up
+	watcher := c.dial(10*time.Second, 1, 2)
+	there, _, gone, err := watcher.ExistsW("/e")
+	require.NoError(t, err)
+	require.True(t, there)
+	require.Equal(t, zk.EventNodeDeleted, c.next(gone).Type)
+	took := time.Since(last)
+	require.Greater(t, took, timeout)
+	t.Logf("vanished %v after its last word, its time-out being %v", took, timeout)
+}
+
+// Frames that make no sense cost their connection and nothing else.
+func TestFramesThatMakeNoSense(t *testing.T) {
+	c := newCluster(t)
+	hello := zkwire.Append(nil, &zkwire.ConnectRequest{TimeoutMs: 4000, Password: make([]byte, 16)})
+	for name, bytes := range map[string][]byte{
+		"2 GB announced":        {0x7f, 0xff, 0xff, 0xff},
+		"of negative length":    {0xff, 0xff, 0xff, 0xfe},
+		"nonsense for a hello":  {0, 0, 0, 2, 1, 2},
+		"2 GB after the hello":  append(slices.Clone(hello), 0x7f, 0xff, 0xff, 0xff),
+		"a header that is cut":  append(slices.Clone(hello), 0, 0, 0, 3, 1, 2, 3),
+		"a body that is cut":    append(slices.Clone(hello), 0, 0, 0, 12, 0, 0, 0, 1, 0, 0, 0, 4, 0, 0, 0, 9),
+		"a list of 1e9 strings": append(slices.Clone(hello), 0, 0, 0, 20, 0, 0, 0, 1, 0, 0, 0, 101, 0, 0, 0, 0, 0, 0, 0, 0, 0x3b, 0x9a, 0xca, 0),
+	} {
+		raw, err := net.Dial("tcp", c.addrs[0])
+		require.NoError(t, err)
+		_, err = raw.Write(bytes)
+		require.NoError(t, err, name)
+		require.NoError(t, raw.SetReadDeadline(time.Now().Add(patient)))
+		_, err = io.ReadAll(raw) // the hello's answer, and then the end
+		require.NoError(t, err, name)
+		require.NoError(t, raw.Close())
+	}
+	conn := c.dial(4*time.Second, 0)
+	_, _, err := conn.Get("/")
+	require.NoError(t, err)
+}
+
+// A client that never reads is cut off, and holds up nobody.
+func TestAClientThatNeverReads(t *testing.T) {
+	c := newCluster(t)
+	raw, err := net.Dial("tcp", c.addrs[0])
+	require.NoError(t, err)
+	defer raw.Close()
+	_, err = raw.Write(zkwire.Append(nil, &zkwire.ConnectRequest{TimeoutMs: 40000, Password: make([]byte, 16)}))
+	require.NoError(t, err)
+	conn := c.dial(10*time.Second, 0)
+	_, err = conn.Create("/big", make([]byte, 200_000), 0, open)
+	require.NoError(t, err)
+	ask := zkwire.Append(nil, &zkwire.RequestHeader{Xid: 1, Op: zkwire.OpGetData}, &zkwire.PathWatch{Path: "/big"})
+	require.NoError(t, raw.SetWriteDeadline(time.Now().Add(patient)))
+	for err == nil {
+		_, err = raw.Write(ask)
+	}
+	require.NotErrorIs(t, err, os.ErrDeadlineExceeded, "it is cut off, not waited for")
+	_, err = conn.Set("/big", nil, -1)
+	require.NoError(t, err)
+}
