Switch the ZooKeeper front on in store.toml; register over it; store sub-commands

Need: operators switch the front on, register workers and look into the store. A property: steps that fail leave nothing behind.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -61,6 +61,7 @@
 			},
 			membersCommand(log, flags),
 			registerCommand(log),
+			storeCommand(),
 			{
 				Name: "version", Usage: "print the version",
 				Action: func(_ context.Context, c *cli.Command) error {
--- a/internal/cli/register.go
+++ b/internal/cli/register.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"os/signal"
+	"path"
 	"syscall"
 	"time"
 
@@ -15,6 +16,7 @@
 	"lichenshelf/membership"
 	"lichenshelf/store"
 	"lichenshelf/storesource"
+	"lichenshelf/zksource"
 )
 
 // shortestSession leaves room for a few touches that come late.
@@ -26,7 +28,9 @@
 	return &cli.Command{
 		Name: "register", Usage: "keep a backend registered in the store until SIGTERM",
 		Flags: []cli.Flag{
-			&cli.StringSliceFlag{Name: "store", Usage: "API `ADDRESS` of a replica; more than one may be given", Required: true},
+			&cli.StringSliceFlag{Name: "store", Usage: "`ADDRESS` of a replica's API or, with --protocol zk, of a server; more than one may be given", Required: true},
+			&cli.StringFlag{Name: "protocol", Value: "http", Usage: "http, the store's API, or zk, that of ZooKeeper"},
+			&cli.StringFlag{Name: "path", Value: storesource.BackendsPath, Usage: "the `NODE` below which to register"},
 			&cli.StringFlag{Name: "name", Usage: "the backend's `NAME`", Required: true},
 			&cli.StringFlag{Name: "addr", Usage: "the backend's `ADDRESS`", Required: true},
 			&cli.IntFlag{Name: "cell", Usage: "its cell"},
@@ -46,9 +50,17 @@
 			}
 			ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 			defer stop()
-			store.NewClient(c.StringSlice("store")...).Register(ctx, storesource.BackendsPath+"/"+c.String("name"), data,
-				c.Duration("timeout"), func(err error) { log.WithError(err).Warn("not registered, trying again") })
-			return nil
+			node := path.Join(c.String("path"), c.String("name"))
+			problem := func(err error) { log.WithError(err).Warn("not registered, trying again") }
+			switch protocol := c.String("protocol"); protocol {
+			case "http":
+				store.NewClient(c.StringSlice("store")...).Register(ctx, node, data, c.Duration("timeout"), problem)
+				return nil
+			case "zk":
+				return zksource.Register(ctx, c.StringSlice("store"), node, data, c.Duration("timeout"), problem)
+			default:
+				return fmt.Errorf("protocol %q is neither http nor zk", protocol)
+			}
 		},
 	}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"lichenshelf/router"
 	"lichenshelf/sources"
 	"lichenshelf/store"
+	"lichenshelf/zkfront"
 )
 
 const (
@@ -56,6 +57,7 @@
 	ctx      context.Context          // ends with the program; what a reload starts runs until then
 	replica  *store.Replica
 	api      *store.API
+	zk       *zkfront.Server // nil: off
 	failed   chan error
 	stopping atomic.Bool
 }
@@ -281,6 +283,19 @@
 		}
 	}()
 	d.log.WithFields(logrus.Fields{"id": cfg.ID, "api": cfg.Self().API}).Info("store open")
+	if cfg.ZooKeeper == "" {
+		return nil
+	}
+	if l, err = net.Listen("tcp", cfg.ZooKeeper); err != nil {
+		return fmt.Errorf("listen for ZooKeeper clients: %w", err)
+	}
+	d.zk = zkfront.New(d.replica, zkfront.Config{Self: cfg.ID, Log: d.log})
+	go func() {
+		if err := d.zk.Serve(l); err != nil {
+			d.failed <- err
+		}
+	}()
+	d.log.WithField("zookeeper", cfg.ZooKeeper).Info("serving ZooKeeper clients")
 	return nil
 }
 
@@ -288,6 +303,9 @@
 	if d.replica == nil {
 		return
 	}
+	if d.zk != nil {
+		d.zk.Close()
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	if err := errors.Join(d.api.Close(ctx), d.replica.Close()); err != nil {
--- a/store/client.go
+++ b/store/client.go
@@ -103,6 +103,51 @@
 	return n, nil
 }
 
+// Create makes a node that stays.
+func (c *Client) Create(path string, data []byte) error {
+	return c.change(fasthttp.MethodPost, nodesPath+path, data)
+}
+
+// Set replaces a node's data if its version matches.
+func (c *Client) Set(path string, data []byte, version int64) error {
+	return c.change(fasthttp.MethodPut, nodesPath+path+"?version="+strconv.FormatInt(version, 10), data)
+}
+
+// Delete removes a node without children if its version matches.
+func (c *Client) Delete(path string, version int64) error {
+	return c.change(fasthttp.MethodDelete, nodesPath+path+"?version="+strconv.FormatInt(version, 10), nil)
+}
+
+func (c *Client) change(method, uri string, body []byte) error {
+	status, answer, err := c.call(method, uri, body)
+	if err == nil && status/100 != 2 {
+		err = fmt.Errorf("status %d: %s", status, answer)
+	}
+	return err
+}
+
+// Next waits until a node is no longer at the given versions, and returns it then;
+// false if the wait was over first. A node that is gone is ErrNoNode.
+func (c *Client) Next(path string, version, children int64, wait time.Duration) (Node, bool, error) {
+	var n Node
+	status, answer, err := c.call(fasthttp.MethodGet, fmt.Sprintf("%s%s?watch=1&version=%d&children=%d&wait_ms=%d",
+		nodesPath, path, version, children, wait.Milliseconds()), nil)
+	switch {
+	case err != nil:
+		return n, false, err
+	case status == fasthttp.StatusNoContent:
+		return n, false, nil
+	case status == fasthttp.StatusNotFound:
+		return n, false, fmt.Errorf("%w: %s", ErrNoNode, path)
+	case status != fasthttp.StatusOK:
+		return n, false, fmt.Errorf("watch %s: status %d: %s", path, status, answer)
+	}
+	if err := json.Unmarshal(answer, &n); err != nil {
+		return n, false, fmt.Errorf("watch %s: %w", path, err)
+	}
+	return n, true, nil
+}
+
 // Register keeps an ephemeral node with the data until ctx ends, over as many
 // sessions as it takes. The node's parent is made if it is missing. What goes
 // wrong meanwhile is told to problem.
--- a/store/config.go
+++ b/store/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 
 	"lichenshelf/conffile"
 )
@@ -9,7 +10,8 @@
 // LoadConfig reads a replica's file. Without an id the store is off.
 func LoadConfig(path string) (*Config, error) {
 	var c Config
-	if _, err := conffile.Read(path, &c); err != nil {
+	file, err := conffile.Read(path, &c)
+	if err != nil {
 		return nil, err
 	}
 	if c.ID == "" {
@@ -18,6 +20,11 @@
 	if _, err := c.self(); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
+	if c.ZooKeeper != "" {
+		if _, _, err := net.SplitHostPort(c.ZooKeeper); err != nil {
+			return nil, file.Bad("zookeeper", c.ZooKeeper, err.Error())
+		}
+	}
 	return &c, nil
 }
 
--- a/store/tree_test.go
+++ b/store/tree_test.go
@@ -184,3 +184,48 @@
 	require.NoError(t, again.tree.endSession(3, "s"))
 	require.Empty(t, again.tree.children("/a"))
 }
+
+// Steps are applied all or none: after one that fails, the tree and its indexes
+// are what they were before the first, and nobody is told of anything.
+func TestStepsThatFailLeaveNothing(t *testing.T) {
+	paths := []string{"/a", "/a/x", "/a/y", "/b", "/b/x", "/a/x/1", "bad"}
+	rapid.Check(t, func(rt *rapid.T) {
+		m := newMachine()
+		m.tree.Sessions["s"], m.tree.Claims["s"] = time.Second, claim{Holder: "h"}
+		step := rapid.Custom(func(rt *rapid.T) Step {
+			return Step{Op: rapid.SampledFrom([]StepOp{StepCreate, StepCreate, StepSet, StepRemove, StepCheck}).Draw(rt, "op"),
+				Path: rapid.SampledFrom(paths).Draw(rt, "path"), Data: []byte(rapid.String().Draw(rt, "data")),
+				Version: int64(rapid.IntRange(-1, 1).Draw(rt, "version")), Ephemeral: rapid.IntRange(0, 3).Draw(rt, "ephemeral") == 0,
+				Sequence: rapid.IntRange(0, 3).Draw(rt, "sequence") == 0}
+		})
+		for index := range uint64(rapid.IntRange(1, 12).Draw(rt, "commands")) {
+			before, err := json.Marshal(m.tree)
+			require.NoError(rt, err)
+			told := len(m.changes)
+			c := command{Session: "s", Claim: &claim{Holder: "h"}, Steps: rapid.SliceOfN(step, 1, 5).Draw(rt, "steps")}
+			r := m.steps(index+1, &c)
+			if r.Err == nil {
+				require.Len(rt, r.Results, len(c.Steps))
+			} else {
+				after, err := json.Marshal(m.tree)
+				require.NoError(rt, err)
+				require.JSONEq(rt, string(before), string(after))
+				require.Len(rt, m.changes, told)
+			}
+			for p := range m.tree.Nodes {
+				require.Equal(rt, scan(m.tree, p), m.tree.children(p))
+			}
+			owned := 0
+			for _, n := range m.tree.Nodes {
+				if n.Stat.Ephemeral != "" {
+					owned++
+				}
+			}
+			require.Len(rt, m.tree.owned["s"], owned)
+		}
+		c := command{Session: "s", Claim: &claim{Holder: "older"}, Steps: []Step{{Op: StepCreate, Path: "/z"}}}
+		require.ErrorIs(rt, m.steps(99, &c).Err, ErrMoved)
+		c.Session = "none"
+		require.ErrorIs(rt, m.steps(99, &c).Err, ErrNoSession)
+	})
+}
