--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -286,12 +286,13 @@
 	if cfg.ZooKeeper == "" {
 		return nil
 	}
-	if l, err = net.Listen("tcp", cfg.ZooKeeper); err != nil {
+	clients, err := net.Listen("tcp", cfg.ZooKeeper)
+	if err != nil {
 		return fmt.Errorf("listen for ZooKeeper clients: %w", err)
 	}
 	d.zk = zkfront.New(d.replica, zkfront.Config{Self: cfg.ID, Log: d.log})
 	go func() {
-		if err := d.zk.Serve(l); err != nil {
+		if err := d.zk.Serve(clients); err != nil {
 			d.failed <- err
 		}
 	}()
--- a/test/zk_test.go
+++ b/test/zk_test.go
@@ -7,6 +7,8 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -113,3 +115,84 @@
 	s.waitReady()
 	s.finish()
 }
+
+// Three routers share a store that speaks ZooKeeper's protocol; one takes its
+// workers from there, and they register over it. The leader is killed meanwhile.
+func TestWorkersRegisterOverZooKeeper(t *testing.T) {
+	a, b := newWorker(t, "a", "model", model), newWorker(t, "b", "model", model)
+	var peers, zkAddrs, apis []string
+	for i := range 3 {
+		apis, zkAddrs = append(apis, freeAddr(t)), append(zkAddrs, freeAddr(t))
+		peers = append(peers, fmt.Sprintf("[[peer]]\nid = \"r%d\"\nraft = %q\napi = %q\n", i, freeAddr(t), apis[i]))
+	}
+	listen, dir := freeAddr(t), t.TempDir()
+	file, sources := filepath.Join(dir, "modelapi.toml"), filepath.Join(dir, "sources.toml")
+	require.NoError(t, os.WriteFile(file, []byte(fmt.Sprintf("listen = %q\n", listen)), 0o600))
+	require.NoError(t, os.WriteFile(sources, []byte(fmt.Sprintf("[[source]]\nname = \"zk\"\nkind = \"zookeeper\"\nservers = [%q, %q, %q]\npath = \"/service/chat\"\nsession = \"4s\"\n",
+		zkAddrs[0], zkAddrs[1], zkAddrs[2])), 0o600))
+	var programs []*program
+	for i := range 3 {
+		own := filepath.Join(dir, fmt.Sprint("store", i, ".toml"))
+		text := fmt.Sprintf("id = \"r%d\"\ndata_dir = %q\nzookeeper = %q\n%s", i, filepath.Join(dir, fmt.Sprint("data", i)), zkAddrs[i], strings.Join(peers, ""))
+		require.NoError(t, os.WriteFile(own, []byte(text), 0o600))
+		args := []string{"serve", "--store", own}
+		if i == 0 {
+			args = append(args, "--modelapi", file, "--sources", sources)
+		}
+		programs = append(programs, start(t, listen, nil, args...))
+	}
+	front := programs[0]
+	register := func(w *worker) *program {
+		return start(t, "", nil, "register", "--protocol", "zk", "--path", "/service/chat", "--name", w.name, "--addr", w.Listener.Addr().String(),
+			"--store", zkAddrs[1], "--store", zkAddrs[2], "--timeout", "2s")
+	}
+	besideA, besideB := register(a), register(b)
+	front.waitReady()
+	eventually(t, func() bool { return slices.Equal(front.set(), []string{"a", "b"}) }, "both are in")
+	client := &api{program: front}
+	require.Equal(t, 200, client.post(embedPath, "", embedBody).status)
+
+	at := func(args ...string) (string, error) {
+		return command(t, append([]string{"store", "--at", apis[0], "--at", apis[1], "--at", apis[2]}, args...)...)
+	}
+	eventually(t, func() bool { // a replica that does not lead may tell a moment later
+		out, err := at("ls", "/service/chat")
+		return err == nil && out == "a\nb\n"
+	}, "both are listed")
+	out, err := at("get", "/service/chat/a")
+	require.NoError(t, err, out)
+	require.Contains(t, out, a.Listener.Addr().String())
+	out, err = at("stat", "/service/chat/a")
+	require.NoError(t, err, out)
+	require.Contains(t, out, `"ephemeral"`)
+	_, err = at("set", "/note", "one")
+	require.NoError(t, err)
+	watching := start(t, "", nil, "store", "--at", apis[1], "watch", "/note")
+	eventually(t, func() bool { return watching.logged(`"data":"one"`) }, "the node")
+	_, err = at("set", "--version", "0", "/note", "two")
+	require.NoError(t, err)
+	eventually(t, func() bool { return watching.logged(`"data":"two"`) }, "its change")
+	_, err = at("set", "--version", "0", "/note", "three")
+	require.Error(t, err, "the version has moved on")
+	_, err = at("rm", "/note")
+	require.NoError(t, err)
+	watching.waitExit()
+	_, err = at("get", "/note")
+	require.Error(t, err)
+	_, err = at("ls")
+	require.Error(t, err)
+
+	// A worker whose registration ends is gone at once; one that is killed, when its
+	// session has timed out; a replica that dies takes nobody along.
+	besideB.signal(syscall.SIGTERM)
+	besideB.waitExit()
+	eventually(t, func() bool { return slices.Equal(front.set(), []string{"a"}) }, "b has gone")
+	programs[1].signal(syscall.SIGKILL)
+	besideB = register(b)
+	eventually(t, func() bool { return slices.Equal(front.set(), []string{"a", "b"}) }, "b is back")
+	require.Equal(t, 200, client.post(embedPath, "", embedBody).status)
+	besideA.signal(syscall.SIGKILL)
+	eventually(t, func() bool { return slices.Equal(front.set(), []string{"b"}) }, "a's session has timed out")
+	besideB.signal(syscall.SIGTERM)
+	besideB.waitExit()
+}
--- a/zksource/register.go
+++ b/zksource/register.go
@@ -24,6 +24,8 @@
 	defer conn.Close() // ends the session, and the node with it
 	again := backoff.NewExponentialBackOff()
 	again.InitialInterval, again.MaxInterval = retryMin, retryMax
+	look := time.NewTicker(timeout / 2) // without a watch: see Source.Run
+	defer look.Stop()
 	for {
 		var retry <-chan time.Time
 		if conn.State() == zk.StateHasSession {
@@ -36,7 +38,8 @@
 		}
 		select {
 		case <-events.more:
-			events.take() // a new session, or the node's end: look again
+			events.take() // a new session, it may be
+		case <-look.C:
 		case <-retry:
 		case <-ctx.Done():
 			return nil
@@ -44,10 +47,9 @@
 	}
 }
 
-// keep sees to it that the node is there, with our data and of our session, and
-// has a watch set on it.
+// keep sees to it that the node is there, with our data and of our session.
 func keep(conn *zk.Conn, node string, data []byte) error {
-	there, stat, _, err := conn.ExistsW(node)
+	there, stat, err := conn.Exists(node)
 	switch {
 	case err != nil:
 		return fmt.Errorf("look at %s: %w", node, err)
