--- a/zkfront/front_test.go
+++ b/zkfront/front_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -26,8 +28,11 @@
 	t     testing.TB
 	peers []store.Peer
 	dirs  []string
+	apis  []string // where the APIs listen: as the peers say, unless something stands before them
 	addrs []string // of the fronts
 	nodes []*member
+	mutes []*mute
+	conns int // that each front takes at most; 0: its default
 }
 
 type member struct {
@@ -36,14 +41,28 @@
 	front   *Server
 }
 
+var given sync.Map // addresses that were handed out
+
+// freeAddr is an address for a server that comes and goes. Its port lies below
+// those that the system gives to clients, or one of them could take it meanwhile.
 func freeAddr(t testing.TB) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	for range 1000 {
+		addr := fmt.Sprintf("127.0.0.1:%d", 12_000+rand.IntN(20_000))
+		if _, taken := given.LoadOrStore(addr, true); taken {
+			continue
+		}
+		if l, err := net.Listen("tcp", addr); err == nil {
+			require.NoError(t, l.Close())
+			return addr
+		}
+	}
+	t.Fatal("no port is free")
+	return ""
 }
 
-func newCluster(t testing.TB) *cluster {
+func newCluster(t testing.TB) *cluster { return newClusterWith(t, func(*cluster) {}) }
+
+func newClusterWith(t testing.TB, prepare func(*cluster)) *cluster {
 	c := &cluster{t: t, nodes: make([]*member, 3)}
 	dir := t.TempDir()
 	for i := range c.nodes {
@@ -51,7 +70,9 @@
 		c.peers = append(c.peers, store.Peer{ID: id, Raft: freeAddr(t), API: freeAddr(t)})
 		c.dirs = append(c.dirs, filepath.Join(dir, id))
 		c.addrs = append(c.addrs, freeAddr(t))
+		c.apis = append(c.apis, c.peers[i].API)
 	}
+	prepare(c)
 	for i := range c.nodes {
 		c.start(i)
 	}
@@ -68,12 +89,12 @@
 	r, err := store.Open(store.Config{ID: c.peers[i].ID, DataDir: c.dirs[i], Peers: c.peers, Pace: 250 * time.Millisecond})
 	require.NoError(c.t, err)
 	m := &member{replica: r, api: store.NewAPI(r)}
-	api, err := net.Listen("tcp", c.peers[i].API)
+	api, err := net.Listen("tcp", c.apis[i])
 	require.NoError(c.t, err)
 	go func() { _ = m.api.Serve(api) }()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	m.front = New(r, Config{Self: c.peers[i].ID, Log: log, TimeoutMin: time.Second, MaxQueue: 512})
+	m.front = New(r, Config{Self: c.peers[i].ID, Log: log, TimeoutMin: time.Second, MaxQueue: 512, MaxConns: c.conns})
 	front, err := net.Listen("tcp", c.addrs[i])
 	require.NoError(c.t, err)
 	go func() { _ = m.front.Serve(front) }()
--- a/zkfront/server.go
+++ b/zkfront/server.go
@@ -91,21 +91,21 @@
 	heard   atomic.Bool // since the session was touched last
 }
 
-// New returns a server for a replica, whose observer it becomes.
+// New returns a server for a replica, whose observer it becomes. It must be closed.
 func New(replica *store.Replica, cfg Config) *Server {
 	cfg.defaults()
 	s := &Server{cfg: cfg, replica: replica, boot: strconv.FormatInt(time.Now().UnixNano(), 36), open: map[*conn]bool{},
 		sessions: map[string]*conn{}, watches: newWatches[*conn]()}
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	replica.Observe(s.observe)
+	s.wg.Add(1)
+	go s.touch()
 	return s
 }
 
 // Serve serves a listener until Close.
 func (s *Server) Serve(l net.Listener) error {
 	defer context.AfterFunc(s.ctx, func() { _ = l.Close() })()
-	s.wg.Add(1)
-	go s.touch()
 	for {
 		c, err := l.Accept()
 		if s.ctx.Err() != nil {
