Describe a worker's registration once, for the store's source and ZooKeeper's

Cause: our own JSON form stood twice, as storesource.Registration and as a struct inside zkrule.parseJSON, each with its own reading. Change: zkrule.Registration is the one description; storesource.Parse calls it and keeps its rule that a weight of 0 stands for none. The wording of an error about malformed JSON is zkrule's in both. A comment on a source's queue says what holds.

--- a/internal/cli/register.go
+++ b/internal/cli/register.go
@@ -16,6 +16,7 @@
 	"lichenshelf/membership"
 	"lichenshelf/store"
 	"lichenshelf/storesource"
+	"lichenshelf/zkrule"
 	"lichenshelf/zksource"
 )
 
@@ -37,7 +38,7 @@
 			&cli.DurationFlag{Name: "timeout", Value: 5 * time.Second, Usage: "how long it may be silent before it counts as gone"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			data, err := json.Marshal(storesource.Registration{Addr: c.String("addr"), Cell: c.Int("cell"),
+			data, err := json.Marshal(zkrule.Registration{Addr: c.String("addr"), Cell: c.Int("cell"),
 				StartedAtMs: time.Now().UnixMilli()})
 			if err != nil {
 				return fmt.Errorf("encode registration: %w", err)
--- a/storesource/source.go
+++ b/storesource/source.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"maps"
@@ -15,6 +14,7 @@
 
 	"lichenshelf/membership"
 	"lichenshelf/store"
+	"lichenshelf/zkrule"
 )
 
 // BackendsPath is where workers register, unless an operator's file says otherwise.
@@ -227,29 +227,11 @@
 	return nil
 }
 
-// Registration is what a worker's node holds, as JSON.
-type Registration struct {
-	Addr     string  `json:"addr"`
-	Cell     int     `json:"cell"`
-	Weight   float64 `json:"weight,omitempty"` // 0: as its fellows
-	Draining bool    `json:"draining"`         // finishes what it has, gets nothing new
-	// StartedAtMs is when it last started, in Unix milliseconds; 0: not known.
-	StartedAtMs int64 `json:"started_at_ms"`
-}
-
-// Parse reads a registration.
+// Parse reads a registration. A weight of 0 stands for none.
 func Parse(name string, data []byte, template membership.Entry) (membership.Entry, error) {
-	e := template
-	r := Registration{Cell: e.Cell}
-	if err := json.Unmarshal(data, &r); err != nil {
-		return e, fmt.Errorf("not the JSON of a worker: %w", err)
-	}
-	e.Name, e.Addr, e.Cell, e.Since = name, r.Addr, r.Cell, r.StartedAtMs*int64(time.Millisecond)
-	if r.Weight != 0 {
-		e.Weight = r.Weight
-	}
-	if r.Draining {
-		e.Word = membership.Draining
+	e, err := zkrule.JSON.Parse(name, data, template)
+	if e.Weight == 0 {
+		e.Weight = template.Weight
 	}
-	return e, e.Check()
+	return e, err
 }
--- a/zkrule/entry.go
+++ b/zkrule/entry.go
@@ -63,24 +63,23 @@
 	return nil
 }
 
+// Registration is the data of our own form, as workers write it, to ZooKeeper-style
+// services and to the store alike.
+type Registration struct {
+	Addr     string  `json:"addr"`
+	Cell     int     `json:"cell"`
+	Weight   float64 `json:"weight,omitempty"`
+	Draining bool    `json:"draining"` // finishes what it has, gets nothing new
+	// StartedAtMs is when it last started, in Unix milliseconds; 0: not known.
+	StartedAtMs int64 `json:"started_at_ms"`
+}
+
 func parseJSON(e *membership.Entry, node string, data []byte) error {
-	v := struct {
-		Addr        string   `json:"addr"`
-		Cell        *int     `json:"cell"`
-		Weight      *float64 `json:"weight"`
-		Draining    bool     `json:"draining"`
-		StartedAtMs int64    `json:"started_at_ms"`
-	}{}
+	v := Registration{Cell: e.Cell, Weight: e.Weight} // which stay where nothing is said
 	if err := decode(data, &v); err != nil {
 		return err
 	}
-	e.Name, e.Addr, e.Since = node, v.Addr, nanos(v.StartedAtMs)
-	if v.Cell != nil {
-		e.Cell = *v.Cell
-	}
-	if v.Weight != nil {
-		e.Weight = *v.Weight
-	}
+	e.Name, e.Addr, e.Cell, e.Weight, e.Since = node, v.Addr, v.Cell, v.Weight, nanos(v.StartedAtMs)
 	if v.Draining {
 		e.Word = membership.Draining
 	}
--- a/zksource/source.go
+++ b/zksource/source.go
@@ -51,7 +51,7 @@
 	events  events
 
 	queue   []string        // paths to read, the first one first
-	queued  map[string]bool // and those that are being read
+	queued  map[string]bool // the same paths, to ask for each once
 	watched map[string]bool // paths whose watch is set and has not fired
 	out     int             // reads that are out
 	told    bool            // the whole list has been reported
