Add the console, workers out by hand kept in TMPDIR, and SO_REUSEPORT for clients

The console is a downstream server of its own with 16 connections at most; the cordon hands suspended workers on as draining and keeps the set in a file that both processes follow.

--- /dev/null
+++ b/console/console.go
@@ -0,0 +1,115 @@
+// Package console is the operators' address: readiness, and workers taken out
+// and put back by hand. It speaks HTTP/1.1 with one call to a connection, over a
+// listener and a server of its own, so that no client's load stands before it.
+package console
+
+import (
+	"errors"
+	"net"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"lichenshelf/cordon"
+	"lichenshelf/downstream"
+	"lichenshelf/router"
+)
+
+// MaxConns bounds the console's connections. Past it the one that is missed
+// least gives way: one that lingers, idles or is slowest to send its call.
+const MaxConns = 16
+
+const (
+	readyPath   = "/v1/readyz"
+	workersPath = "/v1/workers/"
+)
+
+var (
+	errNotReady = errors.New("not ready")
+	errNoPath   = errors.New("no such path")
+)
+
+// Workers is what takes workers out and puts them back.
+type Workers interface {
+	Suspend(name string) error
+	Resume(name string) error
+}
+
+// Console answers operators' calls.
+type Console struct {
+	ready   func() bool
+	workers Workers // nil: no front takes workers by hand
+}
+
+// New returns a console; ready tells whether this process takes clients.
+func New(ready func() bool, workers Workers) *Console {
+	return &Console{ready: ready, workers: workers}
+}
+
+// Server returns the console's server over l.
+func (c *Console) Server(l net.Listener, counters router.Counters) *downstream.Server {
+	return downstream.NewServer(l, downstream.Config{Handler: c.Handle, Problem: Problem,
+		MaxBody: 4 << 10, MaxConns: MaxConns, Counters: counters})
+}
+
+// Problem answers a call with a fault.
+func Problem(ctx *fasthttp.RequestCtx, status int, fault error) {
+	ctx.Response.ResetBody()
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("text/plain; charset=utf-8")
+	ctx.SetBodyString(fault.Error() + "\n")
+}
+
+// Handle answers one call, and closes its connection after.
+func (c *Console) Handle(call *downstream.Call) {
+	call.Response.SetConnectionClose()
+	path, _, _ := strings.Cut(string(call.Request.Header.RequestURI()), "?")
+	switch {
+	case path == readyPath:
+		switch {
+		case !call.Allow(fasthttp.MethodGet):
+		case !c.ready():
+			call.Problem(fasthttp.StatusServiceUnavailable, errNotReady)
+		default:
+			call.SetBodyString("ready\n")
+		}
+	case strings.HasPrefix(path, workersPath):
+		c.worker(call, strings.TrimPrefix(path, workersPath))
+	default:
+		call.Problem(fasthttp.StatusNotFound, errNoPath)
+	}
+}
+
+func (c *Console) worker(call *downstream.Call, rest string) {
+	slash := strings.LastIndexByte(rest, '/')
+	if slash <= 0 {
+		call.Problem(fasthttp.StatusNotFound, errNoPath)
+		return
+	}
+	name, verb := rest[:slash], rest[slash+1:]
+	var do func(string) error
+	switch {
+	case c.workers == nil:
+		call.Problem(fasthttp.StatusNotFound, errNoPath)
+		return
+	case verb == "suspend":
+		do = c.workers.Suspend
+	case verb == "resume":
+		do = c.workers.Resume
+	default:
+		call.Problem(fasthttp.StatusNotFound, errNoPath)
+		return
+	}
+	if !call.Allow(fasthttp.MethodPost) {
+		return
+	}
+	err := do(name)
+	switch {
+	case errors.Is(err, cordon.ErrUnknown):
+		call.Problem(fasthttp.StatusNotFound, err)
+	case err != nil:
+		call.Problem(fasthttp.StatusInternalServerError, err)
+	default:
+		call.SetBodyString(verb + "ed " + name + "\n")
+	}
+}
--- /dev/null
+++ b/cordon/cordon.go
@@ -0,0 +1,265 @@
+// Package cordon takes workers out by hand: it stands between discovery and a
+// core, and hands on a worker that an operator has suspended as draining,
+// whatever discovery says of it, until the operator resumes it. The set of
+// names out by hand is kept in a file, so that the next process, or the other
+// one in an upgrade, finds it.
+package cordon
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"lichenshelf/logic"
+	"lichenshelf/router"
+)
+
+// LookEvery is how often the file is looked at for changes that another process
+// made. The rule binds the other process 1 s after the call at the latest.
+const LookEvery = 100 * time.Millisecond
+
+// ErrUnknown is the answer for a name that no list ever held.
+var ErrUnknown = errors.New("no list ever held this worker")
+
+// Taker is told of the workers: a core, or what stands before it.
+type Taker interface {
+	Discovered(members []router.Member, whole bool)
+}
+
+// Cordon is safe for use from any goroutine.
+type Cordon struct {
+	next Taker
+	path string
+	log  *logrus.Logger
+
+	mu    sync.Mutex
+	last  map[string]router.Member // each worker's last line, as discovery gave it
+	out   map[string]bool          // names out by hand
+	stamp stamp                    // of the file as last read or written
+}
+
+type stamp struct {
+	mod  time.Time
+	size int64
+}
+
+// file is what the file holds.
+type file struct {
+	Suspended []string `json:"suspended"`
+}
+
+// Path is where a router's set is kept: in dir, by the router's name, which
+// stays the same across restarts and upgrades.
+func Path(dir, router string) string {
+	return filepath.Join(dir, "lichenshelf-suspended-"+router+".json")
+}
+
+// New returns a cordon before next that takes up the set kept at path. A file
+// that is not there is an empty set; one that can't be read is an error.
+func New(next Taker, path string, log *logrus.Logger) (*Cordon, error) {
+	c := &Cordon{next: next, path: path, log: log, last: map[string]router.Member{}, out: map[string]bool{}}
+	out, st, err := read(path)
+	if err != nil {
+		return nil, err
+	}
+	c.out, c.stamp = out, st
+	return c, nil
+}
+
+func read(path string) (map[string]bool, stamp, error) {
+	out := map[string]bool{}
+	info, err := os.Stat(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return out, stamp{}, nil
+	}
+	if err != nil {
+		return nil, stamp{}, fmt.Errorf("workers out by hand: %w", err)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, stamp{}, fmt.Errorf("workers out by hand: %w", err)
+	}
+	var f file
+	if err := json.Unmarshal(text, &f); err != nil {
+		return nil, stamp{}, fmt.Errorf("workers out by hand: file %s: %w", path, err)
+	}
+	for _, name := range f.Suspended {
+		out[name] = true
+	}
+	return out, stamp{info.ModTime(), info.Size()}, nil
+}
+
+// Discovered implements Taker: each line is kept, and handed on as draining
+// where its worker is out by hand.
+func (c *Cordon) Discovered(members []router.Member, whole bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	handed := make([]router.Member, len(members))
+	for i, m := range members {
+		c.last[m.Name] = m
+		handed[i] = c.apply(m)
+	}
+	c.next.Discovered(handed, whole)
+}
+
+func (c *Cordon) apply(m router.Member) router.Member {
+	if c.out[m.Name] && m.Health == logic.Ready {
+		m.Health = logic.Draining
+	}
+	return m
+}
+
+// Known tells whether a list ever held the worker.
+func (c *Cordon) Known(name string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, ok := c.last[name]
+	return ok || c.out[name]
+}
+
+// Suspend takes the worker out. Once it returns without an error, nothing new
+// goes to the worker from this process, and the file says so for others.
+// Suspending a worker that is out already changes nothing.
+func (c *Cordon) Suspend(name string) error { return c.set(name, true) }
+
+// Resume puts the worker back, with the line that discovery gave last.
+func (c *Cordon) Resume(name string) error { return c.set(name, false) }
+
+func (c *Cordon) set(name string, out bool) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, ok := c.last[name]; !ok && !c.out[name] {
+		return fmt.Errorf("worker %q: %w", name, ErrUnknown)
+	}
+	// Another process may have changed the file since it was read.
+	if err := c.follow(); err != nil {
+		return err
+	}
+	was := c.out[name]
+	next := maps(c.out)
+	if out {
+		next[name] = true
+	} else {
+		delete(next, name)
+	}
+	if err := c.write(next); err != nil {
+		return err
+	}
+	c.out = next
+	if was != out {
+		c.handOn([]string{name})
+	}
+	return nil
+}
+
+func maps(in map[string]bool) map[string]bool {
+	out := make(map[string]bool, len(in))
+	for k := range in {
+		out[k] = true
+	}
+	return out
+}
+
+// write puts the set in place whole: a reader sees the old file or the new one.
+func (c *Cordon) write(out map[string]bool) error {
+	f := file{Suspended: make([]string, 0, len(out))}
+	for name := range out {
+		f.Suspended = append(f.Suspended, name)
+	}
+	slices.Sort(f.Suspended)
+	text, err := json.Marshal(f)
+	if err != nil {
+		return err
+	}
+	tmp, err := os.CreateTemp(filepath.Dir(c.path), filepath.Base(c.path)+".*")
+	if err != nil {
+		return fmt.Errorf("workers out by hand: %w", err)
+	}
+	_, err = tmp.Write(text)
+	err = errors.Join(err, tmp.Close())
+	if err == nil {
+		err = os.Rename(tmp.Name(), c.path)
+	}
+	if err != nil {
+		_ = os.Remove(tmp.Name())
+		return fmt.Errorf("workers out by hand: file %s: %w", c.path, err)
+	}
+	if info, err := os.Stat(c.path); err == nil {
+		c.stamp = stamp{info.ModTime(), info.Size()}
+	}
+	return nil
+}
+
+// handOn tells the next taker of the workers named, as they stand now.
+func (c *Cordon) handOn(names []string) {
+	var members []router.Member
+	for _, name := range names {
+		if m, ok := c.last[name]; ok && m.Health != logic.Gone {
+			members = append(members, c.apply(m))
+		}
+	}
+	if len(members) > 0 {
+		c.next.Discovered(members, false)
+	}
+}
+
+// follow takes up changes that another process made to the file. c.mu is held.
+func (c *Cordon) follow() error {
+	info, err := os.Stat(c.path)
+	var now stamp
+	switch {
+	case errors.Is(err, os.ErrNotExist):
+	case err != nil:
+		return fmt.Errorf("workers out by hand: %w", err)
+	default:
+		now = stamp{info.ModTime(), info.Size()}
+	}
+	if now == c.stamp {
+		return nil
+	}
+	out, st, err := read(c.path)
+	if err != nil {
+		return err
+	}
+	var changed []string
+	for name := range out {
+		if !c.out[name] {
+			changed = append(changed, name)
+		}
+	}
+	for name := range c.out {
+		if !out[name] {
+			changed = append(changed, name)
+		}
+	}
+	c.out, c.stamp = out, st
+	c.handOn(changed)
+	return nil
+}
+
+// Follow looks at the file every LookEvery until ctx ends.
+func (c *Cordon) Follow(ctx context.Context) {
+	tick := time.NewTicker(LookEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		c.mu.Lock()
+		err := c.follow()
+		c.mu.Unlock()
+		if err != nil {
+			c.log.WithError(err).Warn("workers out by hand not followed")
+		}
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,7 +17,10 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
 
+	"lichenshelf/console"
+	"lichenshelf/cordon"
 	"lichenshelf/downstream"
 	"lichenshelf/logic"
 	"lichenshelf/metrics"
@@ -58,6 +61,8 @@
 	replica  *store.Replica
 	api      *store.API
 	zk       *zkfront.Server // nil: off
+	console  *downstream.Server
+	cordon   *cordon.Cordon // nil without the platform's front
 	failed   chan error
 	stopping atomic.Bool
 }
@@ -172,6 +177,11 @@
 		}
 		taker = ownList{feed}
 	}
+	if d.cordon, err = cordon.New(taker, cordon.Path(os.TempDir(), cfg.Name), d.log); err != nil {
+		return err
+	}
+	go d.cordon.Follow(ctx)
+	taker = d.cordon
 	d.watch = platform.NewWatch(cfg, taker, d.log)
 	if own, ok := taker.(ownList); ok {
 		d.watch.Failed = own.failed
@@ -182,9 +192,31 @@
 		settled := d.watch.Told() || len(cfg.Known.Instances) > 0 && time.Since(started) > settleWait
 		return settled && !d.stopping.Load()
 	}
-	return d.listen(cfg.Listen, core, downstream.Config{Handler: platform.NewFront(cfg, ready).Handle,
+	if err := d.listen(cfg.Listen, core, downstream.Config{Handler: platform.NewFront(cfg, ready).Handle,
 		Problem: platform.Problem, MaxBody: platform.MaxBody,
-		MaxBytes: int64(float64(memory) * bodiesPart), MaxConns: clients})
+		MaxBytes: int64(float64(memory) * bodiesPart), MaxConns: clients}); err != nil {
+		return err
+	}
+	if cfg.Console == "" {
+		return nil
+	}
+	return d.startConsole(cfg.Console, ready)
+}
+
+// startConsole opens the operators' address. It answers until the process ends.
+func (d *daemon) startConsole(addr string, ready func() bool) error {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return fmt.Errorf("listen for the console: %w", err)
+	}
+	d.console = console.New(ready, d.cordon).Server(l, d.counters)
+	go func() {
+		if err := d.console.Serve(); err != nil {
+			d.failed <- err
+		}
+	}()
+	d.log.WithField("console", addr).Info("serving the console")
+	return nil
 }
 
 func (d *daemon) startModelAPI(ctx, starting context.Context) error {
@@ -247,7 +279,8 @@
 }
 
 func (d *daemon) listen(addr string, core *router.Core, cfg downstream.Config) error {
-	l, err := net.Listen("tcp", addr)
+	// A second process may listen beside this one while it takes over.
+	l, err := reusePort.Listen(context.Background(), "tcp", addr)
 	if err != nil {
 		return fmt.Errorf("listen for clients: %w", err)
 	}
@@ -338,3 +371,15 @@
 		d.log.WithError(err).Warn("counters not printed")
 	}
 }
+
+// reusePort listens with SO_REUSEPORT: in an upgrade both processes take clients
+// at the same address, and the kernel deals new connections out between them.
+var reusePort = net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+	var err error
+	if cerr := raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+	}); cerr != nil {
+		return cerr
+	}
+	return err
+}}
