--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -63,6 +63,8 @@
 	zk       *zkfront.Server // nil: off
 	console  *downstream.Server
 	cordon   *cordon.Cordon // nil without the platform's front
+	platform *platform.Front
+	platCore *router.Core // the platform's
 	failed   chan error
 	stopping atomic.Bool
 }
@@ -192,7 +194,8 @@
 		settled := d.watch.Told() || len(cfg.Known.Instances) > 0 && time.Since(started) > settleWait
 		return settled && !d.stopping.Load()
 	}
-	if err := d.listen(cfg.Listen, core, downstream.Config{Handler: platform.NewFront(cfg, ready).Handle,
+	d.platform, d.platCore = platform.NewFront(cfg, ready), core
+	if err := d.listen(cfg.Listen, core, downstream.Config{Handler: d.platform.Handle,
 		Problem: platform.Problem, MaxBody: platform.MaxBody,
 		MaxBytes: int64(float64(memory) * bodiesPart), MaxConns: clients}); err != nil {
 		return err
--- a/internal/daemon/sources.go
+++ b/internal/daemon/sources.go
@@ -5,6 +5,7 @@
 
 	"lichenshelf/membership"
 	"lichenshelf/modelapi"
+	"lichenshelf/platform"
 	"lichenshelf/router"
 	"lichenshelf/sources"
 	"lichenshelf/storesource"
@@ -61,8 +62,16 @@
 // be read leaves things as they are.
 func (d *daemon) reload() {
 	if d.watch != nil {
-		if err := d.watch.Reload(d.files.Platform); err != nil {
-			d.log.WithError(err).Error("configuration not read again, discovery stays as it is")
+		// Checked whole before anything is taken: a file that fails changes nothing.
+		cfg, err := platform.ReadConfig(d.files.Platform)
+		if err == nil {
+			err = d.watch.Move(cfg)
+		}
+		if err != nil {
+			d.log.WithError(err).Error("configuration not read again, discovery and settings stay as they are")
+		} else {
+			d.platCore.Retune(d.platform.Retune(cfg), cfg.Settings.MaxAttempts)
+			d.log.WithField("classes", len(cfg.Settings.Classes)).Info("settings read again")
 		}
 	}
 	if d.files.Sources != "" {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -109,6 +109,17 @@
 	return g
 }
 
+// Retune takes new rules for requests that arrive from now on: the classes, by
+// index, of which those that open requests have keep theirs, and the bound on
+// attempts. Open requests keep the rules they arrived under.
+func (g *Gateway) Retune(classes []Class, maxAttempts int) {
+	g.set.Classes = append(slices.Clone(classes), Class{Aim: time.Second})
+	g.set.MaxAttempts = maxAttempts
+	for _, c := range classes {
+		g.maxWorth = math.Max(g.maxWorth, c.Points)
+	}
+}
+
 // Handle takes what was seen at now and appends what to do to actions.
 func (g *Gateway) Handle(now Time, events []Event, actions []Action) []Action {
 	g.now, g.out = now, actions
@@ -261,6 +272,7 @@
 	r.MaxTokens = finite(q.MaxTokens, 1, 1e6)
 	r.Patience = min(max(q.Patience, 0), time.Hour)
 	r.deadline = g.now + Time(r.Patience)
+	r.most = g.set.MaxAttempts
 	r.Class = min(max(q.Class, 0), len(g.set.Classes)-1)
 	c := g.class(r)
 	r.aim = min(c.Aim+time.Duration(float64(c.AimPer1000)*r.PromptTokens/1000), r.Patience)
@@ -694,7 +706,7 @@
 	}
 	d = max(d, time.Duration(callOffPart*float64(r.aim)))
 	// What must not run twice is not called off once it may run: nothing could be tried after it.
-	last := r.sends >= g.set.MaxAttempts || s.role != RoleRead && g.class(r).Effect == EffectOnce
+	last := r.sends >= r.most || s.role != RoleRead && g.class(r).Effect == EffectOnce
 	if d > left/2 || last {
 		d = left
 	} else if g.set.CancelAllowed {
@@ -810,7 +822,7 @@
 
 // proceed takes a request with no attempt out on: to a writer with its state, or to a reader.
 func (g *Gateway) proceed(r *request) {
-	spent := r.sends >= g.set.MaxAttempts || after(g.now, r.deadline) <= holdMargin
+	spent := r.sends >= r.most || after(g.now, r.deadline) <= holdMargin
 	if spent || r.mayHaveRun && g.class(r).Effect == EffectOnce {
 		g.giveUp(r)
 		return
--- a/logic/state.go
+++ b/logic/state.go
@@ -24,6 +24,7 @@
 type request struct {
 	Request
 	arrived, deadline Time
+	most              int // attempts, by the settings at its arrival
 	aim               time.Duration
 	worth             float64 // 0 to 1: points against the best class, next to nothing past a quota
 	phase             phase
--- a/router/core.go
+++ b/router/core.go
@@ -120,6 +120,24 @@
 	})
 }
 
+// Retuner is a decider whose rules can change while it runs.
+type Retuner interface {
+	Retune(classes []logic.Class, maxAttempts int)
+}
+
+// Retune hands new rules to the decider, if it takes them, for requests that
+// arrive from now on. The bound on attempts of open requests is not lowered.
+func (c *Core) Retune(classes []logic.Class, maxAttempts int) {
+	c.post(func() {
+		if r, ok := c.routing.decider.(Retuner); ok {
+			r.Retune(classes, maxAttempts)
+		}
+		if c.sender.most > 0 {
+			c.sender.most = max(c.sender.most, maxAttempts)
+		}
+	})
+}
+
 // Settle waits, within reason, until what was let go of last has gone out.
 func (c *Core) Settle(ctx context.Context) {
 	select {
