--- a/downstream/listener.go
+++ b/downstream/listener.go
@@ -118,12 +118,14 @@
 }
 
 // closeIdle closes the connections that are between requests. A request that
-// crosses this is sent again by its client, on a new connection.
+// crosses this is sent again by its client, on a new connection; one whose bytes
+// have come already, but that the server has not read yet, is left to be served:
+// closing on it would lose a request that was taken.
 func (l *listener) closeIdle() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.conns {
-		if c.phase == waiting {
+		if c.phase == waiting && !c.pending() {
 			l.drop(c)
 		}
 	}
