--- a/internal/daemon/sources.go
+++ b/internal/daemon/sources.go
@@ -68,7 +68,7 @@
 			err = d.watch.Move(cfg)
 		}
 		if err != nil {
-			d.log.WithError(err).Error("configuration not read again, discovery and settings stay as they are")
+			d.log.WithError(err).Error("configuration not read again, discovery stays as it is, and so do the settings")
 		} else {
 			d.platCore.Retune(d.platform.Retune(cfg), cfg.Settings.MaxAttempts)
 			d.log.WithField("classes", len(cfg.Settings.Classes)).Info("settings read again")
