--- a/console/console.go
+++ b/console/console.go
@@ -48,18 +48,10 @@
 
 // Server returns the console's server over l.
 func (c *Console) Server(l net.Listener, counters router.Counters) *downstream.Server {
-	return downstream.NewServer(l, downstream.Config{Handler: c.Handle, Problem: Problem,
+	return downstream.NewServer(l, downstream.Config{Handler: c.Handle, Problem: downstream.TextProblem,
 		MaxBody: 4 << 10, MaxConns: MaxConns, Counters: counters})
 }
 
-// Problem answers a call with a fault.
-func Problem(ctx *fasthttp.RequestCtx, status int, fault error) {
-	ctx.Response.ResetBody()
-	ctx.SetStatusCode(status)
-	ctx.SetContentType("text/plain; charset=utf-8")
-	ctx.SetBodyString(fault.Error() + "\n")
-}
-
 // Handle answers one call, and closes its connection after.
 func (c *Console) Handle(call *downstream.Call) {
 	call.Response.SetConnectionClose()
--- a/cordon/cordon.go
+++ b/cordon/cordon.go
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
@@ -144,7 +145,7 @@
 		return err
 	}
 	was := c.out[name]
-	next := maps(c.out)
+	next := maps.Clone(c.out)
 	if out {
 		next[name] = true
 	} else {
@@ -160,14 +161,6 @@
 	return nil
 }
 
-func maps(in map[string]bool) map[string]bool {
-	out := make(map[string]bool, len(in))
-	for k := range in {
-		out[k] = true
-	}
-	return out
-}
-
 // write puts the set in place whole: a reader sees the old file or the new one.
 func (c *Cordon) write(out map[string]bool) error {
 	f := file{Suspended: make([]string, 0, len(out))}
--- a/downstream/server.go
+++ b/downstream/server.go
@@ -179,6 +179,15 @@
 	c.Response.SetConnectionClose()
 }
 
+// TextProblem answers a call that is not routed with a status and what is
+// wrong, as plain text: a Config.Problem for fronts that have no form of their own.
+func TextProblem(ctx *fasthttp.RequestCtx, status int, fault error) {
+	ctx.Response.ResetBody()
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("text/plain; charset=utf-8")
+	ctx.SetBodyString(fault.Error() + "\n")
+}
+
 // Problem answers with a status and what is wrong.
 func (c *Call) Problem(status int, fault error) {
 	c.server.cfg.Counters.Add("calls_answered_"+strconv.Itoa(status), 1)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -196,7 +196,7 @@
 	}
 	d.platform, d.platCore = platform.NewFront(cfg, ready), core
 	if err := d.listen(cfg.Listen, core, downstream.Config{Handler: d.platform.Handle,
-		Problem: platform.Problem, MaxBody: platform.MaxBody,
+		Problem: downstream.TextProblem, MaxBody: platform.MaxBody,
 		MaxBytes: int64(float64(memory) * bodiesPart), MaxConns: clients}); err != nil {
 		return err
 	}
