End the old process in an upgrade: steer new connections, empty the queue, close

Cause: Server.Stop waited for 300 ms without a call, which never comes while SO_REUSEPORT deals new connections to both processes, so the old one was killed with requests in hand (lost at SIGTERM + 3.5 s, pinned after it). A new connection keeps a second for its first request.

--- a/downstream/listener.go
+++ b/downstream/listener.go
@@ -35,6 +35,9 @@
 	conns map[*conn]bool
 }
 
+// freshFor is how long a new connection is left open at the end, for its request to come.
+const freshFor = time.Second
+
 // noDescriptor is how long to wait for one where the system has none left.
 const noDescriptor = 5 * time.Millisecond
 
@@ -120,12 +123,13 @@
 // closeIdle closes the connections that are between requests. A request that
 // crosses this is sent again by its client, on a new connection; one whose bytes
 // have come already, but that the server has not read yet, is left to be served:
-// closing on it would lose a request that was taken.
+// closing on it would lose a request that was taken. So is, for a moment, a new
+// connection whose first request may be on its way.
 func (l *listener) closeIdle() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.conns {
-		if c.phase == waiting && !c.pending() {
+		if c.phase == waiting && !c.pending() && (c.used || time.Since(c.since) >= freshFor) {
 			l.drop(c)
 		}
 	}
@@ -140,6 +144,7 @@
 	phase   phase
 	since   time.Time // when the phase began
 	dropped bool      // closed from outside, and to be served no more
+	used    bool      // something has come on it
 
 	lastRead atomic.Int64 // when the latest bytes came, in Unix nanoseconds
 	deadline time.Time    // the server's own
@@ -156,6 +161,7 @@
 	if c.phase != p {
 		c.phase, c.since = p, time.Now()
 	}
+	c.used = c.used || p != waiting
 	return !c.dropped
 }
 
--- a/downstream/server.go
+++ b/downstream/server.go
@@ -22,7 +22,6 @@
 	defaultWait = 10 * time.Second
 	idleWait    = 10 * time.Minute // for a client's next request
 	lingerAfter = 500 * time.Millisecond
-	quietFor    = 300 * time.Millisecond
 	lookEvery   = 20 * time.Millisecond
 )
 
@@ -46,7 +45,6 @@
 	listener *listener
 	stopping atomic.Bool
 	bodies   room
-	lastCall atomic.Int64 // when the latest came, in Unix nanoseconds
 }
 
 // NewServer returns a server for the listener.
@@ -88,22 +86,26 @@
 	return nil
 }
 
-// Stop ends the server in good order: it goes on accepting and serving for a
-// while, since connections and requests are still on their way, then closes idle
-// connections, and the listener once nothing has come for a moment.
+// Stop ends the server in good order. New connections go to another process at the
+// same address from now on, if there is one. For a moment it goes on accepting, since
+// connections are still on their way; then it closes the listener, while nothing
+// waits there, and idle connections, and returns once none is left.
 func (s *Server) Stop(ctx context.Context) error {
 	s.stopping.Store(true)
+	_ = handOver(s.listener.Listener) // without it the kernel deals to both until the close
 	select {
 	case <-time.After(lingerAfter):
 	case <-ctx.Done():
 	}
+	if err := closeEmpty(s.listener.Listener); err != nil {
+		return fmt.Errorf("close listener: %w", err)
+	}
 	tick := time.NewTicker(lookEvery)
 	defer tick.Stop()
 	for {
 		s.listener.closeIdle()
-		since := time.Since(time.Unix(0, s.lastCall.Load()))
-		if s.listener.open() == 0 && since > quietFor {
-			break
+		if s.listener.open() == 0 {
+			return nil
 		}
 		select {
 		case <-tick.C:
@@ -111,14 +113,9 @@
 			return fmt.Errorf("stop with %d connections open: %w", s.listener.open(), ctx.Err())
 		}
 	}
-	if err := s.listener.Close(); err != nil {
-		return fmt.Errorf("close listener: %w", err)
-	}
-	return nil
 }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
-	s.lastCall.Store(time.Now().UnixNano())
 	call := &Call{RequestCtx: ctx, server: s, conn: ctx.Conn().(*conn)}
 	if err := checkHead(&ctx.Request.Header); err != nil {
 		call.Problem(fasthttp.StatusBadRequest, err)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,7 +17,6 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"golang.org/x/sys/unix"
 
 	"lichenshelf/console"
 	"lichenshelf/cordon"
@@ -282,8 +281,7 @@
 }
 
 func (d *daemon) listen(addr string, core *router.Core, cfg downstream.Config) error {
-	// A second process may listen beside this one while it takes over.
-	l, err := reusePort.Listen(context.Background(), "tcp", addr)
+	l, err := downstream.Listen(addr)
 	if err != nil {
 		return fmt.Errorf("listen for clients: %w", err)
 	}
@@ -374,15 +372,3 @@
 		d.log.WithError(err).Warn("counters not printed")
 	}
 }
-
-// reusePort listens with SO_REUSEPORT: in an upgrade both processes take clients
-// at the same address, and the kernel deals new connections out between them.
-var reusePort = net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
-	var err error
-	if cerr := raw.Control(func(fd uintptr) {
-		err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
-	}); cerr != nil {
-		return cerr
-	}
-	return err
-}}
