Give up what is in hand before the platform's kill: move streams, answer the rest

Cause: deadlines here are 6 to 15 s, the kill comes 3.7 s after SIGTERM. Change: logic learns Closing; it moves streams where clients come again, calls off what waits and answers it, and refuses what still comes.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -71,6 +71,7 @@
 type front struct {
 	core   *router.Core
 	server *downstream.Server
+	leave  time.Duration // after SIGTERM, when it gives up what is in hand; 0: it finishes all
 }
 
 // Serve runs until a SIGTERM has been seen through.
@@ -194,7 +195,7 @@
 		return settled && !d.stopping.Load()
 	}
 	d.platform, d.platCore = platform.NewFront(cfg, ready), core
-	if err := d.listen(cfg.Listen, core, downstream.Config{Handler: d.platform.Handle,
+	if err := d.listen(cfg.Listen, core, cfg.LeaveAfter(), downstream.Config{Handler: d.platform.Handle,
 		Problem: downstream.TextProblem, MaxBody: platform.MaxBody,
 		MaxBytes: int64(float64(memory) * bodiesPart), MaxConns: clients}); err != nil {
 		return err
@@ -243,7 +244,7 @@
 		return err
 	}
 	ready := func() bool { return feed.Ready() && !d.stopping.Load() }
-	return d.listen(cfg.Listen, core, downstream.Config{Handler: modelapi.NewFront(cfg, ready).Handle,
+	return d.listen(cfg.Listen, core, 0, downstream.Config{Handler: modelapi.NewFront(cfg, ready).Handle,
 		Problem: modelapi.Problem, MaxBody: cfg.MaxBody,
 		MaxBytes: cfg.MaxBytes, MaxConns: clients})
 }
@@ -280,14 +281,14 @@
 	return core
 }
 
-func (d *daemon) listen(addr string, core *router.Core, cfg downstream.Config) error {
+func (d *daemon) listen(addr string, core *router.Core, leave time.Duration, cfg downstream.Config) error {
 	l, err := downstream.Listen(addr)
 	if err != nil {
 		return fmt.Errorf("listen for clients: %w", err)
 	}
 	cfg.Core, cfg.Counters = core, d.counters
 	server := downstream.NewServer(l, cfg)
-	d.fronts = append(d.fronts, front{core, server})
+	d.fronts = append(d.fronts, front{core, server, leave})
 	go func() {
 		if err := server.Serve(); err != nil {
 			d.failed <- err
@@ -355,6 +356,9 @@
 	for _, f := range d.fronts {
 		d.log.WithField("open", f.core.Open()).Info("stopping: finishing what is in hand")
 		go func() {
+			if f.leave > 0 {
+				defer time.AfterFunc(f.leave, f.core.Close).Stop()
+			}
 			err := f.server.Stop(ctx)
 			f.core.Settle(ctx)
 			ends <- err
--- a/logic/api.go
+++ b/logic/api.go
@@ -89,6 +89,7 @@
 	WarmWithin     time.Duration
 	FallMultiple   float64 // of present capacity, for FallAfter: a cold server falls over
 	FallAfter      time.Duration
+	Resume         bool          // a client comes again for the rest of a stream that broke
 	ReleaseWithin  time.Duration // a held state must be used or released within this
 }
 
@@ -140,6 +141,7 @@
 	AttemptEnded                    // ID, Server, Latency, Status, Closed, Kept, Stale, Load
 	ClientLeft                      // ID
 	TimerFired                      // Token
+	Closing                         // the instance is about to end
 )
 
 // Request is a prompt as it arrives.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -3,6 +3,7 @@
 package logic
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -141,6 +142,8 @@
 			}
 		case TimerFired:
 			g.timer(RequestID(e.Token))
+		case Closing:
+			g.close()
 		}
 	}
 	g.sweep()
@@ -822,7 +825,7 @@
 
 // proceed takes a request with no attempt out on: to a writer with its state, or to a reader.
 func (g *Gateway) proceed(r *request) {
-	spent := r.sends >= r.most || after(g.now, r.deadline) <= holdMargin
+	spent := g.closing || r.sends >= r.most || after(g.now, r.deadline) <= holdMargin
 	if spent || r.mayHaveRun && g.class(r).Effect == EffectOnce {
 		g.giveUp(r)
 		return
@@ -924,6 +927,25 @@
 	g.drop(r)
 }
 
+// close ends what is in hand before the instance ends: answers that have begun move, where their clients
+// come again for the rest, and requests that wait for one are called off and answered.
+func (g *Gateway) close() {
+	g.closing = true
+	for _, id := range slices.Sorted(maps.Keys(g.requests)) {
+		switch r := g.requests[id]; {
+		case r.closed:
+		case r.phase == streaming && g.set.Resume:
+			g.do(Action{Kind: Move, ID: id})
+		case r.phase == streaming:
+		case r.out:
+			r.called = true
+			g.do(Action{Kind: CallOff, ID: id, Attempt: r.sends - 1})
+		default:
+			g.giveUp(r)
+		}
+	}
+}
+
 // drop forgets a request that has ended, once nothing of it is out, and lets go of what is held for it.
 func (g *Gateway) drop(r *request) {
 	if r.out {
--- a/logic/state.go
+++ b/logic/state.go
@@ -177,4 +177,5 @@
 	warming         bool // some usable server is not warm yet
 	reports         bool // servers report their memory
 	surveyed, swept Time
+	closing         bool // the instance is about to end
 }
--- a/router/core.go
+++ b/router/core.go
@@ -138,6 +138,12 @@
 	})
 }
 
+// Close tells the decisions that the process is about to end: what is in hand gets
+// its final answer now, or is moved. Requests that still come are given up at once.
+func (c *Core) Close() {
+	c.post(func() { c.routing.push(logic.Event{Kind: logic.Closing}) })
+}
+
 // Settle waits, within reason, until what was let go of last has gone out.
 func (c *Core) Settle(ctx context.Context) {
 	select {
--- a/wire/settings.go
+++ b/wire/settings.go
@@ -145,6 +145,7 @@
 		Gateways:       p.count("balancers", math.MaxInt32),
 		Zone:           p.count("my-zone", math.MaxInt32),
 		WritersRead:    p.values["extra.read-in-place"] == "true",
+		Resume:         p.values["extra.resume"] == "true",
 		CancelAllowed:  p.flag("bounds.cancel"),
 		RetryAfter:     p.flag("bounds.retry-after"),
 		MaxRetryAfter:  time.Duration(p.optional("bounds.max-retry-after-ns")),
