Ignore a torn file of workers out by hand; name an empty file; tests of the handover

Change: such a file is logged once with its path and the set in hand stays; the next call writes it whole. `serve` without a file names the flags that start a front.

--- a/console/console.go
+++ b/console/console.go
@@ -80,14 +80,15 @@
 	}
 	name, verb := rest[:slash], rest[slash+1:]
 	var do func(string) error
+	var done string
 	switch {
 	case c.workers == nil:
 		call.Problem(fasthttp.StatusNotFound, errNoPath)
 		return
 	case verb == "suspend":
-		do = c.workers.Suspend
+		do, done = c.workers.Suspend, "suspended"
 	case verb == "resume":
-		do = c.workers.Resume
+		do, done = c.workers.Resume, "resumed"
 	default:
 		call.Problem(fasthttp.StatusNotFound, errNoPath)
 		return
@@ -102,6 +103,6 @@
 	case err != nil:
 		call.Problem(fasthttp.StatusInternalServerError, err)
 	default:
-		call.SetBodyString(verb + "ed " + name + "\n")
+		call.SetBodyString(done + " " + name + "\n")
 	}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -138,7 +138,8 @@
 		}
 	}
 	if len(d.fronts) == 0 && d.replica == nil {
-		return errors.New("nothing to serve: no configuration of the platform, and neither the model API nor the store is on")
+		return errors.New("nothing to serve: --config FILE (or ROUTER_CONFIG) starts the platform's front, " +
+			"--modelapi FILE with listen set the model API, --store FILE with id set the store")
 	}
 	return nil
 }
@@ -179,9 +180,7 @@
 		}
 		taker = ownList{feed}
 	}
-	if d.cordon, err = cordon.New(taker, cordon.Path(os.TempDir(), cfg.Name), d.log); err != nil {
-		return err
-	}
+	d.cordon = cordon.New(taker, cordon.Path(os.TempDir(), cfg.Name), d.log)
 	go d.cordon.Follow(ctx)
 	taker = d.cordon
 	d.watch = platform.NewWatch(cfg, taker, d.log)
--- a/logic/guards_test.go
+++ b/logic/guards_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -537,3 +538,52 @@
 		}
 	}
 }
+
+// Before an instance ends, each request in hand gets its answer by the rules of its
+// class, and an answer that has begun moves only where its client comes again.
+func TestClosingEndsWhatIsInHand(t *testing.T) {
+	const safe, once = 0, 1
+	for _, c := range []struct {
+		name   string
+		class  int
+		until  string // what it waits for
+		resume bool
+		want   []ActionKind // at Closing, then at the end of what was called off
+	}{
+		{"a read has no effect", once, "read", true, []ActionKind{CallOff, Release, Refuse}},
+		{"may be repeated", safe, "write", true, []ActionKind{CallOff, Refuse, Release}},
+		{"must not run twice", once, "write", true, []ActionKind{CallOff, Fail, Release}},
+		{"its client comes again", safe, "stream", true, []ActionKind{Move}},
+		{"its client does not", safe, "stream", false, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t, reader(1, 0), writer(2, 0))
+			r.g.set.Resume = c.resume
+			r.g.set.Classes[once].Effect = EffectOnce
+			id, acts := r.arrive(Request{Class: c.class})
+			r.wantSend(acts, 1)
+			if c.until != "read" {
+				r.wantSend(r.end(id, 1, PromptRead, 0), 2)
+			}
+			if c.until == "stream" {
+				r.start(id, 2)
+			}
+			var got []ActionKind
+			note := func(acts []Action) {
+				for _, a := range acts {
+					got = append(got, a.Kind)
+				}
+			}
+			note(r.g.Handle(r.now, []Event{{Kind: Closing}}, nil))
+			if slices.Contains(got, CallOff) {
+				note(r.end(id, r.g.requests[id].server.Server, Cancelled, 0))
+			}
+			if !slices.Equal(got, c.want) {
+				t.Fatalf("actions %v, want %v", got, c.want)
+			}
+			if _, acts = r.arrive(Request{}); find(acts, Refuse) == nil {
+				t.Fatalf("actions %+v for what still comes, want a refusal", acts)
+			}
+		})
+	}
+}
