--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -40,6 +40,7 @@
 	settleWait     = time.Second // for discovery's first word, where workers are known already
 	storeLook      = 10 * time.Millisecond
 	storeWait      = 30 * time.Second
+	movesPart      = 6                // of the time until all is given up, the last, in which streams move
 	takeModelAPI   = 30 * time.Second // after SIGTERM, while clients come
 )
 
@@ -359,7 +360,8 @@
 		d.log.WithField("open", f.core.Open()).Info("stopping: finishing what is in hand")
 		go func() {
 			if f.leave > 0 {
-				defer time.AfterFunc(f.leave/2, func() { f.core.Close(f.leave - f.leave/2) }).Stop()
+				moves := f.leave / movesPart
+				defer time.AfterFunc(f.leave-moves, func() { f.core.Close(moves) }).Stop()
 				defer time.AfterFunc(f.leave, func() { f.core.Close(0) }).Stop()
 			}
 			err := f.server.Stop(ctx, f.take)
