--- a/logic/guards_test.go
+++ b/logic/guards_test.go
@@ -603,3 +603,19 @@
 		})
 	}
 }
+
+// A worker that restarts while it is out by hand is listed as draining with its new
+// start. Put back, it keeps nothing of what the old process had.
+func TestARestartWhileDrainingVoidsWhatWasKept(t *testing.T) {
+	r := newRig(t, reader(1, 0), writer(2, 0))
+	id, _ := r.arrive(Request{Session: 5})
+	r.end(id, 1, PromptRead, 0)
+	for _, h := range []Health{Draining, Ready} {
+		m := reader(1, 0)
+		m.Weight, m.Health, m.Since = 1, h, r.now
+		r.g.Handle(r.now, []Event{{Kind: ServersChanged, Members: []Member{m}}}, nil)
+	}
+	if kept := r.g.byID[1].kept; len(kept) != 0 {
+		t.Fatalf("%d entries kept past the restart", len(kept))
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -170,7 +170,7 @@
 			s = &server{Member: m, kept: map[Key]entry{}}
 			g.byID[m.Server] = s
 			g.servers = append(g.servers, s)
-		} else if m.Since != s.Since && m.Health == Ready {
+		} else if m.Since != s.Since && m.Health != Gone {
 			// A restarted process keeps nothing, and what was held against the old one is void.
 			s.kept, s.ghost, s.fails, s.shunned = map[Key]entry{}, fading{}, 0, 0
 			s.slow, s.load = fading{}, Load{}
