--- a/downstream/handover_test.go
+++ b/downstream/handover_test.go
@@ -114,3 +114,31 @@
 	_, err = (<-accepted).Write([]byte("x"))
 	require.NoError(t, err)
 }
+
+// A request that never becomes whole must not keep a process from leaving.
+func TestDropUnreadEndsAStopBesideHalfARequest(t *testing.T) {
+	s, l := beside(t, "127.0.0.1:0", func(http.ResponseWriter, *http.Request) {})
+	half, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	defer half.Close()
+	_, err = half.Write([]byte("POST / HTTP/1.1\r\nContent-Le"))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool {
+		s.listener.mu.Lock()
+		defer s.listener.mu.Unlock()
+		for c := range s.listener.conns {
+			return c.phase == reading
+		}
+		return false
+	}, 10*time.Second, time.Millisecond)
+	ended := make(chan error, 1)
+	go func() { ended <- s.Stop(context.Background(), 0) }()
+	_, err = l.Accept() // until the listener is closed
+	for err == nil {
+		_, err = l.Accept()
+	}
+	s.DropUnread()
+	require.NoError(t, <-ended)
+	_, err = half.Read(make([]byte, 1))
+	require.Error(t, err)
+}
--- a/downstream/server.go
+++ b/downstream/server.go
@@ -121,6 +121,18 @@
 	}
 }
 
+// DropUnread closes all connections but those with a whole request in hand, for a
+// process that must leave: half a request would keep Stop waiting until its deadline.
+func (s *Server) DropUnread() {
+	s.listener.mu.Lock()
+	defer s.listener.mu.Unlock()
+	for c := range s.listener.conns {
+		if c.phase != serving {
+			s.listener.drop(c)
+		}
+	}
+}
+
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	call := &Call{RequestCtx: ctx, server: s, conn: ctx.Conn().(*conn)}
 	if err := checkHead(&ctx.Request.Header); err != nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -40,8 +40,9 @@
 	settleWait     = time.Second // for discovery's first word, where workers are known already
 	storeLook      = 10 * time.Millisecond
 	storeWait      = 30 * time.Second
-	movesPart      = 6                // of the time until all is given up, the last, in which streams move
-	takeModelAPI   = 30 * time.Second // after SIGTERM, while clients come
+	movesPart      = 6                      // of the time until all is given up, the last, in which streams move
+	dropAfter      = 300 * time.Millisecond // all was given up, connections with half a request are closed
+	takeModelAPI   = 30 * time.Second       // after SIGTERM, while clients come
 )
 
 // Files are what the router was given to read; an empty path is not used.
@@ -363,6 +364,7 @@
 				moves := f.leave / movesPart
 				defer time.AfterFunc(f.leave-moves, func() { f.core.Close(moves) }).Stop()
 				defer time.AfterFunc(f.leave, func() { f.core.Close(0) }).Stop()
+				defer time.AfterFunc(f.leave+dropAfter, f.server.DropUnread).Stop()
 			}
 			err := f.server.Stop(ctx, f.take)
 			f.core.Settle(ctx)
