--- a/console/console.go
+++ b/console/console.go
@@ -24,10 +24,7 @@
 	workersPath = "/v1/workers/"
 )
 
-var (
-	errNotReady = errors.New("not ready")
-	errNoPath   = errors.New("no such path")
-)
+var errNoPath = errors.New("no such path")
 
 // Workers is what takes workers out and puts them back.
 type Workers interface {
@@ -58,13 +55,7 @@
 	path, _, _ := strings.Cut(string(call.Request.Header.RequestURI()), "?")
 	switch {
 	case path == readyPath:
-		switch {
-		case !call.Allow(fasthttp.MethodGet):
-		case !c.ready():
-			call.Problem(fasthttp.StatusServiceUnavailable, errNotReady)
-		default:
-			call.SetBodyString("ready\n")
-		}
+		call.Ready(c.ready)
 	case strings.HasPrefix(path, workersPath):
 		c.worker(call, strings.TrimPrefix(path, workersPath))
 	default:
--- a/downstream/server.go
+++ b/downstream/server.go
@@ -219,6 +219,19 @@
 	return false
 }
 
+var errNotReady = errors.New("not ready")
+
+// Ready answers a call that asks whether this process takes clients, as plain text.
+func (c *Call) Ready(ready func() bool) {
+	switch {
+	case !c.Allow(fasthttp.MethodGet):
+	case !ready():
+		c.Problem(fasthttp.StatusServiceUnavailable, errNotReady)
+	default:
+		c.SetBodyString("ready\n")
+	}
+}
+
 // Answer is how a routed request ended: Body is set if it is being answered.
 type Answer struct {
 	Body       router.Answer
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -63,8 +63,7 @@
 	replica  *store.Replica
 	api      *store.API
 	zk       *zkfront.Server // nil: off
-	console  *downstream.Server
-	cordon   *cordon.Cordon // nil without the platform's front
+	cordon   *cordon.Cordon  // nil without the platform's front
 	platform *platform.Front
 	platCore *router.Core // the platform's
 	failed   chan error
@@ -215,9 +214,9 @@
 	if err != nil {
 		return fmt.Errorf("listen for the console: %w", err)
 	}
-	d.console = console.New(ready, d.cordon).Server(l, d.counters)
+	server := console.New(ready, d.cordon).Server(l, d.counters)
 	go func() {
-		if err := d.console.Serve(); err != nil {
+		if err := server.Serve(); err != nil {
 			d.failed <- err
 		}
 	}()
--- a/test/upgrade_test.go
+++ b/test/upgrade_test.go
@@ -20,8 +20,7 @@
 }
 
 // An upgrade under load: what the old process has in hand it finishes, clients that
-// come meanwhile are all served, what an operator took out stays out, and a torn file
-// of such workers does not keep a third process from starting.
+// come meanwhile are all served, and what an operator took out stays out.
 func TestUpgradeHandsOverWithRequestsInFlight(t *testing.T) {
 	more := make(chan struct{})
 	goOn := sync.OnceFunc(func() { close(more) })
