Let a writer's reported room end a remembered wait, and keep waits for room out of the pace

After a jam at the writers (a deploy that leaves few, an overload) a router refused all for 3 to 5 s more: the wait of its last first tokens fades with 2 s, and with no sends nothing newer comes. The same wait stood in the pace of fetching too (0.006 to 0.18 s for 1,000 tokens) and so counted twice. Where a writer reports room for the request, remembered waits count nothing. A first token of a writer that reports no room teaches no pace. Without reports both are as before. The type pace moved to state.go, where state is.

--- a/logic/deployments_test.go
+++ b/logic/deployments_test.go
@@ -87,3 +87,63 @@
 		}
 	}
 }
+
+// A jam at the writers is over as soon as one reports room. What was waited for before it would keep all
+// requests out for seconds more, and with no sends nothing new would be learnt; without reports it must count.
+func TestReportedRoomEndsARememberedWait(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		load    Load
+		refused bool
+	}{
+		{"no reports", Load{}, true},
+		{"full", Load{HasMemory: true, MemoryShare: 0.97}, true},
+		{"room, but not for this one", Load{HasMemory: true, MemoryShare: roomShare - 0.01}, true},
+		{"room", Load{HasMemory: true, MemoryShare: 0.4}, false},
+	} {
+		r := newRig(t, reader(1, 0), writer(3, 0))
+		var ids []RequestID
+		for range 10 { // four seconds at the writer each
+			id, acts := r.arrive(Request{PromptTokens: 300, Patience: 30 * time.Second})
+			r.wantSend(acts, 1)
+			r.end(id, 1, PromptRead, 0)
+			ids = append(ids, id)
+		}
+		r.wait(4 * time.Second)
+		for _, id := range ids {
+			r.g.Handle(r.now, []Event{{Kind: AnswerStarted, ID: id, Server: 3, Latency: 4 * time.Second}}, nil)
+			r.g.Handle(r.now, []Event{{Kind: AttemptEnded, ID: id, Server: 3, Status: Served, Load: tc.load}}, nil)
+		}
+		r.wait(surveyEvery)
+		_, acts := r.arrive(Request{Class: 0, PromptTokens: 3000, Patience: 30 * time.Second})
+		if got := find(acts, Refuse) != nil; got != tc.refused {
+			t.Errorf("%s: refused %v", tc.name, got)
+		}
+	}
+}
+
+// Waits for room, which are told from a writer's report, do not pass for the pace of fetching.
+func TestWaitForReportedRoomIsNoPace(t *testing.T) {
+	r := newRig(t, reader(1, 0), writer(3, 0))
+	fetch := func(share float64, took time.Duration) {
+		id, acts := r.arrive(Request{Patience: 30 * time.Second})
+		r.wantSend(acts, 1)
+		r.end(id, 1, PromptRead, 0)
+		r.wait(took)
+		r.g.now = r.now
+		r.g.tell(r.g.byID[3], Load{HasMemory: true, MemoryShare: share})
+		r.g.Handle(r.now, []Event{{Kind: AnswerStarted, ID: id, Server: 3, Latency: took}}, nil)
+		r.end(id, 3, Served, 0)
+		r.wait(2 * time.Minute)
+	}
+	for range 50 {
+		fetch(0.3, 20*time.Millisecond)
+	}
+	usual := r.g.fetch.seconds(2000)
+	for range 50 {
+		fetch(1, 3*time.Second)
+	}
+	if got := r.g.fetch.seconds(2000); got > 1.1*usual {
+		t.Errorf("after waits for room a fetch seems to take %.3f s, before them %.3f", got, usual)
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -61,14 +61,6 @@
 	f.add(now, over, a*(x-f.value(now, over)))
 }
 
-// pace is the usual speed of a kind: tokens and seconds, slowly averaged, and how far single times stray.
-type pace struct {
-	n                    int
-	tok, sec, ratio, dev float64
-}
-
-func (p *pace) seconds(tok float64) float64 { return p.sec / p.tok * tok }
-
 // unusual is the time that hardly any attempt takes.
 func (p *pace) unusual(tok float64) float64 { return p.seconds(tok) * (p.ratio + strayTimes*p.dev) }
 
@@ -231,7 +223,7 @@
 	var tokens, memory [3]float64
 	streams, servers := 1.0, 1.0
 	for i := range g.pools {
-		g.pools[i].n, g.pools[i].warm, g.pools[i].warmth = 0, 0, 0
+		g.pools[i].n, g.pools[i].warm, g.pools[i].warmth, g.pools[i].roomiest = 0, 0, 0, nil
 	}
 	for _, s := range g.servers {
 		if p := &g.pools[s.role]; s.usable() {
@@ -241,6 +233,9 @@
 				p.warm++
 			}
 			p.warmth += (w - p.warmth) / float64(p.n)
+			if g.reports && (p.roomiest == nil || g.share(s) < g.share(p.roomiest)) {
+				p.roomiest = s
+			}
 			tokens[s.role] += s.tokens
 			memory[s.role] += s.memory
 			streams += float64(s.streams)
@@ -315,20 +310,25 @@
 	return true
 }
 
-// hopeless tells whether even the best reader's backlog eats up the aim. Work that waits behind more than
-// its aim is read for nobody, and a fleet that reads only for nobody never comes back: so what would
-// wait too long is refused, the less worthy the earlier. So is what would not be read and fetched in the
-// time that its client has left.
+// hopeless tells whether even the best reader's backlog eats up the aim. A fleet that reads only what is late
+// by then, for nobody, never comes back: so what would wait too long is refused, the less worthy the earlier,
+// and so is what would not be read and fetched in the time that its client has left.
 func (g *Gateway) hopeless(r *request, s *server) bool {
 	told := g.blind * g.trust(s, unreadFade) * s.load.UnreadToken
 	wait := g.readSeconds(s, g.pending(s)+told) + g.waitAt(s.role)
 	need := g.readSeconds(s, g.missing(r, s)+baseTokens)
+	// A wait may hide in what is usual by now, but first tokens come late for it.
+	late := g.delay.value(g.now, g.waitSpan())
 	if s.role == RoleRead {
-		wait += g.waitAt(RoleWrite)
 		need += g.fetch.seconds(r.PromptTokens + baseTokens)
+		// Where a writer reports room, waits of before are over; remembered, they would keep all out for long.
+		if w := g.pools[RoleWrite].roomiest; w != nil && g.share(w)+r.memory/w.memory < roomShare {
+			late = 0
+		} else {
+			wait += g.waitAt(RoleWrite)
+		}
 	}
-	// Nor does a wait show where it is hidden in what is usual by now, but first tokens come late for it.
-	wait = math.Max(wait, g.delay.value(g.now, g.waitSpan()))
+	wait = math.Max(wait, late)
 	r.need = need
 	worth := r.worth
 	if r.Resumed {
@@ -769,7 +769,9 @@
 	if r.reader != nil || g.peers > 0 {
 		g.waited(s.role, sec-want)
 	}
-	p.observe(tok, sec)
+	if r.reader == nil || !g.reports || g.share(s) < roomShare { // a wait for room is no pace
+		p.observe(tok, sec)
+	}
 }
 
 // unanswered takes an attempt without an outcome of its own for one that took so long at least.
--- a/logic/state.go
+++ b/logic/state.go
@@ -88,15 +88,24 @@
 
 func (f *fading) add(now Time, over time.Duration, x float64) { f.v, f.at = f.value(now, over)+x, now }
 
+// pace is the usual speed of a kind: tokens and seconds, slowly averaged, and how far single times stray.
+type pace struct {
+	n                    int
+	tok, sec, ratio, dev float64
+}
+
+func (p *pace) seconds(tok float64) float64 { return p.sec / p.tok * tok }
+
 // pool is what is known of all usable servers of one role together.
 type pool struct {
-	n, warm int
-	warmth  float64 // mean
-	reports int
-	share   float64 // mean part of the memory held, by reports or by own tokens and as many of each peer
-	unread  fading  // mean of the reported read loads
-	wait    fading  // seconds that requests wait there beyond the usual
-	good    fading  // good outcomes of this gateway a warm server: what cold budgets go by
+	n, warm  int
+	warmth   float64 // mean
+	reports  int
+	share    float64 // mean part of the memory held, by reports or by own tokens and as many of each peer
+	unread   fading  // mean of the reported read loads
+	wait     fading  // seconds that requests wait there beyond the usual
+	roomiest *server // of the usable ones by their reports; nil without any
+	good     fading  // good outcomes of this gateway a warm server: what cold budgets go by
 }
 
 // home is where the prompts of a prefix meet when all gateways hash alike.
