Count remembered waits the less, the more of their memory writers report free

Between half of what counts as full and full, remembered waits count in proportion, in place of a step at full.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -317,18 +317,16 @@
 	told := g.blind * g.trust(s, unreadFade) * s.load.UnreadToken
 	wait := g.readSeconds(s, g.pending(s)+told) + g.waitAt(s.role)
 	need := g.readSeconds(s, g.missing(r, s)+baseTokens)
-	// A wait may hide in what is usual by now, but first tokens come late for it.
-	late := g.delay.value(g.now, g.waitSpan())
+	full := 1.0 // where a writer reports room, waits of before are over; remembered, they would keep all out for long
 	if s.role == RoleRead {
 		need += g.fetch.seconds(r.PromptTokens + baseTokens)
-		// Where a writer reports room, waits of before are over; remembered, they would keep all out for long.
-		if w := g.pools[RoleWrite].roomiest; w != nil && g.share(w)+r.memory/w.memory < roomShare {
-			late = 0
-		} else {
-			wait += g.waitAt(RoleWrite)
+		if w := g.pools[RoleWrite].roomiest; w != nil {
+			full = finite(2*(g.share(w)+r.memory/w.memory)/roomShare-1, 0, 1)
 		}
+		wait += full * g.waitAt(RoleWrite)
 	}
-	wait = math.Max(wait, late)
+	// Nor does a wait show where it is hidden in what is usual by now, but first tokens come late for it.
+	wait = math.Max(wait, full*g.delay.value(g.now, g.waitSpan()))
 	r.need = need
 	worth := r.worth
 	if r.Resumed {
