--- a/logic/logic.go
+++ b/logic/logic.go
@@ -317,7 +317,7 @@
 	told := g.blind * g.trust(s, unreadFade) * s.load.UnreadToken
 	wait := g.readSeconds(s, g.pending(s)+told) + g.waitAt(s.role)
 	need := g.readSeconds(s, g.missing(r, s)+baseTokens)
-	full := 1.0 // where a writer reports room, waits of before are over; remembered, they would keep all out for long
+	full := 1.0 // where a writer reports room, waits of before are over; remembered, they would keep all out
 	if s.role == RoleRead {
 		need += g.fetch.seconds(r.PromptTokens + baseTokens)
 		if w := g.pools[RoleWrite].roomiest; w != nil {
