Read workers' load reports on sockets; keep a read's timer from calling off the write

(2) A read's timer stayed armed after the read. When it fired, the write that followed had been out for moments, its writer not heard of since, and so it was called off, also of a class that must not run twice, which then failed. Ruled out: clients that left (the final answer was ours), time-outs of the write (their budget is all that is left). Change. upstream reads a report from the head of any answer and from the last comment line of a stream that ended whole; wire.Columns says by the settings what its fields mean. The decisions hear of a head's report with the answer's start. A send disarms r.check.

--- a/logic/api.go
+++ b/logic/api.go
@@ -137,7 +137,7 @@
 const (
 	ServersChanged EventKind = iota // Members, Whole
 	Arrived                         // Request
-	AnswerStarted                   // ID, Server, Latency
+	AnswerStarted                   // ID, Server, Latency, Load
 	AttemptEnded                    // ID, Server, Latency, Status, Closed, Kept, Stale, Load
 	ClientLeft                      // ID
 	TimerFired                      // Token
--- a/logic/guards_test.go
+++ b/logic/guards_test.go
@@ -516,6 +516,26 @@
 	}
 }
 
+// A timer set for the read has nothing to say of the write that follows it: a writer that has been silent for
+// a moment has not had its time yet.
+func TestTimerOfTheReadDoesNotCallOffTheWrite(t *testing.T) {
+	for class := range 2 {
+		r := newRig(t, reader(1, 0), writer(3, 0))
+		id, acts := r.arrive(Request{Class: class})
+		read := find(acts, SetTimer)
+		if read == nil {
+			t.Fatalf("class %d: the read is not looked at again", class)
+		}
+		r.wait(read.After - time.Millisecond)
+		r.wantSend(r.end(id, 1, PromptRead, 0), 3)
+		r.wait(time.Millisecond)
+		acts = r.g.Handle(r.now, []Event{{Kind: TimerFired, Token: read.Token}}, nil)
+		if find(acts, CallOff) != nil {
+			t.Errorf("class %d: the write is called off 1 ms after it was sent", class)
+		}
+	}
+}
+
 // What waits at two readers goes with their weights, where weights count.
 func TestWeightsShareTheTraffic(t *testing.T) {
 	for weights, want := range map[bool]float64{false: 0.5, true: 0.75} {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -701,7 +701,7 @@
 		s.quiet = g.now
 	}
 	s.waiting++
-	r.out, r.called, r.server, r.sentAt = true, false, s, g.now
+	r.out, r.called, r.server, r.sentAt, r.check = true, false, s, g.now, math.MaxInt64
 	r.sends++
 	g.do(Action{Kind: Send, ID: r.ID, Server: s.Server, After: g.budget(r, s)})
 }
@@ -744,6 +744,7 @@
 		return
 	}
 	r.settle()
+	g.tell(r.server, e.Load)
 	g.learn(r, r.server, e.Latency)
 	r.phase = streaming
 	g.delay.average(g.now, g.waitSpan(), math.Max(0, after(r.arrived, g.now).Seconds()-r.need), 0.02)
--- a/router/api.go
+++ b/router/api.go
@@ -48,13 +48,17 @@
 	Head() any
 	// Kept is the number of prompt tokens found kept, known after io.EOF.
 	Kept() uint32
+	// Load is the worker's latest report: that of the answer's head until io.EOF,
+	// then that of its end, if it has one. Only the goroutine that reads may call it.
+	Load() logic.Load
 }
 
 // Outcome is how an attempt ended.
 type Outcome struct {
 	Status logic.Status
 	Kept   uint32
-	Stale  bool // a reset of a connection that had been kept: it says nothing of the worker
+	Load   logic.Load // the worker's report, if one came along
+	Stale  bool       // a reset of a connection that had been kept: it says nothing of the worker
 }
 
 // Sink takes what becomes of an attempt: Started or Ended, once. Any goroutine
--- a/router/core_test.go
+++ b/router/core_test.go
@@ -59,9 +59,10 @@
 
 type text struct{ io.Reader }
 
-func (text) Close() error { return nil }
-func (text) Head() any    { return nil }
-func (text) Kept() uint32 { return 7 }
+func (text) Close() error     { return nil }
+func (text) Head() any        { return nil }
+func (text) Kept() uint32     { return 7 }
+func (text) Load() logic.Load { return logic.Load{} }
 
 func run(t *testing.T, d decide, w *wires) (*Core, *metrics.Set) {
 	counters := &metrics.Set{}
--- a/router/relay.go
+++ b/router/relay.go
@@ -19,7 +19,7 @@
 	ex := a.ex
 	ex.answered, ex.closed = true, true
 	r.core.routing.push(logic.Event{Kind: logic.AnswerStarted, ID: ex.ID, Attempt: a.number, Server: a.server,
-		Latency: time.Since(a.sentAt)})
+		Latency: time.Since(a.sentAt), Load: answer.Load()})
 	r.core.book.note(ex, "answering")
 	ex.Payload = nil // a stream may last, and its request's message has been sent
 	ex.client.Stream(&relayed{Answer: answer, attempt: a})
@@ -38,7 +38,7 @@
 	switch {
 	case err == nil:
 	case err == io.EOF:
-		r.finish(Outcome{Status: logic.Served, Kept: r.Kept()})
+		r.finish(Outcome{Status: logic.Served, Kept: r.Kept(), Load: r.Load()})
 	default:
 		r.finish(Outcome{Status: logic.ConnectionReset})
 	}
--- a/router/send.go
+++ b/router/send.go
@@ -106,7 +106,7 @@
 		"outcome": statusNames[o.Status], "kept": o.Kept, "prompt": a.ex.PromptTokens,
 		"ms": time.Since(a.sentAt).Milliseconds()}).Debug("attempt ended")
 	s.core.routing.push(logic.Event{Kind: logic.AttemptEnded, ID: a.ex.ID, Attempt: a.number, Server: a.server,
-		Latency: time.Since(a.sentAt), Status: o.Status, Closed: a.ex.closed, Kept: o.Kept, Stale: o.Stale})
+		Latency: time.Since(a.sentAt), Status: o.Status, Closed: a.ex.closed, Kept: o.Kept, Load: o.Load, Stale: o.Stale})
 }
 
 // callOff gives up an attempt whose answer has not begun.
--- a/upstream/body.go
+++ b/upstream/body.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"lichenshelf/logic"
 )
 
 var errTooLarge = errors.New("answer too large")
@@ -21,11 +23,12 @@
 	stream  io.Reader // nil for a status that has no body
 	first   []byte    // read ahead, to see that the answer has begun
 	tail    []byte    // its latest bytes, which tell what was found kept
+	load    logic.Load
 	stall   time.Duration
 	err     error
 }
 
-// tailSize holds the event that tells the use of the prompt, and the end mark.
+// tailSize holds the event that tells the use of the prompt, the end mark and a report.
 const tailSize = 512
 
 // errNoEnd is for a body neither counted nor chunked: whole can't be told from broken.
@@ -33,6 +36,7 @@
 
 func newBody(x *attempt, c *conn, head *fasthttp.ResponseHeader) (*body, error) {
 	b := &body{attempt: x, conn: c, head: head, stall: x.client.cfg.StreamStall}
+	b.load = x.client.report(b.load, head.Peek(x.client.cfg.LoadHeader))
 	size := head.ContentLength()
 	switch {
 	case head.StatusCode() == fasthttp.StatusNoContent || head.StatusCode() == fasthttp.StatusNotModified:
@@ -102,6 +106,7 @@
 	b.tail = b.tail[max(0, len(b.tail)-tailSize):]
 	switch {
 	case err == io.EOF:
+		b.load = b.attempt.client.report(b.load, commentIn(b.tail, b.attempt.client.cfg.LoadHeader))
 		b.finish()
 	case err != nil:
 		_ = b.conn.Close()
@@ -143,6 +148,9 @@
 // Kept implements router.Answer.
 func (b *body) Kept() uint32 { return CachedTokens(b.tail) }
 
+// Load implements router.Answer.
+func (b *body) Load() logic.Load { return b.load }
+
 // whole reads an answer to its end.
 func (b *body) whole(most int) ([]byte, error) {
 	text, err := io.ReadAll(io.LimitReader(readerFunc(b.read), int64(most)+1))
@@ -163,6 +171,7 @@
 type buffered struct {
 	rest []byte
 	head Head
+	load logic.Load
 }
 
 func (b *buffered) Read(p []byte) (int, error) {
@@ -180,6 +189,8 @@
 
 func (b *buffered) Kept() uint32 { return 0 }
 
+func (b *buffered) Load() logic.Load { return b.load }
+
 // CachedTokens finds the last count of prompt tokens found kept in an answer; 0
 // if there is none.
 func CachedTokens(text []byte) uint32 {
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -44,6 +44,11 @@
 	// Final tells which other statuses are answers for the client, as a 200 is.
 	// It may be nil.
 	Final func(status int) bool
+	// LoadHeader names the header of answers that holds a worker's load report. At the
+	// end of a stream the report is a comment line of the same form. Empty: none is read.
+	LoadHeader string
+	// Report reads one; a report that can't be read is counted and counts for nothing.
+	Report func(text string) (logic.Load, error)
 	// Judge maps all that is no answer to its outcome.
 	Judge    func(status int, header *fasthttp.ResponseHeader, body []byte) router.Outcome
 	Counters router.Counters
@@ -157,9 +162,11 @@
 	case err != nil:
 		x.broken(c)
 	case head.StatusCode() == fasthttp.StatusOK, x.client.cfg.Final != nil && x.client.cfg.Final(head.StatusCode()):
-		x.sink.Started(&buffered{whole, headOf(head, len(whole))})
+		x.sink.Started(&buffered{whole, headOf(head, len(whole)), body.load})
 	default:
-		x.sink.Ended(x.client.cfg.Judge(head.StatusCode(), head, whole))
+		o := x.client.cfg.Judge(head.StatusCode(), head, whole)
+		o.Load = body.load
+		x.sink.Ended(o)
 	}
 }
 
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -207,7 +207,7 @@
 }
 
 // gauge reads a load report by the columns that the settings name.
-func (c *cursor) gauge(cols columns) logic.Load {
+func (c *cursor) gauge(cols Columns) logic.Load {
 	n := int(c.u8())
 	var l logic.Load
 	for i := range n {
@@ -215,17 +215,12 @@
 		if math.IsNaN(v) || math.IsInf(v, 0) || i >= len(cols) {
 			continue
 		}
-		switch cols[i] {
-		case columnMemory:
-			l.HasMemory, l.MemoryShare = true, v
-		case columnUnread:
-			l.HasUnread, l.UnreadToken = true, v*1000
-		}
+		cols.take(&l, i, v)
 	}
 	return l
 }
 
-func (c *cursor) attemptEnd(cols columns) logic.Event {
+func (c *cursor) attemptEnd(cols Columns) logic.Event {
 	e := logic.Event{Kind: logic.AttemptEnded}
 	e.ID = logic.RequestID(c.u64())
 	e.Attempt = int(c.u16())
--- a/wire/host.go
+++ b/wire/host.go
@@ -13,7 +13,7 @@
 // instance is one gateway hosted here; instances share nothing.
 type instance struct {
 	decider logic.Decider
-	columns columns
+	columns Columns
 	events  []logic.Event // of the batch in hand
 	queued  bool          // already in the batch's order
 }
@@ -178,7 +178,7 @@
 	if c.err != nil {
 		return c.err
 	}
-	settings, cols, err := parseSettings(string(text))
+	settings, cols, err := ParseSettings(string(text))
 	if err != nil {
 		return fmt.Errorf("instance %d: %w", who, err)
 	}
--- a/wire/settings.go
+++ b/wire/settings.go
@@ -10,17 +10,6 @@
 	"lichenshelf/logic"
 )
 
-// column is the meaning of one value of a load report.
-type column uint8
-
-const (
-	columnOther column = iota
-	columnMemory
-	columnUnread
-)
-
-type columns []column
-
 // parser looks settings up by path and remembers the first fault.
 type parser struct {
 	values map[string]string
@@ -126,15 +115,9 @@
 
 const mostItems = 4096
 
-// ParseSettings turns settings in the wire's form, path=value lines, into typed ones.
-func ParseSettings(text string) (logic.Settings, error) {
-	s, _, err := parseSettings(text)
-	return s, err
-}
-
-// parseSettings turns the wire's settings text into typed settings. Unknown
-// keys are skipped.
-func parseSettings(text string) (logic.Settings, columns, error) {
+// ParseSettings turns settings in the wire's form, path=value lines, into typed
+// ones, and says what the fields of load reports mean. Unknown keys are skipped.
+func ParseSettings(text string) (logic.Settings, Columns, error) {
 	p := &parser{values: map[string]string{}}
 	for _, line := range strings.Split(text, "\n") {
 		if k, v, ok := strings.Cut(strings.TrimSuffix(line, "\r"), "="); ok {
@@ -223,21 +206,3 @@
 	}
 	return out
 }
-
-// columns says which report values this package can translate.
-func (p *parser) columns() columns {
-	meaning := func(text string) column {
-		switch {
-		case strings.HasPrefix(text, "share_of_memory"):
-			return columnMemory
-		case strings.HasPrefix(text, "thousands_of_prompt_tokens"):
-			return columnUnread
-		}
-		return columnOther
-	}
-	var out columns
-	for _, name := range p.list("load-info.columns") {
-		out = append(out, meaning(p.values["extra.report-"+name]))
-	}
-	return out
-}
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -41,7 +41,7 @@
 unknown.key=skipped`
 
 func TestParseSettings(t *testing.T) {
-	s, cols, err := parseSettings(settingsText)
+	s, cols, err := ParseSettings(settingsText)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -51,7 +51,7 @@
 		s.Kinds[0].MemoryTokens != 250000 || s.Tenants[0].QuotaPerSecond != 10 || s.FallMultiple != 2.5 {
 		t.Errorf("settings misread: %+v", s)
 	}
-	if len(cols) != 3 || cols[0] != columnOther || cols[1] != columnUnread || cols[2] != columnMemory {
+	if len(cols) != 3 || cols[0].Meaning != Other || cols[1].Meaning != Unread || cols[2].Meaning != Memory {
 		t.Errorf("columns misread: %v", cols)
 	}
 	for _, tc := range []struct{ name, old, new, want string }{
@@ -62,7 +62,7 @@
 		{"huge count", "categories.count=1", "categories.count=1e12", "categories.count is malformed"},
 		{"short list", "kind-memory-tokens=250000,130000", "kind-memory-tokens=1", "kind-memory-tokens is malformed"},
 	} {
-		_, _, err := parseSettings(strings.Replace(settingsText, tc.old, tc.new, 1))
+		_, _, err := ParseSettings(strings.Replace(settingsText, tc.old, tc.new, 1))
 		if err == nil || !strings.Contains(err.Error(), tc.want) {
 			t.Errorf("%s: error %v, want %q", tc.name, err, tc.want)
 		}
