Say what the settings hold and what is odd in them; take starts in the future for now

An operator who brings a new deployment could not see what the router makes of its settings: check-config said how many classes there are. A worker whose clock is ahead would have stayed cold until that clock came round. A start in the future counts from when it was heard of; heard again it is no restart.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -107,6 +107,16 @@
 			c.Discovery, len(c.Settings.Classes), len(c.Known.Instances)); err != nil {
 			return err
 		}
+		for _, line := range c.Describe() {
+			if err := say("  %s", line); err != nil {
+				return err
+			}
+		}
+		for _, doubt := range daemon.Doubts(c) {
+			if err := say("  warning: %s", doubt); err != nil {
+				return err
+			}
+		}
 	}
 	if o.ModelAPI != "" {
 		c, err := modelapi.LoadConfig(o.ModelAPI)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -147,6 +147,22 @@
 	return nil
 }
 
+// Doubts names what is legal in the platform's file but can hardly be meant, with
+// key and value and what the router does about it.
+func Doubts(cfg *platform.Config) []string {
+	out := cfg.Doubts()
+	if cfg.Sockets <= 2*spareSockets {
+		out = append(out, fmt.Sprintf("limits.sockets is %d: too few to work with or not stated, counted as %d", cfg.Sockets, defaultSockets))
+	}
+	if cfg.MemoryMB <= 0 {
+		out = append(out, fmt.Sprintf("limits.memory_mb is %d: not stated, memory is not bounded", cfg.MemoryMB))
+	}
+	if cfg.Cores <= 0 {
+		out = append(out, fmt.Sprintf("limits.cores is %g: not stated, all cores are used", cfg.Cores))
+	}
+	return out
+}
+
 // shares divides the sockets that a front may hold between workers and clients.
 func shares(sockets int) (workers, clients int) {
 	if sockets <= 2*spareSockets {
@@ -161,6 +177,9 @@
 	if err != nil {
 		return err
 	}
+	for _, doubt := range Doubts(cfg) {
+		d.log.Warn(doubt)
+	}
 	memory := int64(cfg.MemoryMB) << 20
 	if memory > 0 {
 		debug.SetMemoryLimit(int64(float64(memory) * memoryPart))
--- a/logic/deployments_test.go
+++ b/logic/deployments_test.go
@@ -147,3 +147,27 @@
 		t.Errorf("after waits for room a fetch seems to take %.3f s, before them %.3f", got, usual)
 	}
 }
+
+// A server whose clock is ahead is cold from when it was heard of, and warm in time; hearing the same start
+// again is no restart.
+func TestStartInTheFuture(t *testing.T) {
+	for _, ahead := range []time.Duration{time.Second, 24 * time.Hour, 1 << 62} {
+		r := newRig(t, reader(1, 0), writer(3, 0))
+		m := reader(2, 0)
+		m.Since = r.now + min(Time(ahead), 1<<62)
+		tell := func() {
+			r.g.Handle(r.now, []Event{{Kind: ServersChanged, Members: []Member{m}}}, nil)
+		}
+		tell()
+		if w := r.g.warmth(r.g.byID[2]); w != r.g.set.ColdShare {
+			t.Errorf("%v ahead: warmth %.2f at first, want %.2f", ahead, w, r.g.set.ColdShare)
+		}
+		r.g.byID[2].kept[7] = entry{1000, r.now}
+		r.wait(r.g.set.WarmWithin)
+		tell()
+		r.g.now = r.now
+		if w := r.g.warmth(r.g.byID[2]); w != 1 || len(r.g.byID[2].kept) == 0 {
+			t.Errorf("%v ahead: warmth %.2f once it must be warm, %d texts kept", ahead, w, len(r.g.byID[2].kept))
+		}
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -159,13 +159,13 @@
 			if m.Health == Gone {
 				continue
 			}
-			s = &server{Member: m, kept: map[Key]entry{}}
+			s = &server{Member: m, kept: map[Key]entry{}, began: min(m.Since, g.now)}
 			g.byID[m.Server] = s
 			g.servers = append(g.servers, s)
 		} else if m.Since != s.Since && m.Health != Gone {
 			// A restarted process keeps nothing, and what was held against the old one is void.
 			s.kept, s.ghost, s.fails, s.shunned = map[Key]entry{}, fading{}, 0, 0
-			s.slow, s.load = fading{}, Load{}
+			s.slow, s.load, s.began = fading{}, Load{}, min(m.Since, g.now)
 		}
 		m.Kind = min(m.Kind, len(g.set.Kinds)-1)
 		kind := g.set.Kinds[m.Kind]
@@ -615,7 +615,7 @@
 
 // warmth is the least part of its capacity that a fresh server may have by now.
 func (g *Gateway) warmth(s *server) float64 {
-	age := after(s.Since, g.now)
+	age := after(s.began, g.now)
 	if s.Since == 0 || age >= g.set.WarmWithin {
 		return 1
 	}
--- a/logic/state.go
+++ b/logic/state.go
@@ -59,6 +59,7 @@
 	memory        float64
 	pull          float64 // its part of what peers send, against an average server
 	press         float64 // load of the writers of its cell, against the mean, if all states stay near
+	began         Time    // its latest start, or when it was heard of if its clock is ahead
 	listed        bool
 	kept          map[Key]entry
 	unread        float64 // prompt tokens sent and not yet read
--- a/test/cli_test.go
+++ b/test/cli_test.go
@@ -4,6 +4,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -26,6 +27,16 @@
 	out, err = command(t, "check-config", "--config", good)
 	require.NoError(t, err, out)
 	require.Contains(t, out, "2 classes")
+	require.Contains(t, out, "kind mixed: reads and writes")
+	require.Contains(t, out, "load reports: none")
+	require.NotContains(t, out, "warning:")
+	odd := filepath.Join(t.TempDir(), "odd.json")
+	text, err := os.ReadFile(good)
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(odd, []byte(strings.Replace(string(text), `"sockets":1024`, `"sockets":10`, 1)), 0o600))
+	out, err = command(t, "check-config", "--config", odd)
+	require.NoError(t, err, out)
+	require.Contains(t, out, "warning: limits.sockets is 10")
 	require.Contains(t, out, "model API: off")
 	require.Contains(t, out, "store: off")
 
