Group the root by concern: discovery/ and front/; nothing but moves

Need. 23 packages stood flat at the root, so that a reader could not see what decides, what talks to whom, what is kept. Change. dnsrule, dnssrv, zkwire, zkrule, zksource, storesource, sources and membership go below discovery/; platform, modelapi, console and zkfront below front/.

--- a/dnssrv/exchange.go
+++ b/discovery/dnssrv/exchange.go
@@ -15,7 +15,7 @@
 
 	"github.com/miekg/dns"
 
-	"lichenshelf/dnsrule"
+	"lichenshelf/discovery/dnsrule"
 )
 
 // exchange puts one question to one name server, over UDP and, if the answer is
--- a/dnssrv/resolver.go
+++ b/discovery/dnssrv/resolver.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"lichenshelf/dnsrule"
+	"lichenshelf/discovery/dnsrule"
 )
 
 // Config is how a name is followed. All fields must be set.
--- a/dnssrv/source.go
+++ b/discovery/dnssrv/source.go
@@ -6,8 +6,8 @@
 	"math/rand/v2"
 	"time"
 
-	"lichenshelf/dnsrule"
-	"lichenshelf/membership"
+	"lichenshelf/discovery/dnsrule"
+	"lichenshelf/discovery/membership"
 )
 
 // Sink takes what a source has to say.
--- a/dnssrv/source_test.go
+++ b/discovery/dnssrv/source_test.go
@@ -14,9 +14,9 @@
 	mdns "github.com/miekg/dns"
 	"github.com/stretchr/testify/require"
 
-	"lichenshelf/dnsrule"
+	"lichenshelf/discovery/dnsrule"
+	"lichenshelf/discovery/membership"
 	"lichenshelf/internal/standin/dns"
-	"lichenshelf/membership"
 )
 
 const service = "_chat._tcp.test."
--- a/sources/config.go
+++ b/discovery/sources/config.go
@@ -13,12 +13,12 @@
 	"github.com/miekg/dns"
 
 	"lichenshelf/conffile"
-	"lichenshelf/dnsrule"
-	"lichenshelf/dnssrv"
-	"lichenshelf/membership"
-	"lichenshelf/storesource"
-	"lichenshelf/zkrule"
-	"lichenshelf/zksource"
+	"lichenshelf/discovery/dnsrule"
+	"lichenshelf/discovery/dnssrv"
+	"lichenshelf/discovery/membership"
+	"lichenshelf/discovery/storesource"
+	"lichenshelf/discovery/zkrule"
+	"lichenshelf/discovery/zksource"
 )
 
 // The kinds of source.
--- a/sources/config_test.go
+++ b/discovery/sources/config_test.go
@@ -75,7 +75,7 @@
 	require.True(t, c.Takes(Platform))
 	require.Equal(t, 30*time.Second, c.Sources[0].EmptyOver.Duration, "DNS is not believed at once")
 	require.Zero(t, c.Sources[2].EmptyTimes)
-	shipped, err := LoadConfig("../deploy/sources.toml")
+	shipped, err := LoadConfig("../../deploy/sources.toml")
 	require.NoError(t, err)
 	require.Empty(t, shipped.Sources)
 }
--- a/sources/feed.go
+++ b/discovery/sources/feed.go
@@ -11,13 +11,13 @@
 
 	"github.com/sirupsen/logrus"
 
-	"lichenshelf/dnssrv"
+	"lichenshelf/discovery/dnssrv"
+	"lichenshelf/discovery/membership"
+	"lichenshelf/discovery/storesource"
+	"lichenshelf/discovery/zksource"
 	"lichenshelf/logic"
-	"lichenshelf/membership"
 	"lichenshelf/router"
 	"lichenshelf/store"
-	"lichenshelf/storesource"
-	"lichenshelf/zksource"
 )
 
 // Core is who is told of the workers; router.Core is one.
--- a/sources/feed_test.go
+++ b/discovery/sources/feed_test.go
@@ -13,8 +13,8 @@
 	"github.com/stretchr/testify/require"
 
 	"lichenshelf/conffile"
+	"lichenshelf/discovery/membership"
 	"lichenshelf/logic"
-	"lichenshelf/membership"
 	"lichenshelf/router"
 )
 
--- a/storesource/source.go
+++ b/discovery/storesource/source.go
@@ -12,9 +12,9 @@
 
 	"github.com/cenkalti/backoff/v5"
 
-	"lichenshelf/membership"
+	"lichenshelf/discovery/membership"
+	"lichenshelf/discovery/zkrule"
 	"lichenshelf/store"
-	"lichenshelf/zkrule"
 )
 
 // BackendsPath is where workers register, unless an operator's file says otherwise.
--- a/storesource/source_test.go
+++ b/discovery/storesource/source_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"lichenshelf/membership"
+	"lichenshelf/discovery/membership"
 	"lichenshelf/store"
 )
 
--- a/zkrule/entry.go
+++ b/discovery/zkrule/entry.go
@@ -11,7 +11,7 @@
 	"strconv"
 	"time"
 
-	"lichenshelf/membership"
+	"lichenshelf/discovery/membership"
 )
 
 // Format is the form of a node's data.
--- a/zkrule/tracker.go
+++ b/discovery/zkrule/tracker.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"lichenshelf/membership"
+	"lichenshelf/discovery/membership"
 )
 
 // Stat is what the service tells of a node.
--- a/zkrule/zkrule_test.go
+++ b/discovery/zkrule/zkrule_test.go
@@ -9,7 +9,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"lichenshelf/membership"
+	"lichenshelf/discovery/membership"
 )
 
 var (
--- a/zksource/bench_test.go
+++ b/discovery/zksource/bench_test.go
@@ -6,9 +6,9 @@
 	"testing"
 	"time"
 
+	"lichenshelf/discovery/membership"
+	"lichenshelf/discovery/zkrule"
 	"lichenshelf/internal/standin/zk"
-	"lichenshelf/membership"
-	"lichenshelf/zkrule"
 )
 
 // drained is a sink that tells when it has heard of a worker's end.
--- a/zksource/source.go
+++ b/discovery/zksource/source.go
@@ -16,8 +16,8 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/go-zookeeper/zk"
 
-	"lichenshelf/membership"
-	"lichenshelf/zkrule"
+	"lichenshelf/discovery/membership"
+	"lichenshelf/discovery/zkrule"
 )
 
 // Config is how a path is followed. All fields must be set.
--- a/zksource/source_test.go
+++ b/discovery/zksource/source_test.go
@@ -12,10 +12,10 @@
 
 	"github.com/stretchr/testify/require"
 
+	"lichenshelf/discovery/membership"
+	"lichenshelf/discovery/zkrule"
+	"lichenshelf/discovery/zkwire"
 	"lichenshelf/internal/standin/zk"
-	"lichenshelf/membership"
-	"lichenshelf/zkrule"
-	"lichenshelf/zkwire"
 )
 
 // heard keeps the set that the reports lead to, and all that was told.
--- a/modelapi/config.go
+++ b/front/modelapi/config.go
@@ -11,8 +11,8 @@
 	"github.com/BurntSushi/toml"
 
 	"lichenshelf/conffile"
+	"lichenshelf/discovery/membership"
 	"lichenshelf/logic"
-	"lichenshelf/membership"
 )
 
 // Config is the second front's file.
--- a/modelapi/request_test.go
+++ b/front/modelapi/request_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"lichenshelf/membership"
+	"lichenshelf/discovery/membership"
 )
 
 // A batch is one request, and weighs all that the model has to read for it.
@@ -54,7 +54,7 @@
 }
 
 func TestShippedFileIsOffAndHoldsTheDefaults(t *testing.T) {
-	c, err := LoadConfig("../deploy/modelapi.toml")
+	c, err := LoadConfig("../../deploy/modelapi.toml")
 	require.NoError(t, err)
 	require.Empty(t, c.Listen)
 	want := defaults()
--- a/zkfront/bench_test.go
+++ b/front/zkfront/bench_test.go
@@ -10,7 +10,7 @@
 	"github.com/go-zookeeper/zk"
 	"github.com/stretchr/testify/require"
 
-	"lichenshelf/zkwire"
+	"lichenshelf/discovery/zkwire"
 )
 
 // BenchmarkCreate is creates a second on three replicas, by 64 sessions at all of
--- a/zkfront/calls.go
+++ b/front/zkfront/calls.go
@@ -5,8 +5,8 @@
 	"errors"
 	"fmt"
 
+	"lichenshelf/discovery/zkwire"
 	"lichenshelf/store"
-	"lichenshelf/zkwire"
 )
 
 // call answers one call. An error ends the connection, as when the outcome of a
--- a/zkfront/front_test.go
+++ b/front/zkfront/front_test.go
@@ -17,8 +17,8 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
+	"lichenshelf/discovery/zkwire"
 	"lichenshelf/store"
-	"lichenshelf/zkwire"
 )
 
 const patient = 30 * time.Second
--- a/zkfront/hard_test.go
+++ b/front/zkfront/hard_test.go
@@ -13,8 +13,8 @@
 	"github.com/go-zookeeper/zk"
 	"github.com/stretchr/testify/require"
 
+	"lichenshelf/discovery/zkwire"
 	"lichenshelf/store"
-	"lichenshelf/zkwire"
 )
 
 // mute stands before a replica's API and, on command, hands calls on but not
--- a/zkfront/server.go
+++ b/front/zkfront/server.go
@@ -14,8 +14,8 @@
 
 	"github.com/sirupsen/logrus"
 
+	"lichenshelf/discovery/zkwire"
 	"lichenshelf/store"
-	"lichenshelf/zkwire"
 )
 
 // Config is a front's. Zero values take the defaults.
--- a/zkfront/watches.go
+++ b/front/zkfront/watches.go
@@ -9,8 +9,8 @@
 package zkfront
 
 import (
+	"lichenshelf/discovery/zkwire"
 	"lichenshelf/store"
-	"lichenshelf/zkwire"
 )
 
 // kind is a kind of watch. Reads of data and of existence set one kind: both tell
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -13,10 +13,10 @@
 	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
 
+	"lichenshelf/discovery/sources"
+	"lichenshelf/front/modelapi"
+	"lichenshelf/front/platform"
 	"lichenshelf/internal/daemon"
-	"lichenshelf/modelapi"
-	"lichenshelf/platform"
-	"lichenshelf/sources"
 	"lichenshelf/store"
 )
 
--- a/internal/cli/members.go
+++ b/internal/cli/members.go
@@ -14,9 +14,9 @@
 	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
 
+	"lichenshelf/discovery/membership"
+	"lichenshelf/discovery/sources"
 	"lichenshelf/internal/daemon"
-	"lichenshelf/membership"
-	"lichenshelf/sources"
 )
 
 // gather is how long changes are gathered before they are shown.
--- a/internal/cli/register.go
+++ b/internal/cli/register.go
@@ -13,11 +13,11 @@
 	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
 
-	"lichenshelf/membership"
+	"lichenshelf/discovery/membership"
+	"lichenshelf/discovery/storesource"
+	"lichenshelf/discovery/zkrule"
+	"lichenshelf/discovery/zksource"
 	"lichenshelf/store"
-	"lichenshelf/storesource"
-	"lichenshelf/zkrule"
-	"lichenshelf/zksource"
 )
 
 // shortestSession leaves room for a few touches that come late.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,17 +18,17 @@
 
 	"github.com/sirupsen/logrus"
 
-	"lichenshelf/console"
 	"lichenshelf/cordon"
+	"lichenshelf/discovery/sources"
 	"lichenshelf/downstream"
+	"lichenshelf/front/console"
+	"lichenshelf/front/modelapi"
+	"lichenshelf/front/platform"
+	"lichenshelf/front/zkfront"
 	"lichenshelf/logic"
 	"lichenshelf/metrics"
-	"lichenshelf/modelapi"
-	"lichenshelf/platform"
 	"lichenshelf/router"
-	"lichenshelf/sources"
 	"lichenshelf/store"
-	"lichenshelf/zkfront"
 )
 
 const (
--- a/internal/daemon/look.go
+++ b/internal/daemon/look.go
@@ -7,10 +7,10 @@
 
 	"github.com/sirupsen/logrus"
 
-	"lichenshelf/modelapi"
-	"lichenshelf/platform"
+	"lichenshelf/discovery/sources"
+	"lichenshelf/front/modelapi"
+	"lichenshelf/front/platform"
 	"lichenshelf/router"
-	"lichenshelf/sources"
 	"lichenshelf/store"
 )
 
--- a/internal/daemon/sources.go
+++ b/internal/daemon/sources.go
@@ -3,12 +3,12 @@
 import (
 	"fmt"
 
-	"lichenshelf/membership"
-	"lichenshelf/modelapi"
-	"lichenshelf/platform"
+	"lichenshelf/discovery/membership"
+	"lichenshelf/discovery/sources"
+	"lichenshelf/discovery/storesource"
+	"lichenshelf/front/modelapi"
+	"lichenshelf/front/platform"
 	"lichenshelf/router"
-	"lichenshelf/sources"
-	"lichenshelf/storesource"
 )
 
 // feed starts the sources of a front, between them and its core.
--- a/internal/standin/zk/server.go
+++ b/internal/standin/zk/server.go
@@ -13,7 +13,7 @@
 	"sync"
 	"time"
 
-	"lichenshelf/zkwire"
+	"lichenshelf/discovery/zkwire"
 )
 
 // Delivery is what becomes of a watch event. The zero value sends it once, at once.
--- a/test/zk_test.go
+++ b/test/zk_test.go
@@ -14,8 +14,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"lichenshelf/discovery/zkwire"
 	"lichenshelf/internal/standin/zk"
-	"lichenshelf/zkwire"
 )
 
 // startZK starts the program on a coordination server that lists its workers.
