--- /dev/null
+++ b/fleet/agent/config.go
@@ -0,0 +1,97 @@
+package agent
+
+import (
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"lichenshelf/conffile"
+)
+
+// Config is the operator's file, deploy/fleet.toml.
+type Config struct {
+	Fleet    string            `toml:"fleet"` // its name; empty: off
+	Self     string            `toml:"self"`
+	Listen   string            `toml:"listen"`   // empty: the own router's addr
+	Operator string            `toml:"operator"` // empty: nobody can look
+	Lease    conffile.Duration `toml:"lease"`
+	Floor    float64           `toml:"floor"`
+	Burst    conffile.Duration `toml:"burst"`
+	Drift    float64           `toml:"drift"`
+	Period   conffile.Duration `toml:"period"`
+	Fanout   int               `toml:"fanout"`
+	Digest   int               `toml:"digest"`
+	Timeout  conffile.Duration `toml:"timeout"`
+	Observe  int               `toml:"observers"`
+	Routers  []Router          `toml:"router"`
+}
+
+// Router is one router of the fleet as the file lists it.
+type Router struct {
+	Name string `toml:"name"`
+	Addr string `toml:"addr"`
+}
+
+// SelfEnv goes before the file's self, so that all routers can have the same file.
+const SelfEnv = "LICHENSHELF_FLEET_SELF"
+
+const mostRouters = 1000
+
+// LoadConfig reads the file and checks it whole. One without a fleet's name is off.
+func LoadConfig(path string) (*Config, error) {
+	d := func(v time.Duration) conffile.Duration { return conffile.Duration{Duration: v} }
+	c := &Config{Lease: d(2 * time.Second), Floor: 0.1, Burst: d(time.Second), Drift: 0.01, Period: d(500 * time.Millisecond),
+		Fanout: 2, Digest: 32, Timeout: d(time.Second), Observe: 2}
+	f, err := conffile.Read(path, c)
+	if err != nil || c.Fleet == "" {
+		return c, err
+	}
+	if v := os.Getenv(SelfEnv); v != "" {
+		c.Self = v
+	}
+	names, addrs := map[string]bool{}, map[string]bool{}
+	for i, r := range c.Routers {
+		at := func(key string) string { return "router[" + strconv.Itoa(i) + "]." + key }
+		switch {
+		case r.Name == "" || names[r.Name]:
+			return nil, f.Bad(at("name"), r.Name, "empty, or another router's")
+		case badAddr(r.Addr) || addrs[r.Addr]:
+			return nil, f.Bad(at("addr"), r.Addr, "not host:port, or another router's")
+		}
+		names[r.Name], addrs[r.Addr] = true, true
+		if r.Name == c.Self && c.Listen == "" {
+			c.Listen = r.Addr
+		}
+	}
+	for _, k := range []struct {
+		key   string
+		value any
+		bad   bool
+		why   string
+	}{
+		{"router", len(c.Routers), len(c.Routers) == 0 || len(c.Routers) > mostRouters, "1 to 1000 routers are needed, this one among them"},
+		{"self", c.Self, !names[c.Self], "none of the routers listed"},
+		{"listen", c.Listen, badAddr(c.Listen), "not host:port"},
+		{"operator", c.Operator, c.Operator != "" && badAddr(c.Operator), "not host:port"},
+		{"lease", c.Lease, c.Lease.Duration < 100*time.Millisecond || c.Lease.Duration > time.Minute, "not from 100ms to 1m"},
+		{"floor", c.Floor, !(c.Floor > 0 && c.Floor <= 1), "not over 0 and up to 1"},
+		{"burst", c.Burst, c.Burst.Duration > time.Minute, "over 1m"},
+		{"drift", c.Drift, !(c.Drift >= 0 && c.Drift <= 0.2), "not from 0 to 0.2"},
+		{"period", c.Period, c.Period.Duration < 10*time.Millisecond || c.Period.Duration > time.Minute, "not from 10ms to 1m"},
+		{"fanout", c.Fanout, c.Fanout < 1 || c.Fanout > 16, "not from 1 to 16"},
+		{"digest", c.Digest, c.Digest < 1 || c.Digest > 512, "not from 1 to 512"},
+		{"timeout", c.Timeout, c.Timeout.Duration < 10*time.Millisecond || c.Timeout.Duration > time.Minute, "not from 10ms to 1m"},
+		{"observers", c.Observe, c.Observe < 0, "negative"},
+	} {
+		if k.bad {
+			return nil, f.Bad(k.key, k.value, k.why)
+		}
+	}
+	return c, nil
+}
+
+func badAddr(addr string) bool {
+	_, port, err := net.SplitHostPort(addr)
+	return err != nil || port == ""
+}
--- /dev/null
+++ b/fleet/budget/budget_test.go
@@ -0,0 +1,511 @@
+package budget
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+const key = "account/a"
+
+var depth = flag.Int("depth", 6, "steps that TestAllOrdersOfTwoLeases explores")
+
+func names(n int) []string {
+	out := make([]string, n)
+	for i := range out {
+		out[i] = fmt.Sprintf("r%03d", i)
+	}
+	return out
+}
+
+// fleet plays routers in virtual time: clocks of different speed, a network that
+// loses, doubles, delays and so reorders, processes that stop and start again.
+type fleet struct {
+	rng     *rand.Rand
+	now     time.Duration // true time
+	limit   float64
+	drift   float64
+	burst   time.Duration
+	lease   time.Duration
+	routers []*router
+	post    []letter
+	loss    float64
+	double  float64
+	late    time.Duration
+	cut     func(from, to string) bool
+	spent   float64
+	// The sum of all spending as a bucket of the limit would see it: what is left of it.
+	left, worst float64
+	sent        int
+}
+
+type router struct {
+	name   string
+	life   uint64
+	speed  float64
+	asleep bool
+	ledger *Ledger
+	demand func(time.Duration) float64 // a second
+	got    float64
+	owed   float64
+	ghosts []*Ledger // earlier processes under its name that still run
+}
+
+type letter struct {
+	at time.Duration
+	m  Message
+}
+
+func newFleet(t require.TestingT, n int, seed uint64) *fleet {
+	f := &fleet{rng: rand.New(rand.NewPCG(seed, 7)), limit: 100, drift: 0.01, burst: time.Second, lease: 2 * time.Second,
+		now: time.Hour, cut: func(string, string) bool { return false }}
+	for _, name := range names(n) {
+		f.routers = append(f.routers, &router{name: name, speed: 1 + f.drift*(2*f.rng.Float64()-1)})
+	}
+	for _, r := range f.routers {
+		f.restart(t, r)
+	}
+	f.left = f.bound()
+	f.worst = f.left
+	return f
+}
+
+// bound is the burst of all with its rounding.
+func (f *fleet) bound() float64 { return f.limit*f.burst.Seconds() + float64(len(f.routers)) }
+
+func (f *fleet) clock(r *router) Time { return Time(float64(f.now) * r.speed) }
+
+// restart begins a process under the router's name, with an empty memory.
+func (f *fleet) restart(t require.TestingT, r *router) {
+	r.life++
+	l, err := New(Config{Self: r.name, Routers: names(len(f.routers)), Incarnation: r.life, Epoch: 1, Lease: f.lease,
+		Drift: f.drift, Floor: 0.1, Burst: f.burst}, f.clock(r))
+	require.NoError(t, err)
+	l.SetLimit(key, f.limit, f.clock(r))
+	r.ledger = l
+}
+
+func (f *fleet) send(ms []Message) {
+	for _, m := range ms {
+		f.sent++
+		for n := 1; n > 0; n-- {
+			if f.rng.Float64() < f.double {
+				n++
+			}
+			if f.rng.Float64() >= f.loss && !f.cut(m.From, m.To) {
+				f.post = append(f.post, letter{f.now + time.Duration(f.rng.Float64()*float64(f.late)), m})
+			}
+		}
+	}
+}
+
+func (f *fleet) spend(l *Ledger, at Time, r *router) bool {
+	if !l.Spend(key, 1, at) {
+		return false
+	}
+	f.spent++
+	f.left--
+	f.worst = math.Min(f.worst, f.left)
+	r.got++
+	return true
+}
+
+const step = 20 * time.Millisecond
+
+// run goes on for a while; what is demanded comes evenly.
+func (f *fleet) run(d time.Duration) {
+	for end := f.now + d; f.now < end; {
+		f.now += step
+		f.left = math.Min(f.bound(), f.left+f.limit*(1+f.drift)*step.Seconds())
+		due := f.post
+		f.post = nil
+		for _, k := range due {
+			r := f.router(k.m.To)
+			if k.at > f.now || r.asleep {
+				f.post = append(f.post, k)
+				continue
+			}
+			f.send(r.ledger.Receive(k.m, f.clock(r)))
+		}
+		for _, r := range f.routers {
+			if r.asleep {
+				continue
+			}
+			if r.demand != nil {
+				r.owed += r.demand(f.now) * step.Seconds()
+			}
+			for ; r.owed >= 1; r.owed-- {
+				f.spend(r.ledger, f.clock(r), r)
+			}
+			for _, g := range r.ghosts {
+				for f.spend(g, f.clock(r), r) { // whatever it can
+				}
+			}
+			if (f.now/step)%6 == 0 {
+				f.send(r.ledger.Tick(f.clock(r)))
+			}
+		}
+	}
+}
+
+func (f *fleet) router(name string) *router {
+	for _, r := range f.routers {
+		if r.name == name {
+			return r
+		}
+	}
+	panic(name)
+}
+
+func always(rate float64) func(time.Duration) float64 {
+	return func(time.Duration) float64 { return rate }
+}
+
+// Connected, nine tenths of a limit can be used at one router, however many there are.
+func TestOneRouterUsesNineTenthsOfTheLimit(t *testing.T) {
+	for _, n := range []int{1, 2, 8, 80, 200} {
+		f := newFleet(t, n, 1)
+		f.late = 30 * time.Millisecond
+		hot := f.routers[n/2]
+		hot.demand = always(2 * f.limit)
+		f.run(2*f.lease + 2*time.Second)
+		before, sent := hot.got, f.sent
+		f.run(10 * time.Second)
+		use := (hot.got - before) / 10 / f.limit
+		t.Logf("%3d routers: %.3f of the limit, %.1f messages a second", n, use, float64(f.sent-sent)/10)
+		require.GreaterOrEqual(t, use, 0.9*(1-f.drift), "%d routers", n)
+		require.LessOrEqual(t, use, 1+f.drift)
+		require.GreaterOrEqual(t, f.worst, 0.0, "the limit holds")
+	}
+}
+
+// Whatever is lost, doubled, late and out of order, with clocks apart, processes stopped, started again or running
+// twice, no window sees more than the limit, and who asks for its floor gets it.
+func TestTheLimitHoldsWhateverHappens(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.SampledFrom([]int{1, 2, 3, 5, 8}).Draw(t, "routers")
+		f := newFleet(t, n, rapid.Uint64().Draw(t, "seed"))
+		f.loss = rapid.Float64Range(0, 0.9).Draw(t, "loss")
+		f.double = rapid.Float64Range(0, 0.5).Draw(t, "double")
+		f.late = time.Duration(rapid.IntRange(0, 6000).Draw(t, "late")) * time.Millisecond
+		for _, r := range f.routers {
+			r.demand = always(rapid.SampledFrom([]float64{0, 1, 20, 300}).Draw(t, "demand"))
+		}
+		for range rapid.IntRange(1, 12).Draw(t, "events") {
+			r := f.routers[rapid.IntRange(0, n-1).Draw(t, "router")]
+			switch rapid.IntRange(0, 5).Draw(t, "event") {
+			case 0:
+				r.asleep = !r.asleep
+			case 1:
+				f.restart(t, r)
+			case 2:
+				a, b := rapid.IntRange(0, n-1).Draw(t, "from"), rapid.IntRange(0, n-1).Draw(t, "to")
+				f.cut = func(from, to string) bool { return from == f.routers[a].name && to == f.routers[b].name }
+			case 3:
+				f.cut = func(from, to string) bool { return (from < f.routers[n/2].name) != (to < f.routers[n/2].name) }
+			case 4:
+				r.demand = always(rapid.SampledFrom([]float64{0, 5, 500}).Draw(t, "next"))
+			case 5:
+				f.cut = func(string, string) bool { return false }
+			}
+			f.run(time.Duration(rapid.IntRange(1, 3000).Draw(t, "wait")) * time.Millisecond)
+			require.GreaterOrEqual(t, f.worst, -1e-6, "past the limit")
+		}
+		// Nobody is heard any more: the floor is there, and after a lease the whole share.
+		f.cut = func(string, string) bool { return true }
+		f.post = nil
+		for _, r := range f.routers {
+			r.asleep, r.demand, r.owed = false, always(f.limit), 0
+		}
+		f.run(f.lease + time.Second)
+		before := make([]float64, n)
+		for i, r := range f.routers {
+			before[i] = r.got
+		}
+		f.run(4 * time.Second)
+		for i, r := range f.routers {
+			require.GreaterOrEqual(t, r.got-before[i], 4*f.limit/float64(n)*(1-f.drift)-2, "its own share once alone")
+		}
+		require.GreaterOrEqual(t, f.worst, -1e-6, "past the limit")
+	})
+}
+
+// The checker finds what breaks the bound: a borrower that never ends a lease, and an owner that lends its floor and
+// spends it too. Without them the same run is clean.
+func TestTheCheckerFindsABrokenBound(t *testing.T) {
+	for _, fault := range []string{"none", "no end of a lease", "an owner that forgets what it lent"} {
+		f := newFleet(t, 5, 3)
+		f.late = 50 * time.Millisecond
+		f.run(f.lease)
+		f.routers[0].demand = always(1000)
+		f.run(3 * f.lease)
+		f.cut = func(string, string) bool { return true }
+		for _, r := range f.routers[1:] {
+			r.demand = always(1000)
+		}
+		for range 100 {
+			switch fault {
+			case "no end of a lease":
+				for _, h := range f.routers[0].ledger.budgets[key].held {
+					h.until = math.MaxInt64
+				}
+			case "an owner that forgets what it lent":
+				for _, r := range f.routers[1:] {
+					clear(r.ledger.budgets[key].lent)
+				}
+			}
+			f.run(100 * time.Millisecond)
+		}
+		require.Equal(t, fault == "none", f.worst >= 0, "%s: %.1f left at worst", fault, f.worst)
+	}
+}
+
+// A router that was stopped for longer than its lease has nothing borrowed when it goes on, and what it had saved up is
+// cut to its own.
+func TestStoppedForLongerThanItsLease(t *testing.T) {
+	f := newFleet(t, 4, 5)
+	f.run(f.lease)
+	hot := f.routers[0]
+	hot.demand = always(400)
+	f.run(2 * f.lease)
+	require.NotEmpty(t, hot.ledger.Views(f.clock(hot))[0].Borrowed)
+	hot.asleep, hot.demand, hot.owed = true, nil, 0
+	f.cut = func(string, string) bool { return true }
+	f.run(2 * f.lease)
+	hot.asleep = false
+	got := 0
+	for hot.ledger.Spend(key, 1, f.clock(hot)) {
+		got++
+	}
+	require.LessOrEqual(t, float64(got), f.limit/4*f.burst.Seconds()+1)
+	require.Empty(t, hot.ledger.Views(f.clock(hot))[0].Borrowed)
+}
+
+// An earlier process that only slept goes on under the same name beside the new one: what it has borrowed is held back
+// by the owners all the same, and a process that hears of a newer one ends all spending.
+func TestTwoUnderOneName(t *testing.T) {
+	f := newFleet(t, 4, 9)
+	f.run(f.lease)
+	twin := f.routers[0]
+	twin.demand = always(400)
+	f.run(2 * f.lease)
+	old := twin.ledger
+	f.restart(t, twin)
+	f.run(50 * time.Millisecond)
+	old.Fence()
+	require.False(t, old.Spend(key, 1, f.clock(twin)))
+	require.Empty(t, old.Tick(f.clock(twin)))
+	f.run(3 * f.lease)
+	require.GreaterOrEqual(t, f.worst, 0.0)
+	require.Greater(t, twin.ledger.Views(f.clock(twin))[0].Rate, 0.85*f.limit, "and the new one borrows again")
+}
+
+func TestDemandThatMovesEachSecond(t *testing.T) {
+	f := newFleet(t, 5, 11)
+	f.late = 20 * time.Millisecond
+	f.run(f.lease)
+	for i, r := range f.routers {
+		r.demand = func(now time.Duration) float64 {
+			if int(now/time.Second)%len(f.routers) == i {
+				return 60
+			}
+			return 0
+		}
+	}
+	f.run(20 * time.Second)
+	require.GreaterOrEqual(t, f.worst, 0.0)
+	t.Logf("demand of 0.6 of the limit that moves each second: %.2f of it served", f.spent/(20*60))
+	require.Greater(t, f.spent/(20*60), 0.5)
+}
+
+func TestFaultyMessagesAndConfigs(t *testing.T) {
+	good := Config{Self: "a", Routers: []string{"b", "a"}, Incarnation: 1, Epoch: 1, Lease: time.Second, Floor: 0.1, Burst: time.Second}
+	for want, spoil := range map[string]func(*Config){
+		`self is "x"`: func(c *Config) { c.Self = "x" }, `routers is "a"`: func(c *Config) { c.Routers = []string{"a", "a"} },
+		"lease is 0s": func(c *Config) { c.Lease = 0 }, "burst is -1s": func(c *Config) { c.Burst = -time.Second },
+		"drift is 0.5": func(c *Config) { c.Drift = 0.5 }, "floor is 0": func(c *Config) { c.Floor = 0 },
+		"floor is NaN": func(c *Config) { c.Floor = math.NaN() },
+	} {
+		c := good
+		spoil(&c)
+		_, err := New(c, 0)
+		require.ErrorIs(t, err, ErrConfig)
+		require.ErrorContains(t, err, want)
+	}
+	now := Time(time.Hour)
+	l, err := New(good, now)
+	require.NoError(t, err)
+	l.SetLimit(key, 10, now)
+	now += Time(2 * time.Second)
+	ask := Message{Kind: Ask, From: "b", To: "a", Epoch: 1, Life: 1, Key: key, Seq: 1, Amount: 3}
+	for name, spoil := range map[string]func(*Message){
+		"another epoch": func(m *Message) { m.Epoch = 2 }, "a stranger": func(m *Message) { m.From = "c" },
+		"itself": func(m *Message) { m.From = "a" }, "for another": func(m *Message) { m.To = "b" },
+		"no such budget": func(m *Message) { m.Key = "?" }, "not a number": func(m *Message) { m.Amount = math.NaN() },
+		"negative": func(m *Message) { m.Amount = -1 }, "infinite": func(m *Message) { m.Amount = math.Inf(1) },
+		"no number": func(m *Message) { m.Seq = 0 }, "another kind": func(m *Message) { m.Kind = 9 },
+		"a grant nobody asked for": func(m *Message) { m.Kind = Grant },
+	} {
+		m := ask
+		spoil(&m)
+		require.Empty(t, l.Receive(m, now), name)
+		require.Equal(t, 5.0, l.Views(now)[0].Rate, name)
+	}
+	huge := ask
+	huge.Amount = 1e300
+	answer := l.Receive(huge, now)
+	require.Len(t, answer, 1)
+	require.InDelta(t, 4.5, answer[0].Amount, 1e-9, "all but the floor, whatever is asked")
+	require.Empty(t, l.Receive(huge, now), "doubled")
+	require.InDelta(t, 0.5, l.Views(now)[0].Rate, 1e-9)
+	require.True(t, l.Spend("free", 1e9, now), "no limit is set")
+	require.False(t, l.Spend(key, math.NaN(), now))
+	// A limit that goes and comes back does not forget what is lent.
+	l.SetLimit(key, 0, now)
+	l.Tick(now)
+	l.SetLimit(key, 10, now)
+	require.InDelta(t, 0.5, l.Views(now)[0].Rate, 1e-9)
+}
+
+// explore plays all orders of what can happen to three routers within a depth: asks, answers delivered, doubled or lost,
+// time, a process that starts again while its forerunner goes on.
+func TestAllOrdersOfTwoLeases(t *testing.T) {
+	type world struct {
+		now     Time
+		ledgers []*Ledger // the last ones are forerunners
+		post    []Message
+		life    uint64
+	}
+	cfg := Config{Self: "a", Routers: []string{"a", "b", "c"}, Incarnation: 1, Epoch: 1, Lease: 4 * time.Second, Floor: 0.1, Burst: time.Second}
+	make1 := func(self string, life uint64, now Time) *Ledger {
+		c := cfg
+		c.Self, c.Incarnation = self, life
+		l, err := New(c, now)
+		require.NoError(t, err)
+		l.SetLimit(key, 3, now)
+		return l
+	}
+	clone := func(l *Ledger) *Ledger {
+		c := *l
+		c.budgets = map[string]*account{}
+		for k, a := range l.budgets {
+			b := *a
+			b.lent, b.held = map[string]*lent{}, map[string]*held{}
+			for n, x := range a.lent {
+				y := *x
+				y.grants = append([]grant(nil), x.grants...)
+				b.lent[n] = &y
+			}
+			for n, x := range a.held {
+				y := *x
+				y.asks = append([]ask(nil), x.asks...)
+				b.held[n] = &y
+			}
+			c.budgets[k] = &b
+		}
+		return &c
+	}
+	copyOf := func(w world) world {
+		out := world{now: w.now, post: append([]Message(nil), w.post...), life: w.life}
+		for _, l := range w.ledgers {
+			out.ledgers = append(out.ledgers, clone(l))
+		}
+		return out
+	}
+	print := func(w world) string {
+		var b strings.Builder
+		fmt.Fprint(&b, w.now, w.post)
+		for _, l := range w.ledgers {
+			a := l.budgets[key]
+			fmt.Fprint(&b, "|", l.cfg.Self, l.seq, l.began, a.demand > 0)
+			for _, n := range cfg.Routers {
+				if x := a.lent[n]; x != nil {
+					fmt.Fprint(&b, "l", n, *x)
+				}
+				if x := a.held[n]; x != nil {
+					fmt.Fprint(&b, "h", n, *x)
+				}
+			}
+		}
+		return b.String()
+	}
+	rates := func(w world) float64 {
+		sum := 0.0
+		for _, l := range w.ledgers {
+			a := l.budgets[key]
+			sum += l.own(a, w.now) + l.borrowed(a, w.now)
+		}
+		return sum
+	}
+	first := world{now: Time(time.Hour), life: 1}
+	for _, n := range cfg.Routers {
+		first.ledgers = append(first.ledgers, make1(n, 1, first.now))
+	}
+	first.now += Time(cfg.Lease) // all know by now that nobody lent before
+	seen := map[string]bool{}
+	frontier := []world{first}
+	for range *depth {
+		var next []world
+		visit := func(w world) {
+			k := print(w)
+			if seen[k] {
+				return
+			}
+			seen[k] = true
+			// A forerunner spends its own share beside its heir, which Fence is for: what it has borrowed must be held back.
+			over := 0.0
+			for range w.ledgers[3:] {
+				over += 1
+			}
+			require.LessOrEqual(t, rates(w), 3+over+1e-9, k)
+			next = append(next, w)
+		}
+		for _, w := range frontier {
+			for i := range 2 { // a and b want all there is, or nothing more
+				for _, demand := range []float64{3, 0} {
+					n := copyOf(w)
+					n.ledgers[i].budgets[key].demand, n.ledgers[i].budgets[key].at = demand, n.now
+					n.post = append(n.post, n.ledgers[i].Tick(n.now)...)
+					visit(n)
+				}
+			}
+			for i, m := range w.post {
+				for _, keep := range []bool{false, true} {
+					if keep && len(w.post) > 4 {
+						continue
+					}
+					n := copyOf(w)
+					if !keep {
+						n.post = append(n.post[:i:i], n.post[i+1:]...)
+					}
+					for j, l := range n.ledgers[:3] {
+						if cfg.Routers[j] == m.To {
+							n.post = append(n.post, l.Receive(m, n.now)...)
+						}
+					}
+					visit(n)
+				}
+			}
+			n := copyOf(w)
+			n.now += Time(cfg.Lease / 2)
+			visit(n)
+			if w.life < 2 {
+				n := copyOf(w)
+				n.life++
+				n.ledgers = append(n.ledgers, n.ledgers[0])
+				n.ledgers[0] = make1("a", n.life, n.now)
+				visit(n)
+			}
+		}
+		frontier = next
+	}
+	t.Logf("%d states", len(seen))
+	require.Greater(t, len(seen), 1000)
+}
--- /dev/null
+++ b/fleet/link/link.go
@@ -0,0 +1,433 @@
+// Package link carries messages between the routers of a fleet.
+//
+// Each router listens, and has at most one connection of its own to each other: what
+// it sends goes over that one, what it hears comes over theirs. A message is a frame
+// with length and checksum around CBOR; fields that a reader does not know are passed
+// over, so a newer version can add some. Each frame is acknowledged with one byte, so
+// that a connection whose other end has vanished is noticed and replaced.
+//
+// Nothing is sent twice and nothing is kept for long: a message that finds no
+// connection is dropped, as is one that has waited longer than it is worth. What is
+// sent has to bear loss, doubling and any order; the link does not hide them.
+package link
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/sirupsen/logrus"
+
+	"lichenshelf/fleet/budget"
+	"lichenshelf/fleet/members"
+)
+
+// Version is what this program writes.
+const Version = 1
+
+const (
+	mostFrame  = 64 << 10 // bytes of a message
+	mostQueue  = 64       // messages that wait for one router
+	headSize   = 8        // length and checksum
+	ack        = 0x06
+	idleFor    = time.Minute // without a frame a connection that others opened is closed
+	againLeast = 100 * time.Millisecond
+	againMost  = 3 * time.Second
+)
+
+// Envelope is one message between two routers.
+type Envelope struct {
+	Version uint8            `cbor:"1,keyasint"`
+	Need    uint8            `cbor:"2,keyasint"` // the oldest version that can make sense of it
+	Fleet   string           `cbor:"3,keyasint"`
+	From    string           `cbor:"4,keyasint"`
+	To      string           `cbor:"5,keyasint"`
+	Members *members.Message `cbor:"10,keyasint,omitempty"`
+	Budget  []budget.Message `cbor:"11,keyasint,omitempty"`
+}
+
+// Peer is another router of the fleet.
+type Peer struct{ Name, Addr string }
+
+// Config is what a Link is made of.
+type Config struct {
+	Fleet, Self string
+	Peers       []Peer        // the others
+	Timeout     time.Duration // for a connection to come up, and for a frame to be taken
+	StaleAfter  time.Duration // a message that has waited longer is dropped
+	Seed        uint64
+	Counters    interface{ Add(name string, n int64) }
+	Log         logrus.FieldLogger
+	// Receive takes what has come. It must return soon.
+	Receive func(Envelope)
+}
+
+// Link is one router's end of all its links.
+type Link struct {
+	cfg   Config
+	peers map[string]*peer
+
+	mu    sync.Mutex
+	conns map[net.Conn]bool // that others opened
+}
+
+// peer is the way to one other router.
+type peer struct {
+	Peer
+	queue chan waiting
+
+	mu     sync.Mutex
+	status Status
+}
+
+type waiting struct {
+	frame []byte
+	at    time.Time
+}
+
+// Status is what is known of a link, for people.
+type Status struct {
+	Name, Addr   string
+	Connected    bool
+	Sent         int64         // frames that the other end has taken
+	Dropped      int64         // that found no connection, no room, or were too old
+	Heard        int64         // frames that came from it
+	SinceTaken   time.Duration // since it took one; -1: never
+	SinceHeard   time.Duration // since one came; -1: never
+	LastFault    string
+	taken, heard time.Time
+}
+
+// New returns a link; Run and Serve start it.
+func New(cfg Config) *Link {
+	l := &Link{cfg: cfg, peers: map[string]*peer{}, conns: map[net.Conn]bool{}}
+	for _, p := range cfg.Peers {
+		l.peers[p.Name] = &peer{Peer: p, queue: make(chan waiting, mostQueue), status: Status{Name: p.Name, Addr: p.Addr}}
+	}
+	return l
+}
+
+var encoder = func() cbor.EncMode {
+	m, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err) // the options are fixed
+	}
+	return m
+}()
+
+// decoder bounds what a message may make this router hold.
+var decoder = func() cbor.DecMode {
+	m, err := cbor.DecOptions{MaxArrayElements: 4096, MaxMapPairs: 4096, MaxNestedLevels: 8, DupMapKey: cbor.DupMapKeyEnforcedAPF}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}()
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// Encode makes a frame of a message.
+func Encode(e Envelope) ([]byte, error) {
+	body, err := encoder.Marshal(e)
+	if err != nil {
+		return nil, fmt.Errorf("encode a message: %w", err)
+	}
+	if len(body) > mostFrame {
+		return nil, fmt.Errorf("%w: %d bytes", ErrFrame, len(body))
+	}
+	frame := make([]byte, headSize, headSize+len(body))
+	binary.BigEndian.PutUint32(frame, uint32(len(body)))
+	binary.BigEndian.PutUint32(frame[4:], crc32.Checksum(body, castagnoli))
+	return append(frame, body...), nil
+}
+
+// ErrFrame is for a frame that can't be taken; the connection can't be followed
+// any further.
+var ErrFrame = errors.New("fleet frame")
+
+// ErrMessage is for a message that is passed over: the next one may be good.
+var ErrMessage = errors.New("fleet message")
+
+// Decode reads the next message.
+func Decode(r io.Reader) (Envelope, error) {
+	var e Envelope
+	var head [headSize]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return e, fmt.Errorf("read a frame: %w", err)
+	}
+	size := binary.BigEndian.Uint32(head[:])
+	if size == 0 || size > mostFrame {
+		return e, fmt.Errorf("%w: %d bytes", ErrFrame, size)
+	}
+	body := make([]byte, size)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return e, fmt.Errorf("read a frame: %w", err)
+	}
+	if sum := crc32.Checksum(body, castagnoli); sum != binary.BigEndian.Uint32(head[4:]) {
+		return e, fmt.Errorf("%w: checksum %08x does not fit", ErrFrame, sum)
+	}
+	if err := decoder.Unmarshal(body, &e); err != nil {
+		return e, fmt.Errorf("%w: %w", ErrMessage, err)
+	}
+	if e.Need > Version {
+		return e, fmt.Errorf("%w: needs version %d, this is %d", ErrMessage, e.Need, Version)
+	}
+	return e, nil
+}
+
+// Send puts a message on its way. It never waits; a message that can't go is dropped
+// and counted.
+func (l *Link) Send(e Envelope) {
+	e.Version, e.Need, e.Fleet, e.From = Version, Version, l.cfg.Fleet, l.cfg.Self
+	p := l.peers[e.To]
+	if p == nil {
+		return
+	}
+	frame, err := Encode(e)
+	if err != nil {
+		p.note(func(s *Status) { s.Dropped++; s.LastFault = err.Error() })
+		return
+	}
+	select {
+	case p.queue <- waiting{frame, time.Now()}:
+	default:
+		l.dropped(p, 1)
+	}
+}
+
+func (l *Link) dropped(p *peer, n int64) {
+	p.note(func(s *Status) { s.Dropped += n })
+	l.cfg.Counters.Add("fleet_messages_dropped", n)
+}
+
+func (p *peer) note(f func(*Status)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f(&p.status)
+}
+
+// Run sends until ctx ends.
+func (l *Link) Run(ctx context.Context) {
+	var all sync.WaitGroup
+	for _, p := range l.peers {
+		all.Go(func() { l.feed(ctx, p) })
+	}
+	all.Wait()
+}
+
+// feed keeps a connection to one router while there is something to send.
+func (l *Link) feed(ctx context.Context, p *peer) {
+	rng := rand.New(rand.NewPCG(l.cfg.Seed, uint64(crc32.ChecksumIEEE([]byte(p.Name)))))
+	again := backoff.NewExponentialBackOff()
+	again.InitialInterval, again.MaxInterval, again.Multiplier, again.RandomizationFactor = againLeast, againMost, 2, 0
+	again.Reset()
+	var conn net.Conn
+	defer func() {
+		if conn != nil {
+			_ = conn.Close()
+		}
+	}()
+	var notBefore time.Time
+	for {
+		var w waiting
+		select {
+		case <-ctx.Done():
+			return
+		case w = <-p.queue:
+		}
+		if time.Since(w.at) > l.cfg.StaleAfter || conn == nil && time.Now().Before(notBefore) {
+			l.dropped(p, 1)
+			continue
+		}
+		var err error
+		if conn == nil {
+			dialer := net.Dialer{Timeout: l.cfg.Timeout}
+			conn, err = dialer.DialContext(ctx, "tcp4", p.Addr)
+		}
+		if err == nil {
+			err = l.hand(conn, w.frame)
+		}
+		if err == nil {
+			again.Reset()
+			p.note(func(s *Status) { s.Connected, s.LastFault, s.taken = true, "", time.Now(); s.Sent++ })
+			l.cfg.Counters.Add("fleet_messages_sent", 1)
+			continue
+		}
+		if conn != nil {
+			_ = conn.Close()
+			conn = nil
+		}
+		wait := again.NextBackOff()
+		notBefore = time.Now().Add(wait/2 + time.Duration(rng.Int64N(int64(wait/2)+1)))
+		l.dropped(p, 1)
+		if ctx.Err() == nil {
+			l.changed(p, err)
+		}
+	}
+}
+
+// changed logs a link that was lost, once.
+func (l *Link) changed(p *peer, err error) {
+	p.mu.Lock()
+	first := p.status.Connected || p.status.LastFault == ""
+	p.status.Connected, p.status.LastFault = false, err.Error()
+	p.mu.Unlock()
+	if first {
+		l.cfg.Log.WithError(err).WithField("router", p.Name).Warn("fleet link lost")
+	}
+}
+
+// hand writes a frame and waits until the other end has taken it.
+func (l *Link) hand(conn net.Conn, frame []byte) error {
+	if err := conn.SetDeadline(time.Now().Add(l.cfg.Timeout)); err != nil {
+		return fmt.Errorf("send a frame: %w", err)
+	}
+	if _, err := conn.Write(frame); err != nil {
+		return fmt.Errorf("send a frame: %w", err)
+	}
+	var got [1]byte
+	if _, err := io.ReadFull(conn, got[:]); err != nil {
+		return fmt.Errorf("wait for a frame to be taken: %w", err)
+	}
+	if got[0] != ack {
+		return fmt.Errorf("%w: acknowledged with %#x", ErrFrame, got[0])
+	}
+	return nil
+}
+
+// Serve takes others' connections until the listener is closed.
+func (l *Link) Serve(listener net.Listener) error {
+	most := 2*len(l.peers) + 8
+	for {
+		c, err := listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("accept a router: %w", err)
+		}
+		l.mu.Lock()
+		full := len(l.conns) >= most
+		if !full {
+			l.conns[c] = true
+		}
+		l.mu.Unlock()
+		if full {
+			l.cfg.Counters.Add("fleet_connections_turned_away", 1)
+			_ = c.Close()
+			continue
+		}
+		go l.hear(c)
+	}
+}
+
+// Close ends the connections that others opened.
+func (l *Link) Close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		_ = c.Close()
+	}
+}
+
+func (l *Link) hear(c net.Conn) {
+	defer func() {
+		_ = c.Close()
+		l.mu.Lock()
+		delete(l.conns, c)
+		l.mu.Unlock()
+	}()
+	br := bufio.NewReader(c)
+	for {
+		if err := c.SetReadDeadline(time.Now().Add(idleFor)); err != nil {
+			return
+		}
+		if _, err := br.Peek(1); err != nil {
+			return
+		}
+		// A frame that has begun must end soon: half of one must not hold a connection.
+		if err := c.SetReadDeadline(time.Now().Add(l.cfg.Timeout)); err != nil {
+			return
+		}
+		e, err := Decode(br)
+		if err != nil && !errors.Is(err, ErrMessage) {
+			l.refused(c, err)
+			return
+		}
+		if err == nil {
+			err = l.check(&e)
+		}
+		if err != nil {
+			l.refused(c, err)
+		} else {
+			l.peers[e.From].note(func(s *Status) { s.Heard++; s.heard = time.Now() })
+			l.cfg.Counters.Add("fleet_messages_heard", 1)
+			l.cfg.Receive(e)
+		}
+		if err := c.SetWriteDeadline(time.Now().Add(l.cfg.Timeout)); err != nil {
+			return
+		}
+		if _, err := c.Write([]byte{ack}); err != nil {
+			return
+		}
+	}
+}
+
+// check passes over what is not meant for this router, or speaks for another.
+func (l *Link) check(e *Envelope) error {
+	switch {
+	case e.Fleet != l.cfg.Fleet:
+		return fmt.Errorf("%w: of fleet %.40q", ErrMessage, e.Fleet)
+	case e.To != l.cfg.Self:
+		return fmt.Errorf("%w: for router %.40q", ErrMessage, e.To)
+	case l.peers[e.From] == nil:
+		return fmt.Errorf("%w: from the unknown router %.40q", ErrMessage, e.From)
+	}
+	e.Budget = slices.DeleteFunc(e.Budget, func(m budget.Message) bool { return m.From != e.From })
+	if e.Members != nil && e.Members.From != e.From {
+		e.Members = nil
+	}
+	return nil
+}
+
+func (l *Link) refused(c net.Conn, err error) {
+	l.cfg.Counters.Add("fleet_messages_refused", 1)
+	l.cfg.Log.WithError(err).WithField("from", c.RemoteAddr().String()).Debug("fleet message refused")
+}
+
+// Statuses tells of all links, by name.
+func (l *Link) Statuses() []Status {
+	out := make([]Status, 0, len(l.peers))
+	for _, p := range l.peers {
+		p.mu.Lock()
+		s := p.status
+		p.mu.Unlock()
+		s.SinceTaken, s.SinceHeard = since(s.taken), since(s.heard)
+		out = append(out, s)
+	}
+	slices.SortFunc(out, func(a, b Status) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+func since(t time.Time) time.Duration {
+	if t.IsZero() {
+		return -1
+	}
+	return time.Since(t)
+}
--- /dev/null
+++ b/fleet/members/members_test.go
@@ -0,0 +1,234 @@
+package members
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+const period = 500 * time.Millisecond
+
+// fleet plays views in virtual time over a network that loses and delays.
+type fleet struct {
+	rng    *rand.Rand
+	now    time.Duration
+	views  []*View
+	asleep map[string]bool
+	cut    func(from, to string) bool
+	loss   float64
+	post   []Message
+	sent   int
+	beats  int
+}
+
+func name(i int) string { return fmt.Sprintf("r%03d", i) }
+
+func newFleet(t require.TestingT, n int, seed uint64) *fleet {
+	f := &fleet{rng: rand.New(rand.NewPCG(seed, 1)), now: time.Hour, asleep: map[string]bool{},
+		cut: func(string, string) bool { return false }}
+	for i := range n {
+		f.views = append(f.views, f.fresh(t, i, n, 1))
+	}
+	return f
+}
+
+func (f *fleet) fresh(t require.TestingT, i, n int, life uint64) *View {
+	var all []string
+	for j := range n {
+		all = append(all, name(j))
+	}
+	v, err := New(Config{Self: name(i), Routers: all, Life: life, Period: period, Fanout: 2, Digest: 32,
+		DoubtFor: Patience(n, period, 2, 32), Observers: 2}, rand.New(rand.NewPCG(uint64(i), life)), Time(f.now))
+	require.NoError(t, err)
+	return v
+}
+
+func (f *fleet) run(d time.Duration) {
+	for end := f.now + d; f.now < end; {
+		f.now += period / 5
+		due := f.post
+		f.post = nil
+		for _, m := range due {
+			for _, v := range f.views {
+				if v.cfg.Self == m.To && !f.asleep[m.To] {
+					v.Receive(m, Time(f.now))
+				}
+			}
+		}
+		for _, v := range f.views {
+			if f.asleep[v.cfg.Self] {
+				continue
+			}
+			for _, m := range v.Tick(Time(f.now)) {
+				f.sent++
+				f.beats += len(m.Beats)
+				if f.rng.Float64() >= f.loss && !f.cut(m.From, m.To) {
+					f.post = append(f.post, m)
+				}
+			}
+		}
+	}
+}
+
+func (f *fleet) states(of int) map[State]int {
+	out := map[State]int{}
+	for i, v := range f.views {
+		if i != of && !f.asleep[v.cfg.Self] {
+			out[v.State(name(of), Time(f.now))]++
+		}
+	}
+	return out
+}
+
+// Nobody is doubted with a tenth of all messages lost; who is stopped is silent for all in a stated time, and alive again
+// when it goes on. Messages go with the number of routers.
+func TestStoppedRouterIsSilentForAllAndNobodyElse(t *testing.T) {
+	for _, n := range []int{3, 8, 80, 200} {
+		f := newFleet(t, n, 1)
+		f.loss = 0.1
+		wait := Patience(n, period, 2, 32)
+		f.run(2 * wait)
+		f.sent, f.beats = 0, 0
+		f.run(20 * time.Second)
+		for i := range n {
+			require.Equal(t, map[State]int{Alive: n - 1}, f.states(i), "%d routers, of %d", n, i)
+		}
+		t.Logf("%3d routers: %.0f messages and %.0f beats a second, doubtful after %v", n, float64(f.sent)/20, float64(f.beats)/20, wait)
+		require.LessOrEqual(t, float64(f.sent)/20, 4.2*float64(n))
+		f.asleep[name(1)] = true
+		f.run(3 * wait)
+		require.Equal(t, map[State]int{Silent: n - 1}, f.states(1), "%d routers", n)
+		f.asleep[name(1)] = false
+		f.run(wait)
+		require.Equal(t, map[State]int{Alive: n - 1}, f.states(1), "%d routers", n)
+	}
+}
+
+// A link that is lost, or lost one way, makes nobody doubtful: others are heard over it.
+func TestLostLinkIsNoLostRouter(t *testing.T) {
+	f := newFleet(t, 5, 2)
+	f.cut = func(from, to string) bool { return from == name(0) && to == name(1) }
+	f.run(time.Minute)
+	require.Equal(t, map[State]int{Alive: 4}, f.states(0))
+	f.cut = func(from, to string) bool { return from == name(0) && to != name(4) }
+	f.run(time.Minute)
+	require.Equal(t, map[State]int{Alive: 4}, f.states(0), "heard by one, it is heard by all")
+}
+
+// A router that hears nobody doubts itself: it calls nobody silent, and it takes nobody out for others. Those that hear
+// each other call it silent, once enough of them do.
+func TestDeafRouterDoubtsItself(t *testing.T) {
+	f := newFleet(t, 5, 3)
+	f.run(10 * time.Second)
+	f.cut = func(from, to string) bool { return to == name(0) }
+	f.run(time.Minute)
+	deaf := f.views[0]
+	require.True(t, deaf.Deaf(Time(f.now)))
+	for i := 1; i < 5; i++ {
+		require.Equal(t, Doubtful, deaf.State(name(i), Time(f.now)))
+		require.Equal(t, map[State]int{Alive: 4}[Alive]-1, f.states(i)[Alive], "its doubts count for nobody")
+	}
+	require.Equal(t, map[State]int{Alive: 4}, f.states(0), "it is still heard")
+	f.cut = func(from, to string) bool { return (from == name(0)) != (to == name(0)) }
+	f.run(time.Minute)
+	require.Equal(t, map[State]int{Silent: 4}, f.states(0))
+}
+
+// Half of five hear nothing of the others: each side keeps its own, the smaller one is deaf, and a heal mends it, ten
+// times a minute.
+func TestPartitionAndHeal(t *testing.T) {
+	f := newFleet(t, 5, 4)
+	f.run(10 * time.Second)
+	side := func(s string) bool { return s < name(2) }
+	for range 10 {
+		f.cut = func(from, to string) bool { return side(from) != side(to) }
+		f.run(3 * time.Second)
+		f.cut = func(string, string) bool { return false }
+		f.run(3 * time.Second)
+		for i := range 5 {
+			require.Equal(t, 4, f.states(i)[Alive], "3 s are shorter than the patience")
+		}
+	}
+	f.cut = func(from, to string) bool { return side(from) != side(to) }
+	f.run(time.Minute)
+	require.True(t, f.views[0].Deaf(Time(f.now)))
+	require.False(t, f.views[4].Deaf(Time(f.now)))
+	require.Equal(t, Doubtful, f.views[0].State(name(4), Time(f.now)))
+	require.Equal(t, Silent, f.views[4].State(name(0), Time(f.now)))
+	f.cut = func(string, string) bool { return false }
+	f.run(10 * time.Second)
+	require.Equal(t, map[State]int{Alive: 4}, f.states(0))
+}
+
+// Started again under its name a router is alive at once; the earlier process, if it goes on, hears of the newer one.
+func TestNamesake(t *testing.T) {
+	f := newFleet(t, 4, 5)
+	f.run(10 * time.Second)
+	old := f.views[2]
+	f.views = append(f.views, f.fresh(t, 2, 4, 2))
+	f.run(5 * time.Second)
+	require.True(t, old.Fenced())
+	require.Empty(t, old.Tick(Time(f.now+time.Minute)))
+	require.False(t, f.views[4].Fenced())
+	require.Equal(t, Alive, f.views[0].State(name(2), Time(f.now)))
+	f.views[4].Leave()
+	f.run(5 * time.Second)
+	require.Equal(t, Gone, f.views[0].State(name(2), Time(f.now)))
+}
+
+// A process that starts on a clock that is an hour behind goes past the life that it hears of, and the one it replaces
+// ends.
+func TestStartOnAClockThatIsBehind(t *testing.T) {
+	f := newFleet(t, 4, 6)
+	for _, v := range f.views {
+		v.self.Life = 1000
+	}
+	f.run(10 * time.Second)
+	f.views = append(f.views, f.fresh(t, 2, 4, 7))
+	f.run(5 * time.Second)
+	require.True(t, f.views[2].Fenced())
+	require.False(t, f.views[4].Fenced())
+	require.EqualValues(t, 1001, f.views[4].Life())
+}
+
+// Whatever comes, states follow: nobody is silent without the stated number of others, a newer beat always refutes, and a
+// liar who doubts all takes out nobody.
+func TestALiarAndNonsense(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(t, 5, rapid.Uint64().Draw(t, "seed"))
+		f.run(10 * time.Second)
+		v := f.views[0]
+		for range rapid.IntRange(1, 30).Draw(t, "messages") {
+			m := Message{From: name(4), To: name(0)}
+			for range rapid.IntRange(0, 6).Draw(t, "beats") {
+				m.Beats = append(m.Beats, Beat{Name: rapid.SampledFrom([]string{name(1), name(2), "stranger", ""}).Draw(t, "name"),
+					Life: rapid.SampledFrom([]uint64{0, 1}).Draw(t, "life"), Count: rapid.Uint64().Draw(t, "count"), Doubt: true})
+			}
+			v.Receive(m, Time(f.now))
+			f.run(period)
+			for i := 1; i < 4; i++ {
+				require.NotEqual(t, Silent, v.State(name(i), Time(f.now)))
+			}
+		}
+	})
+}
+
+func TestFaultyConfig(t *testing.T) {
+	good := Config{Self: "a", Routers: []string{"a", "b"}, Period: time.Second, DoubtFor: time.Second, Fanout: 1, Digest: 1}
+	for want, spoil := range map[string]func(*Config){
+		`self is "x"`: func(c *Config) { c.Self = "x" }, `hold "a"`: func(c *Config) { c.Routers = []string{"a", "a"} },
+		"period is 0s": func(c *Config) { c.Period = 0 }, "doubt_for 1ms": func(c *Config) { c.DoubtFor = time.Millisecond },
+		"fanout is 0": func(c *Config) { c.Fanout = 0 }, "digest 0": func(c *Config) { c.Digest = 0 },
+		"observers is -1": func(c *Config) { c.Observers = -1 },
+	} {
+		c := good
+		spoil(&c)
+		_, err := New(c, rand.New(rand.NewPCG(1, 1)), 0)
+		require.ErrorIs(t, err, ErrConfig)
+		require.ErrorContains(t, err, want)
+	}
+}
--- a/front/console/console.go
+++ b/front/console/console.go
@@ -4,6 +4,7 @@
 package console
 
 import (
+	"encoding/json"
 	"errors"
 	"net"
 	"strings"
@@ -22,6 +23,7 @@
 const (
 	readyPath   = "/v1/readyz"
 	workersPath = "/v1/workers/"
+	fleetPath   = "/v1/fleet/"
 )
 
 var errNoPath = errors.New("no such path")
@@ -36,6 +38,19 @@
 type Console struct {
 	ready   func() bool
 	workers Workers // nil: no front takes workers by hand
+	fleet   Fleet   // nil: none
+}
+
+// Fleet is what there is to see of a fleet of routers.
+type Fleet interface {
+	// Page returns what goes by a name, to be shown as JSON.
+	Page(name string) (any, bool)
+}
+
+// WithFleet makes the console show the fleet.
+func (c *Console) WithFleet(f Fleet) *Console {
+	c.fleet = f
+	return c
 }
 
 // New returns a console; ready tells whether this process takes clients.
@@ -56,6 +71,8 @@
 	switch {
 	case path == readyPath:
 		call.Ready(c.ready)
+	case c.fleet != nil && strings.HasPrefix(path, fleetPath):
+		c.page(call, strings.TrimPrefix(path, fleetPath))
 	case strings.HasPrefix(path, workersPath):
 		c.worker(call, strings.TrimPrefix(path, workersPath))
 	default:
@@ -63,6 +80,24 @@
 	}
 }
 
+func (c *Console) page(call *downstream.Call, name string) {
+	if !call.Allow(fasthttp.MethodGet) {
+		return
+	}
+	page, ok := c.fleet.Page(name)
+	if !ok {
+		call.Problem(fasthttp.StatusNotFound, errNoPath)
+		return
+	}
+	text, err := json.Marshal(page)
+	if err != nil {
+		call.Problem(fasthttp.StatusInternalServerError, err)
+		return
+	}
+	call.SetContentType("application/json")
+	call.SetBody(text)
+}
+
 func (c *Console) worker(call *downstream.Call, rest string) {
 	slash := strings.LastIndexByte(rest, '/')
 	if slash <= 0 {
--- a/front/modelapi/front.go
+++ b/front/modelapi/front.go
@@ -49,11 +49,33 @@
 	ready     func() bool
 	prefix    string
 	last      atomic.Uint64
+	budgets   Budgets // nil: each router goes by an even part of the quotas
 }
 
+// Budgets are the accounts' quotas where routers share them.
+type Budgets interface {
+	// Spend takes cost out of a budget, if it is there.
+	Spend(key string, cost float64) bool
+}
+
+// Quotas are the accounts' quotas as budgets, in requests a second over all routers.
+func (c *Config) Quotas() map[string]float64 {
+	out := map[string]float64{}
+	for _, a := range c.Accounts {
+		if a.QuotaPerSecond > 0 {
+			out[QuotaPrefix+a.Name] += a.QuotaPerSecond
+		}
+	}
+	return out
+}
+
+// QuotaPrefix begins the names of the accounts' budgets.
+const QuotaPrefix = "account/"
+
 // NewFront returns a front; ready tells whether there is a backend to serve with.
-func NewFront(cfg *Config, ready func() bool) *Front {
-	f := &Front{cfg: cfg, ready: ready, accounts: map[string]int{},
+// With budgets, a call past its account's quota is refused with 429.
+func NewFront(cfg *Config, ready func() bool, budgets Budgets) *Front {
+	f := &Front{cfg: cfg, ready: ready, budgets: budgets, accounts: map[string]int{},
 		prefix: "req-" + strconv.FormatInt(time.Now().UnixNano(), 36) + "-",
 		endpoints: map[string]endpoint{
 			"/v1/chat/completions": {chat, cfg.Chat},
@@ -113,6 +135,11 @@
 		call.Problem(fasthttp.StatusBadRequest, err)
 		return
 	}
+	if f.budgets != nil && tenant < len(f.cfg.Accounts) && !f.budgets.Spend(QuotaPrefix+f.cfg.Accounts[tenant].Name, 1) {
+		setRetryAfter(call, time.Second)
+		call.Problem(fasthttp.StatusTooManyRequests, errRate)
+		return
+	}
 	p.Tenant = tenant
 	within := tenant >= len(f.rates) || f.rates[tenant].Allow()
 	r := &router.Request{Request: p.Request, Received: call.Received,
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -14,6 +14,7 @@
 	"github.com/urfave/cli/v3"
 
 	"lichenshelf/discovery/sources"
+	"lichenshelf/fleet/agent"
 	"lichenshelf/front/modelapi"
 	"lichenshelf/front/platform"
 	"lichenshelf/internal/daemon"
@@ -39,6 +40,7 @@
 		&cli.StringFlag{Name: "modelapi", Value: defaultModelAPI, Usage: "the model API's `FILE`"},
 		&cli.StringFlag{Name: "store", Value: defaultStore, Usage: "the replicated store's `FILE`"},
 		&cli.StringFlag{Name: "sources", Value: defaultSources, Usage: "the `FILE` of further sources of workers"},
+		&cli.StringFlag{Name: "fleet", Value: defaultFleet, Usage: "the `FILE` that names the other routers to share with"},
 		&cli.StringFlag{Name: "log-level", Value: "info", Usage: "debug, info, warning or error",
 			Sources: cli.EnvVars("LICHENSHELF_LOG_LEVEL")},
 	}
@@ -62,6 +64,7 @@
 			membersCommand(log, flags),
 			registerCommand(log),
 			storeCommand(),
+			fleetCommand(),
 			{
 				Name: "version", Usage: "print the version",
 				Action: func(_ context.Context, c *cli.Command) error {
@@ -78,6 +81,7 @@
 	defaultModelAPI = "deploy/modelapi.toml"
 	defaultStore    = "deploy/store.toml"
 	defaultSources  = "deploy/sources.toml"
+	defaultFleet    = "deploy/fleet.toml"
 )
 
 // files tells which files to use. A file that nobody named may be missing.
@@ -89,7 +93,8 @@
 		}
 		return path
 	}
-	return daemon.Files{Platform: c.String("config"), ModelAPI: named("modelapi"), Store: named("store"), Sources: named("sources")}
+	return daemon.Files{Platform: c.String("config"), ModelAPI: named("modelapi"), Store: named("store"), Sources: named("sources"),
+		Fleet: named("fleet")}
 }
 
 // check reads all files and prints a line for each.
@@ -136,6 +141,20 @@
 			return err
 		}
 	}
+	if o.Fleet != "" {
+		c, err := agent.LoadConfig(o.Fleet)
+		if err != nil {
+			return fmt.Errorf("fleet: %w", err)
+		}
+		line := "fleet: off"
+		if c.Fleet != "" {
+			line = fmt.Sprintf("fleet: %s, %d routers, this is %s at %s, operators at %s; leases of %v over floors of %g", c.Fleet,
+				len(c.Routers), c.Self, c.Listen, orOff(c.Operator), c.Lease.Duration, c.Floor)
+		}
+		if err := say("%s", line); err != nil {
+			return err
+		}
+	}
 	if o.Sources != "" {
 		c, err := sources.LoadConfig(o.Sources)
 		if err != nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"lichenshelf/cordon"
 	"lichenshelf/discovery/sources"
 	"lichenshelf/downstream"
+	"lichenshelf/fleet/agent"
 	"lichenshelf/front/console"
 	"lichenshelf/front/modelapi"
 	"lichenshelf/front/platform"
@@ -47,7 +48,7 @@
 
 // Files are what the router was given to read; an empty path is not used.
 type Files struct {
-	Platform, ModelAPI, Store, Sources string
+	Platform, ModelAPI, Store, Sources, Fleet string
 }
 
 // daemon is what runs: fronts, each with a core of its own, and the store.
@@ -66,6 +67,8 @@
 	cordon   *cordon.Cordon  // nil without the platform's front
 	platform *platform.Front
 	platCore *router.Core // the platform's
+	fleet    *agent.Agent // nil: this router shares nothing with others
+	fleetOf  int          // how many routers share, with a fleet
 	failed   chan error
 	stopping atomic.Bool
 }
@@ -130,6 +133,11 @@
 			return fmt.Errorf("start the store: %w", err)
 		}
 	}
+	if d.files.Fleet != "" {
+		if err := d.startFleet(ctx); err != nil {
+			return fmt.Errorf("start the fleet's part: %w", err)
+		}
+	}
 	if d.files.Platform != "" {
 		if err := d.startPlatform(ctx); err != nil {
 			return fmt.Errorf("start the platform's front: %w", err)
@@ -224,16 +232,16 @@
 	if cfg.Console == "" {
 		return nil
 	}
-	return d.startConsole(cfg.Console, ready)
+	return d.serveConsole(cfg.Console, console.New(ready, d.cordon))
 }
 
-// startConsole opens the operators' address. It answers until the process ends.
-func (d *daemon) startConsole(addr string, ready func() bool) error {
+// serveConsole opens an operators' address. It answers until the process ends.
+func (d *daemon) serveConsole(addr string, c *console.Console) error {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return fmt.Errorf("listen for the console: %w", err)
 	}
-	server := console.New(ready, d.cordon).Server(l, d.counters)
+	server := c.Server(l, d.counters)
 	go func() {
 		if err := server.Serve(); err != nil {
 			d.failed <- err
@@ -254,7 +262,17 @@
 		}
 	}
 	workers, clients := shares(defaultSockets)
+	var budgets modelapi.Budgets
+	if d.fleet != nil {
+		// Quotas are the fleet's; the decisions know no account past its own by then.
+		cfg.Routers = d.fleetOf
+		d.fleet.SetLimits(modelapi.QuotaPrefix, cfg.Quotas())
+		budgets = d.fleet
+	}
 	settings := cfg.Settings()
+	if d.fleet != nil {
+		settings.Tenants = nil
+	}
 	core := d.core(ctx, logic.New(settings, uint64(time.Now().UnixNano())),
 		modelapi.NewTransport(cfg, workers, d.counters), settings.MaxAttempts, cfg.MaxOpen)
 	feed, err := d.feed(sources.ModelAPI, core, nil)
@@ -265,7 +283,7 @@
 		return err
 	}
 	ready := func() bool { return feed.Ready() && !d.stopping.Load() }
-	return d.listen(cfg.Listen, front{core: core, take: takeModelAPI}, downstream.Config{Handler: modelapi.NewFront(cfg, ready).Handle,
+	return d.listen(cfg.Listen, front{core: core, take: takeModelAPI}, downstream.Config{Handler: modelapi.NewFront(cfg, ready, budgets).Handle,
 		Problem: modelapi.Problem, MaxBody: cfg.MaxBody,
 		MaxBytes: cfg.MaxBytes, MaxConns: clients})
 }
--- /dev/null
+++ b/internal/daemon/fleet.go
@@ -0,0 +1,43 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"lichenshelf/fleet/agent"
+	"lichenshelf/front/console"
+)
+
+// startFleet starts this router's part in its fleet, if the file names one.
+func (d *daemon) startFleet(ctx context.Context) error {
+	cfg, err := agent.LoadConfig(d.files.Fleet)
+	if err != nil || cfg.Fleet == "" {
+		return err
+	}
+	life := uint64(time.Now().UnixNano())
+	a, err := agent.New(cfg, life, life, d.counters, d.log)
+	if err != nil {
+		return fmt.Errorf("%s: %w", d.files.Fleet, err)
+	}
+	l, err := net.Listen("tcp4", cfg.Listen)
+	if err != nil {
+		return fmt.Errorf("listen for the fleet: %w", err)
+	}
+	d.fleet, d.fleetOf = a, len(cfg.Routers)
+	go func() {
+		if err := a.Serve(l); err != nil {
+			d.failed <- err
+		}
+	}()
+	go func() {
+		defer l.Close()
+		a.Run(ctx)
+	}()
+	d.log.WithField("fleet", cfg.Fleet).WithField("router", cfg.Self).Info("sharing with the fleet")
+	if cfg.Operator == "" {
+		return nil
+	}
+	return d.serveConsole(cfg.Operator, console.New(func() bool { return !d.stopping.Load() }, nil).WithFleet(a))
+}
