Make the fleet's process tests steady; let judgements and counts go by a taken-over life

On rereading: (1) a process on a clock that is behind takes a newer life, but only its budgets went by it; others would have dropped its judgements and counts. (2) Tests that could fail by chance: a rig's addresses on 127.0.0.1 were taken by its own relays (seen: address already in use); a worker that fails was asked too seldom to be judged (seen: never out within 20 s); a link's state was looked at before its sender had been told. Court and Board take the life as the ledger does. Programs of the rig listen at loopback addresses of their own; the well workers are busy on long inputs, so the failing one is asked; the state is waited for. No assertion is gone. Also: one place drops a borrower's older grants, one clock conversion less, one block less in the model API's start. Two new tests fail without SetLife. Nothing of logic/ or of the platform's way is touched.

--- a/fleet/agent/agent.go
+++ b/fleet/agent/agent.go
@@ -10,7 +10,6 @@
 	"math/rand/v2"
 	"net"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -119,7 +118,7 @@
 	defer a.mu.Unlock()
 	now := budget.Time(a.now())
 	for key := range a.limits {
-		if _, ok := limits[key]; !ok && len(key) >= len(prefix) && key[:len(prefix)] == prefix {
+		if _, ok := limits[key]; !ok && strings.HasPrefix(key, prefix) {
 			delete(a.limits, key)
 			a.ledger.SetLimit(key, 0, now)
 		}
@@ -205,8 +204,6 @@
 	a.confer()
 }
 
-func countsTime(now time.Duration) counts.Time { return counts.Time(now) }
-
 // notice logs what has changed since it looked last.
 func (a *Agent) notice(now members.Time) {
 	if a.members.Fenced() && !a.fenced {
@@ -215,7 +212,10 @@
 		a.log.WithField("router", a.cfg.Self).Error("another process with this router's name has started later: this one spends nothing any more")
 		a.count.Add("fleet_fenced", 1)
 	}
-	a.ledger.SetIncarnation(a.members.Life())
+	life := a.members.Life()
+	a.ledger.SetIncarnation(life)
+	a.court.SetLife(life)
+	a.board.SetLife(life)
 	if deaf := a.members.Deaf(now); deaf != a.deaf {
 		a.deaf = deaf
 		a.log.WithField("deaf", deaf).Warn("fleet: hearing of the other routers has changed")
@@ -239,7 +239,7 @@
 	}
 	a.court.Receive(e.Judged, verdict.Time(now))
 	if e.Counts != nil {
-		a.board.Receive(*e.Counts, countsTime(now))
+		a.board.Receive(*e.Counts, counts.Time(now))
 	}
 	for _, m := range e.Budget {
 		answer.Budget = append(answer.Budget, a.ledger.Receive(m, budget.Time(now))...)
@@ -250,7 +250,7 @@
 	}
 }
 
-// MembersPage, BudgetsPage and LinksPage are what people see, as JSON.
+// MembersPage is what this router knows of the others.
 type MembersPage struct {
 	Fleet   string       `json:"fleet"`
 	Self    string       `json:"self"`
@@ -330,7 +330,7 @@
 	if part, ok := a.parts[name]; ok {
 		p.Part = part
 	}
-	a.board.Peers(countsTime(now), func(w string, v float64) {
+	a.board.Peers(counts.Time(now), func(w string, v float64) {
 		if w == name {
 			p.Tokens = v
 		}
@@ -393,5 +393,3 @@
 	}
 	return d.Seconds()
 }
-
-func itoa(i int) string { return strconv.Itoa(i) }
--- a/fleet/agent/config.go
+++ b/fleet/agent/config.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"os"
+	"strconv"
 	"time"
 
 	"lichenshelf/conffile"
@@ -58,7 +59,7 @@
 	}
 	names, addrs := map[string]bool{}, map[string]bool{}
 	for i, r := range c.Routers {
-		at := func(key string) string { return "router[" + itoa(i) + "]." + key }
+		at := func(key string) string { return "router[" + strconv.Itoa(i) + "]." + key }
 		switch {
 		case r.Name == "" || names[r.Name]:
 			return nil, f.Bad(at("name"), r.Name, "empty, or another router's")
--- a/fleet/agent/witness.go
+++ b/fleet/agent/witness.go
@@ -1,9 +1,11 @@
 package agent
 
 import (
+	"strconv"
 	"sync"
 
 	"lichenshelf/cordon"
+	"lichenshelf/fleet/counts"
 	"lichenshelf/fleet/verdict"
 	"lichenshelf/logic"
 	"lichenshelf/router"
@@ -36,7 +38,7 @@
 // Send implements router.Transport.
 func (w *witness) Send(at router.Attempt, sink router.Sink) func() {
 	s := &watched{Sink: sink, agent: w.agent, worker: at.Worker.Name, since: at.Worker.Since(), tokens: at.Request.PromptTokens}
-	w.agent.count1(s.worker, s.tokens)
+	w.agent.charge(s.worker, s.tokens)
 	giveUp := w.Transport.Send(at, s)
 	return func() {
 		s.read()
@@ -55,7 +57,7 @@
 }
 
 // read notes that the prompt waits there no longer.
-func (s *watched) read() { s.once.Do(func() { s.agent.count1(s.worker, -s.tokens) }) }
+func (s *watched) read() { s.once.Do(func() { s.agent.charge(s.worker, -s.tokens) }) }
 
 // Started implements router.Sink.
 func (s *watched) Started(a router.Answer) {
@@ -81,7 +83,7 @@
 	s.Sink.Ended(o)
 }
 
-func (a *Agent) count1(worker string, tokens float64) {
+func (a *Agent) charge(worker string, tokens float64) {
 	a.mu.Lock()
 	a.board.Add(worker, tokens)
 	a.mu.Unlock()
@@ -105,7 +107,7 @@
 	workers := make([]verdict.Worker, len(lines))
 	ids := make(map[string]logic.ServerID, len(lines))
 	for i, m := range lines {
-		workers[i] = verdict.Worker{Name: m.Name, Since: int64(m.Since), Kind: itoa(m.Kind), Zone: itoa(m.Cell)}
+		workers[i] = verdict.Worker{Name: m.Name, Since: int64(m.Since), Kind: strconv.Itoa(m.Kind), Zone: strconv.Itoa(m.Cell)}
 		ids[m.Name] = m.Server
 	}
 	now := a.now()
@@ -113,10 +115,10 @@
 	a.mu.Lock()
 	a.court.Judge(verdict.Time(now))
 	parts := a.court.Parts(workers, verdict.Time(now))
-	tell := now-a.told >= a.cfg.Period.Duration && a.board.Heard(countsTime(now)) > 0
+	tell := now-a.told >= a.cfg.Period.Duration && a.board.Heard(counts.Time(now)) > 0
 	if tell {
 		a.told = now
-		a.board.Peers(countsTime(now), func(w string, v float64) { loads[w] = v })
+		a.board.Peers(counts.Time(now), func(w string, v float64) { loads[w] = v })
 	}
 	a.court.Keep(func(name string) bool { _, ok := ids[name]; return ok })
 	was := a.parts
--- a/fleet/budget/budget.go
+++ b/fleet/budget/budget.go
@@ -433,12 +433,17 @@
 	return nil
 }
 
+// drop forgets the grants of a life before one that it uses: it never goes back to them.
+func (n *lent) drop(life, before uint64) {
+	n.grants = slices.DeleteFunc(n.grants, func(g grant) bool { return g.life == life && g.seq < before })
+}
+
 // back takes a borrower's word that it uses less, which stays true however late it comes.
 func (n *lent) back(m Message) {
 	if n == nil {
 		return
 	}
-	n.grants = slices.DeleteFunc(n.grants, func(g grant) bool { return g.life == m.Life && g.seq < m.Seq })
+	n.drop(m.Life, m.Seq)
 	for i := range n.grants {
 		if g := &n.grants[i]; g.life == m.Life && g.seq == m.Seq {
 			g.amount = math.Min(g.amount, m.Amount)
@@ -457,7 +462,7 @@
 		return nil // late or doubled
 	}
 	n.life, n.seq = m.Life, m.Seq
-	n.grants = slices.DeleteFunc(n.grants, func(g grant) bool { return g.life == m.Life && g.seq < m.Using })
+	n.drop(m.Life, m.Using)
 	share, others := l.share(a), 0.0
 	for name, other := range a.lent {
 		if name != m.From {
--- a/fleet/counts/counts.go
+++ b/fleet/counts/counts.go
@@ -61,6 +61,9 @@
 	return b
 }
 
+// SetLife tells that this process goes by a newer life.
+func (b *Board) SetLife(life uint64) { b.own.Life = max(b.own.Life, life) }
+
 // Add notes own work at a worker, sent or, if negative, done.
 func (b *Board) Add(worker string, tokens float64) {
 	v := b.own.Tokens[worker] + tokens
--- a/fleet/counts/counts_test.go
+++ b/fleet/counts/counts_test.go
@@ -108,6 +108,18 @@
 	require.Empty(t, peers(b, now))
 }
 
+func TestStatesGoByTheNewerLife(t *testing.T) {
+	now := Time(time.Hour)
+	a, b := New("r000", names(2), 1, time.Second), New("r001", names(2), 1, time.Second)
+	a.Receive(State{Router: "r001", Life: 9, Version: 50}, now)
+	b.Add("w", 100)
+	a.Receive(b.Tell(), now)
+	require.Empty(t, peers(a, now), "of an older life")
+	b.SetLife(10)
+	a.Receive(b.Tell(), now)
+	require.InDelta(t, 100, peers(a, now)["w"], 1)
+}
+
 func TestSpoiltStatesAreDropped(t *testing.T) {
 	now := Time(time.Hour)
 	b := New("r000", names(2), 1, time.Second)
--- a/fleet/link/link.go
+++ b/fleet/link/link.go
@@ -22,6 +22,7 @@
 	"math/rand/v2"
 	"net"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -423,12 +424,7 @@
 		s.SinceTaken, s.SinceHeard = since(s.taken), since(s.heard)
 		out = append(out, s)
 	}
-	slices.SortFunc(out, func(a, b Status) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(out, func(a, b Status) int { return strings.Compare(a.Name, b.Name) })
 	return out
 }
 
--- a/fleet/link/link_test.go
+++ b/fleet/link/link_test.go
@@ -133,15 +133,15 @@
 func TestLostConnectionsAreReplaced(t *testing.T) {
 	e := newEnds(t)
 	require.Equal(t, "a", e.until(t).From)
-	require.True(t, e.a.Statuses()[0].Connected)
+	// A message is heard before its sender has been told so.
+	require.Eventually(t, func() bool { return e.a.Statuses()[0].Connected }, 20*time.Second, time.Millisecond)
 	for _, f := range []relay.Fault{{Drop: [2]bool{true, false}}, {Drop: [2]bool{false, true}}, {Refuse: true, Drop: [2]bool{true, true}}} {
 		e.relay.Set(f)
 		dropped := e.a.Statuses()[0].Dropped
 		require.Eventually(t, func() bool {
 			e.a.Send(Envelope{To: "b"})
-			return e.a.Statuses()[0].Dropped > dropped
+			return e.a.Statuses()[0].Dropped > dropped && e.a.Statuses()[0].LastFault != ""
 		}, 20*time.Second, 5*time.Millisecond, "%+v is noticed", f)
-		require.NotEmpty(t, e.a.Statuses()[0].LastFault)
 		e.relay.Set(relay.Fault{})
 		e.relay.Cut()
 		for len(e.heard) > 0 {
--- a/fleet/verdict/verdict.go
+++ b/fleet/verdict/verdict.go
@@ -145,6 +145,18 @@
 		back: map[string]Time{}, out: map[string]bool{}}, nil
 }
 
+// SetLife tells that this process goes by a newer life: its judgements go by it from
+// the next one on, and those made before are made anew.
+func (c *Court) SetLife(life uint64) {
+	if life <= c.life {
+		return
+	}
+	c.life = life
+	for _, by := range c.words {
+		delete(by, c.cfg.Self)
+	}
+}
+
 func (e *evidence) fade(now Time) {
 	if now > e.at {
 		k := math.Exp(-float64(now-e.at) / float64(evidenceOver))
--- a/fleet/verdict/verdict_test.go
+++ b/fleet/verdict/verdict_test.go
@@ -114,6 +114,23 @@
 	require.Equal(t, []float64{0.2, 0.4, 0.6, 0.8, 1, 1}, steps)
 }
 
+// A process that goes by a newer life than it began with makes its judgements anew: others have dropped those of the old.
+func TestJudgementsGoByTheNewerLife(t *testing.T) {
+	now := Time(time.Hour)
+	a, b := court(t, config("r0", "x", "x")), court(t, config("r1", "x", "x"))
+	a.Receive([]Judgement{{Worker: "w03", Since: 1, Origin: "r1", Life: 9, Seq: 50, LeftMs: 3000}}, now) // by its forerunner
+	for i := range 40 {
+		b.Observe(fmt.Sprintf("w%02d", i%10), 1, map[bool]Fault{true: Errors}[i%10 == 3], now)
+	}
+	b.Judge(now)
+	a.Receive(b.Tell(now), now)
+	require.Equal(t, None, a.Case("w03", now).By[0].Fault, "of an older life")
+	b.SetLife(10)
+	b.Judge(now)
+	a.Receive(b.Tell(now), now)
+	require.Equal(t, Errors, a.Case("w03", now).By[0].Fault)
+}
+
 // A router to which most workers look bad has a bad link, and judges nobody.
 func TestBadLinkJudgesNobody(t *testing.T) {
 	now := Time(time.Hour)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -263,19 +263,15 @@
 	}
 	workers, clients := shares(defaultSockets)
 	var budgets modelapi.Budgets
+	var transport router.Transport = modelapi.NewTransport(cfg, workers, d.counters)
 	if d.fleet != nil {
-		// Quotas are the fleet's; the decisions know no account past its own by then.
 		cfg.Routers = d.fleetOf
 		d.fleet.SetLimits(modelapi.QuotaPrefix, cfg.Quotas())
-		budgets = d.fleet
+		budgets, transport = d.fleet, d.fleet.Watch(transport)
 	}
 	settings := cfg.Settings()
 	if d.fleet != nil {
-		settings.Tenants = nil
-	}
-	var transport router.Transport = modelapi.NewTransport(cfg, workers, d.counters)
-	if d.fleet != nil {
-		transport = d.fleet.Watch(transport)
+		settings.Tenants = nil // quotas are the fleet's, so the decisions know no account past its own
 	}
 	core := d.core(ctx, logic.New(settings, uint64(time.Now().UnixNano())), transport, settings.MaxAttempts, cfg.MaxOpen)
 	var taker sources.Core = core
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -94,19 +95,34 @@
 	relays   map[[2]int]*relay.Relay
 	demand   []atomic.Bool
 	truth    served
+	takes    atomic.Int64 // nanoseconds that the first worker takes for an answer
+	body     string
 	answers  atomic.Int64 // 200s that clients got
 	odd      sync.Map     // other statuses, with their number
 }
 
+var fleetAddrs atomic.Int32
+
+// ownAddr is an address that nothing else of this test is given: what a program is to listen at is known long before it
+// starts, and relays and connections take free ports of 127.0.0.1 meanwhile.
+func ownAddr(t *testing.T) string {
+	n := fleetAddrs.Add(1)
+	l, err := net.Listen("tcp4", fmt.Sprintf("127.77.%d.%d:0", n/250, 1+n%250))
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
 func newFleetRig(t *testing.T, n int, more ...*worker) *fleetRig {
-	f := &fleetRig{t: t, relays: map[[2]int]*relay.Relay{}, demand: make([]atomic.Bool, n)}
+	f := &fleetRig{t: t, relays: map[[2]int]*relay.Relay{}, demand: make([]atomic.Bool, n), body: embedBody}
 	backend := newWorker(t, "m-a", "model", func(w http.ResponseWriter, r *http.Request) {
 		f.truth.note()
+		time.Sleep(time.Duration(f.takes.Load()))
 		model(w, r)
 	})
 	listen := make([]string, n)
 	for i := range n {
-		listen[i] = freeAddr(t)
+		listen[i] = ownAddr(t)
 	}
 	for i := range n {
 		for j := range n {
@@ -120,7 +136,7 @@
 	}
 	for i := range n {
 		dir := t.TempDir()
-		addr, operator := freeAddr(t), freeAddr(t)
+		addr, operator := ownAddr(t), ownAddr(t)
 		var fleet strings.Builder
 		fmt.Fprintf(&fleet, "fleet = \"f\"\nself = \"r-%d\"\nlisten = %q\noperator = %q\nlease = %q\nperiod = \"200ms\"\ntimeout = \"500ms\"\nreturn = \"2s\"\nhold = \"1s\"\n",
 			i, listen[i], operator, fleetLease)
@@ -158,7 +174,7 @@
 			continue
 		}
 		ctx, cancel := context.WithTimeout(f.t.Context(), 3*time.Second)
-		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.routers[i].addr+embedPath, strings.NewReader(embedBody))
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.routers[i].addr+embedPath, strings.NewReader(f.body))
 		if err == nil {
 			req.Header.Set("Authorization", "Bearer k")
 			if resp, err := c.Do(req); err == nil {
@@ -343,16 +359,16 @@
 	var p struct{ Life uint64 }
 	require.True(t, f.page(2, "members", &p))
 	twin := filepath.Join(t.TempDir(), "fleet.toml")
-	changed := strings.Replace(string(text), "operator = \""+f.operator[2], "operator = \""+freeAddr(t), 1)
+	changed := strings.Replace(string(text), "operator = \""+f.operator[2], "operator = \""+ownAddr(t), 1)
 	lines := strings.Split(changed, "\n")
 	for i := range lines {
 		if strings.HasPrefix(lines[i], "listen") {
-			lines[i] = fmt.Sprintf("listen = %q", freeAddr(t))
+			lines[i] = fmt.Sprintf("listen = %q", ownAddr(t))
 		}
 	}
 	require.NoError(t, os.WriteFile(twin, []byte(strings.Join(lines, "\n")), 0o600))
 	api := filepath.Join(t.TempDir(), "modelapi.toml")
-	require.NoError(t, os.WriteFile(api, []byte(fmt.Sprintf("listen = %q\n", freeAddr(t))), 0o600))
+	require.NoError(t, os.WriteFile(api, []byte(fmt.Sprintf("listen = %q\n", ownAddr(t))), 0o600))
 	start(t, "", nil, "serve", "--modelapi", api, "--fleet", twin)
 	eventually(t, func() bool { return f.routers[2].logged("this one spends nothing any more") }, "the earlier process ends its part")
 	f.ask(2)
@@ -379,11 +395,23 @@
 		}
 		model(w, r)
 	})
+	// The others are at work on long inputs, so that the one that fails at once looks idle and is asked.
+	const takes = 300 * time.Millisecond
 	var good []*worker
 	for i := range 3 {
-		good = append(good, newWorker(t, fmt.Sprintf("m-%d", i), "model", model))
+		good = append(good, newWorker(t, fmt.Sprintf("m-%d", i), "model", func(w http.ResponseWriter, r *http.Request) {
+			time.Sleep(takes)
+			model(w, r)
+		}))
 	}
 	f := newFleetRig(t, 3, append(good, bad)...)
+	f.takes.Store(int64(takes))
+	f.body = fmt.Sprintf(`{"model":"m","input":[%q]}`, strings.Repeat("a notice to mariners ", 400))
+	for i := range 3 {
+		for range 8 {
+			go f.clients(i)
+		}
+	}
 	f.ask(0, 1, 2)
 	part := func(i int) float64 {
 		var p struct{ Part float64 }
