Repeats and cold starts as budgets of the fleet; the platform's front joins it

Need: the fleet's ledger was used for accounts' quotas only; nothing bounded what many routers together send again after failures or send to a worker that has just started, and the platform's front shared nothing.

fleet/attempts (pure) says which budgets an attempt is spent from; the router asks a Permit before each attempt. A cold worker's budget goes by the incarnation and by the router's own monotonic clock from when it hears of the start. What two routers must agree in to lend is the terms and that one budget's limit, so a new budget interrupts no other. Counts hold what workers hold for answers as well, and the own work stands for those who are not heard of. The failing of discovery was never handed to the platform's feed (an assertion on a type that was replaced by then): it is now.

Measured in virtual time: a cold worker that 3 routers want at once got no more than its limit at 1, 8, 80 and 200 routers, linked or not, and over 85% of it where they are linked.

--- a/fleet/agent/agent.go
+++ b/fleet/agent/agent.go
@@ -6,7 +6,6 @@
 	"context"
 	"fmt"
 	"hash/fnv"
-	"maps"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -16,7 +15,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"lichenshelf/cordon"
 	"lichenshelf/fleet/budget"
 	"lichenshelf/fleet/counts"
 	"lichenshelf/fleet/link"
@@ -49,10 +47,9 @@
 	deaf    bool
 	court   *verdict.Court
 	board   *counts.Board
-	gate    *cordon.Gate // nil: no front's workers are judged
-	core    Core
+	fronts  []*Front // whose workers are judged
 	parts   map[string]float64
-	told    time.Duration // when the core was told of others' work last
+	told    time.Duration // when the cores were told of others' work last
 }
 
 // New returns an agent; Run and Serve start it. The life is a number that grows with
@@ -95,7 +92,7 @@
 // now is monotonic, and goes on while the process is stopped.
 func (a *Agent) now() time.Duration { return time.Since(a.start) }
 
-// epoch stands for all that must be the same at two routers that lend each other.
+// epoch stands for the terms that must be the same at two routers that lend each other.
 func (a *Agent) epoch() uint64 {
 	h := fnv.New64a()
 	_, _ = fmt.Fprint(h, a.cfg.Lease, a.cfg.Floor, a.cfg.Burst, a.cfg.Drift)
@@ -105,9 +102,6 @@
 	}
 	slices.Sort(names)
 	_, _ = fmt.Fprintf(h, "%q", names)
-	for _, key := range slices.Sorted(maps.Keys(a.limits)) {
-		_, _ = fmt.Fprintf(h, "%q %g", key, a.limits[key])
-	}
 	return h.Sum64()
 }
 
@@ -116,6 +110,10 @@
 func (a *Agent) SetLimits(prefix string, limits map[string]float64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.setLimits(prefix, limits)
+}
+
+func (a *Agent) setLimits(prefix string, limits map[string]float64) {
 	now := budget.Time(a.now())
 	for key := range a.limits {
 		if _, ok := limits[key]; !ok && strings.HasPrefix(key, prefix) {
@@ -127,7 +125,6 @@
 		a.limits[key] = v
 		a.ledger.SetLimit(key, v, now)
 	}
-	a.ledger.SetEpoch(a.epoch())
 }
 
 // Spend takes cost out of a budget, if it is there.
@@ -187,7 +184,7 @@
 	for _, m := range a.members.Tick(members.Time(now)) {
 		e := to(m.To)
 		e.Members = &m
-		if a.gate != nil {
+		if len(a.fronts) > 0 {
 			state := a.board.Tell()
 			e.Judged, e.Counts = a.court.Tell(verdict.Time(now)), &state
 		}
@@ -197,6 +194,9 @@
 		e.Budget = append(e.Budget, m)
 	}
 	a.notice(members.Time(now))
+	for _, f := range a.fronts {
+		f.thaw(now)
+	}
 	a.mu.Unlock()
 	for _, e := range out {
 		a.link.Send(*e)
@@ -305,7 +305,8 @@
 	Part   float64     `json:"part"`   // of its traffic that it gets
 	Good   float64     `json:"good"`   // own attempts lately
 	Bad    float64     `json:"bad"`    // those that went wrong
-	Tokens float64     `json:"tokens"` // prompt tokens that the other routers have waiting there
+	Unread float64     `json:"unread"` // prompt tokens that the other routers have waiting there
+	Held   float64     `json:"held"`   // tokens that it holds for them
 	By     []JudgeLine `json:"by"`
 }
 
@@ -324,15 +325,15 @@
 	now := a.now()
 	k := a.court.Case(name, verdict.Time(now))
 	p := WorkerPage{Worker: name, Part: 1, Good: k.Good, Bad: k.Bad, By: []JudgeLine{}}
-	if a.gate != nil {
-		p.Listed = a.gate.Known(name)
+	for _, f := range a.fronts {
+		p.Listed = p.Listed || f.gate.Known(name)
 	}
 	if part, ok := a.parts[name]; ok {
 		p.Part = part
 	}
-	a.board.Peers(counts.Time(now), func(w string, v float64) {
+	a.board.Peers(counts.Time(now), func(w string, v counts.Work) {
 		if w == name {
-			p.Tokens = v
+			p.Unread, p.Held = v.Unread, v.Held
 		}
 	})
 	for _, j := range k.By {
--- a/fleet/agent/config.go
+++ b/fleet/agent/config.go
@@ -29,6 +29,8 @@
 	Least    float64           `toml:"least"`
 	Hold     conffile.Duration `toml:"hold"`
 	Return   conffile.Duration `toml:"return"`
+	Repeats  float64           `toml:"repeats_per_s"`
+	Cold     float64           `toml:"cold_per_s"`
 	Routers  []Router          `toml:"router"`
 }
 
@@ -42,7 +44,10 @@
 // SelfEnv goes before the file's self, so that all routers can have the same file.
 const SelfEnv = "LICHENSHELF_FLEET_SELF"
 
-const mostRouters = 1000
+const (
+	mostRouters = 1000
+	mostRate    = 1e6
+)
 
 // LoadConfig reads the file and checks it whole. One without a fleet's name is off.
 func LoadConfig(path string) (*Config, error) {
@@ -95,6 +100,8 @@
 		{"hold", c.Hold, c.Hold.Duration < 100*time.Millisecond || c.Hold.Duration > time.Minute, "not from 100ms to 1m"},
 		{"return", c.Return, c.Return.Duration > time.Hour, "over 1h"},
 		{"observers", c.Observe, c.Observe < 0, "negative"},
+		{"repeats_per_s", c.Repeats, !(c.Repeats >= 0 && c.Repeats <= mostRate), "not from 0 to 1000000"},
+		{"cold_per_s", c.Cold, !(c.Cold >= 0 && c.Cold <= mostRate), "not from 0 to 1000000"},
 	} {
 		if k.bad {
 			return nil, f.Bad(k.key, k.value, k.why)
--- /dev/null
+++ b/fleet/attempts/attempts_test.go
@@ -0,0 +1,198 @@
+package attempts
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lichenshelf/fleet/budget"
+)
+
+const (
+	hour = int64(time.Hour)
+	warm = 10 * time.Second
+)
+
+func rules() *Rules {
+	return New(Config{Front: "p", RepeatsPerSecond: 5, ColdPerSecond: 2, WarmWithin: warm})
+}
+
+func at(d time.Duration) Time { return Time(d) }
+
+// Who counts as cold, and for how long, by what is heard and when.
+func TestColdFromWhenItsStartIsHeardOf(t *testing.T) {
+	old := Worker{Name: "old"}
+	for name, c := range map[string]struct {
+		later      bool // heard of after the first list
+		wall       int64
+		since      int64
+		coldAt     time.Duration // cold at this time after it was heard of
+		warmAt     time.Duration // warm then; 0: always warm
+		neverKnown bool
+	}{
+		"found as it is, of this second":        {wall: 2 * hour, since: 2*hour - int64(time.Second), coldAt: 8 * time.Second, warmAt: 9 * time.Second},
+		"found as it is, long ago":              {wall: 2 * hour, since: hour},
+		"found as it is, without a start":       {wall: 2 * hour, since: 0},
+		"found as it is, in the future":         {wall: hour, since: 2 * hour, coldAt: 9 * time.Second, warmAt: warm},
+		"heard of":                              {later: true, wall: 2 * hour, since: 2 * hour, coldAt: 9 * time.Second, warmAt: warm},
+		"heard of, own clock an hour ahead":     {later: true, wall: 3 * hour, since: 2 * hour, coldAt: 9 * time.Second, warmAt: warm},
+		"heard of, own clock an hour behind":    {later: true, wall: hour, since: 2 * hour, coldAt: 9 * time.Second, warmAt: warm},
+		"heard of, without a start, never cold": {later: true, wall: hour, since: 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := rules()
+			heard := time.Duration(0)
+			if c.later {
+				r.Listed([]Worker{old}, true, 2*hour, 0)
+				heard = time.Second
+				r.Listed([]Worker{{Name: "w", Since: c.since}}, false, c.wall, at(heard))
+			} else {
+				r.Listed([]Worker{old, {Name: "w", Since: c.since}}, true, c.wall, 0)
+			}
+			cold := func(d time.Duration) bool {
+				return r.Spend("w", false, at(heard+d), func(string) bool { return false }) == TooCold
+			}
+			require.Equal(t, c.coldAt > 0, cold(0))
+			if c.coldAt > 0 {
+				require.True(t, cold(c.coldAt))
+				require.False(t, cold(c.warmAt))
+				limits, _ := r.Cold(at(heard))
+				require.Equal(t, map[string]float64{fmt.Sprintf("cold/p/w@%d", c.since): 2}, limits)
+				limits, changed := r.Cold(at(heard + c.warmAt))
+				require.Empty(t, limits)
+				require.True(t, changed)
+			}
+		})
+	}
+}
+
+// A restart has a budget of its own; who has gone has none; a list that names a worker again changes nothing.
+func TestBudgetsFollowTheList(t *testing.T) {
+	r := rules()
+	require.False(t, r.Listed([]Worker{{Name: "a", Since: 1}, {Name: "b", Since: 1}}, true, hour, 0))
+	require.True(t, r.Listed([]Worker{{Name: "a", Since: hour}}, false, hour, at(time.Second)))
+	require.False(t, r.Listed([]Worker{{Name: "a", Since: hour}, {Name: "b", Since: 1}}, true, hour, at(5*time.Second)))
+	require.True(t, r.Listed([]Worker{{Name: "a", Since: hour + 1}}, false, hour, at(6*time.Second)), "restarted while cold")
+	limits, changed := r.Cold(at(6 * time.Second))
+	require.False(t, changed)
+	require.Equal(t, map[string]float64{fmt.Sprintf("cold/p/a@%d", hour+1): 2}, limits)
+	require.True(t, r.Listed([]Worker{{Name: "b", Since: 1}}, true, hour, at(7*time.Second)), "not listed any more")
+	limits, _ = r.Cold(at(7 * time.Second))
+	require.Empty(t, limits)
+	require.True(t, r.Listed([]Worker{{Name: "a", Since: hour + 1}}, false, hour, at(8*time.Second)))
+	require.True(t, r.Listed([]Worker{{Name: "a", Gone: true}}, false, hour, at(8*time.Second)))
+
+	many := make([]Worker, 3*mostCold)
+	for i := range many {
+		many[i] = Worker{Name: fmt.Sprint(i), Since: hour}
+	}
+	r.Listed(many, false, hour, at(9*time.Second))
+	limits, _ = r.Cold(at(9 * time.Second))
+	require.Len(t, limits, mostCold)
+
+	off := New(Config{Front: "p", WarmWithin: warm})
+	require.False(t, off.Listed(many, true, hour, 0))
+	require.Equal(t, None, off.Spend("1", true, 0, func(string) bool { return false }), "without limits all may go")
+}
+
+func TestWhatAnAttemptIsSpentFrom(t *testing.T) {
+	r := rules()
+	r.Listed(nil, true, hour, 0)
+	r.Listed([]Worker{{Name: "c", Since: hour}, {Name: "w"}}, false, hour, 0)
+	for _, c := range []struct {
+		worker string
+		repeat bool
+		empty  string // the budget that has nothing left
+		want   Refusal
+		spent  string
+	}{
+		{"w", false, "", None, ""},
+		{"w", true, "", None, "repeats/p"},
+		{"w", true, "repeats/p", Repeats, ""},
+		{"c", false, "", None, "cold/p/c@3600000000000"},
+		{"c", true, "", None, "cold/p/c@3600000000000 repeats/p"},
+		{"c", true, "cold/p/c@3600000000000", TooCold, ""},
+		{"c", true, "repeats/p", Repeats, "cold/p/c@3600000000000"},
+		{"unknown", false, "", None, ""},
+	} {
+		var spent []string
+		got := r.Spend(c.worker, c.repeat, at(time.Second), func(key string) bool {
+			if key == c.empty {
+				return false
+			}
+			spent = append(spent, key)
+			return true
+		})
+		require.Equal(t, c.want, got, "%+v", c)
+		require.Equal(t, c.spent, strings.Join(spent, " "), "%+v", c)
+	}
+}
+
+// Many routers hear of a start at times of their own and all want to send at once: together they send the cold worker
+// no more than its limit allows, at any number of routers, and about all of it is used where they can hear each other.
+func TestColdWorkerIsNotPushedOverByMany(t *testing.T) {
+	const (
+		limit = 20.0
+		lease = 2 * time.Second
+		step  = 50 * time.Millisecond
+	)
+	for _, n := range []int{1, 8, 80, 200} {
+		for _, linked := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%d linked %v", n, linked), func(t *testing.T) {
+				rng := rand.New(rand.NewPCG(uint64(n), 7))
+				names := make([]string, n)
+				for i := range names {
+					names[i] = fmt.Sprint("r", i)
+				}
+				ledgers, all := map[string]*budget.Ledger{}, map[string]*Rules{}
+				for _, name := range names {
+					l, err := budget.New(budget.Config{Self: name, Routers: names, Incarnation: 1, Epoch: 1, Lease: lease, Drift: 0.01,
+						Floor: 0.1, Burst: time.Second}, 0)
+					require.NoError(t, err)
+					ledgers[name] = l
+					r := New(Config{Front: "p", ColdPerSecond: limit, WarmWithin: 14 * time.Second})
+					r.Listed([]Worker{{Name: "old"}}, true, hour, 0)
+					all[name] = r
+				}
+				began := 10 * time.Second // all are past their first lease
+				sent, demand := 0, min(3, n)
+				for now := began; now < began+14*time.Second; now += step {
+					for i, name := range names {
+						l, r := ledgers[name], all[name]
+						if heard := began + time.Duration(i%8)*step; now == heard {
+							r.Listed([]Worker{{Name: "c", Since: hour}}, false, hour+int64(i-n/2)*hour/10, at(now))
+							limits, _ := r.Cold(at(now))
+							for key, v := range limits {
+								l.SetLimit(key, v, budget.Time(now))
+							}
+						}
+						if i < demand { // what comes is for a few of them only
+							for range 1 + rng.IntN(3) {
+								if r.cold["c"].until > 0 && r.Spend("c", false, at(now), func(key string) bool {
+									return l.Spend(key, 1, budget.Time(now))
+								}) == None {
+									sent++
+								}
+							}
+						}
+						for _, m := range l.Tick(budget.Time(now)) {
+							if linked {
+								for _, answer := range ledgers[m.To].Receive(m, budget.Time(now)) {
+									l.Receive(answer, budget.Time(now))
+								}
+							}
+						}
+					}
+					require.LessOrEqual(t, float64(sent), limit*(now-began+step).Seconds()+1, "at %v", now-began)
+				}
+				if linked {
+					require.Greater(t, float64(sent), 0.85*limit*14, "of the budget is used")
+				}
+			})
+		}
+	}
+}
--- a/fleet/budget/budget.go
+++ b/fleet/budget/budget.go
@@ -56,7 +56,7 @@
 	Self        string
 	Routers     []string      // all that share, Self among them
 	Incarnation uint64        // grows with each start of this router
-	Epoch       uint64        // version of the limits; nothing is lent across versions
+	Epoch       uint64        // version of these terms; nothing is lent across versions, nor across limits
 	Lease       time.Duration // an owner holds back what it has lent for so long
 	Drift       float64       // part by which the speeds of two clocks may differ, 0 to 0.2
 	Floor       float64       // part of each share that is never lent, over 0 to 1
@@ -193,9 +193,11 @@
 	l.settle(a, now)
 }
 
-// SetEpoch tells that the limits are of another version by now. What is lent and
-// borrowed runs on to its end.
-func (l *Ledger) SetEpoch(epoch uint64) { l.cfg.Epoch = epoch }
+// epoch is what both ends of a loan must agree in: the terms, and this budget's limit.
+// Another budget's change interrupts nothing here.
+func (l *Ledger) epoch(a *account) uint64 {
+	return (l.cfg.Epoch ^ math.Float64bits(a.limit)) * 0x9e3779b97f4a7c15
+}
 
 // SetIncarnation tells that this process goes by a newer life. What it has borrowed
 // under the one before is given up here and runs out where it came from.
@@ -385,7 +387,7 @@
 }
 
 func (l *Ledger) message(kind Kind, to, key string, seq uint64, amount float64) Message {
-	return Message{Kind: kind, From: l.cfg.Self, To: to, Epoch: l.cfg.Epoch, Life: l.cfg.Incarnation, Key: key, Seq: seq,
+	return Message{Kind: kind, From: l.cfg.Self, To: to, Epoch: l.epoch(l.budgets[key]), Life: l.cfg.Incarnation, Key: key, Seq: seq,
 		Amount: amount}
 }
 
@@ -416,7 +418,7 @@
 // malformed, of another epoch, for somebody else or of a stranger is dropped.
 func (l *Ledger) Receive(m Message, now Time) []Message {
 	a := l.budgets[m.Key]
-	if a == nil || a.off || l.fenced || m.To != l.cfg.Self || m.From == l.cfg.Self || m.Epoch != l.cfg.Epoch || m.Seq == 0 ||
+	if a == nil || a.off || l.fenced || m.To != l.cfg.Self || m.From == l.cfg.Self || m.Epoch != l.epoch(a) || m.Seq == 0 ||
 		!(m.Amount >= 0) || math.IsInf(m.Amount, 0) || !slices.Contains(l.cfg.Routers, m.From) {
 		return nil
 	}
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -67,8 +67,8 @@
 	case p.Part < 1:
 		state = fmt.Sprintf("on its way back, gets %.1f of its traffic", p.Part)
 	}
-	fmt.Fprintf(w, "worker %s: %s\nown attempts lately: %.1f well, %.1f wrong; prompt tokens of other routers waiting there: %.0f\n", p.Worker, state,
-		p.Good, p.Bad, p.Tokens)
+	fmt.Fprintf(w, "worker %s: %s\nown attempts lately: %.1f well, %.1f wrong; of other routers: %.0f prompt tokens wait there, %.0f are held\n", p.Worker, state,
+		p.Good, p.Bad, p.Unread, p.Held)
 	fmt.Fprintln(w, "JUDGED BY\tFAULT\tWRONG\tWELL\tHOLDS FOR")
 	for _, j := range p.By {
 		fmt.Fprintf(w, "%s\t%s\t%.1f\t%.1f\t%.1f s\n", j.Router, j.Fault, j.Bad, j.Good, j.LeftS)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -200,23 +200,23 @@
 	if cfg.OpenCap > 0 {
 		open = min(open, cfg.OpenCap)
 	}
-	core := d.core(ctx, logic.New(cfg.Settings, cfg.Seed), platform.NewTransport(cfg, workers, d.counters),
+	part := d.shares(sources.Platform, cfg.Settings, cfg.Reports.Understands())
+	core := d.core(ctx, logic.New(cfg.Settings, cfg.Seed), part.watch(platform.NewTransport(cfg, workers, d.counters)), part,
 		cfg.Settings.MaxAttempts, open)
-	var taker platform.Taker = core
+	taker := part.before(core)
+	var failed func(error)
 	if d.sources.Takes(sources.Platform) {
-		feed, err := d.feed(sources.Platform, core, cfg)
+		feed, err := d.feed(sources.Platform, taker, cfg)
 		if err != nil {
 			return err
 		}
-		taker = ownList{feed}
+		taker, failed = ownList{feed}, ownList{feed}.failed
 	}
 	d.cordon = cordon.New(taker, cordon.Path(os.TempDir(), cfg.Name), d.log)
 	go d.cordon.Follow(ctx)
 	taker = d.cordon
 	d.watch = platform.NewWatch(cfg, taker, d.log)
-	if own, ok := taker.(ownList); ok {
-		d.watch.Failed = own.failed
-	}
+	d.watch.Failed = failed
 	go d.watch.Run(ctx)
 	started := time.Now()
 	ready := func() bool {
@@ -263,22 +263,19 @@
 	}
 	workers, clients := shares(defaultSockets)
 	var budgets modelapi.Budgets
-	var transport router.Transport = modelapi.NewTransport(cfg, workers, d.counters)
 	if d.fleet != nil {
 		cfg.Routers = d.fleetOf
 		d.fleet.SetLimits(modelapi.QuotaPrefix, cfg.Quotas())
-		budgets, transport = d.fleet, d.fleet.Watch(transport)
+		budgets = d.fleet
 	}
 	settings := cfg.Settings()
 	if d.fleet != nil {
 		settings.Tenants = nil // quotas are the fleet's, so the decisions know no account past its own
 	}
-	core := d.core(ctx, logic.New(settings, uint64(time.Now().UnixNano())), transport, settings.MaxAttempts, cfg.MaxOpen)
-	var taker sources.Core = core
-	if d.fleet != nil {
-		taker = d.fleet.Join(core)
-	}
-	feed, err := d.feed(sources.ModelAPI, taker, nil)
+	part := d.shares(sources.ModelAPI, settings, false)
+	core := d.core(ctx, logic.New(settings, uint64(time.Now().UnixNano())), part.watch(modelapi.NewTransport(cfg, workers, d.counters)), part,
+		settings.MaxAttempts, cfg.MaxOpen)
+	feed, err := d.feed(sources.ModelAPI, part.before(core), nil)
 	if err != nil {
 		return err
 	}
@@ -316,8 +313,8 @@
 	return cfg.Override(string(text))
 }
 
-func (d *daemon) core(ctx context.Context, decider logic.Decider, t router.Transport, attempts, open int) *router.Core {
-	core := router.New(router.Config{Decider: decider, Transport: t, Counters: d.counters,
+func (d *daemon) core(ctx context.Context, decider logic.Decider, t router.Transport, p share, attempts, open int) *router.Core {
+	core := router.New(router.Config{Decider: decider, Transport: t, Permit: p.permit(), Counters: d.counters,
 		MaxAttempts: attempts, MaxOpen: open, Log: d.log})
 	go core.Run(ctx)
 	return core
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -6,8 +6,11 @@
 	"net"
 	"time"
 
+	"lichenshelf/cordon"
 	"lichenshelf/fleet/agent"
 	"lichenshelf/front/console"
+	"lichenshelf/logic"
+	"lichenshelf/router"
 )
 
 // startFleet starts this router's part in its fleet, if the file names one.
@@ -41,3 +44,34 @@
 	}
 	return d.serveConsole(cfg.Operator, console.New(func() bool { return !d.stopping.Load() }, nil).WithFleet(a))
 }
+
+// share is a front's part in the fleet; without a fleet all passes it as it is.
+type share struct{ front *agent.Front }
+
+func (d *daemon) shares(name string, s logic.Settings, reports bool) share {
+	if d.fleet == nil {
+		return share{}
+	}
+	return share{d.fleet.Front(agent.FrontConfig{Name: name, Settings: s, Reports: reports})}
+}
+
+func (s share) watch(t router.Transport) router.Transport {
+	if s.front == nil {
+		return t
+	}
+	return s.front.Watch(t)
+}
+
+func (s share) permit() router.Permit {
+	if s.front == nil {
+		return nil
+	}
+	return s.front
+}
+
+func (s share) before(core *router.Core) cordon.Taker {
+	if s.front == nil {
+		return core
+	}
+	return s.front.Take(core)
+}
--- a/logic/deployments_test.go
+++ b/logic/deployments_test.go
@@ -179,4 +179,15 @@
 		{Kind: LoadTold, Server: 77, Load: Load{HasUnread: true, UnreadToken: 9000}}}, nil)
 	_, acts := r.arrive(Request{})
 	r.wantSend(acts, 2)
+	// Of memory nothing was told, so what is thought of it stays.
+	share := r.g.pools[RoleWrite].share
+	r.g.Handle(r.now, []Event{{Kind: LoadTold, Server: 3, Load: Load{HasMemory: true, MemoryShare: 0.5}}}, nil)
+	if got := r.g.pools[RoleWrite].share; got <= share {
+		t.Errorf("the writers' mean is %.2f after a report of 0.5", got)
+	}
+	share = r.g.pools[RoleWrite].share
+	r.g.Handle(r.now, []Event{{Kind: LoadTold, Server: 3, Load: Load{HasUnread: true}}}, nil)
+	if got := r.g.pools[RoleWrite].share; got != share {
+		t.Errorf("the writers' mean went from %.2f to %.2f by a report that holds none", share, got)
+	}
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -3,6 +3,7 @@
 package logic
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"math/rand/v2"
@@ -170,10 +171,8 @@
 		}
 		m.Kind = min(m.Kind, len(g.set.Kinds)-1)
 		kind := g.set.Kinds[m.Kind]
-		s.Member, s.listed, s.role, s.memory = m, m.Health != Gone, kind.Role, kind.MemoryTokens
-		if s.memory <= 0 {
-			s.memory = unknownMemory
-		}
+		s.Member, s.listed, s.role = m, m.Health != Gone, kind.Role
+		s.memory = cmp.Or(max(kind.MemoryTokens, 0), unknownMemory)
 	}
 	g.balance()
 	g.surveyed = 0
@@ -525,9 +524,10 @@
 	s.load, s.loadAt, s.since = l, g.now, 0
 	p := &g.pools[s.role]
 	p.reports++
-	g.reports = g.reports || l.HasMemory
 	a := math.Max(fastLearn, 1/float64(p.reports))
-	p.share += a * (l.MemoryShare - p.share)
+	if l.HasMemory {
+		g.reports, p.share = true, p.share+a*(l.MemoryShare-p.share)
+	}
 	p.unread.average(g.now, g.waitSpan(), l.UnreadToken, fastLearn)
 }
 
--- a/router/api.go
+++ b/router/api.go
@@ -81,6 +81,24 @@
 	Forget(*Worker)
 }
 
+// Allowance says whether an attempt may go out.
+type Allowance uint8
+
+// What may be said of an attempt.
+const (
+	MayGo    Allowance = iota
+	NotThere           // this worker must not get it now, another may
+	NotAgain           // nothing may be sent again now: the request ends as its last attempt left it
+)
+
+// Permit is asked right before an attempt goes out, by the core's goroutine. It must
+// return at once.
+type Permit interface {
+	// Allow says whether an attempt may go to a worker; repeat tells that the attempt
+	// before it failed.
+	Allow(w *Worker, repeat bool) Allowance
+}
+
 // Counters is told what the core does. Its methods may be called from any goroutine.
 type Counters interface {
 	Add(name string, n int64)
--- a/router/core.go
+++ b/router/core.go
@@ -21,6 +21,7 @@
 type Config struct {
 	Decider   logic.Decider
 	Transport Transport
+	Permit    Permit // asked before each attempt; nil: all may go
 	Counters  Counters
 	// MaxAttempts bounds the attempts of one request; 0 means no bound.
 	MaxAttempts int
@@ -73,7 +74,7 @@
 	c.intake = intake{core: c, limit: int64(cfg.MaxOpen), count: cfg.Counters}
 	c.admission = admission{core: c, exchanges: map[logic.RequestID]*exchange{}, names: map[string]bool{}}
 	c.routing = routing{core: c, decider: cfg.Decider, start: time.Now(), log: cfg.Log}
-	c.sender = sender{core: c, transport: cfg.Transport, most: cfg.MaxAttempts, count: cfg.Counters}
+	c.sender = sender{core: c, transport: cfg.Transport, permit: cfg.Permit, most: cfg.MaxAttempts, count: cfg.Counters}
 	c.relay = relay{core: c}
 	c.book = book{core: c, transport: cfg.Transport, count: cfg.Counters, log: cfg.Log}
 	return c
--- a/router/core_test.go
+++ b/router/core_test.go
@@ -214,3 +214,65 @@
 type broken struct{}
 
 func (broken) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+// allow is a permit that notes what it was asked.
+type allow struct {
+	repeats chan bool
+	say     []Allowance
+}
+
+func (a *allow) Allow(_ *Worker, repeat bool) Allowance {
+	a.repeats <- repeat
+	say := a.say[0]
+	a.say = a.say[1:]
+	return say
+}
+
+// A permit is asked before each attempt, and told which of them follow a failed one: a write after its read does not.
+// What may not go to one worker has not run there; what may not go again ends as its last attempt left it.
+func TestPermitIsAskedBeforeEachAttempt(t *testing.T) {
+	w, p := newWires(), &allow{make(chan bool, 8), []Allowance{NotThere, MayGo, MayGo, NotAgain}}
+	counters := &metrics.Set{}
+	ended := make(chan logic.Event, 8)
+	c := New(Config{Decider: decide(func(e logic.Event) []logic.Action {
+		switch e.Kind {
+		case logic.Arrived:
+			return []logic.Action{{Kind: logic.Send, ID: e.Request.ID, Server: 5, After: time.Hour}}
+		case logic.AttemptEnded:
+			ended <- e
+			if e.Status != logic.NotSent {
+				return []logic.Action{{Kind: logic.Send, ID: e.ID, Server: 5, After: time.Hour}}
+			}
+			return []logic.Action{{Kind: logic.Fail, ID: e.ID}}
+		}
+		return nil
+	}), Transport: w, Permit: p, Counters: counters, MaxOpen: 2})
+	ctx, cancel := context.WithCancel(context.Background())
+	go c.Run(ctx)
+	t.Cleanup(func() { cancel(); <-c.stopped })
+	c.Discovered([]Member{{Member: logic.Member{Server: 5}, Name: "s", Addr: "x:1"}}, true)
+	who := caller{make(chan string, 4)}
+	lasts := make(chan logic.Status, 1)
+	c.Submit(&Request{Name: "a", Received: time.Now(), Request: logic.Request{Patience: time.Minute}}, failed{who, lasts})
+	(<-w.sent).Ended(Outcome{Status: logic.PromptRead})
+	(<-w.sent).Ended(Outcome{Status: logic.ConnectionReset})
+	require.Equal(t, "failed", <-who.answers)
+	require.Equal(t, logic.ConnectionReset, <-lasts, "as its last attempt left it")
+	for i, want := range []logic.Status{logic.Full, logic.PromptRead, logic.ConnectionReset, logic.NotSent} {
+		require.Equal(t, want, (<-ended).Status, "attempt %d", i)
+	}
+	for i, want := range []bool{false, true, false, true} {
+		require.Equal(t, want, <-p.repeats, "attempt %d", i)
+	}
+	require.Empty(t, w.sent, "what may not go is not sent")
+}
+
+type failed struct {
+	caller
+	lasts chan logic.Status
+}
+
+func (f failed) Fail(last logic.Status) {
+	f.lasts <- last
+	f.caller.Fail(last)
+}
--- a/router/send.go
+++ b/router/send.go
@@ -12,6 +12,7 @@
 type sender struct {
 	core      *Core
 	transport Transport
+	permit    Permit // nil: all may go
 	most      int
 	count     Counters
 }
@@ -43,6 +44,19 @@
 		s.report(a, Outcome{Status: logic.Full})
 		return
 	}
+	if s.permit != nil {
+		switch s.permit.Allow(w, ex.sends > 0 && ex.last != logic.PromptRead) {
+		case NotThere:
+			ex.sends++
+			s.count.Add("attempts_not_there", 1)
+			s.report(a, Outcome{Status: logic.Full})
+			return
+		case NotAgain:
+			s.count.Add("attempts_not_again", 1)
+			s.report(a, Outcome{Status: logic.NotSent})
+			return
+		}
+	}
 	ex.sends++
 	ex.attempt = a
 	s.count.Add("attempts_sent", 1)
