The fleet's decisions put together in one pure part that sockets and virtual time share

Need: the glue between budgets, members, counts and judgements stood in the agent behind a lock and a wall clock, so only the parts could be played in virtual time, not what the program runs.

fleet/node holds all of it, clock and randomness handed in, messages in and out; fleet/agent keeps the lock, the ticker, the links and the pages. Behaviour is unchanged.

Measured: the process tests of the fleet and of the platform's front pass with the race detector.

--- a/fleet/agent/agent.go
+++ b/fleet/agent/agent.go
@@ -1,25 +1,21 @@
-// Package agent is one router's part in its fleet: it hands what comes over the
-// links to the parts that decide, their messages to the links, and answers the fronts.
+// Package agent is one router's part in its fleet on sockets: it hands what comes over the
+// links to the part that decides (fleet/node), its messages to the links, and answers the
+// fronts.
 package agent
 
 import (
 	"context"
 	"fmt"
-	"hash/fnv"
 	"math/rand/v2"
 	"net"
-	"slices"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
-	"lichenshelf/fleet/budget"
-	"lichenshelf/fleet/counts"
 	"lichenshelf/fleet/link"
-	"lichenshelf/fleet/members"
-	"lichenshelf/fleet/verdict"
+	"lichenshelf/fleet/node"
 )
 
 // ticksPerLease is how often in a lease what is due is looked for.
@@ -38,52 +34,30 @@
 	log   logrus.FieldLogger
 	start time.Time
 
-	mu      sync.Mutex
-	ledger  *budget.Ledger
-	members *members.View
-	limits  map[string]float64
-	states  map[string]members.State // as logged last
-	fenced  bool
-	deaf    bool
-	court   *verdict.Court
-	board   *counts.Board
-	fronts  []*Front // whose workers are judged
-	parts   map[string]float64
-	told    time.Duration // when the cores were told of others' work last
+	mu     sync.Mutex
+	node   *node.Node
+	fronts []*Front // in the node's order
 }
 
 // New returns an agent; Run and Serve start it. The life is a number that grows with
 // each start, such as the wall clock's; if it does not, the fleet puts it right.
 func New(cfg *Config, life, seed uint64, count Counters, log logrus.FieldLogger) (*Agent, error) {
-	a := &Agent{cfg: cfg, count: count, log: log, start: time.Now(), limits: map[string]float64{}, states: map[string]members.State{}}
-	var names []string
+	a := &Agent{cfg: cfg, count: count, log: log, start: time.Now()}
+	zones := map[string]string{}
 	var peers []link.Peer
 	for _, r := range cfg.Routers {
-		names = append(names, r.Name)
+		zones[r.Name] = r.Zone
 		if r.Name != cfg.Self {
 			peers = append(peers, link.Peer{Name: r.Name, Addr: r.Addr})
 		}
 	}
 	var err error
-	if a.ledger, err = budget.New(budget.Config{Self: cfg.Self, Routers: names, Incarnation: life, Epoch: a.epoch(), Lease: cfg.Lease.Duration,
-		Drift: cfg.Drift, Floor: cfg.Floor, Burst: cfg.Burst.Duration}, budget.Time(a.now())); err != nil {
-		return nil, err
-	}
-	if a.members, err = members.New(members.Config{Self: cfg.Self, Routers: names, Life: life, Period: cfg.Period.Duration,
-		Fanout: cfg.Fanout, Digest: cfg.Digest, Observers: cfg.Observe,
-		DoubtFor: members.Patience(len(names), cfg.Period.Duration, cfg.Fanout, cfg.Digest)},
-		rand.New(rand.NewPCG(seed, life)), members.Time(a.now())); err != nil {
-		return nil, err
-	}
-	zones := map[string]string{}
-	for _, r := range cfg.Routers {
-		zones[r.Name] = r.Zone
-	}
-	if a.court, err = verdict.New(verdict.Config{Self: cfg.Self, Zones: zones, Quorum: cfg.Quorum, MostOut: cfg.MostOut, Least: cfg.Least,
-		Hold: cfg.Hold.Duration, Return: cfg.Return.Duration}, life); err != nil {
-		return nil, err
+	if a.node, err = node.New(node.Config{Self: cfg.Self, Zones: zones, Life: life, Lease: cfg.Lease.Duration, Floor: cfg.Floor,
+		Burst: cfg.Burst.Duration, Drift: cfg.Drift, Period: cfg.Period.Duration, Fanout: cfg.Fanout, Digest: cfg.Digest,
+		Observers: cfg.Observe, Quorum: cfg.Quorum, MostOut: cfg.MostOut, Least: cfg.Least, Hold: cfg.Hold.Duration,
+		Return: cfg.Return.Duration, Repeats: cfg.Repeats, Cold: cfg.Cold}, rand.New(rand.NewPCG(seed, life)), a.now()); err != nil {
+		return nil, fmt.Errorf("router %s: %w", cfg.Self, err)
 	}
-	a.board = counts.New(cfg.Self, names, life, 2*cfg.Period.Duration)
 	a.link = link.New(link.Config{Fleet: cfg.Fleet, Self: cfg.Self, Peers: peers, Timeout: cfg.Timeout.Duration,
 		StaleAfter: cfg.Lease.Duration / 4, Seed: seed, Counters: count, Log: log, Receive: a.receive})
 	return a, nil
@@ -92,45 +66,18 @@
 // now is monotonic, and goes on while the process is stopped.
 func (a *Agent) now() time.Duration { return time.Since(a.start) }
 
-// epoch stands for the terms that must be the same at two routers that lend each other.
-func (a *Agent) epoch() uint64 {
-	h := fnv.New64a()
-	_, _ = fmt.Fprint(h, a.cfg.Lease, a.cfg.Floor, a.cfg.Burst, a.cfg.Drift)
-	names := make([]string, 0, len(a.cfg.Routers))
-	for _, r := range a.cfg.Routers {
-		names = append(names, r.Name)
-	}
-	slices.Sort(names)
-	_, _ = fmt.Fprintf(h, "%q", names)
-	return h.Sum64()
-}
-
 // SetLimits sets the limits of all budgets with a prefix, in cost a second over all
 // routers; those that are not named any more are free.
 func (a *Agent) SetLimits(prefix string, limits map[string]float64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.setLimits(prefix, limits)
-}
-
-func (a *Agent) setLimits(prefix string, limits map[string]float64) {
-	now := budget.Time(a.now())
-	for key := range a.limits {
-		if _, ok := limits[key]; !ok && strings.HasPrefix(key, prefix) {
-			delete(a.limits, key)
-			a.ledger.SetLimit(key, 0, now)
-		}
-	}
-	for key, v := range limits {
-		a.limits[key] = v
-		a.ledger.SetLimit(key, v, now)
-	}
+	a.node.SetLimits(prefix, limits, a.now())
 }
 
 // Spend takes cost out of a budget, if it is there.
 func (a *Agent) Spend(key string, cost float64) bool {
 	a.mu.Lock()
-	ok := a.ledger.Spend(key, cost, budget.Time(a.now()))
+	ok := a.node.Spend(key, cost, a.now())
 	a.mu.Unlock()
 	if ok {
 		a.count.Add("fleet_budget_spent", 1)
@@ -146,7 +93,7 @@
 // Leave makes the next messages say that this router leaves: it is not missed then.
 func (a *Agent) Leave() {
 	a.mu.Lock()
-	a.members.Leave()
+	a.node.Leave()
 	a.mu.Unlock()
 }
 
@@ -170,86 +117,50 @@
 	}
 }
 
-// tick sends what the parts have due, one message for each router.
+// tick sends what is due, one message for each router, and confers.
 func (a *Agent) tick() {
-	now := a.now()
 	a.mu.Lock()
-	out := map[string]*link.Envelope{}
-	to := func(name string) *link.Envelope {
-		if out[name] == nil {
-			out[name] = &link.Envelope{To: name}
-		}
-		return out[name]
-	}
-	for _, m := range a.members.Tick(members.Time(now)) {
-		e := to(m.To)
-		e.Members = &m
-		if len(a.fronts) > 0 {
-			state := a.board.Tell()
-			e.Judged, e.Counts = a.court.Tell(verdict.Time(now)), &state
-		}
-	}
-	for _, m := range a.ledger.Tick(budget.Time(now)) {
-		e := to(m.To)
-		e.Budget = append(e.Budget, m)
-	}
-	a.notice(members.Time(now))
-	for _, f := range a.fronts {
-		f.thaw(now)
-	}
+	out := a.node.Tick(a.now())
 	a.mu.Unlock()
 	for _, e := range out {
-		a.link.Send(*e)
+		a.link.Send(e)
 	}
 	a.confer()
-}
-
-// notice logs what has changed since it looked last.
-func (a *Agent) notice(now members.Time) {
-	if a.members.Fenced() && !a.fenced {
-		a.fenced = true
-		a.ledger.Fence()
-		a.log.WithField("router", a.cfg.Self).Error("another process with this router's name has started later: this one spends nothing any more")
-		a.count.Add("fleet_fenced", 1)
-	}
-	life := a.members.Life()
-	a.ledger.SetIncarnation(life)
-	a.court.SetLife(life)
-	a.board.SetLife(life)
-	if deaf := a.members.Deaf(now); deaf != a.deaf {
-		a.deaf = deaf
-		a.log.WithField("deaf", deaf).Warn("fleet: hearing of the other routers has changed")
-	}
-	for _, r := range a.members.Routers(now) {
-		if was, ok := a.states[r.Name]; r.State != was || !ok {
-			a.states[r.Name] = r.State
-			if ok {
-				a.log.WithFields(logrus.Fields{"router": r.Name, "state": r.State.String(), "was": was.String()}).Info("fleet: router changed")
-			}
-		}
+	a.mu.Lock()
+	notices := a.node.Notices()
+	a.mu.Unlock()
+	for _, n := range notices {
+		a.say(n)
 	}
 }
 
 func (a *Agent) receive(e link.Envelope) {
-	now := a.now()
-	answer := link.Envelope{To: e.From}
 	a.mu.Lock()
-	if e.Members != nil {
-		a.members.Receive(*e.Members, members.Time(now))
-	}
-	a.court.Receive(e.Judged, verdict.Time(now))
-	if e.Counts != nil {
-		a.board.Receive(*e.Counts, counts.Time(now))
-	}
-	for _, m := range e.Budget {
-		answer.Budget = append(answer.Budget, a.ledger.Receive(m, budget.Time(now))...)
-	}
+	answers := a.node.Receive(e, a.now())
 	a.mu.Unlock()
-	if len(answer.Budget) > 0 {
+	for _, answer := range answers {
 		a.link.Send(answer)
 	}
 }
 
+// say logs a change.
+func (a *Agent) say(n node.Notice) {
+	switch n.Kind {
+	case node.Fenced:
+		a.log.WithField("router", n.Name).Error("another process with this router's name has started later: this one spends nothing any more")
+		a.count.Add("fleet_fenced", 1)
+	case node.Deaf, node.Hears:
+		a.log.WithField("deaf", n.Kind == node.Deaf).Warn("fleet: hearing of the other routers has changed")
+	case node.RouterChanged:
+		a.log.WithFields(logrus.Fields{"router": n.Name, "state": n.Is, "was": n.Was}).Info("fleet: router changed")
+	case node.WorkerOut:
+		a.log.WithField("worker", n.Name).Warn("fleet: worker out for all by agreement")
+		a.count.Add("fleet_workers_out", 1)
+	case node.WorkerBack:
+		a.log.WithField("worker", n.Name).Info("fleet: worker comes back")
+	}
+}
+
 // MembersPage is what this router knows of the others.
 type MembersPage struct {
 	Fleet   string       `json:"fleet"`
@@ -321,69 +232,73 @@
 
 func (a *Agent) worker(name string) WorkerPage {
 	a.mu.Lock()
-	defer a.mu.Unlock()
-	now := a.now()
-	k := a.court.Case(name, verdict.Time(now))
-	p := WorkerPage{Worker: name, Part: 1, Good: k.Good, Bad: k.Bad, By: []JudgeLine{}}
-	for _, f := range a.fronts {
+	part, k, peers := a.node.Worker(name, a.now())
+	fronts := a.fronts
+	a.mu.Unlock()
+	p := WorkerPage{Worker: name, Part: part, Good: k.Good, Bad: k.Bad, Unread: peers.Unread, Held: peers.Held, By: []JudgeLine{}}
+	for _, f := range fronts {
 		p.Listed = p.Listed || f.gate.Known(name)
 	}
-	if part, ok := a.parts[name]; ok {
-		p.Part = part
-	}
-	a.board.Peers(counts.Time(now), func(w string, v counts.Work) {
-		if w == name {
-			p.Unread, p.Held = v.Unread, v.Held
-		}
-	})
 	for _, j := range k.By {
 		p.By = append(p.By, JudgeLine{j.Origin, j.Fault.String(), j.Bad, j.Good, float64(j.LeftMs) / 1000})
 	}
 	return p
 }
 
+func (a *Agent) membersPage() MembersPage {
+	a.mu.Lock()
+	v := a.node.Members(a.now())
+	a.mu.Unlock()
+	p := MembersPage{Fleet: a.cfg.Fleet, Self: a.cfg.Self, Life: v.Life, Fenced: v.Fenced, Deaf: v.Deaf, Routers: []MemberLine{}}
+	for _, r := range v.Routers {
+		p.Routers = append(p.Routers, MemberLine{r.Name, r.State.String(), r.Life, r.Age.Seconds(), r.Doubt})
+	}
+	return p
+}
+
+func (a *Agent) budgets() []BudgetLine {
+	a.mu.Lock()
+	views := a.node.Budgets(a.now())
+	a.mu.Unlock()
+	out := []BudgetLine{}
+	for _, v := range views {
+		line := BudgetLine{Key: v.Key, Limit: v.Limit, Share: v.Share, Floor: v.Floor, Rate: v.Rate, IfCut: v.IfCut, Demand: v.Demand,
+			Lent: map[string]float64{}, Borrowed: map[string]float64{}, Unsure: v.Unsure, Fenced: v.Fenced}
+		for _, l := range v.Lent {
+			line.Lent[l.Router] = l.Amount
+			line.EndsS = max(line.EndsS, l.Left.Seconds())
+		}
+		for _, l := range v.Borrowed {
+			line.Borrowed[l.Router] = l.Amount
+			line.EndsS = max(line.EndsS, l.Left.Seconds())
+		}
+		out = append(out, line)
+	}
+	return out
+}
+
+func (a *Agent) links() []LinkLine {
+	out := []LinkLine{}
+	for _, s := range a.link.Statuses() {
+		out = append(out, LinkLine{s.Name, s.Addr, s.Connected, s.Sent, s.Dropped, s.Heard, seconds(s.SinceTaken),
+			seconds(s.SinceHeard), s.LastFault})
+	}
+	return out
+}
+
 // Page returns what there is to see under a name: members, budgets, links, or worker/
 // and a worker's name.
 func (a *Agent) Page(name string) (any, bool) {
 	if worker, ok := strings.CutPrefix(name, "worker/"); ok && worker != "" {
 		return a.worker(worker), true
 	}
-	now := a.now()
 	switch name {
 	case "members":
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		p := MembersPage{Fleet: a.cfg.Fleet, Self: a.cfg.Self, Life: a.members.Life(), Fenced: a.members.Fenced(),
-			Deaf: a.members.Deaf(members.Time(now)), Routers: []MemberLine{}}
-		for _, r := range a.members.Routers(members.Time(now)) {
-			p.Routers = append(p.Routers, MemberLine{r.Name, r.State.String(), r.Life, r.Age.Seconds(), r.Doubt})
-		}
-		return p, true
+		return a.membersPage(), true
 	case "budgets":
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		out := []BudgetLine{}
-		for _, v := range a.ledger.Views(budget.Time(now)) {
-			line := BudgetLine{Key: v.Key, Limit: v.Limit, Share: v.Share, Floor: v.Floor, Rate: v.Rate, IfCut: v.IfCut, Demand: v.Demand,
-				Lent: map[string]float64{}, Borrowed: map[string]float64{}, Unsure: v.Unsure, Fenced: v.Fenced}
-			for _, l := range v.Lent {
-				line.Lent[l.Router] = l.Amount
-				line.EndsS = max(line.EndsS, l.Left.Seconds())
-			}
-			for _, l := range v.Borrowed {
-				line.Borrowed[l.Router] = l.Amount
-				line.EndsS = max(line.EndsS, l.Left.Seconds())
-			}
-			out = append(out, line)
-		}
-		return out, true
+		return a.budgets(), true
 	case "links":
-		out := []LinkLine{}
-		for _, s := range a.link.Statuses() {
-			out = append(out, LinkLine{s.Name, s.Addr, s.Connected, s.Sent, s.Dropped, s.Heard, seconds(s.SinceTaken),
-				seconds(s.SinceHeard), s.LastFault})
-		}
-		return out, true
+		return a.links(), true
 	}
 	return nil, false
 }
--- a/fleet/link/link.go
+++ b/fleet/link/link.go
@@ -30,10 +30,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 
-	"lichenshelf/fleet/budget"
-	"lichenshelf/fleet/counts"
-	"lichenshelf/fleet/members"
-	"lichenshelf/fleet/verdict"
+	"lichenshelf/fleet/node"
 )
 
 // Version is what this program writes.
@@ -50,17 +47,7 @@
 )
 
 // Envelope is one message between two routers.
-type Envelope struct {
-	Version uint8               `cbor:"1,keyasint"`
-	Need    uint8               `cbor:"2,keyasint"` // the oldest version that can make sense of it
-	Fleet   string              `cbor:"3,keyasint"`
-	From    string              `cbor:"4,keyasint"`
-	To      string              `cbor:"5,keyasint"`
-	Members *members.Message    `cbor:"10,keyasint,omitempty"`
-	Budget  []budget.Message    `cbor:"11,keyasint,omitempty"`
-	Judged  []verdict.Judgement `cbor:"12,keyasint,omitempty"` // of the sender and passed on
-	Counts  *counts.State       `cbor:"13,keyasint,omitempty"`
-}
+type Envelope = node.Envelope
 
 // Peer is another router of the fleet.
 type Peer struct{ Name, Addr string }
@@ -399,13 +386,7 @@
 	case l.peers[e.From] == nil:
 		return fmt.Errorf("%w: from the unknown router %.40q", ErrMessage, e.From)
 	}
-	e.Budget = slices.DeleteFunc(e.Budget, func(m budget.Message) bool { return m.From != e.From })
-	if e.Members != nil && e.Members.From != e.From {
-		e.Members = nil
-	}
-	if e.Counts != nil && e.Counts.Router != e.From {
-		e.Counts = nil
-	}
+	e.Spoken()
 	return nil
 }
 
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -8,6 +8,7 @@
 
 	"lichenshelf/cordon"
 	"lichenshelf/fleet/agent"
+	"lichenshelf/fleet/node"
 	"lichenshelf/front/console"
 	"lichenshelf/logic"
 	"lichenshelf/router"
@@ -52,7 +53,7 @@
 	if d.fleet == nil {
 		return share{}
 	}
-	return share{d.fleet.Front(agent.FrontConfig{Name: name, Settings: s, Reports: reports})}
+	return share{d.fleet.Front(node.FrontConfig{Name: name, Settings: s, Reports: reports})}
 }
 
 func (s share) watch(t router.Transport) router.Transport {
