A laboratory: emulated workers on loopback and in virtual time, and a demonstration

Need: fleet state had no ground of its own: counts were never measured with and without, the platform's front could not be tried by a newcomer, and bounds on repeats and cold starts had no workers that fail, warm up and fall over.

lab/engine is one model of readers, writers and mixed workers; lab/emulator puts it behind sockets with discovery beside it and open-loop clients before it; lab/virtual runs many deciders and fleet parts against it, deterministic from a seed. lichenlab demo starts all of it in one command. Process tests: five programs whose workers fail and come back cold while half of them hear nothing, the same without budgets (the check finds it), a rolling release, a liar.

What writers hold is told as well, and a prompt counts by the part that is not found kept.

--- a/fleet/agent/agent.go
+++ b/fleet/agent/agent.go
@@ -53,7 +53,7 @@
 	}
 	var err error
 	if a.node, err = node.New(node.Config{Self: cfg.Self, Zones: zones, Life: life, Lease: cfg.Lease.Duration, Floor: cfg.Floor,
-		Burst: cfg.Burst.Duration, Drift: cfg.Drift, Period: cfg.Period.Duration, Fanout: cfg.Fanout, Digest: cfg.Digest,
+		Burst: cfg.Burst.Duration, Drift: cfg.Drift, Period: cfg.Period.Duration, Counts: cfg.Counts.Duration, Fanout: cfg.Fanout, Digest: cfg.Digest,
 		Observers: cfg.Observe, Quorum: cfg.Quorum, MostOut: cfg.MostOut, Least: cfg.Least, Hold: cfg.Hold.Duration,
 		Return: cfg.Return.Duration, Repeats: cfg.Repeats, Cold: cfg.Cold}, rand.New(rand.NewPCG(seed, life)), a.now()); err != nil {
 		return nil, fmt.Errorf("router %s: %w", cfg.Self, err)
@@ -105,7 +105,11 @@
 	defer done.Wait()
 	defer end()
 	defer a.link.Close()
-	tick := time.NewTicker(a.cfg.Lease.Duration / ticksPerLease)
+	every := a.cfg.Lease.Duration / ticksPerLease
+	if c := a.cfg.Counts.Duration; c > 0 {
+		every = min(every, c)
+	}
+	tick := time.NewTicker(every)
 	defer tick.Stop()
 	for {
 		select {
--- a/fleet/agent/config.go
+++ b/fleet/agent/config.go
@@ -20,6 +20,7 @@
 	Burst    conffile.Duration `toml:"burst"`
 	Drift    float64           `toml:"drift"`
 	Period   conffile.Duration `toml:"period"`
+	Counts   conffile.Duration `toml:"counts_every"`
 	Fanout   int               `toml:"fanout"`
 	Digest   int               `toml:"digest"`
 	Timeout  conffile.Duration `toml:"timeout"`
@@ -52,7 +53,7 @@
 // LoadConfig reads the file and checks it whole. One without a fleet's name is off.
 func LoadConfig(path string) (*Config, error) {
 	d := func(v time.Duration) conffile.Duration { return conffile.Duration{Duration: v} }
-	c := &Config{Lease: d(2 * time.Second), Floor: 0.1, Burst: d(time.Second), Drift: 0.01, Period: d(500 * time.Millisecond),
+	c := &Config{Lease: d(2 * time.Second), Floor: 0.1, Burst: d(time.Second), Drift: 0.01, Period: d(500 * time.Millisecond), Counts: d(100 * time.Millisecond),
 		Fanout: 2, Digest: 32, Timeout: d(time.Second), Observe: 2,
 		Quorum: 2, MostOut: 0.3, Least: 3, Hold: d(3 * time.Second), Return: d(10 * time.Second)}
 	f, err := conffile.Read(path, c)
@@ -91,6 +92,7 @@
 		{"burst", c.Burst, c.Burst.Duration > time.Minute, "over 1m"},
 		{"drift", c.Drift, !(c.Drift >= 0 && c.Drift <= 0.2), "not from 0 to 0.2"},
 		{"period", c.Period, c.Period.Duration < 10*time.Millisecond || c.Period.Duration > time.Minute, "not from 10ms to 1m"},
+		{"counts_every", c.Counts, c.Counts.Duration != 0 && c.Counts.Duration < 10*time.Millisecond || c.Counts.Duration > time.Minute, "not 0, nor from 10ms to 1m"},
 		{"fanout", c.Fanout, c.Fanout < 1 || c.Fanout > 16, "not from 1 to 16"},
 		{"digest", c.Digest, c.Digest < 1 || c.Digest > 512, "not from 1 to 512"},
 		{"timeout", c.Timeout, c.Timeout.Duration < 10*time.Millisecond || c.Timeout.Duration > time.Minute, "not from 10ms to 1m"},
--- a/fleet/agent/witness.go
+++ b/fleet/agent/witness.go
@@ -86,7 +86,7 @@
 
 // Send implements router.Transport.
 func (w *witness) Send(at router.Attempt, sink router.Sink) func() {
-	s := &watched{Sink: sink, agent: w.front.agent, worker: at.Worker.Name, since: at.Worker.Since()}
+	s := &watched{Sink: sink, agent: w.front.agent, front: w.front, prompt: at.Request.PromptTokens, worker: at.Worker.Name, since: at.Worker.Since()}
 	s.agent.mu.Lock()
 	s.work = w.front.part.Work(s.worker, &at.Request.Request)
 	s.agent.node.Charge(s.worker, s.work)
@@ -102,8 +102,10 @@
 type watched struct {
 	router.Sink
 	agent  *Agent
+	front  *Front
 	worker string
 	since  logic.Time
+	prompt float64 // tokens
 
 	mu   sync.Mutex
 	work counts.Work // that is still out
@@ -159,12 +161,22 @@
 // Ended implements router.Sink. A stale connection says nothing of its worker.
 func (s *watched) Ended(o router.Outcome) {
 	s.over()
+	if o.Status == logic.PromptRead {
+		s.kept(float64(o.Kept))
+	}
 	if !o.Stale {
 		s.observe(o.Status)
 	}
 	s.Sink.Ended(o)
 }
 
+// kept notes how much of the prompt was there already.
+func (s *watched) kept(tokens float64) {
+	s.agent.mu.Lock()
+	s.front.part.Kept(s.prompt, tokens)
+	s.agent.mu.Unlock()
+}
+
 func (s *watched) observe(status logic.Status) {
 	fault, says := node.FaultOf(status)
 	if !says {
--- a/fleet/node/node.go
+++ b/fleet/node/node.go
@@ -63,8 +63,9 @@
 	Floor     float64
 	Burst     time.Duration
 	Drift     float64
-	Period    time.Duration
-	Fanout    int
+	Period    time.Duration // of heartbeats and judgements
+	Counts    time.Duration // from one telling of work to the next; 0: it is not told
+	Fanout    int           // routers told at a time
 	Digest    int
 	Observers int
 	Quorum    int
@@ -90,7 +91,9 @@
 	parts   map[string]float64
 	fenced  bool
 	deaf    bool
-	told    Time // when others' work was told last
+	rng     *rand.Rand
+	counted Time // when own work was told to others last
+	told    Time // when others' work was told here last
 	notices []Notice
 }
 
@@ -115,7 +118,7 @@
 
 // New returns a node that has heard of nobody.
 func New(cfg Config, rng *rand.Rand, now Time) (*Node, error) {
-	n := &Node{cfg: cfg, limits: map[string]float64{}, states: map[string]members.State{}}
+	n := &Node{cfg: cfg, rng: rng, limits: map[string]float64{}, states: map[string]members.State{}}
 	n.names = slices.Sorted(maps.Keys(cfg.Zones))
 	var err error
 	if n.ledger, err = budget.New(budget.Config{Self: cfg.Self, Routers: n.names, Incarnation: cfg.Life, Epoch: cfg.terms(n.names),
@@ -131,7 +134,7 @@
 		Hold: cfg.Hold, Return: cfg.Return}, cfg.Life); err != nil {
 		return nil, err
 	}
-	n.board = counts.New(cfg.Self, n.names, cfg.Life, 2*cfg.Period)
+	n.board = counts.New(cfg.Self, n.names, cfg.Life, 2*max(cfg.Counts, time.Millisecond))
 	return n, nil
 }
 
@@ -169,7 +172,8 @@
 // Leave makes the next messages say that this router leaves: it is not missed then.
 func (n *Node) Leave() { n.members.Leave() }
 
-// Tick returns what is due to the others. It is to be called several times in a lease.
+// Tick returns what is due to the others. It is to be called several times in a lease, and
+// as often as work is told.
 func (n *Node) Tick(now Time) []Envelope {
 	var out []Envelope
 	to := func(name string) *Envelope {
@@ -185,8 +189,18 @@
 		e := to(m.To)
 		e.Members = &m
 		if len(n.fronts) > 0 {
-			state := n.board.Tell()
-			e.Judged, e.Counts = n.court.Tell(verdict.Time(now)), &state
+			e.Judged = n.court.Tell(verdict.Time(now))
+		}
+	}
+	if len(n.fronts) > 0 && n.cfg.Counts > 0 && now-n.counted >= n.cfg.Counts && !n.fenced {
+		n.counted = now
+		state := n.board.Tell()
+		left := n.cfg.Fanout
+		for _, i := range n.rng.Perm(len(n.names)) {
+			if left > 0 && n.names[i] != n.cfg.Self {
+				to(n.names[i]).Counts = &state
+				left--
+			}
 		}
 	}
 	for _, m := range n.ledger.Tick(budget.Time(now)) {
@@ -269,6 +283,7 @@
 	node  *Node
 	rules *attempts.Rules
 	kinds map[string]int // by worker
+	fresh float64        // part of a prompt that is not found kept, lately
 }
 
 // Line is a worker as a front's list names it.
@@ -283,7 +298,7 @@
 // Front lets a front's workers be judged together with the other routers, and its
 // attempts be spent from what all share.
 func (n *Node) Front(cfg FrontConfig, now Time) *Front {
-	f := &Front{cfg: cfg, node: n, kinds: map[string]int{}, rules: attempts.New(attempts.Config{Front: cfg.Name,
+	f := &Front{cfg: cfg, node: n, kinds: map[string]int{}, fresh: 1, rules: attempts.New(attempts.Config{Front: cfg.Name,
 		RepeatsPerSecond: n.cfg.Repeats, ColdPerSecond: n.cfg.Cold, WarmWithin: cfg.Settings.WarmWithin})}
 	if n.cfg.Repeats > 0 {
 		n.SetLimits(f.rules.Repeats(), map[string]float64{f.rules.Repeats(): n.cfg.Repeats}, now)
@@ -318,21 +333,31 @@
 	return f.rules.Spend(worker, repeat, attempts.Time(now), func(key string) bool { return f.node.Spend(key, 1, now) })
 }
 
-// answerPart is the guess of an answer's length as part of its limit.
-const answerPart = 0.3
+const (
+	answerPart = 0.3  // guess of an answer's length as part of its limit
+	keptWeight = 0.05 // of one read in the mean of what is found kept
+)
 
 // Work is what an attempt puts on its worker.
 func (f *Front) Work(worker string, r *logic.Request) counts.Work {
 	w := counts.Work{Held: r.PromptTokens + answerPart*r.MaxTokens}
 	switch k := f.kind(f.kinds[worker]); k.Role {
 	case logic.RoleRead:
-		return counts.Work{Unread: r.PromptTokens}
+		return counts.Work{Unread: f.fresh * r.PromptTokens}
 	case logic.RoleBoth:
-		w.Unread = r.PromptTokens
+		w.Unread = f.fresh * r.PromptTokens
 	}
 	return w
 }
 
+// Kept notes how much of a prompt was found kept where it was read: no more than the rest
+// of it is a load.
+func (f *Front) Kept(prompt, kept float64) {
+	if prompt > 0 {
+		f.fresh += keptWeight * (min(max(1-kept/prompt, 0), 1) - f.fresh)
+	}
+}
+
 func (f *Front) kind(i int) logic.Kind {
 	if i < len(f.cfg.Settings.Kinds) {
 		return f.cfg.Settings.Kinds[i]
@@ -375,7 +400,7 @@
 }
 
 // Confer judges anew. It returns the part of its traffic that each worker gets that does not
-// get all, and, once a period, what there is to tell of others' work, by front. The lists are
+// get all, and, where it is due, what there is to tell of others' work, by front. The lists are
 // those of the fronts, in their order.
 func (n *Node) Confer(lists [][]Line, now Time) (parts map[string]float64, told [][]Told) {
 	var workers []verdict.Worker
@@ -400,7 +425,7 @@
 		}
 	}
 	n.parts = parts
-	if now-n.told >= n.cfg.Period && len(n.names) > 1 && (n.told > 0 || n.board.Heard(counts.Time(now)) > 0) {
+	if n.cfg.Counts > 0 && now-n.told >= n.cfg.Counts && len(n.names) > 1 && (n.told > 0 || n.board.Heard(counts.Time(now)) > 0) {
 		n.told = now
 		told = n.tell(lists, now)
 	}
--- /dev/null
+++ b/lab/demo/demo.go
@@ -0,0 +1,402 @@
+// Package demo starts emulated workers, routers and clients together, does harm to one of
+// them if it is told to, and shows what came of it second by second.
+package demo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"lichenshelf/internal/standin/link"
+	"lichenshelf/lab/emulator"
+	"lichenshelf/lab/engine"
+	"lichenshelf/lab/load"
+	"lichenshelf/logic"
+)
+
+// What may be done harm to.
+const (
+	NoFault     = ""
+	FaultWorker = "worker" // a reader dies and comes back cold
+	FaultRouter = "router" // a router is killed and started again
+	FaultLink   = "link"   // half of the routers hear nothing of the others
+)
+
+// Config describes a demonstration.
+type Config struct {
+	Routers int
+	For     time.Duration
+	Rate    float64 // requests a second
+	Fault   string
+	Alone   bool // routers share nothing
+	Seed    uint64
+	Plot    string // file; empty: none
+	Dir     string // for the routers' files and logs
+	// Router is the command that is the router, to which its arguments are added.
+	Router []string
+}
+
+// ErrConfig is what a faulty Config wraps.
+var ErrConfig = errors.New("demo")
+
+// Check looks at a config whole.
+func (c *Config) Check() error {
+	switch {
+	case c.Routers < 1 || c.Routers > 16:
+		return fmt.Errorf("%w: routers is %d, not from 1 to 16", ErrConfig, c.Routers)
+	case c.For < 3*time.Second || c.For > time.Hour:
+		return fmt.Errorf("%w: for is %v, not from 3s to 1h", ErrConfig, c.For)
+	case !(c.Rate > 0 && c.Rate <= 500):
+		return fmt.Errorf("%w: rate is %g, not over 0 and up to 500", ErrConfig, c.Rate)
+	case c.Fault != NoFault && c.Fault != FaultWorker && c.Fault != FaultRouter && c.Fault != FaultLink:
+		return fmt.Errorf("%w: fault is %q, not worker, router or link", ErrConfig, c.Fault)
+	case c.Fault == FaultLink && (c.Alone || c.Routers < 2):
+		return fmt.Errorf("%w: fault is link, and there are none between the routers", ErrConfig)
+	case c.Fault == FaultRouter && c.Routers < 2:
+		return fmt.Errorf("%w: fault is router, and there is only one", ErrConfig)
+	case c.Plot != "" && filepath.Ext(c.Plot) != ".png":
+		return fmt.Errorf("%w: plot is %q, which does not end in .png", ErrConfig, c.Plot)
+	case len(c.Router) == 0:
+		return fmt.Errorf("%w: router is empty, no command to start", ErrConfig)
+	}
+	return nil
+}
+
+// Kinds are those of the demonstration's workers: readers, writers and mixed ones.
+func Kinds() []engine.Kind {
+	return []engine.Kind{
+		{Role: logic.RoleRead, ReadRate: 9000, ReadBase: 15 * time.Millisecond, Queue: 24, Keep: 60000, States: 2e5},
+		{Role: logic.RoleWrite, FetchRate: 4e5, Step: 8 * time.Millisecond, StepDouble: 16, Memory: 80000, Wait: 8},
+		{Role: logic.RoleBoth, ReadRate: 5000, ReadBase: 20 * time.Millisecond, Queue: 16, Keep: 40000, Step: 12 * time.Millisecond, StepDouble: 10, Memory: 60000, Wait: 4},
+	}
+}
+
+// Site is that of the demonstration: two cells, started long ago.
+func Site() engine.Config {
+	cfg := engine.Config{Kinds: Kinds(), Cold: engine.Cold{Share: 0.3, WarmWithin: 8 * time.Second, FallMultiple: 2.5,
+		FallAfter: 1500 * time.Millisecond, Down: 3 * time.Second}}
+	add := func(kind, cell int, name string) {
+		cfg.Servers = append(cfg.Servers, engine.Spec{Name: name, Kind: kind, Cell: cell, Zone: cell, Started: -time.Hour})
+	}
+	for i := range 6 {
+		add(0, i%2, fmt.Sprintf("reader-%d", i))
+	}
+	for i := range 8 {
+		add(1, i%2, fmt.Sprintf("writer-%d", i))
+	}
+	add(2, 0, "mixed-0")
+	add(2, 1, "mixed-1")
+	return cfg
+}
+
+// Load is what the demonstration's clients ask for.
+func Load(rate float64) load.Config {
+	return load.Config{Rate: rate, Classes: []float64{3, 1}, Prefixes: 24, Zipf: 1.2, PrefixTokens: 1200, Turns: 4,
+		Prompt: 400, Answer: 50, Spread: 0.7, Most: 12000}
+}
+
+// Rules are those of the demonstration's routers.
+var Rules = emulator.Rules{Patience: 4 * time.Second, Aim: 1500 * time.Millisecond, Attempts: 5}
+
+// Fleet is what the routers' file holds beside its members.
+const Fleet = "lease = \"1s\"\nperiod = \"200ms\"\ntimeout = \"500ms\"\nrepeats_per_s = 40.0\ncold_per_s = 20.0\n"
+
+// Report is what came of a demonstration.
+type Report struct {
+	Seconds []emulator.Second
+	Twice   int // requests with more than one final answer
+	Again   int // attempts that followed another for the same request, as workers saw them
+	Fell    int // cold workers that were pushed over
+	Held    int // read states that were left
+	marks   []mark
+}
+
+type mark struct {
+	at   float64
+	text string
+}
+
+// Run plays a demonstration and prints it to out as it goes.
+func Run(ctx context.Context, cfg Config, out io.Writer) (*Report, error) {
+	if err := cfg.Check(); err != nil {
+		return nil, err
+	}
+	site, err := emulator.New(Site(), cfg.Seed, emulator.Loopback)
+	if err != nil {
+		return nil, err
+	}
+	defer site.Close()
+	fleet := Fleet
+	if cfg.Alone {
+		fleet = ""
+	}
+	layout, err := site.NewLayout(cfg.Dir, cfg.Routers, Rules, fleet, freeAddr)
+	if err != nil {
+		return nil, err
+	}
+	defer layout.Close()
+	s := &stage{cfg: cfg, site: site, layout: layout, out: &writer{out: out}}
+	defer s.stop()
+	for i := range layout.Routers {
+		if err := s.start(i); err != nil {
+			return nil, err
+		}
+	}
+	var addrs []string
+	for _, r := range layout.Routers {
+		addrs = append(addrs, r.Listen)
+		if err := ready(ctx, r.Listen); err != nil {
+			return nil, fmt.Errorf("router %s: %w; its log is %s", r.Name, err, s.log(r.Name))
+		}
+	}
+	s.clients = emulator.NewClients(addrs, Rules.Patience)
+	return s.play(ctx)
+}
+
+func freeAddr() (string, error) {
+	l, err := emulator.Loopback("")
+	if err != nil {
+		return "", err
+	}
+	return l.Addr().String(), l.Close()
+}
+
+// ready waits until a router has workers.
+func ready(ctx context.Context, addr string) error {
+	ctx, cancel := context.WithTimeout(ctx, 15*time.Second)
+	defer cancel()
+	look := time.NewTicker(20 * time.Millisecond)
+	defer look.Stop()
+	for {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/healthz", nil)
+		if err != nil {
+			return err
+		}
+		if resp, err := http.DefaultClient.Do(req); err == nil {
+			_ = resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		select {
+		case <-look.C:
+		case <-ctx.Done():
+			return errors.New("not ready in time")
+		}
+	}
+}
+
+// writer writes whole lines of several goroutines.
+type writer struct {
+	mu  sync.Mutex
+	out io.Writer
+}
+
+func (w *writer) Write(p []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.out.Write(p)
+}
+
+// stage is a demonstration under way.
+type stage struct {
+	cfg       Config
+	site      *emulator.Emulator
+	layout    *emulator.Layout
+	out       io.Writer
+	clients   *emulator.Clients
+	processes []*exec.Cmd
+	up        atomic.Int32
+	marks     []mark
+	began     time.Time
+}
+
+func (s *stage) log(name string) string { return s.cfg.Dir + "/" + name + ".log" }
+
+func (s *stage) start(i int) error {
+	r := s.layout.Routers[i]
+	log, err := os.OpenFile(s.log(r.Name), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return fmt.Errorf("log of router %s: %w", r.Name, err)
+	}
+	defer log.Close()
+	args := append(append([]string{}, s.cfg.Router[1:]...), r.Args...)
+	cmd := exec.Command(s.cfg.Router[0], args...)
+	cmd.Env = append(os.Environ(), r.Env...)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("start router %s: %w", r.Name, err)
+	}
+	for len(s.processes) <= i {
+		s.processes = append(s.processes, nil)
+	}
+	s.processes[i] = cmd
+	s.up.Add(1)
+	return nil
+}
+
+// end ends a router by a signal and waits for it.
+func (s *stage) end(i int, with syscall.Signal) {
+	if cmd := s.processes[i]; cmd != nil {
+		_ = cmd.Process.Signal(with)
+		_ = cmd.Wait()
+		s.processes[i] = nil
+		s.up.Add(-1)
+	}
+}
+
+func (s *stage) stop() {
+	for i := range s.processes {
+		s.end(i, syscall.SIGKILL)
+	}
+}
+
+func (s *stage) mark(format string, args ...any) {
+	m := mark{time.Since(s.began).Seconds(), fmt.Sprintf(format, args...)}
+	s.marks = append(s.marks, m)
+	fmt.Fprintf(s.out, "%5.1f s  %s\n", m.at, m.text)
+}
+
+// harm does what the config asks for, a third into the time, and undoes it after two thirds.
+func (s *stage) harm(ctx context.Context) {
+	third := s.cfg.For / 3
+	if !sleep(ctx, third) {
+		return
+	}
+	switch s.cfg.Fault {
+	case FaultWorker:
+		s.site.Kill("reader-0", third)
+		s.mark("worker reader-0 is killed; it comes back cold after %v", third.Round(100*time.Millisecond))
+	case FaultRouter:
+		s.end(1, syscall.SIGKILL)
+		s.mark("router r-1 is killed")
+		if sleep(ctx, third) && s.start(1) == nil {
+			s.mark("router r-1 is started again")
+		}
+	case FaultLink:
+		s.layout.Between(func(from, to int) bool { return from%2 != to%2 }, link.Fault{Refuse: true, Drop: [2]bool{true, true}})
+		s.mark("every second router hears nothing of the others")
+		if sleep(ctx, third) {
+			s.layout.Between(func(int, int) bool { return false }, link.Fault{})
+			s.mark("all routers hear each other again")
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *stage) play(ctx context.Context) (*Report, error) {
+	playing, cancel := context.WithTimeout(ctx, s.cfg.For)
+	defer cancel()
+	rng := rand.New(rand.NewPCG(s.cfg.Seed, 3))
+	s.began = time.Now()
+	fmt.Fprintf(s.out, "%d routers, %d workers, %.0f requests a second\n", s.cfg.Routers, s.site.Up(), s.cfg.Rate)
+	fmt.Fprintln(s.out, " time   asked served broken refused failed unheard late   first token p50, p99   workers routers")
+	harmed := make(chan struct{})
+	go func() {
+		defer close(harmed)
+		if s.cfg.Fault != NoFault {
+			s.harm(playing)
+		}
+	}()
+	asked := make(chan struct{})
+	go func() {
+		defer close(asked)
+		s.clients.Run(playing, load.New(Load(s.cfg.Rate), s.cfg.Seed), rng.IntN)
+	}()
+	told := 0
+	look := time.NewTicker(time.Second)
+	defer look.Stop()
+	for running := true; running; {
+		select {
+		case <-look.C:
+		case <-asked:
+			running = false
+		}
+		// A second's requests are all answered once the longest patience has passed; two seconds are nearly all.
+		seconds := s.clients.Seconds()
+		for ; told < len(seconds) && (!running || told < len(seconds)-2); told++ {
+			s.line(told, &seconds[told])
+		}
+	}
+	<-harmed
+	for i := range s.processes { // in good order: what is held is let go of
+		s.end(i, syscall.SIGTERM)
+	}
+	r := &Report{Seconds: s.clients.Seconds(), Again: len(emulator.Again(s.site.Record(), Site())), Fell: s.site.Fell(), Held: s.site.Held(), marks: s.marks}
+	for _, n := range s.clients.Answers() {
+		if n > 1 {
+			r.Twice++
+		}
+	}
+	if err := r.print(s.out); err != nil {
+		return nil, err
+	}
+	if s.cfg.Plot == "" {
+		return r, ctx.Err()
+	}
+	if err := r.plot(s.cfg.Plot); err != nil {
+		return nil, err
+	}
+	fmt.Fprintf(s.out, "plot: %s\n", s.cfg.Plot)
+	return r, ctx.Err()
+}
+
+func (s *stage) line(i int, v *emulator.Second) {
+	sum := 0
+	for _, n := range v.Fates {
+		sum += n
+	}
+	f := v.Fates
+	fmt.Fprintf(s.out, "%4d s  %5d  %5d  %5d   %5d  %5d   %5d %4d   %7.0f ms %7.0f ms   %7d %7d\n", i, sum, f[emulator.Served], f[emulator.Broken],
+		f[emulator.Refused], f[emulator.Failed], f[emulator.Unheard], f[emulator.Late], ms(v.First, 50), ms(v.First, 99), s.site.Up(), s.up.Load())
+}
+
+func ms(h *hdrhistogram.Histogram, q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+
+// print writes the table at the end.
+func (r *Report) print(w io.Writer) error {
+	var sum [emulator.Fates]int
+	all := 0
+	first := hdrhistogram.New(1, 120_000_000, 3)
+	for _, s := range r.Seconds {
+		first.Merge(s.First)
+		for f, n := range s.Fates {
+			sum[f] += n
+			all += n
+		}
+	}
+	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "\nREQUESTS\tNUMBER\tPART\t")
+	for f, n := range sum {
+		fmt.Fprintf(t, "%s\t%d\t%.1f%%\t\n", emulator.Fate(f), n, 100*float64(n)/float64(max(all, 1)))
+	}
+	fmt.Fprintf(t, "all\t%d\t\t\n", all)
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(w, "first token: p50 %.0f ms, p90 %.0f ms, p99 %.0f ms\n"+
+		"as the workers saw it: %d attempts sent again, %d cold workers pushed over, %d read states left; %d requests answered twice\n",
+		ms(first, 50), ms(first, 90), ms(first, 99), r.Again, r.Fell, r.Held, r.Twice)
+	return err
+}
--- /dev/null
+++ b/lab/virtual/virtual_test.go
@@ -0,0 +1,230 @@
+package virtual
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lichenshelf/fleet/node"
+	"lichenshelf/lab/demo"
+	"lichenshelf/lab/engine"
+	"lichenshelf/logic"
+)
+
+var seeds = flag.Int("seeds", 3, "pairs that are played for each figure")
+
+// terms are those of a fleet, as deploy/fleet.toml has them.
+func terms() *node.Config {
+	return &node.Config{Lease: 2 * time.Second, Floor: 0.1, Burst: time.Second, Drift: 0.01, Period: 500 * time.Millisecond, Counts: 100 * time.Millisecond, Fanout: 2, Digest: 32,
+		Observers: 2, Quorum: 2, MostOut: 0.3, Least: 3, Hold: 3 * time.Second, Return: 10 * time.Second}
+}
+
+func settings(kinds []engine.Kind, cold engine.Cold) logic.Settings {
+	s := logic.Settings{CancelAllowed: true, RetryAfter: true, MaxRetryAfter: 2 * time.Second, MaxAttempts: 5, ConnectTimeout: 250 * time.Millisecond,
+		OverShareWorth: 0.1, DrainGrace: 250 * time.Millisecond, ColdShare: cold.Share, WarmWithin: cold.WarmWithin, FallMultiple: cold.FallMultiple,
+		FallAfter: cold.FallAfter, ReleaseWithin: 300 * time.Millisecond,
+		Classes: []logic.Class{{Aim: 1500 * time.Millisecond, AimPer1000: 40 * time.Millisecond, TokenAim: 60 * time.Millisecond, Points: 1, LateShare: 0.2},
+			{Aim: 1500 * time.Millisecond, AimPer1000: 40 * time.Millisecond, TokenAim: 60 * time.Millisecond, Points: 3, LateShare: 0.2, Effect: logic.EffectOnce}}}
+	for _, k := range kinds {
+		s.Kinds = append(s.Kinds, logic.Kind{Role: k.Role, MemoryTokens: k.Memory})
+	}
+	return s
+}
+
+// usual is the demonstration's site before n routers, at a rate over all of them.
+func usual(n int, rate float64, seed uint64) Config {
+	site := demo.Site()
+	return Config{Routers: n, Site: site, Load: demo.Load(rate), Settings: settings(site.Kinds, site.Cold), Patience: 4 * time.Second,
+		Hop: time.Millisecond, For: 30 * time.Second, Seed: seed}
+}
+
+func play(t testing.TB, cfg Config) *Result {
+	r, err := Run(cfg)
+	require.NoError(t, err)
+	return r
+}
+
+// Whatever routers share, each request ends once, nothing is left held, and the same seed plays the same.
+func TestEachRequestEndsOnce(t *testing.T) {
+	for _, n := range []int{1, 3, 8} {
+		for _, fleet := range []*node.Config{nil, terms()} {
+			cfg := usual(n, 40, uint64(n))
+			cfg.Fleet = fleet
+			cfg.Loss = 0.2
+			cfg.Faults = []Fault{{8 * time.Second, func(w *World) { w.Kill("reader-0", 3*time.Second) }}, {12 * time.Second, func(w *World) { w.Site.Set("writer-1", engine.Fault{Errors: true}) }}}
+			r := play(t, cfg)
+			require.Greater(t, r.Asked, 1000)
+			require.Equal(t, r.Asked, r.Served+r.Broken+r.Refused+r.Failed, "%d routers, fleet %v", n, fleet != nil)
+			require.Greater(t, float64(r.Served), 0.6*float64(r.Asked))
+			require.Zero(t, r.Held, "read states that nobody let go of")
+			again := play(t, cfg)
+			require.Equal(t, []int{r.Served, r.Sent, r.Messages}, []int{again.Served, again.Sent, again.Messages})
+			require.Equal(t, fleet != nil && n > 1, r.Messages > 0)
+		}
+	}
+}
+
+// A budget for repeats holds over all routers by what the workers saw, and what it refuses is answered.
+func TestRepeatsStayInTheirBudget(t *testing.T) {
+	const limit = 4.0
+	for _, n := range []int{1, 8, 40} {
+		cfg := usual(n, 60, uint64(n))
+		cfg.Faults = []Fault{{5 * time.Second, func(w *World) {
+			for _, name := range []string{"reader-0", "reader-1", "reader-2", "writer-0", "writer-1"} {
+				w.Site.Set(name, engine.Fault{Errors: true})
+			}
+		}}}
+		free := play(t, cfg)
+		cfg.Fleet = terms()
+		cfg.Fleet.MostOut = 0 // nobody is taken out, so that there is something to send again
+		cfg.Fleet.Repeats = limit
+		r := play(t, cfg)
+		t.Logf("%2d routers: %d repeats without a budget, %d with; served %d and %d of %d", n, free.Repeats, r.Repeats, free.Served, r.Served, r.Asked)
+		require.LessOrEqual(t, float64(r.Repeats), limit*(cfg.For+cfg.Patience).Seconds()+limit+float64(n))
+		require.Greater(t, free.Repeats, r.Repeats)
+		require.Equal(t, r.Asked, r.Served+r.Broken+r.Refused+r.Failed)
+	}
+}
+
+// A reader that comes back cold gets no more than its budget from all routers together, by its own record.
+func TestColdWorkersBudgetByItsOwnRecord(t *testing.T) {
+	const limit = 6.0
+	for _, n := range []int{1, 8, 40} {
+		cfg := usual(n, 40, uint64(n))
+		cfg.Fleet = terms()
+		cfg.Fleet.Cold = limit
+		kill := Fault{8 * time.Second, func(w *World) { w.Kill("reader-0", 2*time.Second) }}
+		cfg.Faults = []Fault{kill}
+		cfg.Loss = 0.3
+		r := play(t, cfg)
+		up, warm := 10*time.Second, 10*time.Second+cfg.Site.Cold.WarmWithin
+		var cold, after int
+		for _, at := range r.Arrivals["reader-0"] {
+			if at >= up && at < warm {
+				cold++
+				require.LessOrEqual(t, float64(cold), limit*(at-up).Seconds()+limit+float64(n), "at %v", at)
+			}
+			if at >= warm+time.Second {
+				after++
+			}
+		}
+		cfg.Fleet.Cold = 0
+		free := 0
+		for _, at := range play(t, cfg).Arrivals["reader-0"] {
+			if at >= up && at < warm {
+				free++
+			}
+		}
+		t.Logf("%2d routers: %d attempts while it is cold, %d without a budget; %d after", n, cold, free, after)
+		require.Positive(t, cold)
+		require.Positive(t, after)
+	}
+}
+
+// models is a site of mixed workers alike that keep nothing, as behind the model API.
+func models(n int, rate float64, seed uint64) Config {
+	cfg := usual(n, rate, seed)
+	cfg.Site.Kinds = []engine.Kind{{Role: logic.RoleBoth, ReadRate: 9000, ReadBase: 15 * time.Millisecond, Queue: 24, Step: 4 * time.Millisecond, StepDouble: 16}}
+	cfg.Site.Servers = nil
+	for j := range 8 {
+		cfg.Site.Servers = append(cfg.Site.Servers, engine.Spec{Name: fmt.Sprint("m-", j), Started: -time.Hour})
+	}
+	cfg.Settings = settings(cfg.Site.Kinds, cfg.Site.Cold)
+	cfg.Load.PrefixTokens, cfg.Load.Prefixes, cfg.Load.Turns, cfg.Load.Prompt, cfg.Load.Answer = 0, 1, 1, 800, 4
+	return cfg
+}
+
+// pair plays the same requests with routers that share nothing and with a fleet, over some seeds.
+func pair(t *testing.T, kind, seeds int, make func(seed uint64) Config) (p99, busiest [2]float64, served [2]int, all Result) {
+	for seed := range uint64(seeds) {
+		for i, fleet := range []*node.Config{nil, terms()} {
+			cfg := make(100 + seed)
+			cfg.Warm, cfg.Fleet = 6*time.Second, fleet
+			r := play(t, cfg)
+			p99[i] += float64(r.First.ValueAtQuantile(99)) / 1000 / float64(seeds)
+			busiest[i] += r.Busiest(cfg.Site, kind) / float64(seeds)
+			served[i] += r.Served
+			all.Messages += r.Messages
+			all.Bytes += r.Bytes
+		}
+	}
+	return
+}
+
+// With and without counts in pairs over the same requests: routers that each see little of what the others have out.
+// The figures are in docs/measurements/fleet-state.md, from -seeds 20.
+func TestCountsInPairs(t *testing.T) {
+	for _, n := range []int{2, 8, 40} {
+		for name, make := range map[string]func(uint64) Config{
+			"mixed workers":       func(seed uint64) Config { return models(n, 60, seed) },
+			"readers and writers": func(seed uint64) Config { return usual(n, 30, seed) },
+		} {
+			kind := 0
+			if name != "mixed workers" {
+				kind = 1
+			}
+			p99, busiest, served, _ := pair(t, kind, *seeds, make)
+			t.Logf("%2d routers, %s: p99 of first tokens %.0f ms alone, %.0f with counts; busiest one's part %.3f, %.3f; served %d, %d",
+				n, name, p99[0], p99[1], busiest[0], busiest[1], served[0], served[1])
+			if n >= 8 {
+				require.Less(t, p99[1], p99[0], name)
+			}
+			require.Greater(t, float64(served[1]), 0.95*float64(served[0]), name)
+		}
+	}
+}
+
+// A reader that answers with errors at once is out for all by agreement, and asked far less than where each router has
+// to find out alone.
+func TestBadReaderIsLeftAlone(t *testing.T) {
+	for _, n := range []int{3, 8, 40} {
+		cfg := usual(n, 40, uint64(n))
+		cfg.Site.Servers = append([]engine.Spec{}, cfg.Site.Servers...)
+		const bad = 5 * time.Second
+		cfg.Faults = []Fault{{bad, func(w *World) { w.Site.Set("reader-0", engine.Fault{Errors: true}) }}}
+		alone := play(t, cfg)
+		cfg.Fleet = terms()
+		r := play(t, cfg)
+		// The longest time in which nobody asked it, from when it was bad.
+		longest := func(at []time.Duration) (gap time.Duration, asked int, first time.Duration) {
+			last := bad
+			for _, a := range append(at, cfg.For) {
+				if a < bad {
+					continue
+				}
+				if a-last > gap {
+					gap, first = a-last, last
+				}
+				if a < cfg.For {
+					asked++
+				}
+				last = a
+			}
+			return
+		}
+		_, without, _ := longest(alone.Arrivals["reader-0"])
+		gap, with, from := longest(r.Arrivals["reader-0"])
+		t.Logf("%2d routers: asked %d times alone, %d times by agreement; left alone from %.1f s after the fault for %.1f s", n, without, with,
+			(from - bad).Seconds(), gap.Seconds())
+		require.Less(t, with, without)
+		require.Greater(t, gap, 2*time.Second)
+	}
+}
+
+// Messages and bytes go with the number of routers, not with its square.
+func TestWorkBetweenRouters(t *testing.T) {
+	each := map[int]float64{}
+	for _, n := range []int{3, 10, 80, 200} {
+		cfg := usual(n, 60, 9)
+		cfg.Fleet, cfg.Warm, cfg.For = terms(), 4*time.Second, 10*time.Second
+		cfg.Fleet.Repeats = 20
+		r := play(t, cfg)
+		span := (cfg.For + cfg.Patience - cfg.Warm).Seconds()
+		each[n] = float64(r.Messages) / span / float64(n)
+		t.Logf("%3d routers: %.1f messages and %.0f bytes a second for each", n, each[n], float64(r.Bytes)/span/float64(n))
+	}
+	require.Less(t, each[200], 2*each[10])
+}
--- /dev/null
+++ b/test/lab_test.go
@@ -0,0 +1,381 @@
+package test
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"lichenshelf/fleet/link"
+	"lichenshelf/fleet/members"
+	"lichenshelf/fleet/verdict"
+	relay "lichenshelf/internal/standin/link"
+	"lichenshelf/lab/demo"
+	"lichenshelf/lab/emulator"
+	"lichenshelf/lab/engine"
+	"lichenshelf/lab/load"
+	"lichenshelf/metrics"
+)
+
+var soakFor = flag.Duration("soak", 0, "how long TestSoak does harm at random; without it the test is passed over")
+
+const (
+	labRepeats = 8.0 // a second, over all routers
+	labCold    = 6.0 // a second, to one cold worker
+	labFleet   = "lease = \"1s\"\nperiod = \"200ms\"\ntimeout = \"500ms\"\nhold = \"1s\"\nreturn = \"2s\"\n"
+)
+
+// labRig is the platform's fronts of several programs before emulated workers, with a relay between each ordered pair.
+type labRig struct {
+	t       *testing.T
+	site    *emulator.Emulator
+	layout  *emulator.Layout
+	routers []*program
+	clients *emulator.Clients
+	stop    func()
+	done    chan struct{}
+}
+
+// ownListener opens an address that nothing else of this test is given, or a given one again.
+func ownListener(t *testing.T) func(string) (net.Listener, error) {
+	return func(addr string) (net.Listener, error) {
+		if addr == "" {
+			addr = ownAddr(t)
+		}
+		return net.Listen("tcp4", addr)
+	}
+}
+
+// newLabRig starts n routers but for those that are left out, and clients that ask them at a rate.
+func newLabRig(t *testing.T, n int, fleet string, rate float64, seed uint64, without ...int) *labRig {
+	site, err := emulator.New(demo.Site(), seed, ownListener(t))
+	require.NoError(t, err)
+	t.Cleanup(site.Close)
+	layout, err := site.NewLayout(t.TempDir(), n, demo.Rules, fleet, func() (string, error) { return ownAddr(t), nil })
+	require.NoError(t, err)
+	t.Cleanup(layout.Close)
+	l := &labRig{t: t, site: site, layout: layout, done: make(chan struct{})}
+	var addrs []string
+	for i, r := range layout.Routers {
+		if len(without) > 0 && i == without[0] {
+			l.routers = append(l.routers, nil)
+			continue
+		}
+		l.routers = append(l.routers, start(t, r.Listen, r.Env, r.Args...))
+		addrs = append(addrs, r.Listen)
+	}
+	for _, p := range l.routers {
+		if p != nil {
+			p.waitReady()
+		}
+	}
+	l.clients = emulator.NewClients(addrs, demo.Rules.Patience)
+	ctx, cancel := context.WithCancel(t.Context())
+	l.stop = cancel
+	rng := rand.New(rand.NewPCG(seed, 1))
+	go func() {
+		defer close(l.done)
+		l.clients.Run(ctx, load.New(demo.Load(rate), seed), rng.IntN)
+	}()
+	return l
+}
+
+// again starts a router that has ended, under its name and at its addresses.
+func (l *labRig) again(i int) {
+	r := l.layout.Routers[i]
+	l.routers[i] = start(l.t, r.Listen, r.Env, r.Args...)
+	l.routers[i].waitReady()
+}
+
+// end lets clients finish, and counts what became of their requests.
+func (l *labRig) end() (fates [emulator.Fates]int, all int) {
+	l.stop()
+	<-l.done
+	for _, s := range l.clients.Seconds() {
+		for f, n := range s.Fates {
+			fates[f] += n
+			all += n
+		}
+	}
+	return fates, all
+}
+
+// pastRepeats is by how many the repeats that workers saw pass the limit at worst; 0 or less is none.
+func (l *labRig) pastRepeats() float64 {
+	return pastLimit(emulator.Again(l.site.Record(), demo.Site()), labRepeats, 1, len(l.routers), lateness)
+}
+
+// coldArrivals are the attempts that a worker took while it was cold, from when it came up again.
+func (l *labRig) coldArrivals(name string, up time.Time) (out []time.Time) {
+	for _, a := range l.site.Record() {
+		if a.Worker == name && a.At.After(up) && a.At.Before(up.Add(demo.Site().Cold.WarmWithin)) {
+			out = append(out, a.At)
+		}
+	}
+	return out
+}
+
+// oneAnswer checks that no request has two final answers.
+func (l *labRig) oneAnswer() {
+	l.t.Helper()
+	for id, n := range l.clients.Answers() {
+		require.Equal(l.t, 1, n, "answers of %s", id)
+	}
+}
+
+func (l *labRig) seconds() int { return len(l.clients.Seconds()) }
+
+// Workers that fail make five programs send again, and one comes back cold, while half of them hear nothing of the
+// others. Neither budget is passed by what the workers saw; the same harm without budgets passes it, so the check can fail.
+func TestFleetBoundsRepeatsAndColdStarts(t *testing.T) {
+	for _, bound := range []bool{true, false} {
+		t.Run(fmt.Sprint("bound ", bound), func(t *testing.T) {
+			fleet := labFleet + "most_out = 0.0\n"
+			if bound {
+				fleet += fmt.Sprintf("repeats_per_s = %g\ncold_per_s = %g\n", labRepeats, labCold)
+			}
+			l := newLabRig(t, 5, fleet, 60, 3)
+			for _, name := range []string{"reader-1", "reader-2", "reader-3", "writer-0", "writer-1", "writer-2"} {
+				l.site.Set(name, engine.Fault{Errors: true})
+			}
+			cut := func(from, to int) bool { return (from < 2) != (to < 2) }
+			l.layout.Between(cut, relay.Fault{Refuse: true, Drop: [2]bool{true, true}})
+			before := len(l.site.Record())
+			if !bound {
+				eventually(t, func() bool { return l.pastRepeats() > 0 }, "the check finds repeats past the limit")
+				l.end()
+				return
+			}
+			eventually(t, func() bool { return len(l.site.Record()) > before+400 }, "the workers are asked")
+			require.LessOrEqual(t, l.pastRepeats(), 0.0, "cut in two")
+			l.layout.Between(func(int, int) bool { return false }, relay.Fault{})
+			for _, s := range demo.Site().Servers {
+				l.site.Set(s.Name, engine.Fault{})
+			}
+			l.site.Kill("reader-0", time.Second)
+			eventually(t, func() bool { return l.site.Up() < len(demo.Site().Servers) }, "reader-0 is down")
+			eventually(t, func() bool { return l.site.Up() == len(demo.Site().Servers) }, "reader-0 is up again")
+			up := time.Now().Add(-50 * time.Millisecond)
+			eventually(t, func() bool { return len(l.coldArrivals("reader-0", up)) > 4 }, "the cold worker is asked")
+			for until := l.seconds() + 5; l.seconds() < until; { // a bound is looked at over a time
+				time.Sleep(soon)
+			}
+			fates, all := l.end()
+			t.Logf("%d requests: %d served, %d refused, %d failed", all, fates[emulator.Served], fates[emulator.Refused], fates[emulator.Failed])
+			cold := l.coldArrivals("reader-0", up)
+			require.LessOrEqual(t, pastLimit(cold, labCold, 1, 5, lateness), 0.0, "%d attempts while it was cold", len(cold))
+			require.LessOrEqual(t, l.pastRepeats(), 0.0)
+			require.Zero(t, fates[emulator.Unheard]+fates[emulator.Late])
+			l.oneAnswer()
+			eventually(t, func() bool { return l.site.Held() == 0 }, "what readers held is let go of")
+			out, err := command(t, "fleet", "budgets", "--operator", l.layout.Routers[0].Operator)
+			require.NoError(t, err, out)
+			require.Contains(t, out, "repeats/platform")
+		})
+	}
+}
+
+// All routers are replaced one after the other while clients ask. Each request still ends once, and in the end all hear
+// of all and lend each other again.
+func TestFleetRollingRelease(t *testing.T) {
+	l := newLabRig(t, 5, labFleet+fmt.Sprintf("repeats_per_s = %g\n", labRepeats), 20, 5)
+	began := time.Now()
+	for i, p := range l.routers {
+		l.clients.Avoid(i, true)
+		p.signal(syscall.SIGTERM)
+		p.waitExit()
+		l.again(i)
+		l.clients.Avoid(i, false)
+	}
+	took := time.Since(began)
+	for i := range l.routers {
+		eventually(t, func() bool {
+			out, err := command(t, "fleet", "members", "--operator", l.layout.Routers[i].Operator)
+			return err == nil && strings.Count(out, "alive") == 5
+		}, "all hear of all")
+	}
+	fates, all := l.end()
+	t.Logf("released in %v; %d requests: %d served, %d broken, %d refused, %d failed", took, all, fates[emulator.Served], fates[emulator.Broken],
+		fates[emulator.Refused], fates[emulator.Failed])
+	require.Less(t, took, 30*time.Second)
+	require.LessOrEqual(t, l.pastRepeats(), 0.0)
+	require.Greater(t, float64(fates[emulator.Served]), 0.8*float64(all))
+	require.Zero(t, fates[emulator.Unheard], "somebody always listens")
+	l.oneAnswer()
+}
+
+// One that speaks for a router of the fleet judges all workers bad, again and again. Nobody goes out by its word; a worker
+// that is bad goes out all the same.
+func TestFleetLiar(t *testing.T) {
+	const liar = 3
+	l := newLabRig(t, 4, labFleet+"quorum = 2\nleast = 2.0\n", 30, 7, liar)
+	var peers []link.Peer
+	for i := range l.routers {
+		if i != liar {
+			peers = append(peers, link.Peer{Name: l.layout.Routers[i].Name, Addr: l.layout.Relays[[2]int{liar, i}].Addr()})
+		}
+	}
+	quiet := logrus.New()
+	quiet.SetOutput(&bytes.Buffer{})
+	var heard atomic.Int64
+	tongue := link.New(link.Config{Fleet: "lab", Self: l.layout.Routers[liar].Name, Peers: peers, Timeout: time.Second, StaleAfter: time.Second,
+		Counters: &metrics.Set{}, Log: quiet, Receive: func(link.Envelope) { heard.Add(1) }})
+	ear, err := net.Listen("tcp4", l.layout.Routers[liar].Link)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = ear.Close(); tongue.Close() })
+	go func() { _ = tongue.Serve(ear) }()
+	go tongue.Run(t.Context())
+	go func() {
+		for seq := uint64(1); t.Context().Err() == nil; seq++ {
+			var all []verdict.Judgement
+			for _, s := range demo.Site().Servers {
+				all = append(all, verdict.Judgement{Worker: s.Name, Origin: l.layout.Routers[liar].Name, Life: 1, Seq: seq, Fault: verdict.Errors,
+					Bad: 500, LeftMs: 2000})
+			}
+			for _, p := range peers {
+				tongue.Send(link.Envelope{To: p.Name, Judged: all, Members: &members.Message{From: l.layout.Routers[liar].Name, To: p.Name,
+					Beats: []members.Beat{{Name: l.layout.Routers[liar].Name, Life: 1, Count: seq}}}})
+			}
+			time.Sleep(soon)
+		}
+	}()
+	worker := func(router int, name string) string {
+		out, _ := command(t, "fleet", "worker", "--operator", l.layout.Routers[router].Operator, name)
+		return out
+	}
+	for i := range liar {
+		eventually(t, func() bool { return strings.Contains(worker(i, "reader-0"), l.layout.Routers[liar].Name) }, "the lie is heard")
+	}
+	for until := l.seconds() + 3; l.seconds() < until; {
+		time.Sleep(soon)
+	}
+	for i := range liar {
+		require.Zero(t, l.routers[i].count("out for all by agreement"), "by a lie")
+	}
+	l.site.Set("reader-1", engine.Fault{Errors: true})
+	for i := range liar {
+		eventually(t, func() bool { return l.routers[i].count("out for all by agreement") > 0 }, "who is bad goes out")
+		require.True(t, l.routers[i].logged("worker=reader-1"))
+	}
+	require.Positive(t, heard.Load())
+	l.end()
+	l.oneAnswer()
+}
+
+// The demonstration plays to its end with each fault, and its table holds all requests.
+func TestDemonstration(t *testing.T) {
+	for _, fault := range []string{demo.FaultWorker, demo.FaultRouter, demo.FaultLink} {
+		t.Run(fault, func(t *testing.T) {
+			t.Parallel()
+			dir := t.TempDir()
+			var out bytes.Buffer
+			plot := filepath.Join(dir, "demo.png")
+			r, err := demo.Run(t.Context(), demo.Config{Routers: 3, For: 3 * time.Second, Rate: 15, Fault: fault, Seed: 1, Plot: plot, Dir: dir,
+				Router: []string{binary}}, &out)
+			require.NoError(t, err, out.String())
+			require.Contains(t, out.String(), "REQUESTS")
+			require.Zero(t, r.Twice)
+			picture, err := os.ReadFile(plot)
+			require.NoError(t, err)
+			require.True(t, bytes.HasPrefix(picture, []byte("\x89PNG")))
+		})
+	}
+	for name, spoil := range map[string]func(*demo.Config){
+		"routers": func(c *demo.Config) { c.Routers = 0 }, "for": func(c *demo.Config) { c.For = time.Second },
+		"rate": func(c *demo.Config) { c.Rate = -1 }, "fault": func(c *demo.Config) { c.Fault = "moon" },
+		"plot": func(c *demo.Config) { c.Plot = "x.gif" }, "links": func(c *demo.Config) { c.Fault, c.Alone = demo.FaultLink, true },
+	} {
+		c := demo.Config{Routers: 3, For: 3 * time.Second, Rate: 10, Router: []string{binary}}
+		spoil(&c)
+		require.ErrorIs(t, c.Check(), demo.ErrConfig, name)
+	}
+}
+
+// TestSoak does harm at random for as long as -soak says: links, routers and workers. Its seed is printed.
+func TestSoak(t *testing.T) {
+	if *soakFor <= 0 {
+		t.Skip("-soak gives no time")
+	}
+	seed := uint64(time.Now().UnixNano())
+	t.Logf("seed %d", seed)
+	rng := rand.New(rand.NewPCG(seed, 0))
+	const n = 5
+	l := newLabRig(t, n, labFleet+fmt.Sprintf("repeats_per_s = %g\ncold_per_s = %g\n", labRepeats, labCold), 25, seed)
+	harms := map[string]int{}
+	type start struct {
+		name string
+		up   time.Time
+	}
+	var starts []start
+	servers := demo.Site().Servers
+	for end := time.Now().Add(*soakFor); time.Now().Before(end); {
+		pairs := map[[2]int]bool{}
+		for i := range n {
+			for j := range n {
+				pairs[[2]int{i, j}] = rng.Float64() < 0.4
+			}
+		}
+		pick := func(from, to int) bool { return pairs[[2]int{from, to}] }
+		what := []string{"drop", "one way", "late", "refuse", "heal", "stop", "kill", "release", "worker dies", "worker fails"}[rng.IntN(10)]
+		harms[what]++
+		i, s := rng.IntN(n), servers[rng.IntN(len(servers))].Name
+		switch what {
+		case "drop":
+			l.layout.Between(pick, relay.Fault{Drop: [2]bool{true, true}})
+		case "one way":
+			l.layout.Between(pick, relay.Fault{Drop: [2]bool{true, false}})
+		case "late":
+			l.layout.Between(pick, relay.Fault{Delay: time.Duration(rng.IntN(int(2 * time.Second)))})
+		case "refuse":
+			l.layout.Between(pick, relay.Fault{Refuse: true})
+		case "heal":
+			l.layout.Between(func(int, int) bool { return false }, relay.Fault{})
+		case "stop":
+			l.routers[i].signal(syscall.SIGSTOP)
+			time.Sleep(time.Duration(rng.IntN(int(3 * time.Second))))
+			l.routers[i].signal(syscall.SIGCONT)
+		case "kill":
+			l.routers[i].signal(syscall.SIGKILL)
+			<-l.routers[i].exit
+			l.again(i)
+		case "release":
+			l.routers[i].signal(syscall.SIGTERM)
+			l.routers[i].waitExit()
+			l.again(i)
+		case "worker dies":
+			down := 500*time.Millisecond + time.Duration(rng.IntN(int(2*time.Second)))
+			l.site.Kill(s, down)
+			starts = append(starts, start{s, time.Now().Add(down)})
+		case "worker fails":
+			l.site.Set(s, engine.Fault{Errors: true})
+			time.Sleep(time.Duration(rng.IntN(int(3 * time.Second))))
+			l.site.Set(s, engine.Fault{})
+		}
+		time.Sleep(time.Duration(rng.IntN(int(time.Second))))
+	}
+	fates, all := l.end()
+	again := emulator.Again(l.site.Record(), demo.Site())
+	worst := -1e9
+	for _, s := range starts {
+		worst = max(worst, pastLimit(l.coldArrivals(s.name, s.up), labCold, 1, n, lateness))
+	}
+	t.Logf("harms %v; %d requests: %d served, %d broken, %d refused, %d failed, %d unheard, %d late; %d sent again, past the limit by %.1f; "+
+		"%d cold starts, past theirs by %.1f at worst; %d cold workers fell", harms, all, fates[0], fates[1], fates[2], fates[3], fates[4], fates[5],
+		len(again), l.pastRepeats(), len(starts), worst, l.site.Fell())
+	require.LessOrEqual(t, l.pastRepeats(), 0.0)
+	require.LessOrEqual(t, worst, 0.0)
+	l.oneAnswer()
+	eventually(t, func() bool { return l.site.Held() == 0 }, "what readers held is let go of")
+}
