--- a/test/sources_test.go
+++ b/test/sources_test.go
@@ -435,6 +435,11 @@
 		require.Equal(t, 200, p.ask("query", newID(), patience).status)
 	}
 	after(t, w, told)
+	// Discovery that can't be followed is told to the set of sources as any other that fails.
+	d.CloseClientConnections()
+	d.Close()
+	eventually(t, func() bool { return p.logged("source failed, its workers stay") }, "the failing discovery is told")
+	require.Equal(t, 200, p.ask("query", newID(), patience).status)
 	p.signal(syscall.SIGTERM)
 	p.waitExit()
 }
