Reads of the store are never older than acknowledged, at any replica

Cause: a replica answered from whatever it had applied. One that was stopped during 39 acknowledged writes answered with version 19 of 59, and two that were started again answered 404 for 1.5 s; Current() asked for the applied index of raft, which counts entries that are only queued.

A replica asks the leader how far it has to be (reads share a question, a majority confirms the leader, a new one puts a barrier through first) and waits, or answers 503. Versions are handed out with each answer and honoured; after a start nothing is served before it has caught up once.

--- a/discovery/storesource/source.go
+++ b/discovery/storesource/source.go
@@ -41,6 +41,32 @@
 	return w.Changed(), w.Stop, nil
 }
 
+// settle is how long a read waits for a replica that has started just now.
+const settle = 2 * time.Second
+
+// Get implements Registry. A replica that has started just now is waited for: what it has
+// may be older than what was acknowledged.
+func (r Replica) Get(path string) ([]byte, store.Stat, error) {
+	r.wait()
+	return r.Replica.Get(path)
+}
+
+// Children implements Registry, as Get does.
+func (r Replica) Children(path string) ([]string, error) {
+	r.wait()
+	return r.Replica.Children(path)
+}
+
+func (r Replica) wait() {
+	if r.Current() {
+		return
+	}
+	select {
+	case <-r.Settled():
+	case <-time.After(settle):
+	}
+}
+
 // Remote asks replicas over their API. Its watches are looks at a fixed pace.
 type Remote struct {
 	Client *store.Client
--- a/store/api.go
+++ b/store/api.go
@@ -73,6 +73,8 @@
 		err = a.serveCommand(ctx)
 	case path == touchesPath && ctx.IsPost():
 		err = a.serveTouches(ctx)
+	case path == newestPath && ctx.IsPost():
+		err = a.serveNewest(ctx)
 	default:
 		err = errNoPath
 	}
@@ -126,23 +128,36 @@
 	}
 	switch string(ctx.Method()) {
 	case fasthttp.MethodGet:
+		if err := a.fresh(ctx); err != nil {
+			return err
+		}
 		if args.GetBool("watch") {
 			return a.await(ctx, path)
 		}
 		return a.show(ctx, path)
 	case fasthttp.MethodPost:
-		ctx.SetStatusCode(fasthttp.StatusCreated)
-		return a.replica.Create(path, data, string(args.Peek("session")))
+		return a.change(ctx, fasthttp.StatusCreated, command{Op: opCreate, Path: path, Data: data, Session: string(args.Peek("session"))})
 	case fasthttp.MethodPut:
-		ctx.SetStatusCode(fasthttp.StatusNoContent)
-		return a.replica.Set(path, data, version)
+		return a.change(ctx, fasthttp.StatusNoContent, command{Op: opSet, Path: path, Data: data, Version: version})
 	case fasthttp.MethodDelete:
-		ctx.SetStatusCode(fasthttp.StatusNoContent)
-		return a.replica.Delete(path, version)
+		return a.change(ctx, fasthttp.StatusNoContent, command{Op: opRemove, Path: path, Version: version})
 	}
 	return errMethod
 }
 
+// change answers with the number of the operation, also where it was refused: what refused
+// it was there by then.
+func (a *API) change(ctx *fasthttp.RequestCtx, status int, c command) error {
+	index, err := a.replica.apply(c)
+	if index > 0 {
+		setVersion(ctx, index)
+	}
+	if err == nil {
+		ctx.SetStatusCode(status)
+	}
+	return err
+}
+
 // await answers with the node once its version or its list of children is
 // another than the caller names, or with 204 if that does not happen in time.
 func (a *API) await(ctx *fasthttp.RequestCtx, path string) error {
@@ -155,10 +170,10 @@
 		if err != nil {
 			return err
 		}
-		_, stat, err := a.replica.Get(path)
+		s, err := a.replica.Read(path)
 		if err != nil && !errors.Is(err, ErrNoNode) || err == nil &&
-			(strconv.FormatInt(stat.Version, 10) != string(args.Peek("version")) ||
-				strconv.FormatInt(stat.Children, 10) != string(args.Peek("children"))) {
+			(strconv.FormatInt(s.Stat.Version, 10) != string(args.Peek("version")) ||
+				strconv.FormatInt(s.Stat.Children, 10) != string(args.Peek("children"))) {
 			w.Stop()
 			return a.show(ctx, path)
 		}
@@ -166,30 +181,23 @@
 		case <-w.Changed():
 		case <-timer.C:
 			w.Stop()
+			setVersion(ctx, s.Index)
 			ctx.SetStatusCode(fasthttp.StatusNoContent)
 			return nil
 		}
-		if err != nil || errors.Is(a.exists(path), ErrNoNode) {
+		if _, now := a.replica.Read(path); err != nil || errors.Is(now, ErrNoNode) {
 			return a.show(ctx, path) // it came, or it went
 		}
 	}
 }
 
-func (a *API) exists(path string) error {
-	_, _, err := a.replica.Get(path)
-	return err
-}
-
 func (a *API) show(ctx *fasthttp.RequestCtx, path string) error {
-	data, stat, err := a.replica.Get(path)
+	s, err := a.replica.Read(path)
+	setVersion(ctx, s.Index)
 	if err != nil {
 		return err
 	}
-	names, err := a.replica.Children(path)
-	if err != nil {
-		return err
-	}
-	return reply(ctx, fasthttp.StatusOK, Node{Data: string(data), Stat: stat, Children: names})
+	return reply(ctx, fasthttp.StatusOK, Node{Data: string(s.Data), Stat: s.Stat, Children: s.Children})
 }
 
 func reply(ctx *fasthttp.RequestCtx, status int, v any) error {
@@ -213,6 +221,9 @@
 			status = fasthttp.StatusTemporaryRedirect
 			ctx.Response.Header.Set(fasthttp.HeaderLocation, "http://"+p.API+string(ctx.RequestURI()))
 		}
+	case errors.Is(err, ErrBehind):
+		status = fasthttp.StatusServiceUnavailable
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, "1")
 	case errors.Is(err, ErrNoNode), errors.Is(err, ErrNoSession), errors.Is(err, errNoPath):
 		status = fasthttp.StatusNotFound
 	case errors.Is(err, ErrNodeExists), errors.Is(err, ErrBadVersion), errors.Is(err, ErrNotEmpty):
--- a/store/client.go
+++ b/store/client.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"path"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -19,10 +20,12 @@
 	touchShare   = 3 // of a session's time-out, between two touches
 )
 
-// Client speaks with the API of the replicas at the given addresses.
+// Client speaks with the API of the replicas at the given addresses. What it is answered
+// is never older than what it was told before, by whichever replica.
 type Client struct {
 	addrs []string
 	http  fasthttp.Client
+	seen  atomic.Uint64 // the newest version that an answer had
 }
 
 // NewClient returns a client that asks the replicas in turn.
@@ -61,9 +64,16 @@
 	req.Header.SetMethod(method)
 	req.SetRequestURI("http://" + addr + uri)
 	req.SetBody(body)
+	if seen := c.seen.Load(); seen > 0 {
+		req.Header.Set(VersionHeader, strconv.FormatUint(seen, 10))
+	}
 	if err := c.http.DoRedirects(req, resp, mostHops); err != nil {
 		return 0, nil, fmt.Errorf("%s: %w", addr, err)
 	}
+	if v, err := strconv.ParseUint(string(resp.Header.Peek(VersionHeader)), 10, 64); err == nil {
+		for seen := c.seen.Load(); v > seen && !c.seen.CompareAndSwap(seen, v); seen = c.seen.Load() {
+		}
+	}
 	return resp.StatusCode(), append([]byte(nil), resp.Body()...), nil
 }
 
--- /dev/null
+++ b/store/reads.go
@@ -0,0 +1,240 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/valyala/fasthttp"
+)
+
+// Reads are never older than what was acknowledged before they began, whichever replica
+// is asked. The replica learns from the leader how far it has to be, and waits until it is
+// there; where it can't learn that in time, it says ErrBehind, not something older.
+//
+// The leader counts only what it has applied itself, as each write is before it is
+// acknowledged, and makes sure by a majority that it still leads. A new leader puts a
+// barrier through the log first, so that what the ones before it have acknowledged is
+// applied as well. Reads that come while one question is out share the next one.
+
+// ErrBehind says that this replica can't tell what is newest, or does not have it yet.
+var ErrBehind = errors.New("this replica is behind")
+
+const (
+	newestPath = "/v1/newest"
+	readWait   = time.Second // for a replica to be where a read needs it
+	// VersionHeader carries the number of the operation up to which an answer knows all.
+	// A caller that hands it in is never answered from before it.
+	VersionHeader = "X-Store-Version"
+)
+
+// gate lets callers share questions: each is answered by one that was asked after it came.
+type gate struct {
+	mu      sync.Mutex
+	next    *question
+	running bool
+}
+
+type question struct {
+	done  chan struct{}
+	index uint64
+	err   error
+}
+
+// ask has the question put, or joins one that is yet to be.
+func (g *gate) ask(ctx context.Context, put func() (uint64, error)) (uint64, error) {
+	g.mu.Lock()
+	q := g.next
+	if q == nil {
+		q = &question{done: make(chan struct{})}
+		g.next = q
+	}
+	if !g.running {
+		g.running = true
+		go g.run(put)
+	}
+	g.mu.Unlock()
+	select {
+	case <-q.done:
+		return q.index, q.err
+	case <-ctx.Done():
+		return 0, fmt.Errorf("%w: %w", ErrBehind, ctx.Err())
+	}
+}
+
+func (g *gate) run(put func() (uint64, error)) {
+	for {
+		g.mu.Lock()
+		q := g.next
+		g.next = nil
+		g.running = q != nil
+		g.mu.Unlock()
+		if q == nil {
+			return
+		}
+		q.index, q.err = put()
+		close(q.done)
+	}
+}
+
+// index is the latest operation that was applied here.
+func (m *machine) index() uint64 {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.tree.Index
+}
+
+// leadNewest is the leader's word on what is newest.
+func (r *Replica) leadNewest() (uint64, error) {
+	term := r.raft.CurrentTerm()
+	if r.sure.Load() != term {
+		if err := r.raft.Barrier(readWait).Error(); err != nil {
+			return 0, fmt.Errorf("%w: %w", ErrNotLeader, err)
+		}
+		r.sure.Store(term) // of before: if another has led since, this one is put again
+	}
+	index := r.machine.index()
+	if err := r.raft.VerifyLeader().Error(); err != nil {
+		return 0, fmt.Errorf("%w: %w", ErrNotLeader, err)
+	}
+	return index, nil
+}
+
+// newest asks the leader, wherever that is, while there is time.
+func (r *Replica) newest(ctx context.Context) (uint64, error) {
+	return r.reads.ask(ctx, func() (uint64, error) {
+		ctx, cancel := context.WithTimeout(context.Background(), readWait)
+		defer cancel()
+		again := backoff.NewExponentialBackOff()
+		again.InitialInterval, again.MaxInterval = 20*time.Millisecond, 200*time.Millisecond
+		for {
+			var index uint64
+			var err error
+			if r.IsLeader() {
+				index, err = r.leadNewest()
+			} else {
+				err = r.askLeader(ctx, newestPath, nil, &index)
+			}
+			if err == nil {
+				return index, nil
+			}
+			select {
+			case <-time.After(again.NextBackOff()):
+			case <-ctx.Done():
+				return 0, fmt.Errorf("%w: what is newest is not known: %w", ErrBehind, err)
+			}
+		}
+	})
+}
+
+// CatchUp returns once this replica holds all that was acknowledged before the call.
+// ErrBehind means that it may not.
+func (r *Replica) CatchUp(ctx context.Context) error {
+	index, err := r.newest(ctx)
+	if err != nil {
+		return err
+	}
+	return r.Reach(ctx, index)
+}
+
+// Reach returns once this replica has applied an operation.
+func (r *Replica) Reach(ctx context.Context, index uint64) error {
+	if err := r.machine.reached(ctx, index); err != nil {
+		return fmt.Errorf("%w: %w", ErrBehind, err)
+	}
+	return nil
+}
+
+// catchUpOnce lets local reads begin once this replica, which has started just now, has
+// caught up.
+func (r *Replica) catchUpOnce(ctx context.Context) {
+	again := backoff.NewExponentialBackOff()
+	again.InitialInterval, again.MaxInterval = 10*time.Millisecond, time.Second
+	for ctx.Err() == nil {
+		if r.CatchUp(ctx) == nil {
+			close(r.caught)
+			return
+		}
+		select {
+		case <-time.After(again.NextBackOff()):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// State is a node, its children and the operation up to which both are known, of one instant.
+type State struct {
+	Data     []byte
+	Stat     Stat
+	Children []string
+	Index    uint64
+}
+
+// Read reads a node as this replica has it, with the state's version even where there is
+// no node.
+func (r *Replica) Read(path string) (State, error) {
+	r.machine.mu.RLock()
+	defer r.machine.mu.RUnlock()
+	s := State{Index: r.machine.tree.Index}
+	n, err := r.machine.tree.find(path)
+	if err != nil {
+		return s, err
+	}
+	s.Data, s.Stat, s.Children = n.Data, n.Stat, r.machine.tree.children(path)
+	return s, nil
+}
+
+// fresh makes a call's read as new as its caller needs it: with read=local as it is, with a
+// version no older than that, else no older than what was acknowledged before.
+func (a *API) fresh(ctx *fasthttp.RequestCtx) error {
+	wait, cancel := context.WithTimeout(context.Background(), readWait)
+	defer cancel()
+	token := string(ctx.Request.Header.Peek(VersionHeader))
+	if v := ctx.QueryArgs().Peek("at_least"); len(v) > 0 {
+		token = string(v)
+	}
+	var least uint64
+	if token != "" {
+		var err error
+		if least, err = strconv.ParseUint(token, 10, 64); err != nil {
+			return fmt.Errorf("%w: version %.40q is not a number", errInput, token)
+		}
+	}
+	switch kind := string(ctx.QueryArgs().Peek("read")); kind {
+	case "local":
+		return nil
+	case "session":
+		if token == "" {
+			return fmt.Errorf("%w: read=session needs a version, in %s or at_least", errInput, VersionHeader)
+		}
+		return a.replica.Reach(wait, least)
+	case "", "newest":
+		if err := a.replica.CatchUp(wait); err != nil {
+			return err
+		}
+		return a.replica.Reach(wait, least)
+	default:
+		return fmt.Errorf("%w: read is %.40q, not newest, session or local", errInput, kind)
+	}
+}
+
+// serveNewest answers another replica that asks how far it has to be.
+func (a *API) serveNewest(ctx *fasthttp.RequestCtx) error {
+	if !a.replica.IsLeader() {
+		return ErrNotLeader
+	}
+	index, err := a.replica.reads.ask(context.Background(), a.replica.leadNewest)
+	if err != nil {
+		return err
+	}
+	return reply(ctx, fasthttp.StatusOK, index)
+}
+
+// setVersion tells a caller how far its answer goes.
+func setVersion(ctx *fasthttp.RequestCtx, index uint64) {
+	ctx.Response.Header.Set(VersionHeader, strconv.FormatUint(index, 10))
+}
--- /dev/null
+++ b/store/reads_test.go
@@ -0,0 +1,296 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/hashicorp/raft"
+	"github.com/stretchr/testify/require"
+)
+
+// Whoever asks is answered by a question that was put after it came, and far fewer are put than there are askers.
+func TestSharedQuestionsAreNotOlderThanTheirAskers(t *testing.T) {
+	var g gate
+	var clock, put atomic.Uint64
+	var all sync.WaitGroup
+	for range 40 {
+		all.Go(func() {
+			for range 200 {
+				came := clock.Add(1)
+				answer, err := g.ask(t.Context(), func() (uint64, error) {
+					put.Add(1)
+					at := clock.Add(1)
+					time.Sleep(20 * time.Microsecond)
+					return at, nil
+				})
+				if err != nil || answer <= came {
+					t.Errorf("came at %d, answered by what was put at %d: %v", came, answer, err)
+				}
+			}
+		})
+	}
+	all.Wait()
+	require.Less(t, put.Load(), uint64(40*200/2))
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	release := make(chan struct{})
+	defer close(release)
+	_, err := g.ask(ctx, func() (uint64, error) { <-release; return 0, nil })
+	require.ErrorIs(t, err, ErrBehind, "who gives up does not wait")
+}
+
+func get(t testing.TB, url string, version uint64) (int, http.Header) {
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, url, nil)
+	require.NoError(t, err)
+	if version > 0 {
+		req.Header.Set(VersionHeader, strconv.FormatUint(version, 10))
+	}
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	return resp.StatusCode, resp.Header
+}
+
+func (c *cluster) url(i int, path string) string { return "http://" + c.cfg[i].Self().API + path }
+
+// A version that an answer or a write has told is honoured by every replica; one that is not there yet is waited for, and
+// then refused.
+func TestVersionsAreHonouredByAnyReplica(t *testing.T) {
+	c := newCluster(t)
+	require.NoError(t, c.create("/n", "0", ""))
+	client := NewClient(c.cfg[0].Self().API, c.cfg[1].Self().API)
+	for i := range 20 {
+		require.NoError(t, client.Set("/n", []byte(strconv.Itoa(i+1)), AnyVersion))
+		for r := range c.replicas {
+			status, header := get(t, c.url(r, "/v1/nodes/n?read=session"), client.seen.Load())
+			require.Equal(t, http.StatusOK, status)
+			told, err := strconv.ParseUint(header.Get(VersionHeader), 10, 64)
+			require.NoError(t, err)
+			require.GreaterOrEqual(t, told, client.seen.Load())
+			s, err := c.replicas[r].Read("/n")
+			require.NoError(t, err)
+			require.Equal(t, strconv.Itoa(i+1), string(s.Data))
+		}
+	}
+	for query, want := range map[string]int{
+		"read=session&at_least=999999": http.StatusServiceUnavailable, "at_least=999999": http.StatusServiceUnavailable,
+		"read=session": http.StatusBadRequest, "at_least=-1": http.StatusBadRequest, "read=soon": http.StatusBadRequest,
+		"read=local": http.StatusOK, "read=newest": http.StatusOK, "watch=1&wait_ms=1&version=20&children=0": http.StatusNoContent,
+	} {
+		status, header := get(t, c.url(1, "/v1/nodes/n?"+query), 0)
+		require.Equal(t, want, status, query)
+		if status < 300 {
+			require.NotEmpty(t, header.Get(VersionHeader), query)
+		}
+	}
+	status, header := get(t, c.url(2, "/v1/nodes/none"), 0)
+	require.Equal(t, http.StatusNotFound, status)
+	require.NotEmpty(t, header.Get(VersionHeader), "that there is none is known up to a version as well")
+}
+
+// Without a majority nobody can tell what is newest: 503, not something old.
+func TestReadsWithoutAMajority(t *testing.T) {
+	c := newCluster(t)
+	require.NoError(t, c.create("/n", "0", ""))
+	l := c.leader()
+	for i := range c.replicas {
+		if i != l {
+			c.close(i)
+		}
+	}
+	status, header := get(t, c.url(l, "/v1/nodes/n"), 0)
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.Equal(t, "1", header.Get("Retry-After"))
+	status, _ = get(t, c.url(l, "/v1/nodes/n?read=local"), 0)
+	require.Equal(t, http.StatusOK, status, "asked for as it is")
+}
+
+// operation is one call on one node, for the checker.
+type operation struct {
+	write bool
+	value string
+}
+
+// register is a node that is set and read; a write whose outcome is not known may take effect at any later time or never.
+var register = porcupine.Model{
+	Init: func() any { return "0" },
+	Step: func(state, input, output any) (bool, any) {
+		in := input.(operation)
+		if in.write {
+			return true, in.value
+		}
+		return output.(string) == state.(string), state
+	},
+}
+
+// check plays clients against all replicas while harm is done, and gives their history to the checker.
+func (c *cluster) check(read string, harm func(rng *rand.Rand), steps int) (result porcupine.CheckResult, n, missing int) {
+	require.NoError(c.t, c.create("/n", "0", ""))
+	var mu sync.Mutex
+	var history []porcupine.Operation
+	var last, gone atomic.Int64
+	start := time.Now()
+	ctx, stop := context.WithCancel(c.t.Context())
+	var all sync.WaitGroup
+	http1 := &http.Client{Timeout: 3 * time.Second}
+	for id := range 6 {
+		rng := rand.New(rand.NewPCG(uint64(id), 2))
+		all.Go(func() {
+			for ctx.Err() == nil {
+				in := operation{write: rng.IntN(3) == 0, value: strconv.FormatInt(last.Add(1), 10)}
+				i := rng.IntN(len(c.cfg))
+				method, url, body := http.MethodGet, c.url(i, "/v1/nodes/n"+read), ""
+				if in.write {
+					method, url, body = http.MethodPut, c.url(i, "/v1/nodes/n"), in.value
+				}
+				req, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
+				if err != nil {
+					c.t.Error(err)
+					return
+				}
+				call := time.Since(start).Nanoseconds()
+				resp, err := http1.Do(req)
+				value, status := "", 0
+				if err == nil {
+					status = resp.StatusCode
+					var n struct{ Data string }
+					if status == http.StatusOK {
+						err = jsonInto(resp, &n)
+						value = n.Data
+					}
+					_ = resp.Body.Close()
+				}
+				done := time.Since(start).Nanoseconds()
+				op := porcupine.Operation{ClientId: id, Input: in, Call: call, Output: value, Return: done}
+				switch {
+				case in.write && (err != nil || status != http.StatusNoContent):
+					op.Return = 1 << 62 // it may be applied at any time, or never
+				case !in.write && (err != nil || status != http.StatusOK):
+					if status == http.StatusNotFound {
+						gone.Add(1)
+					}
+					time.Sleep(soon)
+					continue
+				}
+				mu.Lock()
+				history = append(history, op)
+				mu.Unlock()
+				time.Sleep(time.Duration(rng.IntN(4)) * time.Millisecond)
+			}
+		})
+	}
+	rng := rand.New(rand.NewPCG(9, 9))
+	for range steps {
+		harm(rng)
+	}
+	stop()
+	all.Wait()
+	mu.Lock()
+	defer mu.Unlock()
+	// An unknown write that was answered to nobody may be left out where no read has its value.
+	seen := map[string]bool{}
+	for _, op := range history {
+		if !op.Input.(operation).write {
+			seen[op.Output.(string)] = true
+		}
+	}
+	kept := history[:0]
+	for _, op := range history {
+		if op.Return == 1<<62 && !seen[op.Input.(operation).value] {
+			continue
+		}
+		kept = append(kept, op)
+	}
+	return porcupine.CheckOperationsTimeout(register, kept, time.Minute), len(kept), int(gone.Load())
+}
+
+// Leaders change and replicas start again under clients that write and read at all of them: what they saw is
+// linearizable. The same with reads as they are at each replica is found not to be, so the check can fail.
+func TestHistoriesAreLinearizable(t *testing.T) {
+	harm := func(c *cluster) func(*rand.Rand) {
+		return func(rng *rand.Rand) {
+			switch rng.IntN(3) {
+			case 0:
+				if l := c.replicas[c.leader()]; l != nil {
+					_ = l.raft.LeadershipTransfer().Error()
+				}
+			case 1:
+				i := rng.IntN(len(c.replicas))
+				c.close(i)
+				time.Sleep(pace)
+				c.open(i)
+			}
+			time.Sleep(pace)
+		}
+	}
+	c := newCluster(t)
+	result, n, missing := c.check("", harm(c), 8)
+	require.Zero(t, missing, "404 for a node that was acknowledged")
+	t.Logf("%d operations", n)
+	require.Equal(t, porcupine.Ok, result)
+	require.Greater(t, n, 100)
+
+	old := newCluster(t)
+	for range 5 {
+		if result, n, missing = old.check("?read=local", harm(old), 6); result == porcupine.Illegal {
+			break
+		}
+		require.NoError(t, old.do(func(l *Replica) error { return l.Delete("/n", AnyVersion) }))
+	}
+	require.Equal(t, porcupine.Illegal, result, "of %d operations, %d found nothing", n, missing)
+}
+
+// What a read costs, by how sure it is.
+func BenchmarkReads(b *testing.B) {
+	c := newCluster(b)
+	require.NoError(b, c.create("/n", "0", ""))
+	l := c.leader()
+	leader, follower := c.replicas[l], c.replicas[(l+1)%3]
+	require.NoError(b, follower.CatchUp(b.Context()))
+	for _, k := range []struct {
+		name string
+		read func() error
+	}{
+		{"as it is", func() error { _, err := leader.Read("/n"); return err }},
+		{"lease alone", func() error {
+			if leader.raft.State() != raft.Leader {
+				return ErrNotLeader
+			}
+			_, err := leader.Read("/n")
+			return err
+		}},
+		{"majority asked", func() error { _, err := leader.leadNewest(); return err }},
+		{"barrier", func() error { return leader.raft.Barrier(time.Second).Error() }},
+		{"at a follower", func() error { return follower.CatchUp(b.Context()) }},
+	} {
+		b.Run(k.name, func(b *testing.B) {
+			for b.Loop() {
+				require.NoError(b, k.read())
+			}
+		})
+		b.Run(k.name+", 32 at once", func(b *testing.B) {
+			b.SetParallelism(32)
+			b.RunParallel(func(p *testing.PB) {
+				for p.Next() {
+					if k.name == "majority asked" {
+						_, err := leader.reads.ask(b.Context(), leader.leadNewest)
+						require.NoError(b, err)
+						continue
+					}
+					require.NoError(b, k.read())
+				}
+			})
+		})
+	}
+}
+
+func jsonInto(resp *http.Response, v any) error { return json.NewDecoder(resp.Body).Decode(v) }
--- a/store/replica.go
+++ b/store/replica.go
@@ -11,6 +11,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -59,6 +60,9 @@
 	logs     *raftboltdb.BoltStore
 	peers    fasthttp.Client // to the leader's API
 	sessions sessions
+	reads    gate
+	sure     atomic.Uint64 // the term in which all that was acknowledged before has been applied here, as a leader
+	caught   chan struct{} // closed once this replica has caught up since its start
 	stop     context.CancelFunc
 	stopped  chan struct{}
 }
@@ -77,7 +81,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("open log: %w", err)
 	}
-	r := &Replica{cfg: cfg, machine: newMachine(), logs: logs, stopped: make(chan struct{}), peers: onceClient()}
+	r := &Replica{cfg: cfg, machine: newMachine(), logs: logs, stopped: make(chan struct{}), caught: make(chan struct{}), peers: onceClient()}
 	if err := r.start(self); err != nil {
 		_ = logs.Close()
 		return nil, err
@@ -85,6 +89,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	r.stop = cancel
 	go r.watchSessions(ctx)
+	go r.catchUpOnce(ctx)
 	return r, nil
 }
 
@@ -159,50 +164,61 @@
 	return Peer{}, false
 }
 
-// Current tells whether this replica knows a leader and has applied all that it
-// knows to be agreed on.
+// Current tells whether this replica has caught up with what was acknowledged since it was
+// started. Until then it may know less than it did before.
 func (r *Replica) Current() bool {
-	agreed := r.raft.CommitIndex()
-	_, ok := r.Leader()
-	return ok && agreed > 0 && r.raft.AppliedIndex() >= agreed
+	select {
+	case <-r.caught:
+		return true
+	default:
+		return false
+	}
 }
 
+// Settled is closed once Current.
+func (r *Replica) Settled() <-chan struct{} { return r.caught }
+
 // IsLeader tells whether this replica takes writes.
 func (r *Replica) IsLeader() bool { return r.raft.State() == raft.Leader }
 
-// apply puts a command through the log.
-func (r *Replica) apply(c command) error {
+// apply puts a command through the log, and returns the number of the operation.
+func (r *Replica) apply(c command) (uint64, error) {
 	c.TimeMs = time.Now().UnixMilli()
 	text, err := json.Marshal(c)
 	if err != nil {
-		return fmt.Errorf("encode command: %w", err)
+		return 0, fmt.Errorf("encode command: %w", err)
 	}
 	future := r.raft.Apply(text, applyWait)
 	switch err := future.Error(); {
 	case errors.Is(err, raft.ErrNotLeader), errors.Is(err, raft.ErrLeadershipLost):
-		return fmt.Errorf("%w: %w", ErrNotLeader, err)
+		return 0, fmt.Errorf("%w: %w", ErrNotLeader, err)
 	case err != nil:
-		return fmt.Errorf("replicate: %w", err)
+		return 0, fmt.Errorf("replicate: %w", err)
 	}
 	if err, ok := future.Response().(error); ok {
-		return err
+		return future.Index(), err
 	}
-	return nil
+	return future.Index(), nil
+}
+
+func (r *Replica) done(c command) error {
+	_, err := r.apply(c)
+	return err
 }
 
 // Create makes a node. With a session it is ephemeral: it goes with the session.
 func (r *Replica) Create(path string, data []byte, session string) error {
-	return r.apply(command{Op: opCreate, Path: path, Data: data, Session: session})
+	return r.done(command{Op: opCreate, Path: path, Data: data, Session: session})
 }
 
 // Set replaces a node's data if its version matches.
 func (r *Replica) Set(path string, data []byte, version int64) error {
-	return r.apply(command{Op: opSet, Path: path, Data: data, Version: version})
+	return r.done(command{Op: opSet, Path: path, Data: data, Version: version})
 }
 
 // Delete removes a node without children if its version matches.
 func (r *Replica) Delete(path string, version int64) error {
-	return r.apply(command{Op: opRemove, Path: path, Version: version})
+	return r.done(command{Op: opRemove, Path: path, Version: version})
 }
 
 // NewSession starts a session that ends unless it is touched within the time-out.
@@ -215,16 +231,20 @@
 		return "", fmt.Errorf("session id: %w", err)
 	}
 	name := hex.EncodeToString(id[:])
-	return name, r.apply(command{Op: opSession, Session: name, Timeout: timeout})
+	return name, r.done(command{Op: opSession, Session: name, Timeout: timeout})
 }
 
 // EndSession ends a session at its owner's wish.
 func (r *Replica) EndSession(id string) error {
-	return r.apply(command{Op: opEndSession, Session: id})
+	return r.done(command{Op: opEndSession, Session: id})
 }
 
-// Get reads a node as this replica knows it.
+// Get reads a node as this replica knows it, which may be older than what others have. Before
+// it has caught up since its start it is ErrBehind.
 func (r *Replica) Get(path string) ([]byte, Stat, error) {
+	if !r.Current() {
+		return nil, Stat{}, ErrBehind
+	}
 	r.machine.mu.RLock()
 	defer r.machine.mu.RUnlock()
 	n, err := r.machine.tree.find(path)
@@ -234,8 +254,11 @@
 	return n.Data, n.Stat, nil
 }
 
-// Children returns the names below a node in order.
+// Children returns the names below a node in order, as Get does.
 func (r *Replica) Children(path string) ([]string, error) {
+	if !r.Current() {
+		return nil, ErrBehind
+	}
 	r.machine.mu.RLock()
 	defer r.machine.mu.RUnlock()
 	if _, err := r.machine.tree.find(path); err != nil {
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -19,19 +20,23 @@
 
 // cluster is three replicas on loopback addresses.
 type cluster struct {
-	t        *testing.T
+	t        testing.TB
 	cfg      []Config
 	replicas []*Replica
+	apis     []*API
 }
 
-func newCluster(t *testing.T) *cluster {
-	c := &cluster{t: t, replicas: make([]*Replica, 3)}
+func newCluster(t testing.TB) *cluster {
+	c := &cluster{t: t, replicas: make([]*Replica, 3), apis: make([]*API, 3)}
 	var peers []Peer
 	for i := range c.replicas {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(t, err)
-		peers = append(peers, Peer{ID: fmt.Sprintf("r%d", i), Raft: l.Addr().String()})
+		a, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		peers = append(peers, Peer{ID: fmt.Sprintf("r%d", i), Raft: l.Addr().String(), API: a.Addr().String()})
 		require.NoError(t, l.Close())
+		require.NoError(t, a.Close())
 	}
 	dir := t.TempDir()
 	for i, p := range peers {
@@ -49,12 +54,18 @@
 func (c *cluster) open(i int) {
 	r, err := Open(c.cfg[i])
 	require.NoError(c.t, err)
-	c.replicas[i] = r
+	c.replicas[i], c.apis[i] = r, NewAPI(r)
+	l, err := net.Listen("tcp", c.cfg[i].Self().API)
+	require.NoError(c.t, err)
+	go func(a *API) { _ = a.Serve(l) }(c.apis[i])
 }
 
 func (c *cluster) close(i int) {
 	if r := c.replicas[i]; r != nil {
 		c.replicas[i] = nil
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		_ = c.apis[i].Close(ctx)
+		cancel()
 		require.NoError(c.t, r.Close())
 	}
 }
@@ -108,7 +119,7 @@
 				continue
 			}
 			got, _, err := r.Get(path)
-			if (err == nil) != (data != nil) || string(got) != string(data) {
+			if data == nil && !errors.Is(err, ErrNoNode) || data != nil && (err != nil || string(got) != string(data)) {
 				return false
 			}
 		}
@@ -150,6 +161,8 @@
 		t.Fatal("a watch told of another path")
 	default:
 	}
+	require.NoError(t, follower.CatchUp(t.Context()))
+	c.eventually(follower.Current)
 	names, err := follower.Children("/")
 	require.NoError(t, err)
 	require.Equal(t, []string{"later"}, names)
--- a/test/store_test.go
+++ b/test/store_test.go
@@ -87,6 +87,79 @@
 	}
 }
 
+// hasty gives up where a stopped process has taken its call.
+var hasty = &http.Client{Timeout: 500 * time.Millisecond}
+
+// readNode asks one replica once.
+func readNode(api, path string) (status int, version float64) {
+	resp, err := hasty.Get("http://" + api + path)
+	if err != nil {
+		return 0, 0
+	}
+	defer resp.Body.Close()
+	var n struct{ Stat struct{ Version float64 } }
+	if resp.StatusCode == http.StatusOK && json.NewDecoder(resp.Body).Decode(&n) != nil {
+		return 0, 0
+	}
+	return resp.StatusCode, n.Stat.Version
+}
+
+// A replica that was stopped while others acknowledged writes, and replicas that were killed and started again, answer with
+// what was acknowledged or with 503: never with something older, never that there is nothing.
+func TestReplicasAnswerNothingOlderThanAcknowledged(t *testing.T) {
+	programs, apis, _ := replicas(t, "")
+	storeCall(t, http.MethodPost, "http://"+apis[1]+"/v1/nodes/n", "")
+	written := 0.0
+	write := func(at, times int) {
+		for range times {
+			eventually(t, func() bool { // one that leads may be stopped: who was sent there asks again
+				req, err := http.NewRequest(http.MethodPut, "http://"+apis[at]+"/v1/nodes/n", strings.NewReader("x"))
+				require.NoError(t, err)
+				resp, err := hasty.Do(req)
+				if err != nil {
+					return false
+				}
+				resp.Body.Close()
+				return resp.StatusCode == http.StatusNoContent
+			}, "written")
+			written++
+		}
+	}
+	read := func(i int, what string) {
+		var statuses []int
+		eventually(t, func() bool {
+			status, version := readNode(apis[i], "/v1/nodes/n")
+			statuses = append(statuses, status)
+			if status == http.StatusOK {
+				require.GreaterOrEqual(t, version, written, what)
+				return true
+			}
+			require.Contains(t, []int{0, http.StatusServiceUnavailable}, status, what)
+			return false
+		}, what)
+		t.Logf("%s: %v", what, statuses)
+	}
+	write(0, 20)
+	for i, p := range programs { // whichever leads is among them
+		p.signal(syscall.SIGSTOP)
+		write((i+1)%3, 20)
+		p.signal(syscall.SIGCONT)
+		read(i, "stopped and let go on")
+	}
+	for _, i := range []int{1, 2} {
+		programs[i].signal(syscall.SIGKILL)
+		<-programs[i].exit
+	}
+	for _, i := range []int{1, 2} {
+		programs[i] = start(t, programs[i].addr, nil, programs[i].cmd.Args[1:]...)
+	}
+	for _, i := range []int{1, 2, 0} {
+		read(i, "killed and started again")
+	}
+	write(0, 1)
+	read(2, "after another write")
+}
+
 // A router that waits for the store's leader must still end when told to.
 func TestTermEndsAStartThatWaitsForTheStore(t *testing.T) {
 	programs, _, front := replicas(t, "")
