The model API's configuration published as versions, taken while running, acknowledged

Need: a router took the node /config/modelapi at its next start, unchecked until then; a write whose answer was lost counted twice, and nobody could tell which router went by what.

A version is one entry of the log under its request's name, checked by the file's own checks; lichenshelf config publishes, shows, compares and goes back. Running routers take classes and attempts (with a fleet also accounts), name the keys that wait for a restart, and acknowledge; none starts below what it has acknowledged (fleet/version).

Measured by three programs: a published deadline holds without a restart, a request repeated at another replica is the same version, also when the majority went meanwhile; refused texts name the key and change nothing. The soak's check for held states passes over killed routers' requests, which nobody can let go of; the model's reader frees a state that is read elsewhere.

--- a/conffile/conffile.go
+++ b/conffile/conffile.go
@@ -26,8 +26,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("read configuration: %w", err)
 	}
-	f := &File{Path: path, text: string(text)}
-	meta, err := toml.Decode(string(text), into)
+	return Parse(path, string(text), into)
+}
+
+// Parse does as Read with a text of the given name.
+func Parse(path, text string, into any) (*File, error) {
+	f := &File{Path: path, text: text}
+	meta, err := toml.Decode(text, into)
 	var fault toml.ParseError
 	if errors.As(err, &fault) {
 		key := ""
--- a/front/modelapi/config.go
+++ b/front/modelapi/config.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/BurntSushi/toml"
@@ -179,6 +180,49 @@
 	return out, nil
 }
 
+// ConfigName is what the configuration is called where it is published.
+const ConfigName = "modelapi"
+
+// CheckText looks at a text that is to be published, as strictly as at the file.
+func CheckText(text []byte) error {
+	c := defaults()
+	if _, err := conffile.Parse(ConfigName, string(text), &c); err != nil {
+		return err
+	}
+	if c.Listen != "" || len(c.Backends) > 0 {
+		return fmt.Errorf("%s: listen and backend are each router's own, not published", ConfigName)
+	}
+	c.Listen = "127.0.0.1:1" // without one nothing else is looked at
+	if err := c.check(); err != nil {
+		return fmt.Errorf("%s: %w", ConfigName, err)
+	}
+	return nil
+}
+
+// Applied returns what a front that runs by c goes by once next is taken, and names the keys
+// in which next differs that count from the next start on only. Quotas are shared by a fleet
+// or not: without one, the decisions know the accounts by their number, which is fixed.
+func (c *Config) Applied(next *Config, fleet bool) (now *Config, restart []string) {
+	out := *c
+	out.Chat, out.Embeddings, out.Rerank, out.Attempts = next.Chat, next.Embeddings, next.Rerank, next.Attempts
+	if fleet {
+		out.Accounts = next.Accounts
+	}
+	for key, differs := range map[string]bool{
+		"max_open": out.MaxOpen != next.MaxOpen, "max_body_bytes": out.MaxBody != next.MaxBody, "max_bytes_in_hand": out.MaxBytes != next.MaxBytes,
+		"max_answer_bytes": out.MaxAnswer != next.MaxAnswer, "routers": !fleet && out.Routers != next.Routers,
+		"connect_timeout": out.Connect != next.Connect, "backend_conn_idle": out.ConnIdle != next.ConnIdle, "stream_stall": out.Stall != next.Stall,
+		"retry_after_most": out.RetryMost != next.RetryMost, "over_share_worth": out.OverShare != next.OverShare,
+		"account": !slices.Equal(out.Accounts, next.Accounts),
+	} {
+		if differs {
+			restart = append(restart, key)
+		}
+	}
+	slices.Sort(restart)
+	return &out, restart
+}
+
 // Override takes over what the text of another file says, but for the address to
 // listen on and the backends.
 func (c *Config) Override(text string) error {
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -64,6 +64,7 @@
 			membersCommand(log, flags),
 			registerCommand(log),
 			storeCommand(),
+			configCommand(),
 			fleetCommand(),
 			{
 				Name: "version", Usage: "print the version",
--- /dev/null
+++ b/internal/daemon/config.go
@@ -0,0 +1,156 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"path"
+	"time"
+
+	"lichenshelf/fleet/version"
+	"lichenshelf/front/modelapi"
+	"lichenshelf/router"
+	"lichenshelf/store"
+)
+
+const (
+	acksPath = "/acks" // below it: a node for each configuration, below that one for each router
+	ackWait  = 5 * time.Second
+	ackAgain = time.Second
+)
+
+// storeChecks are the configurations that may be published.
+var storeChecks = store.Checks{modelapi.ConfigName: modelapi.CheckText}
+
+// Ack is what a router says of the version that it goes by.
+type Ack struct {
+	Router  string   `json:"router"`
+	Version uint64   `json:"version"`
+	Number  uint64   `json:"number"`            // of all that it acts on, as its trail names it
+	Restart []string `json:"restart,omitempty"` // keys that count from its next start on
+	Fault   string   `json:"fault,omitempty"`   // why a later version was not taken
+	Refused uint64   `json:"refused,omitempty"` // that version
+	TimeMs  int64    `json:"time_ms"`
+}
+
+// AckPath is where a router's word on a configuration stands.
+func AckPath(config, router string) string { return path.Join(acksPath, config, router) }
+
+// published follows the model API's configuration in the store and applies it to the front
+// as it runs.
+type published struct {
+	d        *daemon
+	front    *modelapi.Front
+	core     *router.Core
+	file     modelapi.Config // the file's, over which each version is laid
+	cfg      *modelapi.Config
+	versions *version.Tracker
+	ack      Ack
+	path     string
+}
+
+const configPart = "config/" + modelapi.ConfigName
+
+// newPublished lays the configuration that the store holds over the file's, if it holds one,
+// and reads what this router has acknowledged before it was started: it does not go below
+// that, or it would act on what it has said to be over.
+func (d *daemon) newPublished(cfg *modelapi.Config) (*published, error) {
+	p := &published{d: d, file: *cfg, cfg: cfg, path: AckPath(modelapi.ConfigName, d.replica.ID()), ack: Ack{Router: d.replica.ID()}}
+	var before Ack
+	text, _, err := d.replica.Get(p.path)
+	switch {
+	case errors.Is(err, store.ErrNoNode):
+	case err != nil:
+		return nil, fmt.Errorf("read the store: %w", err)
+	default:
+		if err := json.Unmarshal(text, &before); err != nil {
+			d.log.WithError(err).WithField("node", p.path).Warn("own acknowledgement makes no sense, passed over")
+		}
+	}
+	latest := d.replica.Latest(modelapi.ConfigName)
+	if latest.Version == 0 { // never published: somebody may have set the node by hand
+		text, _, err := d.replica.Get(modelapi.ConfigPath)
+		if err != nil && !errors.Is(err, store.ErrNoNode) {
+			return nil, fmt.Errorf("read the store: %w", err)
+		}
+		latest.Text = string(text)
+	}
+	p.versions = version.New(version.Vector{configPart: before.Version})
+	if _, err := p.versions.Take(configPart, latest.Version); err != nil {
+		return nil, fmt.Errorf("the store's configuration %s: %w: its data may be older than this router", modelapi.ConfigName, err)
+	}
+	p.ack.Version, p.ack.Number = latest.Version, p.versions.Number()
+	return p, cfg.Override(latest.Text)
+}
+
+// follow applies what is published until ctx ends.
+func (p *published) follow(ctx context.Context) {
+	log := p.d.log.WithField("configuration", modelapi.ConfigName)
+	for told := p.ack.Version == 0; ctx.Err() == nil; {
+		watch, err := p.d.replica.Watch(modelapi.ConfigPath)
+		if err != nil {
+			log.WithError(err).Error("published configurations can't be followed")
+			return
+		}
+		if r := p.d.replica.Latest(modelapi.ConfigName); r.Version != p.ack.Version && r.Version != p.ack.Refused {
+			p.take(r)
+			told = false
+		}
+		again := (<-chan time.Time)(nil)
+		if !told {
+			if told = p.acknowledge(ctx) == nil; !told {
+				again = time.After(ackAgain)
+			}
+		}
+		select {
+		case <-watch.Changed():
+		case <-again:
+		case <-ctx.Done():
+		}
+		watch.Stop()
+	}
+}
+
+// take applies a version, or says why not; the one before stays then.
+func (p *published) take(r store.Revision) {
+	log := p.d.log.WithField("configuration", modelapi.ConfigName).WithField("version", r.Version)
+	next := p.file
+	if err := next.Override(r.Text); err != nil {
+		log.WithError(err).Error("published configuration not taken, the one before stays")
+		p.ack.Fault, p.ack.Refused = err.Error(), r.Version
+		return
+	}
+	if _, err := p.versions.Take(configPart, r.Version); err != nil {
+		log.WithError(err).Error("published configuration not taken, the one before stays")
+		p.ack.Fault, p.ack.Refused = err.Error(), r.Version
+		return
+	}
+	var restart []string
+	p.cfg, restart = p.cfg.Applied(&next, p.d.fleet != nil)
+	if p.d.fleet != nil {
+		p.d.fleet.SetLimits(modelapi.QuotaPrefix, p.cfg.Quotas())
+	}
+	settings := p.cfg.Settings()
+	p.core.Retune(settings.Classes, settings.MaxAttempts)
+	p.front.Take(p.cfg)
+	p.ack = Ack{Router: p.ack.Router, Version: r.Version, Number: p.versions.Number(), Restart: restart}
+	log.WithField("restart", restart).Info("published configuration taken")
+}
+
+// acknowledge tells the store what this router goes by.
+func (p *published) acknowledge(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, ackWait)
+	defer cancel()
+	p.ack.TimeMs = time.Now().UnixMilli()
+	text, err := json.Marshal(p.ack)
+	if err == nil {
+		err = p.d.replica.Put(ctx, p.path, text)
+	}
+	if err != nil {
+		p.d.log.WithError(err).Warn("version not acknowledged yet")
+		return err
+	}
+	p.versions.Acknowledge(configPart)
+	return nil
+}
--- a/lab/emulator/emulator.go
+++ b/lab/emulator/emulator.go
@@ -136,6 +136,13 @@
 	return e.site.Held()
 }
 
+// HeldJobs names the requests whose read states wait for a writer.
+func (e *Emulator) HeldJobs() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.site.HeldJobs()
+}
+
 // Fell is how many times a worker was pushed over while it was cold.
 func (e *Emulator) Fell() int {
 	e.mu.Lock()
--- a/lab/engine/engine.go
+++ b/lab/engine/engine.go
@@ -353,6 +353,9 @@
 // Held is how many states wait.
 func (s *Site) Held() int { return len(s.states) }
 
+// HeldJobs names the jobs whose states wait, in order.
+func (s *Site) HeldJobs() []string { return slices.Sorted(maps.Keys(s.states)) }
+
 // Cancel takes a job away from a server. It tells whether it was there.
 func (s *Site) Cancel(name, id string) bool {
 	v := s.byName[name]
@@ -533,6 +536,7 @@
 		w.left = 0
 		v.reads = v.reads[1:]
 		if v.kind.Role == logic.RoleRead {
+			s.let(w.ID) // read elsewhere before: that state is of no use any more
 			s.states[w.ID], s.sizes[w.ID] = v, w.PromptTokens
 			v.waiting += w.PromptTokens
 			out = append(out, Event{At: to, Server: v.Name, Job: w.ID, Kind: Read, Kept: w.kept})
--- a/store/api.go
+++ b/store/api.go
@@ -40,11 +40,12 @@
 type API struct {
 	replica *Replica
 	server  *fasthttp.Server
+	checks  Checks
 }
 
-// NewAPI returns the API of a replica.
-func NewAPI(r *Replica) *API {
-	a := &API{replica: r}
+// NewAPI returns the API of a replica. What the checks refuse is not published.
+func NewAPI(r *Replica, checks Checks) *API {
+	a := &API{replica: r, checks: checks}
 	a.server = &fasthttp.Server{Handler: a.handle, MaxRequestBodySize: maxCall, NoDefaultServerHeader: true,
 		ReadTimeout: apiTimeout, IdleTimeout: apiTimeout, Concurrency: apiConns, CloseOnShutdown: true}
 	return a
@@ -69,6 +70,8 @@
 		err = a.session(ctx, strings.TrimPrefix(strings.TrimPrefix(path, sessionsPath), "/"))
 	case path == nodesPath || strings.HasPrefix(path, nodesPath+"/"):
 		err = a.node(ctx, "/"+strings.TrimPrefix(strings.TrimPrefix(path, nodesPath), "/"))
+	case strings.HasPrefix(path, configPath+"/"):
+		err = a.config(ctx, strings.TrimPrefix(path, configPath+"/"))
 	case path == commandsPath && ctx.IsPost():
 		err = a.serveCommand(ctx)
 	case path == touchesPath && ctx.IsPost():
@@ -224,11 +227,13 @@
 	case errors.Is(err, ErrBehind):
 		status = fasthttp.StatusServiceUnavailable
 		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, "1")
-	case errors.Is(err, ErrNoNode), errors.Is(err, ErrNoSession), errors.Is(err, errNoPath):
+	case errors.Is(err, ErrUnknown):
+		status = fasthttp.StatusServiceUnavailable
+	case errors.Is(err, ErrNoNode), errors.Is(err, ErrNoSession), errors.Is(err, errNoPath), errors.Is(err, ErrNoRevision):
 		status = fasthttp.StatusNotFound
-	case errors.Is(err, ErrNodeExists), errors.Is(err, ErrBadVersion), errors.Is(err, ErrNotEmpty):
+	case errors.Is(err, ErrNodeExists), errors.Is(err, ErrBadVersion), errors.Is(err, ErrNotEmpty), errors.Is(err, ErrReused):
 		status = fasthttp.StatusConflict
-	case errors.Is(err, ErrBadPath), errors.Is(err, ErrEphemeral), errors.Is(err, errInput):
+	case errors.Is(err, ErrBadPath), errors.Is(err, ErrEphemeral), errors.Is(err, errInput), errors.Is(err, ErrRefused):
 		status = fasthttp.StatusBadRequest
 	case errors.Is(err, errMethod):
 		status = fasthttp.StatusMethodNotAllowed
--- a/store/forward.go
+++ b/store/forward.go
@@ -26,7 +26,7 @@
 // pass between replicas.
 var faults = map[string]error{"no-node": ErrNoNode, "node-exists": ErrNodeExists, "bad-version": ErrBadVersion,
 	"not-empty": ErrNotEmpty, "no-session": ErrNoSession, "ephemeral": ErrEphemeral, "bad-path": ErrBadPath, "moved": ErrMoved,
-	"input": errInput}
+	"input": errInput, "no-revision": ErrNoRevision, "reused": ErrReused}
 
 func faultName(err error) string {
 	for name, fault := range faults {
--- a/store/fsm.go
+++ b/store/fsm.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -22,6 +23,7 @@
 	TimeMs  int64         `json:"time_ms,omitempty"` // of the proposer's clock
 	Claim   *claim        `json:"claim,omitempty"`
 	Steps   []Step        `json:"steps,omitempty"`
+	Publish *publication  `json:"publish,omitempty"`
 }
 
 // The operations of the log.
@@ -33,6 +35,8 @@
 	opEndSession = "end-session"
 	opAttach     = "attach"
 	opSteps      = "steps"
+	opPut        = "put"
+	opPublish    = "publish"
 	opNothing    = "nothing" // for who waits until all before it has been applied
 )
 
@@ -164,6 +168,11 @@
 		return asResult(m.tree.attach(c.Session, c.Claim))
 	case opSteps:
 		return m.steps(entry.Index, &c)
+	case opPut:
+		return asResult(m.tree.put(entry.Index, c.Path, c.Data))
+	case opPublish:
+		r, err := m.tree.publish(entry.Index, c.Path, c.Data, cmp.Or(c.Publish, &publication{}))
+		return &Result{Index: entry.Index, Failed: -1, Err: err, Revision: r}
 	case opNothing:
 		return nil
 	}
--- a/store/replica.go
+++ b/store/replica.go
@@ -153,6 +153,9 @@
 	return errors.Join(err, r.network.Close(), r.logs.Close())
 }
 
+// ID is this replica's name among the peers.
+func (r *Replica) ID() string { return r.cfg.ID }
+
 // Leader returns the peer that takes writes, if one is known.
 func (r *Replica) Leader() (Peer, bool) {
 	_, id := r.raft.LeaderWithID()
--- a/store/steps.go
+++ b/store/steps.go
@@ -43,6 +43,8 @@
 	Results []StepResult `json:"results,omitempty"`
 	Failed  int          `json:"failed"` // -1: none
 	Err     error        `json:"-"`
+	// Revision is the version that a text was published as.
+	Revision *Revision `json:"revision,omitempty"`
 }
 
 // attach has a connection speak for a session from now on.
--- a/store/tree.go
+++ b/store/tree.go
@@ -56,6 +56,8 @@
 	// Claims are what sessions of the ZooKeeper front have beside a time-out.
 	Claims map[string]claim `json:"claims,omitempty"`
 	Index  uint64           `json:"index"` // the latest operation that was applied
+	// Published are the versions of each configuration that are kept, the oldest first.
+	Published map[string][]Revision `json:"published,omitempty"`
 
 	// What follows from the nodes, so that neither a list of children nor the end
 	// of a session has to look at the whole tree; not in snapshots.
@@ -99,7 +101,7 @@
 const degree = 8
 
 func newTree() *tree {
-	t := &tree{Nodes: map[string]*node{"/": {}}, Sessions: map[string]time.Duration{}, Claims: map[string]claim{}, changed: func(Change) {}}
+	t := &tree{Nodes: map[string]*node{"/": {}}, Sessions: map[string]time.Duration{}, Claims: map[string]claim{}, Published: map[string][]Revision{}, changed: func(Change) {}}
 	t.index()
 	return t
 }
