Trails of what each router took, acknowledged and sent, and lichenshelf audit

Need: when routers act on old lists or settings nobody could tell which did what.

fleet/trail keeps records on disk: checksummed frames in bounded segments, sums of attempts by worker and by the number of all versions acted on, lines for failures; nothing waits for the disk, and what is lost shows as a gap. fleet/audit (pure) orders trails by versions and checks them: nothing to a worker past its window, nothing under less than was acknowledged, nothing while shut out. lichenshelf audit check|who|worker|request|timeline|lag. Off without trail in deploy/fleet.toml.

Five programs with workers that die, a stop, a cut and a release: no breach, no worker saw more than the trails tell; a record taken out, a byte flipped, a late send put in are each found.

--- a/fleet/agent/config.go
+++ b/fleet/agent/config.go
@@ -32,6 +32,8 @@
 	Return   conffile.Duration `toml:"return"`
 	Repeats  float64           `toml:"repeats_per_s"`
 	Cold     float64           `toml:"cold_per_s"`
+	Trail    string            `toml:"trail"` // directory; empty: no trail is kept
+	TrailMax int64             `toml:"trail_bytes"`
 	Routers  []Router          `toml:"router"`
 }
 
@@ -48,6 +50,8 @@
 const (
 	mostRouters = 1000
 	mostRate    = 1e6
+	leastTrail  = 1 << 20
+	mostTrail   = 1 << 40
 )
 
 // LoadConfig reads the file and checks it whole. One without a fleet's name is off.
@@ -55,7 +59,7 @@
 	d := func(v time.Duration) conffile.Duration { return conffile.Duration{Duration: v} }
 	c := &Config{Lease: d(2 * time.Second), Floor: 0.1, Burst: d(time.Second), Drift: 0.01, Period: d(500 * time.Millisecond), Counts: d(100 * time.Millisecond),
 		Fanout: 2, Digest: 32, Timeout: d(time.Second), Observe: 2,
-		Quorum: 2, MostOut: 0.3, Least: 3, Hold: d(3 * time.Second), Return: d(10 * time.Second)}
+		Quorum: 2, MostOut: 0.3, Least: 3, Hold: d(3 * time.Second), Return: d(10 * time.Second), TrailMax: 64 << 20}
 	f, err := conffile.Read(path, c)
 	if err != nil || c.Fleet == "" {
 		return c, err
@@ -102,6 +106,7 @@
 		{"hold", c.Hold, c.Hold.Duration < 100*time.Millisecond || c.Hold.Duration > time.Minute, "not from 100ms to 1m"},
 		{"return", c.Return, c.Return.Duration > time.Hour, "over 1h"},
 		{"observers", c.Observe, c.Observe < 0, "negative"},
+		{"trail_bytes", c.TrailMax, c.TrailMax < leastTrail || c.TrailMax > mostTrail, "not from 1048576 to 1099511627776"},
 		{"repeats_per_s", c.Repeats, !(c.Repeats >= 0 && c.Repeats <= mostRate), "not from 0 to 1000000"},
 		{"cold_per_s", c.Cold, !(c.Cold >= 0 && c.Cold <= mostRate), "not from 0 to 1000000"},
 	} {
--- a/fleet/agent/witness.go
+++ b/fleet/agent/witness.go
@@ -1,6 +1,8 @@
 package agent
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -8,6 +10,7 @@
 	"lichenshelf/fleet/attempts"
 	"lichenshelf/fleet/counts"
 	"lichenshelf/fleet/node"
+	"lichenshelf/fleet/verdict"
 	"lichenshelf/logic"
 	"lichenshelf/router"
 )
@@ -26,15 +29,33 @@
 	part  *node.Front // behind the agent's lock; nil before Take
 	gate  *cordon.Gate
 	core  Core
+	trail Recorder // nil: nothing is kept
+}
+
+// Recorder keeps what a front does. Its methods must return at once.
+type Recorder interface {
+	// Sent notes an attempt that goes out now, to a worker of this incarnation.
+	Sent(worker string, since int64)
+	// Failed notes how one ended.
+	Failed(worker string, since int64, request, how string)
+	// Out notes that a worker gets nothing new any more, grace later at the latest; with
+	// false, that it may get something again.
+	Out(worker string, since int64, out bool, grace time.Duration)
 }
 
 // Front lets a front's workers be judged together with the other routers, and its
 // attempts be spent from what all share. Take is to be called before anything is sent.
-func (a *Agent) Front(cfg node.FrontConfig) *Front { return &Front{agent: a, cfg: cfg} }
+// A trail of nil keeps nothing.
+func (a *Agent) Front(cfg node.FrontConfig, trail Recorder) *Front {
+	return &Front{agent: a, cfg: cfg, trail: trail}
+}
 
 // Take returns what stands before the core: what lists workers tells it instead.
 func (f *Front) Take(core Core) cordon.Taker {
 	f.core, f.gate = core, cordon.NewGate(core)
+	if f.trail != nil {
+		f.gate = cordon.NewGate(&noted{core: core, front: f, out: map[string]bool{}, known: map[string]int64{}})
+	}
 	a := f.agent
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -43,6 +64,55 @@
 	return f
 }
 
+// noted stands between the gate and the core, and keeps who is out. The gate calls it one at a
+// time.
+type noted struct {
+	core  Core
+	front *Front
+	out   map[string]bool  // that are out, and still listed
+	known map[string]int64 // the incarnation of each worker that is listed
+}
+
+// Discovered implements cordon.Taker. What is taken out is noted once the core's senders know;
+// what comes back, before they do.
+func (n *noted) Discovered(members []router.Member, whole bool) {
+	grace, listed := n.front.cfg.Settings.DrainGrace, map[string]bool{}
+	for _, m := range members {
+		listed[m.Name] = true
+		if m.Health == logic.Ready && n.out[m.Name] {
+			n.front.trail.Out(m.Name, int64(m.Since), false, grace)
+			delete(n.out, m.Name)
+		}
+	}
+	n.core.Discovered(members, whole)
+	for _, m := range members {
+		switch was, known := n.known[m.Name]; {
+		case m.Health != logic.Ready && known && !n.out[m.Name]:
+			n.front.trail.Out(m.Name, was, true, grace)
+			n.out[m.Name] = true
+		case m.Health == logic.Ready && known && was != int64(m.Since): // another process by now
+			n.front.trail.Out(m.Name, was, true, grace)
+		}
+		n.known[m.Name] = int64(m.Since)
+		if m.Health == logic.Gone {
+			delete(n.known, m.Name)
+			delete(n.out, m.Name)
+		}
+	}
+	if !whole {
+		return
+	}
+	for _, name := range slices.Sorted(maps.Keys(n.known)) {
+		if !listed[name] {
+			if !n.out[name] {
+				n.front.trail.Out(name, n.known[name], true, grace)
+			}
+			delete(n.known, name)
+			delete(n.out, name)
+		}
+	}
+}
+
 func lines(members []router.Member) []node.Line {
 	out := make([]node.Line, len(members))
 	for i, m := range members {
@@ -91,6 +161,10 @@
 	s.work = w.front.part.Work(s.worker, &at.Request.Request)
 	s.agent.node.Charge(s.worker, s.work)
 	s.agent.mu.Unlock()
+	if w.front.trail != nil {
+		s.request = at.Request.Name
+		w.front.trail.Sent(s.worker, int64(s.since))
+	}
 	giveUp := w.Transport.Send(at, s)
 	return func() {
 		s.over()
@@ -106,6 +180,8 @@
 	worker string
 	since  logic.Time
 	prompt float64 // tokens
+	// request is its name, where a trail is kept.
+	request string
 
 	mu   sync.Mutex
 	work counts.Work // that is still out
@@ -182,6 +258,9 @@
 	if !says {
 		return
 	}
+	if s.front.trail != nil && fault != verdict.None {
+		s.front.trail.Failed(s.worker, int64(s.since), s.request, fault.String())
+	}
 	s.agent.mu.Lock()
 	s.agent.node.Observe(s.worker, int64(s.since), fault, s.agent.now())
 	s.agent.mu.Unlock()
--- a/fleet/version/version.go
+++ b/fleet/version/version.go
@@ -80,6 +80,9 @@
 	return true, nil
 }
 
+// Floor notes that a version of a part was acknowledged before the start.
+func (t *Tracker) Floor(part string, acked uint64) { t.acked[part] = max(t.acked[part], acked) }
+
 // Acknowledge notes that the held version of a part has been acknowledged to others.
 func (t *Tracker) Acknowledge(part string) { t.acked[part] = max(t.acked[part], t.held[part]) }
 
--- a/front/platform/watch.go
+++ b/front/platform/watch.go
@@ -33,6 +33,8 @@
 
 // Watch follows discovery and tells the taker.
 type Watch struct {
+	// Took, if set before Run, is told of the version of each list before it is taken.
+	Took func(addr string, generation int64)
 	// Failed, if set before Run, is told when discovery can't be followed.
 	Failed func(error)
 
@@ -224,6 +226,9 @@
 	if err != nil {
 		return fmt.Errorf("list %d not used: %w", l.Generation, err)
 	}
+	if w.Took != nil {
+		w.Took(w.at, l.Generation)
+	}
 	w.core.Discovered(members, l.Reset)
 	w.generation = l.Generation
 	w.log.WithFields(logrus.Fields{"generation": l.Generation, "instances": len(members)}).Debug("list taken over")
--- /dev/null
+++ b/internal/cli/audit.go
@@ -0,0 +1,139 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strconv"
+	"text/tabwriter"
+
+	"github.com/urfave/cli/v3"
+
+	"lichenshelf/fleet/audit"
+	"lichenshelf/fleet/trail"
+)
+
+// errBreach makes the exit code of a check that found something.
+var errBreach = errors.New("breaches were found")
+
+// auditCommand reads trails of many routers.
+func auditCommand() *cli.Command {
+	sub := func(name, usage, args string, own int, do func(w io.Writer, own []string, trails []audit.Trail) error) *cli.Command {
+		return &cli.Command{Name: name, Usage: usage, ArgsUsage: args + "DIR...", Action: func(_ context.Context, c *cli.Command) error {
+			if c.Args().Len() <= own {
+				return fmt.Errorf("audit %s takes %sDIR..., one directory for each router", name, args)
+			}
+			var trails []audit.Trail
+			for _, dir := range c.Args().Slice()[own:] {
+				t, err := trail.Read(dir)
+				if err != nil {
+					return fmt.Errorf("audit %s: %w", name, err)
+				}
+				if t.Router == "" {
+					t.Router = dir
+				}
+				trails = append(trails, t)
+			}
+			return do(c.Root().Writer, c.Args().Slice()[:own], trails)
+		}}
+	}
+	return &cli.Command{Name: "audit", Usage: "tell from routers' trails who acted on which version, and whether they kept what they had said",
+		Commands: []*cli.Command{
+			sub("check", "prove or refute the rules; exit code 1 and a line for each breach", "", 0, func(w io.Writer, _ []string, trails []audit.Trail) error {
+				breaches := audit.Check(trails)
+				for _, b := range breaches {
+					if _, err := fmt.Fprintln(w, b); err != nil {
+						return err
+					}
+				}
+				if len(breaches) > 0 {
+					return fmt.Errorf("%w: %d", errBreach, len(breaches))
+				}
+				n := 0
+				for _, t := range trails {
+					n += len(t.Entries)
+				}
+				_, err := fmt.Fprintf(w, "%d records of %d routers: no breach\n", n, len(trails))
+				return err
+			}),
+			sub("timeline", "all records in an order that contradicts no router", "", 0, func(w io.Writer, _ []string, trails []audit.Trail) error {
+				return printSteps(w, audit.Timeline(trails), func(audit.Step) bool { return true })
+			}),
+			sub("worker", "what concerns one worker", "NAME ", 1, func(w io.Writer, own []string, trails []audit.Trail) error {
+				return printSteps(w, audit.Timeline(trails), func(s audit.Step) bool { return s.Worker == own[0] })
+			}),
+			sub("request", "what went wrong for one request", "NAME ", 1, func(w io.Writer, own []string, trails []audit.Trail) error {
+				return printSteps(w, audit.Timeline(trails), func(s audit.Step) bool { return s.Request == own[0] })
+			}),
+			sub("who", "which routers took, acknowledged or refused a version of a part, and what they sent under it", "PART VERSION ", 2, printWho),
+			sub("lag", "by how many versions each router lies behind the newest", "", 0, printLags),
+		}}
+}
+
+func printSteps(w io.Writer, steps []audit.Step, pick func(audit.Step) bool) error {
+	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(t, "ORDER\tROUTER\tAT\tWHAT\tOF\tNUMBER\tDETAIL\tPLACE")
+	for _, s := range steps {
+		if !pick(s) {
+			continue
+		}
+		of, detail := s.Part, s.Text
+		if s.Part != "" {
+			of += " " + strconv.FormatUint(s.Version, 10)
+		}
+		switch s.Kind {
+		case audit.Sent:
+			of, detail = s.Worker, fmt.Sprintf("%d until %.3f s", s.Count, s.Until.Seconds())
+		case audit.Failed:
+			of, detail = s.Worker, s.Request+": "+s.Text
+		case audit.Out:
+			of, detail = s.Worker, "within "+s.Window.String()
+		case audit.Back:
+			of = s.Worker
+		}
+		fmt.Fprintf(t, "%d\t%s\t%.3f s\t%s\t%s\t%d\t%s\t%s\n", s.Order, s.Who, s.At.Seconds(), s.Kind, of, s.Number, detail, s.Place)
+	}
+	return t.Flush()
+}
+
+func printWho(w io.Writer, own []string, trails []audit.Trail) error {
+	v, err := strconv.ParseUint(own[1], 10, 64)
+	if err != nil {
+		return fmt.Errorf("audit who: version %q is not a number", own[1])
+	}
+	holders := audit.Who(trails, own[0], v)
+	if len(holders) == 0 {
+		return fmt.Errorf("audit who: no trail tells of version %d of %s", v, own[0])
+	}
+	when := func(e *audit.Entry) string {
+		if e == nil {
+			return "-"
+		}
+		return fmt.Sprintf("%.3f s", e.At.Seconds())
+	}
+	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(t, "ROUTER\tTAKEN\tACKNOWLEDGED\tREFUSED\tSENT UNDER IT")
+	for _, h := range holders {
+		refused := when(h.Refused)
+		if h.Refused != nil {
+			refused += ": " + h.Refused.Text
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\n", h.Router, when(h.Taken), when(h.Acknowledged), refused, h.Sends)
+	}
+	return t.Flush()
+}
+
+func printLags(w io.Writer, _ []string, trails []audit.Trail) error {
+	latest, lags := audit.Lags(trails)
+	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(t, "ROUTER\tPART\tNEWEST\tBEHIND")
+	for _, router := range slices.Sorted(maps.Keys(lags)) {
+		for _, part := range slices.Sorted(maps.Keys(latest)) {
+			fmt.Fprintf(t, "%s\t%s\t%d\t%d\n", router, part, latest[part], lags[router][part])
+		}
+	}
+	return t.Flush()
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -65,6 +65,7 @@
 			registerCommand(log),
 			storeCommand(),
 			configCommand(),
+			auditCommand(),
 			fleetCommand(),
 			{
 				Name: "version", Usage: "print the version",
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -8,7 +8,6 @@
 	"path"
 	"time"
 
-	"lichenshelf/fleet/version"
 	"lichenshelf/front/modelapi"
 	"lichenshelf/router"
 	"lichenshelf/store"
@@ -40,14 +39,13 @@
 // published follows the model API's configuration in the store and applies it to the front
 // as it runs.
 type published struct {
-	d        *daemon
-	front    *modelapi.Front
-	core     *router.Core
-	file     modelapi.Config // the file's, over which each version is laid
-	cfg      *modelapi.Config
-	versions *version.Tracker
-	ack      Ack
-	path     string
+	d     *daemon
+	front *modelapi.Front
+	core  *router.Core
+	file  modelapi.Config // the file's, over which each version is laid
+	cfg   *modelapi.Config
+	ack   Ack
+	path  string
 }
 
 const configPart = "config/" + modelapi.ConfigName
@@ -76,11 +74,11 @@
 		}
 		latest.Text = string(text)
 	}
-	p.versions = version.New(version.Vector{configPart: before.Version})
-	if _, err := p.versions.Take(configPart, latest.Version); err != nil {
+	d.acts.resume(configPart, before.Version)
+	if p.ack.Number, err = d.acts.take(configPart, latest.Version); err != nil {
 		return nil, fmt.Errorf("the store's configuration %s: %w: its data may be older than this router", modelapi.ConfigName, err)
 	}
-	p.ack.Version, p.ack.Number = latest.Version, p.versions.Number()
+	p.ack.Version = latest.Version
 	return p, cfg.Override(latest.Text)
 }
 
@@ -119,9 +117,11 @@
 	if err := next.Override(r.Text); err != nil {
 		log.WithError(err).Error("published configuration not taken, the one before stays")
 		p.ack.Fault, p.ack.Refused = err.Error(), r.Version
+		p.d.acts.refuse(configPart, r.Version, err)
 		return
 	}
-	if _, err := p.versions.Take(configPart, r.Version); err != nil {
+	number, err := p.d.acts.take(configPart, r.Version)
+	if err != nil {
 		log.WithError(err).Error("published configuration not taken, the one before stays")
 		p.ack.Fault, p.ack.Refused = err.Error(), r.Version
 		return
@@ -134,7 +134,7 @@
 	settings := p.cfg.Settings()
 	p.core.Retune(settings.Classes, settings.MaxAttempts)
 	p.front.Take(p.cfg)
-	p.ack = Ack{Router: p.ack.Router, Version: r.Version, Number: p.versions.Number(), Restart: restart}
+	p.ack = Ack{Router: p.ack.Router, Version: r.Version, Number: number, Restart: restart}
 	log.WithField("restart", restart).Info("published configuration taken")
 }
 
@@ -151,6 +151,6 @@
 		p.d.log.WithError(err).Warn("version not acknowledged yet")
 		return err
 	}
-	p.versions.Acknowledge(configPart)
+	p.d.acts.acknowledge(configPart)
 	return nil
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"lichenshelf/discovery/sources"
 	"lichenshelf/downstream"
 	"lichenshelf/fleet/agent"
+	"lichenshelf/fleet/version"
 	"lichenshelf/front/console"
 	"lichenshelf/front/modelapi"
 	"lichenshelf/front/platform"
@@ -68,6 +69,7 @@
 	platCore *router.Core // the platform's
 	fleet    *agent.Agent // nil: this router shares nothing with others
 	fleetOf  int          // how many routers share, with a fleet
+	acts     acts
 	failed   chan error
 	stopping atomic.Bool
 }
@@ -81,8 +83,10 @@
 
 // Serve runs until a SIGTERM has been seen through.
 func Serve(ctx context.Context, files Files, log *logrus.Logger) error {
-	d := &daemon{log: log, counters: &metrics.Set{}, files: files, feeds: map[string]*sources.Feed{}, failed: make(chan error, 4)}
+	d := &daemon{log: log, counters: &metrics.Set{}, files: files, feeds: map[string]*sources.Feed{}, failed: make(chan error, 4),
+		acts: acts{versions: version.New(nil), log: log}}
 	defer d.printCounters()
+	defer d.acts.close()
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
 	defer signal.Stop(signals)
@@ -216,6 +220,12 @@
 	taker = d.cordon
 	d.watch = platform.NewWatch(cfg, taker, d.log)
 	d.watch.Failed = failed
+	d.watch.Took = func(addr string, generation int64) {
+		// Another discovery may count otherwise, so it is a part of its own.
+		if _, err := d.acts.take("workers/discovery@"+addr, uint64(max(generation, 0))); err != nil {
+			d.log.WithError(err).Debug("an older list from discovery")
+		}
+	}
 	go d.watch.Run(ctx)
 	started := time.Now()
 	ready := func() bool {
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -25,6 +25,9 @@
 	if err != nil {
 		return fmt.Errorf("%s: %w", d.files.Fleet, err)
 	}
+	if err := d.openTrail(cfg, life); err != nil {
+		return err
+	}
 	l, err := net.Listen("tcp4", cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("listen for the fleet: %w", err)
@@ -53,7 +56,7 @@
 	if d.fleet == nil {
 		return share{}
 	}
-	return share{d.fleet.Front(node.FrontConfig{Name: name, Settings: s, Reports: reports})}
+	return share{d.fleet.Front(node.FrontConfig{Name: name, Settings: s, Reports: reports}, d.acts.recorder())}
 }
 
 func (s share) watch(t router.Transport) router.Transport {
--- /dev/null
+++ b/internal/daemon/trail.go
@@ -0,0 +1,114 @@
+package daemon
+
+import (
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"lichenshelf/fleet/agent"
+	"lichenshelf/fleet/audit"
+	"lichenshelf/fleet/trail"
+	"lichenshelf/fleet/version"
+)
+
+// acts knows the versions that this router acts on, and keeps its trail if there is one. Its
+// methods may be called from any goroutine and wait for no disk.
+type acts struct {
+	mu       sync.Mutex
+	versions *version.Tracker
+	trail    *trail.Writer // nil: none is kept
+	log      logrus.FieldLogger
+}
+
+// openTrail begins this router's trail, if the fleet's file names a directory.
+func (d *daemon) openTrail(cfg *agent.Config, life uint64) error {
+	if cfg.Trail == "" {
+		return nil
+	}
+	w, err := trail.Open(trail.Config{Dir: filepath.Join(cfg.Trail, cfg.Self), Router: cfg.Self, Life: life, Bytes: cfg.TrailMax, Count: d.counters})
+	if err != nil {
+		return err
+	}
+	d.acts.trail = w
+	d.log.WithField("trail", filepath.Join(cfg.Trail, cfg.Self)).Info("keeping a trail")
+	return nil
+}
+
+// recorder is what fronts are given; nil without a trail.
+func (a *acts) recorder() agent.Recorder {
+	if a.trail == nil {
+		return nil
+	}
+	return recorder{a.trail}
+}
+
+// resume begins anew above what was acknowledged before the start.
+func (a *acts) resume(part string, acked uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.versions.Floor(part, acked)
+}
+
+// take goes over to a version of a part, and returns the number of all that is acted on.
+func (a *acts) take(part string, v uint64) (uint64, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	changed, err := a.versions.Take(part, v)
+	if err != nil {
+		a.note(audit.Record{Kind: audit.Refused, Part: part, Version: v, Text: err.Error()})
+		return a.versions.Number(), err
+	}
+	if changed {
+		a.note(audit.Record{Kind: audit.Taken, Part: part, Version: v, Number: a.versions.Number()})
+	}
+	return a.versions.Number(), nil
+}
+
+// refuse notes that a version is not taken.
+func (a *acts) refuse(part string, v uint64, why error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.note(audit.Record{Kind: audit.Refused, Part: part, Version: v, Text: why.Error()})
+}
+
+// acknowledge notes that others have been told of the held version.
+func (a *acts) acknowledge(part string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.versions.Acknowledge(part)
+	a.note(audit.Record{Kind: audit.Acknowledged, Part: part, Version: a.versions.Held()[part]})
+}
+
+func (a *acts) note(r audit.Record) {
+	if a.trail != nil {
+		a.trail.Note(r)
+	}
+}
+
+func (a *acts) close() {
+	if a.trail == nil {
+		return
+	}
+	if err := a.trail.Close(); err != nil {
+		a.log.WithError(err).Warn("trail not closed in good order")
+	}
+}
+
+// recorder implements agent.Recorder on a trail.
+type recorder struct{ *trail.Writer }
+
+// Failed implements agent.Recorder.
+func (r recorder) Failed(worker string, since int64, request, how string) {
+	r.Note(audit.Record{Kind: audit.Failed, Worker: worker, Since: since, Request: request, Text: how})
+}
+
+// Out implements agent.Recorder.
+func (r recorder) Out(worker string, since int64, out bool, grace time.Duration) {
+	kind := audit.Back
+	if out {
+		kind = audit.Out
+	}
+	r.Note(audit.Record{Kind: kind, Worker: worker, Since: since, Window: grace})
+}
--- /dev/null
+++ b/test/audit_test.go
@@ -0,0 +1,130 @@
+package test
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lichenshelf/fleet/audit"
+	"lichenshelf/fleet/trail"
+	relay "lichenshelf/internal/standin/link"
+	"lichenshelf/lab/demo"
+)
+
+// Five programs keep trails while workers die and come back, routers are stopped, cut off and released. The check finds
+// nothing against them, and no worker saw more than the trails tell. With a record taken out, a byte flipped or a send past
+// its window put in, it finds that, and says where.
+func TestAuditOfFivePrograms(t *testing.T) {
+	const n = 5
+	dir := t.TempDir()
+	l := newLabRig(t, n, labFleet+fmt.Sprintf("trail = %q\n", dir), 25, 11)
+	began := time.Now()
+	l.site.Kill("reader-0", time.Second)
+	l.layout.Between(func(from, to int) bool { return (from < 2) != (to < 2) }, relay.Fault{Refuse: true, Drop: [2]bool{true, true}})
+	l.routers[1].signal(syscall.SIGSTOP)
+	l.clients.Avoid(1, true)
+	l.site.Kill("writer-1", time.Second)
+	eventually(t, func() bool { return l.site.Up() < len(demo.Site().Servers) }, "workers are down")
+	eventually(t, func() bool { return l.site.Up() == len(demo.Site().Servers) }, "workers are up again")
+	l.routers[1].signal(syscall.SIGCONT)
+	l.clients.Avoid(1, false)
+	l.clients.Avoid(3, true)
+	l.routers[3].signal(syscall.SIGTERM)
+	l.routers[3].waitExit()
+	l.again(3)
+	l.clients.Avoid(3, false)
+	for until := l.seconds() + 3; l.seconds() < until; {
+		time.Sleep(soon)
+	}
+	l.end()
+	l.oneAnswer()
+	var dirs []string
+	for i, p := range l.routers {
+		p.signal(syscall.SIGTERM)
+		p.waitExit()
+		dirs = append(dirs, filepath.Join(dir, l.layout.Routers[i].Name))
+	}
+	check := func() (string, error) { return command(t, append([]string{"audit", "check"}, dirs...)...) }
+	out, err := check()
+	require.NoError(t, err, out)
+	require.Contains(t, out, "no breach")
+
+	saw, told := map[string]uint64{}, map[string]uint64{}
+	for _, a := range l.site.Record() {
+		saw[a.Worker]++
+	}
+	outs := 0
+	for _, d := range dirs {
+		tr, err := trail.Read(d)
+		require.NoError(t, err)
+		for _, e := range tr.Entries {
+			switch e.Kind {
+			case audit.Sent:
+				told[e.Worker] += e.Count
+			case audit.Out:
+				outs++
+			}
+		}
+	}
+	require.GreaterOrEqual(t, outs, 2*(n-1), "each router notes who is out")
+	for name, times := range saw {
+		require.GreaterOrEqual(t, told[name], times, "attempts that %s saw", name)
+	}
+	for _, args := range [][]string{{"lag"}, {"worker", "reader-0"}, {"timeline"}} {
+		out, err := command(t, append(append([]string{"audit"}, args...), dirs...)...)
+		require.NoError(t, err, out)
+		require.Contains(t, out, l.layout.Routers[4].Name)
+	}
+	out, err = command(t, append([]string{"audit", "who", "workers/discovery@" + l.site.Discovery(), "2"}, dirs...)...)
+	require.NoError(t, err, out)
+	require.Contains(t, out, "r-0")
+	t.Logf("%v of trails of %d routers", time.Since(began), n)
+
+	// What is done to a trail shows.
+	names, err := trail.Segments(dirs[0])
+	require.NoError(t, err)
+	whole, err := os.ReadFile(names[0])
+	require.NoError(t, err)
+	tr, err := trail.Read(dirs[0])
+	require.NoError(t, err)
+	require.Greater(t, len(tr.Entries), 12)
+	from, to := tr.Entries[5].Offset, tr.Entries[6].Offset
+	late, err := trail.Encode(audit.Record{Seq: tr.Entries[len(tr.Entries)-1].Seq + 1, Kind: audit.Sent, Worker: "reader-0",
+		Since: outOf(tr, "reader-0").Since, Number: lastNumber(tr), At: time.Hour, Until: time.Hour + time.Second, Count: 1})
+	require.NoError(t, err)
+	for what, text := range map[string][]byte{
+		"is missing":      append(bytes.Clone(whole[:from]), whole[to:]...),
+		"checksum":        append(append(bytes.Clone(whole[:from+20]), whole[from+20]^1), whole[from+21:]...),
+		"past its window": append(bytes.Clone(whole), late...),
+	} {
+		require.NoError(t, os.WriteFile(names[0], text, 0o600))
+		out, err := check()
+		require.Error(t, err, what)
+		require.Contains(t, out, what)
+		require.Contains(t, out, names[0], "the place")
+		require.True(t, strings.HasPrefix(out, l.layout.Routers[0].Name+": "), out)
+	}
+}
+
+func outOf(t audit.Trail, worker string) (out audit.Entry) {
+	for _, e := range t.Entries {
+		if e.Kind == audit.Out && e.Worker == worker {
+			return e
+		}
+	}
+	return out
+}
+
+func lastNumber(t audit.Trail) (n uint64) {
+	for _, e := range t.Entries {
+		n = max(n, e.Number)
+	}
+	return n
+}
