Routers behind the published configuration are brought up, else shut out by slots

Need: a router that can't apply a configuration went on with the old one among all the others, and nothing stopped it.

fleet/straggler (pure): current, behind, catching up, shut out. A router shuts itself out by a slot of the store after grace, or by a right of rank where it hears nobody past most_age; never more than most_shut of all. The front answers 503 and is not ready; the trail says when and why.

Measured: six programs of which one can't apply a version: it is shut out, its worker sees nothing of it, the others serve, the next version lets it in.

--- a/fleet/agent/config.go
+++ b/fleet/agent/config.go
@@ -32,11 +32,31 @@
 	Return   conffile.Duration `toml:"return"`
 	Repeats  float64           `toml:"repeats_per_s"`
 	Cold     float64           `toml:"cold_per_s"`
+	Straggle Straggle          `toml:"straggler"`
 	Trail    string            `toml:"trail"` // directory; empty: no trail is kept
 	TrailMax int64             `toml:"trail_bytes"`
 	Routers  []Router          `toml:"router"`
 }
 
+// Straggle says what becomes of a router that lies behind the published configuration.
+type Straggle struct {
+	Grace    conffile.Duration `toml:"grace"` // 0: nothing
+	MostAge  conffile.Duration `toml:"most_age"`
+	MostShut float64           `toml:"most_shut"`
+	Rate     float64           `toml:"rate"`
+	Steady   conffile.Duration `toml:"steady"`
+}
+
+// Rank is this router's place among all by their names, from 0.
+func (c *Config) Rank() (rank int) {
+	for _, r := range c.Routers {
+		if r.Name < c.Self {
+			rank++
+		}
+	}
+	return rank
+}
+
 // Router is one router of the fleet as the file lists it.
 type Router struct {
 	Name string `toml:"name"`
@@ -59,7 +79,8 @@
 	d := func(v time.Duration) conffile.Duration { return conffile.Duration{Duration: v} }
 	c := &Config{Lease: d(2 * time.Second), Floor: 0.1, Burst: d(time.Second), Drift: 0.01, Period: d(500 * time.Millisecond), Counts: d(100 * time.Millisecond),
 		Fanout: 2, Digest: 32, Timeout: d(time.Second), Observe: 2,
-		Quorum: 2, MostOut: 0.3, Least: 3, Hold: d(3 * time.Second), Return: d(10 * time.Second), TrailMax: 64 << 20}
+		Quorum: 2, MostOut: 0.3, Least: 3, Hold: d(3 * time.Second), Return: d(10 * time.Second), TrailMax: 64 << 20,
+		Straggle: Straggle{MostShut: 0.25, Rate: 20, Steady: d(2 * time.Second)}}
 	f, err := conffile.Read(path, c)
 	if err != nil || c.Fleet == "" {
 		return c, err
@@ -106,6 +127,11 @@
 		{"hold", c.Hold, c.Hold.Duration < 100*time.Millisecond || c.Hold.Duration > time.Minute, "not from 100ms to 1m"},
 		{"return", c.Return, c.Return.Duration > time.Hour, "over 1h"},
 		{"observers", c.Observe, c.Observe < 0, "negative"},
+		{"straggler.grace", c.Straggle.Grace, c.Straggle.Grace.Duration != 0 && c.Straggle.Grace.Duration < 100*time.Millisecond || c.Straggle.Grace.Duration > time.Hour, "not 0, nor from 100ms to 1h"},
+		{"straggler.most_age", c.Straggle.MostAge, c.Straggle.MostAge.Duration > 24*time.Hour, "over 24h"},
+		{"straggler.most_shut", c.Straggle.MostShut, !(c.Straggle.MostShut >= 0 && c.Straggle.MostShut <= 0.5), "not from 0 to 0.5"},
+		{"straggler.rate", c.Straggle.Rate, !(c.Straggle.Rate > 0 && c.Straggle.Rate <= mostRate), "not over 0 and up to 1000000"},
+		{"straggler.steady", c.Straggle.Steady, c.Straggle.Steady.Duration > time.Hour, "over 1h"},
 		{"trail_bytes", c.TrailMax, c.TrailMax < leastTrail || c.TrailMax > mostTrail, "not from 1048576 to 1099511627776"},
 		{"repeats_per_s", c.Repeats, !(c.Repeats >= 0 && c.Repeats <= mostRate), "not from 0 to 1000000"},
 		{"cold_per_s", c.Cold, !(c.Cold >= 0 && c.Cold <= mostRate), "not from 0 to 1000000"},
--- /dev/null
+++ b/fleet/straggler/straggler_test.go
@@ -0,0 +1,337 @@
+package straggler
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"lichenshelf/fleet/version"
+)
+
+// depth 6 has 12,103 states.
+var depth = flag.Int("depth", 5, "steps that are explored")
+
+const (
+	grace = 4 * time.Second
+	tick  = 100 * time.Millisecond
+)
+
+func config(n, rank int) Config {
+	return Config{Routers: n, Rank: rank, Versions: 1, Grace: grace, MostAge: 30 * time.Second, MostShut: 0.25, Rate: 20, Steady: time.Second}
+}
+
+// world is some routers before a store that hands out slots. The store's answers may be lost.
+type world struct {
+	cfg      Config
+	now      Time
+	newest   uint64
+	machines []*Machine
+	views    []View
+	shut     []bool
+	slots    map[int]bool // of the store
+	cut      []bool       // hears nothing, and is not heard
+	stuck    []bool       // can't be brought up
+	asks     []Time       // of being brought up
+}
+
+func newWorld(t require.TestingT, n int, change func(*Config)) *world {
+	w := &world{now: Time(time.Hour), newest: 1, slots: map[int]bool{}, cut: make([]bool, n), stuck: make([]bool, n), shut: make([]bool, n)}
+	for i := range n {
+		cfg := config(n, i)
+		if change != nil {
+			change(&cfg)
+		}
+		w.cfg = cfg
+		m, err := New(cfg, rand.New(rand.NewPCG(uint64(i), uint64(n))))
+		require.NoError(t, err)
+		w.machines = append(w.machines, m)
+		w.views = append(w.views, View{Held: version.Vector{"c": 1}, Newest: version.Vector{"c": 1}, Heard: w.now})
+	}
+	return w
+}
+
+// step lets a router look once. With lose the store hears it, and its answer is lost.
+func (w *world) step(i int, lose bool) {
+	v := &w.views[i]
+	if !w.cut[i] {
+		v.Newest, v.Heard = version.Vector{"c": w.newest}, w.now
+		v.Slot = w.slots[i]
+	}
+	for _, a := range w.machines[i].Step(*v, w.now) {
+		switch a.Kind {
+		case BringUp:
+			w.asks = append(w.asks, w.now)
+			if !w.cut[i] && !w.stuck[i] {
+				v.Held = version.Vector{"c": w.newest}
+			}
+		case AskSlot:
+			if !w.cut[i] && (len(w.slots) < w.cfg.Slots() || w.slots[i]) {
+				w.slots[i] = true
+				v.Slot = !lose
+			}
+		case GiveSlot:
+			if !w.cut[i] {
+				delete(w.slots, i)
+				v.Slot = false
+			}
+		case Shut:
+			w.shut[i] = true
+		case LetIn:
+			w.shut[i] = false
+		}
+	}
+}
+
+func (w *world) out() (n int) {
+	for _, s := range w.shut {
+		if s {
+			n++
+		}
+	}
+	return n
+}
+
+func (w *world) run(t require.TestingT, d time.Duration) {
+	for end := w.now + Time(d); w.now < end; w.now += Time(tick) {
+		for i := range w.machines {
+			w.step(i, false)
+		}
+		require.LessOrEqual(t, w.out(), w.cfg.Most(), "at %v", time.Duration(w.now))
+	}
+}
+
+// 30 of 80 fall behind at once: none is shut out that can be brought up, and they don't all ask together.
+func TestThoseThatCanAreBroughtUp(t *testing.T) {
+	for _, n := range []int{1, 8, 80, 200} {
+		w := newWorld(t, n, nil)
+		w.newest = 5
+		for i := range n {
+			if i%8 >= 3 { // the others are at it already
+				w.views[i].Held = version.Vector{"c": 5}
+			}
+		}
+		w.run(t, grace)
+		require.Zero(t, w.out())
+		for i, m := range w.machines {
+			require.Equal(t, Current, m.State(), "router %d of %d", i, n)
+		}
+		most := 0
+		for i, at := range w.asks {
+			in := 0
+			for _, o := range w.asks[i:] {
+				if o-at < Time(500*time.Millisecond) {
+					in++
+				}
+			}
+			most = max(most, in)
+		}
+		t.Logf("%3d routers: %d asked, %d within half a second at most", n, len(w.asks), most)
+		require.LessOrEqual(t, most, max(3, len(w.asks)/2))
+	}
+}
+
+// Who can't be brought up is shut out, as many as may be and no more, and comes back once it can.
+func TestThoseThatCantAreShutOut(t *testing.T) {
+	for _, n := range []int{1, 8, 80, 200} {
+		w := newWorld(t, n, nil)
+		for i := range n / 2 {
+			w.stuck[i] = true
+		}
+		w.newest = 2
+		w.run(t, 3*grace)
+		require.Equal(t, min(w.cfg.Slots(), n/2), w.out(), "%d routers", n)
+		for i := range w.stuck {
+			w.stuck[i] = false
+		}
+		w.run(t, 5*grace)
+		require.Zero(t, w.out())
+		require.Empty(t, w.slots, "all are given back")
+	}
+}
+
+// Nobody hears anything any more, the store being gone: what was acknowledged serves on, and past the age no more go out
+// than may.
+func TestNeverTheWholeFleet(t *testing.T) {
+	for _, n := range []int{1, 2, 8, 80, 200} {
+		w := newWorld(t, n, nil)
+		w.run(t, time.Second)
+		for i := range n {
+			w.cut[i] = true
+		}
+		w.run(t, 29*time.Second)
+		require.Zero(t, w.out(), "not old enough")
+		w.run(t, time.Minute)
+		require.Equal(t, w.cfg.Most()-w.cfg.Slots(), w.out(), "%d routers", n)
+		for i := range n {
+			w.cut[i] = false
+		}
+		w.run(t, 2*grace)
+		require.Zero(t, w.out())
+	}
+}
+
+// A router that falls behind again and again is let in later each time.
+func TestFlappingIsLetInLater(t *testing.T) {
+	w := newWorld(t, 8, func(c *Config) { c.MostAge = 0 })
+	var away []time.Duration
+	for range 5 {
+		w.stuck[0] = true
+		w.newest++
+		for !w.shut[0] {
+			w.run(t, tick)
+		}
+		w.stuck[0] = false
+		began := w.now
+		for w.shut[0] {
+			w.run(t, tick)
+		}
+		away = append(away, time.Duration(w.now-began))
+	}
+	t.Logf("away for %v", away)
+	require.Greater(t, away[3], 2*away[0])
+	w.run(t, 2*forgetAfter*grace)
+	w.stuck[0] = true
+	w.newest++
+	for !w.shut[0] {
+		w.run(t, tick)
+	}
+	w.stuck[0] = false
+	began := w.now
+	for w.shut[0] {
+		w.run(t, tick)
+	}
+	require.Less(t, time.Duration(w.now-began), away[3], "forgotten")
+}
+
+// Whatever is lost, cut and stuck, in whatever order: the share holds at each moment, and once all is well all are in.
+func TestTheShareHoldsWhateverHappens(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.SampledFrom([]int{1, 3, 8, 20}).Draw(t, "routers")
+		w := newWorld(t, n, nil)
+		for range rapid.IntRange(1, 150).Draw(t, "steps") {
+			i := rapid.IntRange(0, n-1).Draw(t, "router")
+			switch rapid.IntRange(0, 7).Draw(t, "what") {
+			case 0:
+				w.newest++
+			case 1:
+				w.cut[i] = !w.cut[i]
+			case 2:
+				w.stuck[i] = !w.stuck[i]
+			case 3:
+				w.now += Time(rapid.IntRange(0, int(20*time.Second)).Draw(t, "later"))
+			default:
+				w.step(i, rapid.Bool().Draw(t, "lost"))
+			}
+			require.LessOrEqual(t, w.out(), w.cfg.Most())
+			require.LessOrEqual(t, len(w.slots), w.cfg.Slots())
+			for i, m := range w.machines {
+				require.Equal(t, m.State() == ShutOut, w.shut[i])
+			}
+		}
+		for i := range n {
+			w.cut[i], w.stuck[i] = false, false
+		}
+		w.run(t, grace+(1<<mostDoublings)*2*time.Second)
+		require.Zero(t, w.out())
+		require.Empty(t, w.slots)
+	})
+}
+
+// All orders of what can happen to four routers within a depth: a version more, cut and healed, stuck and not, a look whose
+// answer is lost or not, time.
+func TestAllOrdersAtSmallSize(t *testing.T) {
+	const n = 4
+	type move struct {
+		what, router int
+	}
+	var moves []move
+	for i := range 2 { // two of them are harmed, the others only look
+		moves = append(moves, move{0, i}, move{1, i}, move{2, i}, move{3, i})
+	}
+	moves = append(moves, move{4, 0}, move{5, 0}, move{6, 0})
+	seen := map[string]bool{}
+	play := func(path []move) *world {
+		w := newWorld(t, n, func(c *Config) { c.MostShut = 0.5 })
+		for _, m := range path {
+			switch m.what {
+			case 0:
+				w.step(m.router, false)
+			case 1:
+				w.step(m.router, true)
+			case 2:
+				w.cut[m.router] = !w.cut[m.router]
+			case 3:
+				w.stuck[m.router] = !w.stuck[m.router]
+			case 4:
+				w.newest++
+			case 5:
+				w.now += Time(grace + tick)
+			case 6:
+				w.now += Time(40 * time.Second)
+				for i := range n {
+					w.step(i, false)
+				}
+			}
+		}
+		return w
+	}
+	// By length, so that a state is met first on its shortest way.
+	for paths := [][]move{nil}; len(paths) > 0; {
+		var next [][]move
+		for _, path := range paths {
+			w := play(path)
+			require.LessOrEqual(t, w.out(), w.cfg.Most(), "%v", path)
+			require.LessOrEqual(t, len(w.slots), w.cfg.Slots(), "%v", path)
+			key := fmt.Sprint(w.now, w.newest, w.slots, w.cut, w.stuck, w.shut)
+			for i, m := range w.machines {
+				key += fmt.Sprint(m.state, m.since, m.turn, m.asked, m.steady, m.shut, m.times, w.views[i])
+			}
+			if seen[key] {
+				continue
+			}
+			if seen[key] = true; len(path) == *depth {
+				continue
+			}
+			for _, m := range moves {
+				next = append(next, append(path[:len(path):len(path)], m))
+			}
+		}
+		paths = next
+	}
+	t.Logf("%d states", len(seen))
+	require.Greater(t, len(seen), 1000)
+}
+
+// The check of the share finds a router that shuts itself out with no slot and no right.
+func TestTheCheckOfTheShareCanFail(t *testing.T) {
+	w := newWorld(t, 8, nil)
+	for i, m := range w.machines {
+		m.cfg.Rank = 0 // all believe that the right is theirs
+		w.cut[i] = true
+	}
+	failed := &finding{}
+	w.run(failed, time.Minute)
+	require.True(t, failed.found)
+}
+
+type finding struct{ found bool }
+
+func (f *finding) Errorf(string, ...any) { f.found = true }
+func (f *finding) FailNow()              {}
+
+func TestFaultyConfigs(t *testing.T) {
+	for name, spoil := range map[string]func(*Config){"routers": func(c *Config) { c.Routers = 0 }, "rank": func(c *Config) { c.Rank = 8 },
+		"versions": func(c *Config) { c.Versions = 0 }, "grace": func(c *Config) { c.Grace = 0 }, "most_shut": func(c *Config) { c.MostShut = 0.6 },
+		"rate": func(c *Config) { c.Rate = 0 }} {
+		cfg := config(8, 0)
+		spoil(&cfg)
+		_, err := New(cfg, rand.New(rand.NewPCG(1, 1)))
+		require.ErrorIs(t, err, ErrConfig)
+		require.ErrorContains(t, err, name)
+	}
+}
--- a/front/modelapi/front.go
+++ b/front/modelapi/front.go
@@ -29,6 +29,7 @@
 	errNoBackend  = errors.New("no backend is in service")
 	errKey        = errors.New("the API key is missing or unknown")
 	errOverloaded = errors.New("the service is overloaded, try again later")
+	errShutOut    = errors.New("this router is behind the others and takes nothing new, ask another")
 	errRate       = errors.New("the account is past its rate, try again later")
 	errTimedOut   = errors.New("no backend answered in time")
 	errFailed     = errors.New("the backends failed to answer")
@@ -43,6 +44,7 @@
 // Front turns calls into requests for the core and its answers into theirs.
 type Front struct {
 	rules   atomic.Pointer[rules]
+	shut    atomic.Bool
 	ready   func() bool
 	prefix  string
 	last    atomic.Uint64
@@ -103,12 +105,17 @@
 	f.rules.Store(r)
 }
 
+// Shut makes the front take nothing new, or take it again. What it has in hand ends as usual.
+func (f *Front) Shut(shut bool) { f.shut.Store(shut) }
+
 // Handle answers one call.
 func (f *Front) Handle(call *downstream.Call) {
 	path, _, _ := strings.Cut(string(call.Request.Header.RequestURI()), "?")
 	if path == "/healthz" {
 		switch {
 		case !call.Allow(fasthttp.MethodGet):
+		case f.shut.Load():
+			call.Problem(fasthttp.StatusServiceUnavailable, errShutOut)
 		case !f.ready():
 			call.Problem(fasthttp.StatusServiceUnavailable, errNoBackend)
 		default:
@@ -122,6 +129,9 @@
 	switch {
 	case !ok:
 		call.Problem(fasthttp.StatusNotFound, fmt.Errorf("unknown path %s", path))
+	case f.shut.Load():
+		setRetryAfter(call, time.Second)
+		call.Problem(fasthttp.StatusServiceUnavailable, errShutOut)
 	case call.Allow(fasthttp.MethodPost):
 		f.route(call, e, by)
 	}
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"path"
+	"sync"
 	"time"
 
 	"lichenshelf/front/modelapi"
@@ -44,8 +45,11 @@
 	core  *router.Core
 	file  modelapi.Config // the file's, over which each version is laid
 	cfg   *modelapi.Config
-	ack   Ack
 	path  string
+	kick  chan struct{} // to try again what was refused
+
+	mu  sync.Mutex // held where what the goroutine that follows has said is changed
+	ack Ack
 }
 
 const configPart = "config/" + modelapi.ConfigName
@@ -54,7 +58,7 @@
 // and reads what this router has acknowledged before it was started: it does not go below
 // that, or it would act on what it has said to be over.
 func (d *daemon) newPublished(cfg *modelapi.Config) (*published, error) {
-	p := &published{d: d, file: *cfg, cfg: cfg, path: AckPath(modelapi.ConfigName, d.replica.ID()), ack: Ack{Router: d.replica.ID()}}
+	p := &published{d: d, file: *cfg, cfg: cfg, path: AckPath(modelapi.ConfigName, d.replica.ID()), ack: Ack{Router: d.replica.ID()}, kick: make(chan struct{}, 1)}
 	var before Ack
 	text, _, err := d.replica.Get(p.path)
 	switch {
@@ -82,6 +86,27 @@
 	return p, cfg.Override(latest.Text)
 }
 
+// version is what this router goes by.
+func (p *published) version() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ack.Version
+}
+
+// again has what was refused tried once more.
+func (p *published) again() {
+	select {
+	case p.kick <- struct{}{}:
+	default:
+	}
+}
+
+func (p *published) change(f func(*Ack)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f(&p.ack)
+}
+
 // follow applies what is published until ctx ends.
 func (p *published) follow(ctx context.Context) {
 	log := p.d.log.WithField("configuration", modelapi.ConfigName)
@@ -104,6 +129,8 @@
 		select {
 		case <-watch.Changed():
 		case <-again:
+		case <-p.kick:
+			p.change(func(a *Ack) { a.Refused = 0 })
 		case <-ctx.Done():
 		}
 		watch.Stop()
@@ -116,14 +143,14 @@
 	next := p.file
 	if err := next.Override(r.Text); err != nil {
 		log.WithError(err).Error("published configuration not taken, the one before stays")
-		p.ack.Fault, p.ack.Refused = err.Error(), r.Version
+		p.change(func(a *Ack) { a.Fault, a.Refused = err.Error(), r.Version })
 		p.d.acts.refuse(configPart, r.Version, err)
 		return
 	}
 	number, err := p.d.acts.take(configPart, r.Version)
 	if err != nil {
 		log.WithError(err).Error("published configuration not taken, the one before stays")
-		p.ack.Fault, p.ack.Refused = err.Error(), r.Version
+		p.change(func(a *Ack) { a.Fault, a.Refused = err.Error(), r.Version })
 		return
 	}
 	var restart []string
@@ -134,7 +161,7 @@
 	settings := p.cfg.Settings()
 	p.core.Retune(settings.Classes, settings.MaxAttempts)
 	p.front.Take(p.cfg)
-	p.ack = Ack{Router: p.ack.Router, Version: r.Version, Number: number, Restart: restart}
+	p.change(func(a *Ack) { *a = Ack{Router: a.Router, Version: r.Version, Number: number, Restart: restart} })
 	log.WithField("restart", restart).Info("published configuration taken")
 }
 
@@ -142,7 +169,7 @@
 func (p *published) acknowledge(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, ackWait)
 	defer cancel()
-	p.ack.TimeMs = time.Now().UnixMilli()
+	p.change(func(a *Ack) { a.TimeMs = time.Now().UnixMilli() })
 	text, err := json.Marshal(p.ack)
 	if err == nil {
 		err = p.d.replica.Put(ctx, p.path, text)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -69,6 +69,7 @@
 	platCore *router.Core // the platform's
 	fleet    *agent.Agent // nil: this router shares nothing with others
 	fleetOf  int          // how many routers share, with a fleet
+	fleetCfg *agent.Config
 	acts     acts
 	failed   chan error
 	stopping atomic.Bool
@@ -300,6 +301,11 @@
 	if follow != nil {
 		follow.front, follow.core = models, core
 		go follow.follow(ctx)
+		if d.fleetCfg != nil {
+			if err := d.watchStraggling(ctx, d.fleetCfg, follow); err != nil {
+				return err
+			}
+		}
 	}
 	return d.listen(cfg.Listen, front{core: core, take: takeModelAPI}, downstream.Config{Handler: models.Handle,
 		Problem: modelapi.Problem, MaxBody: cfg.MaxBody,
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -32,7 +32,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for the fleet: %w", err)
 	}
-	d.fleet, d.fleetOf = a, len(cfg.Routers)
+	d.fleet, d.fleetOf, d.fleetCfg = a, len(cfg.Routers), cfg
 	go func() {
 		if err := a.Serve(l); err != nil {
 			d.failed <- err
--- a/internal/daemon/trail.go
+++ b/internal/daemon/trail.go
@@ -73,6 +73,13 @@
 	a.note(audit.Record{Kind: audit.Refused, Part: part, Version: v, Text: why.Error()})
 }
 
+// shut notes that this router takes nothing new, or does again.
+func (a *acts) shut(kind audit.Kind, why string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.note(audit.Record{Kind: kind, Text: why})
+}
+
 // acknowledge notes that others have been told of the held version.
 func (a *acts) acknowledge(part string) {
 	a.mu.Lock()
--- a/store/publish.go
+++ b/store/publish.go
@@ -158,6 +158,28 @@
 	return errOf(r.propose(ctx, command{Op: opPut, Path: path, Data: data}))
 }
 
+// Make makes a node that must not be there yet, with all that is above it, at the leader
+// wherever that is. ErrNodeExists means that somebody has it.
+func (r *Replica) Make(ctx context.Context, p string, data []byte) error {
+	err := errOf(r.propose(ctx, command{Op: opCreate, Path: p, Data: data}))
+	if errors.Is(err, ErrNoNode) { // what is above it
+		if err := r.Put(ctx, path.Dir(p), nil); err != nil {
+			return err
+		}
+		err = errOf(r.propose(ctx, command{Op: opCreate, Path: p, Data: data}))
+	}
+	return err
+}
+
+// Drop removes a node, at the leader wherever that is. One that is not there is no fault.
+func (r *Replica) Drop(ctx context.Context, p string) error {
+	err := errOf(r.propose(ctx, command{Op: opRemove, Path: p, Version: AnyVersion}))
+	if errors.Is(err, ErrNoNode) {
+		return nil
+	}
+	return err
+}
+
 // Published returns the versions of a configuration that are kept, the oldest first, as this
 // replica has them.
 func (r *Replica) Published(name string) []Revision {
--- a/test/config_test.go
+++ b/test/config_test.go
@@ -121,3 +121,88 @@
 	require.Contains(t, []int{503, 504}, a.post(embedPath, "", embedBody).status)
 	p.shown(2, "r0 3")
 }
+
+// Six routers with replicas and the model API. One of them can't apply a version that all others take, since its own file does
+// not go with it. It is brought up in vain, shut out by a slot, says so, and is let in once a version comes that it can take.
+func TestRouterThatCantApplyIsShutOut(t *testing.T) {
+	const n, odd = 6, 4
+	backend := newWorker(t, "m-a", "model", nil)
+	backend.serve = model
+	var peers, members strings.Builder
+	var apis, listens []string
+	for i := range n {
+		apis, listens = append(apis, ownAddr(t)), append(listens, ownAddr(t))
+		fmt.Fprintf(&peers, "[[peer]]\nid = \"r%d\"\nraft = %q\napi = %q\n", i, ownAddr(t), apis[i])
+		fmt.Fprintf(&members, "[[router]]\nname = \"r%d\"\naddr = %q\n", i, ownAddr(t))
+	}
+	trails := t.TempDir()
+	var programs []*program
+	var dirs []string
+	for i := range n {
+		dir := t.TempDir()
+		write := func(name, text string) string {
+			path := filepath.Join(dir, name)
+			require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+			return path
+		}
+		api := fmt.Sprintf("listen = %q\n[[backend]]\nname = \"m-a\"\naddr = %q\n", listens[i], backend.Listener.Addr())
+		if i == odd {
+			api += "[embeddings]\naim = \"10s\"\n"
+		}
+		dirs = append(dirs, filepath.Join(trails, fmt.Sprintf("r%d", i)))
+		programs = append(programs, start(t, listens[i], nil, "serve", "--modelapi", write("modelapi.toml", api),
+			"--store", write("store.toml", fmt.Sprintf("id = \"r%d\"\ndata_dir = %q\n%s", i, filepath.Join(dir, "data"), peers.String())),
+			"--fleet", write("fleet.toml", fmt.Sprintf("fleet = \"f\"\nself = \"r%d\"\ntrail = %q\n%s[straggler]\ngrace = \"1s\"\nmost_shut = 0.4\nsteady = \"200ms\"\n",
+				i, trails, members.String()))))
+	}
+	for _, p := range programs {
+		p.waitReady()
+	}
+	ask := func(i int) int { return (&api{program: programs[i]}).post(embedPath, "", embedBody).status }
+	publish := func(at int, text string) {
+		file := filepath.Join(t.TempDir(), "next.toml")
+		require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+		out, err := command(t, "config", "--at", apis[at], "publish", file)
+		require.NoError(t, err, out)
+	}
+	publish(1, "[embeddings]\ndeadline = \"5s\"\n") // its aim of 10 s is longer
+	eventually(t, func() bool { return programs[odd].logged("shut out: this router takes nothing new") }, "who can't apply is shut out")
+	eventually(t, func() bool { return programs[odd].status(http.MethodGet, "/healthz") == 503 }, "and not ready")
+	require.Equal(t, 503, ask(odd))
+	seen := len(backend.got(http.MethodPost))
+	for range 5 {
+		require.Equal(t, 503, ask(odd))
+	}
+	require.Len(t, backend.got(http.MethodPost), seen, "its worker sees nothing of it")
+	for i := range programs {
+		if i != odd {
+			require.Equal(t, 200, ask(i), "the others serve")
+			require.False(t, programs[i].logged("shut out"), "router %d", i)
+		}
+	}
+	out, err := command(t, "config", "--at", apis[2], "show")
+	require.NoError(t, err, out)
+	require.Contains(t, out, "1: ", "why it refuses version 1")
+	publish(3, "[embeddings]\ndeadline = \"20s\"\n")
+	eventually(t, func() bool { return programs[odd].logged("let in again") }, "it is let in")
+	eventually(t, func() bool { return ask(odd) == 200 }, "and serves")
+	eventually(t, func() bool {
+		out, _ := command(t, "store", "--at", apis[0], "ls", "/shut")
+		return strings.TrimSpace(out) == ""
+	}, "its slot is given back")
+	for _, p := range programs {
+		p.signal(syscall.SIGTERM)
+	}
+	for _, p := range programs {
+		p.waitExit()
+	}
+	out, err = command(t, append([]string{"audit", "check"}, dirs...)...)
+	require.NoError(t, err, out)
+	out, err = command(t, append([]string{"audit", "who", "config/modelapi", "1"}, dirs...)...)
+	require.NoError(t, err, out)
+	require.Regexp(t, `r4 +- +- +\d+\.\d+ s: `, out, "refused there")
+	out, err = command(t, append([]string{"audit", "timeline"}, dirs...)...)
+	require.NoError(t, err, out)
+	require.Contains(t, out, "shut out")
+	require.Contains(t, out, "readmitted")
+}
