--- a/lab/emulator/clients.go
+++ b/lab/emulator/clients.go
@@ -78,8 +78,8 @@
 // Avoid tells clients not to go to a router first, as they would who found it dead.
 func (c *Clients) Avoid(router int, avoid bool) { c.down[router].Store(avoid) }
 
-// Run sends a source's requests until ctx ends, and waits for what is out. Pick says which
-// router a request goes to.
+// Run sends a source's requests until ctx ends, and waits for what is out. Pick draws which of
+// so many routers a request goes to; it is called by one goroutine.
 func (c *Clients) Run(ctx context.Context, source *load.Source, pick func(n int) int) {
 	var out sync.WaitGroup
 	defer out.Wait()
@@ -95,7 +95,8 @@
 			return
 		}
 		n := int(c.ids.Add(1))
-		out.Go(func() { c.ask(n, pick(n), q) })
+		first := pick(len(c.routers))
+		out.Go(func() { c.ask(n, first, q) })
 	}
 }
 
--- a/test/audit_test.go
+++ b/test/audit_test.go
@@ -22,6 +22,7 @@
 // nothing against them, and no worker saw more than the trails tell. With a record taken out, a byte flipped or a send past
 // its window put in, it finds that, and says where.
 func TestAuditOfFivePrograms(t *testing.T) {
+	t.Parallel()
 	const n = 5
 	dir := t.TempDir()
 	l := newLabRig(t, n, labFleet+fmt.Sprintf("trail = %q\n", dir), 25, 11)
--- a/test/config_test.go
+++ b/test/config_test.go
@@ -51,6 +51,7 @@
 // A running router takes what is published where its keys allow it, says which keys wait for its next start, keeps what it
 // has where a text is refused, and goes back by a rollback. Nothing is lost by a restart of all.
 func TestPublishedConfigurationIsTakenWhileRunning(t *testing.T) {
+	t.Parallel()
 	slow := newWorker(t, "m-a", "model", func(w http.ResponseWriter, r *http.Request) {
 		time.Sleep(300 * time.Millisecond)
 		model(w, r)
@@ -125,6 +126,7 @@
 // Six routers with replicas and the model API. One of them can't apply a version that all others take, since its own file does
 // not go with it. It is brought up in vain, shut out by a slot, says so, and is let in once a version comes that it can take.
 func TestRouterThatCantApplyIsShutOut(t *testing.T) {
+	t.Parallel()
 	const n, odd = 6, 4
 	backend := newWorker(t, "m-a", "model", nil)
 	backend.serve = model
