One way through the log for the store's API and forwarded commands; discovery's own types

Cause, found on rereading: since a lost leadership became an unknown outcome, apply was lead written a second time, and the laboratory's discovery declared the platform's list again. Change: apply calls lead; the emulator writes platform.List. Behaviour as before. Measured: the store's tests, a process test of the emulator and the demonstrations pass.

--- a/lab/emulator/emulator.go
+++ b/lab/emulator/emulator.go
@@ -16,6 +16,7 @@
 	"sync"
 	"time"
 
+	"lichenshelf/front/platform"
 	"lichenshelf/lab/engine"
 	"lichenshelf/logic"
 )
@@ -263,23 +264,10 @@
 
 // list is a line of discovery's.
 func (e *Emulator) list(whole bool) string {
-	type instance struct {
-		ID          string  `json:"instanceId"`
-		Addr        string  `json:"hostPort"`
-		Zone        string  `json:"zone"`
-		Kind        string  `json:"machineType"`
-		Cell        int     `json:"cell"`
-		Lifecycle   string  `json:"lifecycle"`
-		Weight      float64 `json:"weight"`
-		StartedAtMs int64   `json:"startedAtMs"`
-	}
-	out := struct {
-		Generation int        `json:"generation"`
-		Reset      bool       `json:"reset"`
-		Instances  []instance `json:"instances"`
-	}{len(e.lines) + 1, whole, []instance{}}
+	out := platform.List{Generation: int64(len(e.lines) + 1), Reset: whole, Instances: []platform.Instance{}}
 	for _, l := range e.site.List() {
-		in := instance{l.Name, e.workers[l.Name].addr, zoneName(l.Zone), kindName(l.Kind), l.Cell, "in_service", 1, 0}
+		in := platform.Instance{ID: l.Name, Addr: e.workers[l.Name].addr, Zone: zoneName(l.Zone), Kind: kindName(l.Kind), Cell: l.Cell,
+			Lifecycle: "in_service", Weight: 1}
 		if !l.Up {
 			in.Lifecycle = "terminated"
 		}
--- a/store/replica.go
+++ b/store/replica.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -189,21 +188,11 @@
 // applied still, so that giving it again could apply it twice.
 func (r *Replica) apply(c command) (uint64, error) {
 	c.TimeMs = time.Now().UnixMilli()
-	text, err := json.Marshal(c)
+	result, err := r.lead(c)
 	if err != nil {
-		return 0, fmt.Errorf("encode command: %w", err)
+		return 0, err
 	}
-	future := r.raft.Apply(text, applyWait)
-	switch err := future.Error(); {
-	case errors.Is(err, raft.ErrNotLeader), errors.Is(err, raft.ErrEnqueueTimeout):
-		return 0, fmt.Errorf("%w: %w", ErrNotLeader, err)
-	case err != nil:
-		return 0, fmt.Errorf("%w: %w", ErrUnknown, err)
-	}
-	if err, ok := future.Response().(error); ok {
-		return future.Index(), err
-	}
-	return future.Index(), nil
+	return result.Index, result.Err
 }
 
 func (r *Replica) done(c command) error {
