Leavings are heard in time by any number of routers: a pushed watch is reopened at once

At fault: front/platform/again.go, which drew the next call from 100 ms + routers/20 s also after a watch that had worked. Ruled out: lists that came and were not acted on (a router's sends end with its "list taken over"), sends decided before a list that went out after it.

Change. discovery/agentrule decides, pure, by the kind of discovery (membership-mode): an agent that pushes is asked again at once, after 100 ms where a call failed, and on a second call beside a watch that misses a line. Where one discovery answers all, the spread stays. Watch.Run does what it says; a moved discovery's old watch counts until the new one speaks; lists are read as objects, so they may be indented.

--- a/front/platform/config.go
+++ b/front/platform/config.go
@@ -31,6 +31,11 @@
 	Settings  logic.Settings
 	Reports   wire.Columns // the fields of the load reports that come with answers; nil: none do
 
+	// ListsAsked tells that one discovery answers all routers that ask it, not an agent
+	// of this machine; who has not asked for MustAsk then counts as told (0: not stated).
+	ListsAsked bool
+	MustAsk    time.Duration
+
 	doubts   []string
 	inFile   string                    // discovery as the file names it
 	names    map[string]map[string]int // "class", "tenant", "zone", "kind": index by name
@@ -180,10 +185,21 @@
 	if n, err := strconv.Atoi(values["bounds.open-cap"]); err == nil {
 		c.OpenCap = n
 	}
+	c.ListsAsked = values[keyMode] == modeAsked
+	if ns, err := strconv.ParseFloat(values["safety.must-ask-in-ns"], 64); err == nil {
+		c.MustAsk = time.Duration(ns)
+	}
 	c.doubts = findDoubts(values, c)
 	return c, nil
 }
 
+// How the settings say whether lists are pushed.
+const (
+	keyMode    = "membership-mode"
+	modePushed = "automatic"
+	modeAsked  = "subscribe"
+)
+
 // overZero checks the bounds that must be over 0: attempts and each class's
 // deadlines, where they are given.
 func overZero(values map[string]string, classes int) error {
--- a/front/platform/describe.go
+++ b/front/platform/describe.go
@@ -107,6 +107,9 @@
 	if s.Gateways < 1 {
 		doubt("balancers", "counted as 1")
 	}
+	if mode := values[keyMode]; mode != "" && mode != modePushed && mode != modeAsked {
+		doubt(keyMode, "not understood, lists count as pushed")
+	}
 	can := map[logic.Role]int{}
 	for _, k := range s.Kinds {
 		can[k.Role]++
--- a/front/platform/watch.go
+++ b/front/platform/watch.go
@@ -16,22 +16,28 @@
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
+	"lichenshelf/discovery/agentrule"
 	"lichenshelf/router"
 )
 
 const (
-	listPath    = "/v1/servers"
-	watchSilent = 5 * time.Second // an empty line comes every 2 s, so more is a broken watch
-	dialWait    = time.Second
-	maxLine     = 4 << 20
+	listPath = "/v1/servers"
+	dialNear = 200 * time.Millisecond // to an agent of this machine, which is asked again at once
+	dialFar  = time.Second
+	// mostText bounds one list: some 16,000 workers.
+	mostText = 4 << 20
 )
 
+// errNonsense says that discovery said what can't be taken for a list.
+var errNonsense = errors.New("what discovery says makes no sense")
+
 // Taker is who is told of the workers: a core, or what stands before it.
 type Taker interface {
 	Discovered(members []router.Member, whole bool)
 }
 
-// Watch follows discovery and tells the taker.
+// Watch follows discovery and tells the taker. When it asks, and on how many calls
+// it waits, agentrule decides.
 type Watch struct {
 	// Took, if set before Run, is told of the version of each list before it is taken.
 	Took func(addr string, generation int64)
@@ -42,16 +48,34 @@
 	core       Taker
 	log        *logrus.Logger
 	ids        router.ServerIDs
+	rule       *agentrule.Rule
+	calls      map[agentrule.Call]*call
 	generation int64  // of the list in hand, as counted at the address at
 	at         string // where discovery's list was last taken from
-	lines      int    // taken over since the start
-	again      *again
+	failing    bool   // told in the log, and nothing has come since
 	told       atomic.Bool
+	news       chan news
 
 	mu     sync.Mutex
-	addr   string             // discovery's, as it is configured now
-	inFile string             // the same as the file named it last
-	leave  context.CancelFunc // ends the watch that runs
+	addr   string        // discovery's, as it is configured now
+	inFile string        // the same as the file named it last
+	moved  chan struct{} // takes one word of a new address
+}
+
+// call is one call to discovery that is out.
+type call struct {
+	addr string
+	from int64 // the version asked from; below 0: the whole list first
+	stop context.CancelFunc
+	said bool // it has said anything at all
+}
+
+// news is what a call has to say: a list, an error that ended it, or neither, which
+// means that bytes came.
+type news struct {
+	id   agentrule.Call
+	text []byte
+	err  error
 }
 
 // Told tells whether discovery has spoken since the start.
@@ -60,7 +84,9 @@
 // NewWatch returns a watch that has told the taker of the workers known already.
 func NewWatch(cfg *Config, core Taker, log *logrus.Logger) *Watch {
 	w := &Watch{cfg: cfg, core: core, log: log, at: cfg.Discovery, addr: cfg.Discovery, inFile: cfg.inFile,
-		again: newAgain(cfg.Settings.Gateways, cfg.Seed), leave: func() {}}
+		rule: agentrule.New(agentrule.Config{Routers: cfg.Settings.Gateways, Pushed: !cfg.ListsAsked, MustAsk: cfg.MustAsk,
+			Seed: cfg.Seed}),
+		calls: map[agentrule.Call]*call{}, news: make(chan news), moved: make(chan struct{}, 1)}
 	known := cfg.Known
 	known.Reset = true
 	if err := w.take(known); err != nil {
@@ -70,7 +96,7 @@
 }
 
 // Move goes over to the discovery that a configuration read again names, at
-// once. The workers in hand stay until that one speaks. The variable goes before
+// once. What the old one says counts until that one speaks. The variable goes before
 // the file at the start only, since it can't change in a process that runs: a
 // file that names what it named before changes nothing.
 func (w *Watch) Move(c *Config) error {
@@ -85,136 +111,232 @@
 	w.inFile = c.Discovery
 	if c.Discovery != w.addr {
 		w.addr = c.Discovery
-		w.leave()
+		select {
+		case w.moved <- struct{}{}:
+		default: // one word is enough
+		}
 	}
 	return nil
 }
 
-// turn begins one watch: the context that it runs in, which ends when discovery
-// moves, and the address.
-func (w *Watch) turn(ctx context.Context) (context.Context, string) {
+func (w *Watch) address() string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.leave()
-	ctx, w.leave = context.WithCancel(ctx)
-	return ctx, w.addr
+	return w.addr
 }
 
 // Run watches until ctx ends, over as many connections as it takes.
 func (w *Watch) Run(ctx context.Context) {
-	failing := false
-	for ctx.Err() == nil {
-		before := w.lines
-		turn, addr := w.turn(ctx)
-		if err := w.follow(turn, addr); err != nil && turn.Err() == nil {
-			level := logrus.WarnLevel
-			if failing && w.lines == before {
-				level = logrus.DebugLevel // told already, and nothing has come since
-			}
-			failing = true
-			if w.Failed != nil {
-				w.Failed(err)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	for {
+		drop, open, wake := w.rule.Next(time.Now())
+		for _, id := range drop {
+			c := w.calls[id]
+			w.drop(id)
+			if c.said || len(w.calls) == 0 { // else it was a second one, beside another
+				w.failed(fmt.Errorf("discovery at %s says nothing", c.addr))
 			}
-			w.log.WithError(err).Log(level, "discovery watch ended, starting again")
+		}
+		if open != 0 {
+			w.open(ctx, open)
 		}
 		select {
-		case <-time.After(w.again.after(w.lines > before)):
-		case <-turn.Done():
+		case n := <-w.news:
+			w.hear(n)
+		case <-w.moved:
+			w.rule.Moved(time.Now())
+		case <-time.After(time.Until(wake)):
+		case <-ctx.Done():
+			return
 		}
 	}
 }
 
-// follow is one watch, until its connection or ctx ends.
-func (w *Watch) follow(ctx context.Context, addr string) error {
-	if addr != w.at {
+func (w *Watch) open(ctx context.Context, id agentrule.Call) {
+	c := &call{addr: w.address(), from: w.generation}
+	if c.addr != w.at {
 		// Another discovery may count otherwise: asked for what is new since the
 		// old one's version, it could leave out a worker that is gone.
-		if err := w.get(ctx, addr, listPath, w.list); err != nil {
-			return err
+		c.from = -1
+	}
+	ctx, c.stop = context.WithCancel(ctx)
+	w.calls[id] = c
+	go w.follow(ctx, id, *c)
+}
+
+func (w *Watch) drop(id agentrule.Call) {
+	w.calls[id].stop()
+	delete(w.calls, id)
+}
+
+// hear takes what a call has to say, unless it has been dropped meanwhile.
+func (w *Watch) hear(n news) {
+	c := w.calls[n.id]
+	if c == nil {
+		return
+	}
+	now := time.Now()
+	c.said = c.said || n.err == nil
+	err := n.err
+	if n.text != nil {
+		if err = w.said(c, n.text); err == nil {
+			w.failing = false
+			w.told.Store(true)
+			for _, id := range w.rule.Told(now, n.id) {
+				w.drop(id)
+			}
+			return
+		}
+	}
+	if err == nil {
+		w.rule.Heard(now, n.id)
+		return
+	}
+	// The list in hand stays. Asking again brings what a spoilt line would have.
+	w.failed(err)
+	w.rule.Ended(now, n.id, errors.Is(err, errNonsense))
+	w.drop(n.id)
+}
+
+func (w *Watch) failed(err error) {
+	level := logrus.WarnLevel
+	if w.failing {
+		level = logrus.DebugLevel
+	}
+	w.failing = true
+	if w.Failed != nil {
+		w.Failed(err)
+	}
+	w.log.WithError(err).Log(level, "discovery watch ended, asking again")
+}
+
+// follow is one call, until its connection or ctx ends.
+func (w *Watch) follow(ctx context.Context, id agentrule.Call, c call) {
+	tell := func(n news) {
+		n.id = id
+		select {
+		case w.news <- n:
+		case <-ctx.Done():
+		}
+	}
+	from := c.from
+	if from < 0 {
+		err := w.get(ctx, c.addr, listPath, tell, func(text []byte) {
+			var l List
+			if json.Unmarshal(text, &l) == nil {
+				from = l.Generation
+			}
+		})
+		if err == io.EOF && from < 0 {
+			err = fmt.Errorf("%w: no list", errNonsense)
+		}
+		if err != io.EOF {
+			tell(news{err: err})
+			return
 		}
-		w.at = addr
 	}
-	return w.get(ctx, addr, listPath+"?watch=1&from="+strconv.FormatInt(w.generation, 10), w.changes)
+	tell(news{err: w.get(ctx, c.addr, listPath+"?watch=1&from="+strconv.FormatInt(from, 10), tell, nil)})
 }
 
-// get asks discovery and has the answer read, until that or ctx ends.
-func (w *Watch) get(ctx context.Context, addr, uri string, read func(io.Reader) error) error {
-	d := net.Dialer{Timeout: dialWait}
-	c, err := d.DialContext(ctx, "tcp", addr)
+// get asks discovery and tells what it says, until its answer or ctx ends: io.EOF
+// means that all of the answer came.
+func (w *Watch) get(ctx context.Context, addr, uri string, tell func(news), seen func([]byte)) error {
+	d := net.Dialer{Timeout: dialNear}
+	if w.cfg.ListsAsked {
+		d.Timeout = dialFar
+	}
+	conn, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return fmt.Errorf("connect to discovery: %w", err)
 	}
-	defer c.Close()
-	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 
 	var h fasthttp.RequestHeader
 	h.SetMethod(fasthttp.MethodGet)
 	h.SetRequestURI(uri)
 	h.SetHost(addr)
-	if _, err := c.Write(h.Header()); err != nil {
+	if _, err := conn.Write(h.Header()); err != nil {
 		return fmt.Errorf("ask discovery: %w", err)
 	}
 	w.log.WithFields(logrus.Fields{"discovery": addr, "uri": uri}).Debug("discovery asked")
+	heard := &hearing{Conn: conn, tell: func() { tell(news{}) }}
 	resp := fasthttp.Response{StreamBody: true}
-	if err := resp.ReadLimitBody(bufio.NewReader(&silence{Conn: c}), 0); err != nil {
+	if err := resp.ReadLimitBody(bufio.NewReader(heard), 0); err != nil {
 		return fmt.Errorf("read from discovery: %w", err)
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
 		return fmt.Errorf("discovery answered %d", resp.StatusCode())
 	}
-	return read(resp.BodyStream())
+	// One object after the other, however they are broken into lines.
+	body := &bounded{Reader: resp.BodyStream()}
+	lists := json.NewDecoder(body)
+	for {
+		var text json.RawMessage
+		body.left = mostText
+		if err := lists.Decode(&text); err != nil {
+			var syntax *json.SyntaxError
+			if errors.As(err, &syntax) {
+				err = fmt.Errorf("%w: %w", errNonsense, err)
+			}
+			if err != io.EOF {
+				err = fmt.Errorf("watch discovery: %w", err)
+			}
+			return err
+		}
+		if seen != nil {
+			seen(text)
+		}
+		tell(news{text: text})
+	}
 }
 
-// list takes a whole list.
-func (w *Watch) list(body io.Reader) error {
-	text, err := io.ReadAll(io.LimitReader(body, maxLine))
-	if err != nil {
-		return fmt.Errorf("read list: %w", err)
-	}
-	return w.said(text)
+// hearing tells of all that comes on a connection.
+type hearing struct {
+	net.Conn
+	tell func()
 }
 
-// changes takes a watch's lines as they come.
-func (w *Watch) changes(body io.Reader) error {
-	lines := bufio.NewScanner(body)
-	lines.Buffer(nil, maxLine)
-	for lines.Scan() {
-		if len(lines.Bytes()) == 0 {
-			continue
-		}
-		if err := w.said(lines.Bytes()); err != nil {
-			// The list in hand stays. Starting again brings what the line would have.
-			return err
-		}
-	}
-	if err := lines.Err(); err != nil {
-		return fmt.Errorf("watch discovery: %w", err)
+func (h *hearing) Read(p []byte) (int, error) {
+	n, err := h.Conn.Read(p)
+	if n > 0 {
+		h.tell()
 	}
-	return io.EOF
+	return n, err
 }
 
-// silence gives up on a discovery that says nothing for too long.
-type silence struct{ net.Conn }
+// bounded ends what goes on for too long without making a whole.
+type bounded struct {
+	io.Reader
+	left int
+}
 
-func (s *silence) Read(p []byte) (int, error) {
-	if err := s.SetReadDeadline(time.Now().Add(watchSilent)); err != nil {
-		return 0, err
+func (b *bounded) Read(p []byte) (int, error) {
+	if b.left <= 0 {
+		return 0, fmt.Errorf("%w: over %d bytes in one list", errNonsense, mostText)
 	}
-	return s.Conn.Read(p)
+	n, err := b.Reader.Read(p)
+	b.left -= n
+	return n, err
 }
 
-// said takes a list, or changes to it.
-func (w *Watch) said(text []byte) error {
+// said takes a list, or changes to it, that a call brought.
+func (w *Watch) said(c *call, text []byte) error {
 	var l List
 	if err := json.Unmarshal(text, &l); err != nil {
-		return fmt.Errorf("what discovery says makes no sense: %w", err)
+		return fmt.Errorf("%w: %w", errNonsense, err)
+	}
+	if c.addr == w.at && !l.Reset && l.Generation <= w.generation {
+		return nil // another call was faster, or nothing has changed
 	}
+	before := w.at
+	w.at = c.addr
 	if err := w.take(l); err != nil {
-		return err
+		w.at = before
+		return fmt.Errorf("%w: %w", errNonsense, err)
 	}
-	w.lines++
-	w.told.Store(true)
 	return nil
 }
 
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -270,6 +270,31 @@
 	more  chan struct{} // closed when a line is added
 	from  []string      // what watches asked for
 	whole string        // the list, where it is asked for
+	mute  int           // watches from before it was counted up say nothing any more
+	down  chan struct{} // nothing is said to anybody until this is closed; nil: it is up
+}
+
+// silence makes all open watches fall silent; they stay open.
+func (d *discovery) silence() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.mute++
+	close(d.more)
+	d.more = make(chan struct{})
+}
+
+// stop makes all watches fall silent, and answers none until start.
+func (d *discovery) stop() (start func()) {
+	d.silence()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.down = make(chan struct{})
+	return sync.OnceFunc(func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		close(d.down)
+		d.down = nil
+	})
 }
 
 func newDiscovery(t *testing.T) *discovery { return newDiscoveryAt(t, "127.0.0.1:0", "") }
@@ -291,6 +316,16 @@
 }
 
 func (d *discovery) watch(w http.ResponseWriter, r *http.Request) {
+	d.mu.Lock()
+	mute, down := d.mute, d.down
+	d.mu.Unlock()
+	if down != nil {
+		select {
+		case <-down:
+		case <-r.Context().Done():
+			return
+		}
+	}
 	if !r.URL.Query().Has("watch") {
 		d.mu.Lock()
 		defer d.mu.Unlock()
@@ -305,8 +340,12 @@
 	w.(http.Flusher).Flush()
 	for {
 		d.mu.Lock()
-		lines, more := d.lines, d.more
+		lines, more, muted := d.lines, d.more, d.mute != mute
 		d.mu.Unlock()
+		if muted {
+			<-r.Context().Done()
+			return
+		}
 		for ; sent < len(lines); sent++ {
 			_, _ = io.WriteString(w, lines[sent]+"\n")
 		}
