What is held for a request no longer waits on connections that don't come up

At fault: logic.ended set heldSince anew at the end of attempts that never reached a writer, though the time keeps running while connections fail to come up; upstream.Release asked workers one after the other, 100 ms each. Ruled out: attempts that were written and then fell silent, clients that leave.

Outcome.Unreached and Event.Unreached say that a request's last byte never went out; the time for what is held runs on. Action.Reach gives a writer a third of the settings' time to be reached; after that the state is let go of and the prompt read again, and unreached attempts don't count towards the bound on attempts. A release asks another worker each 20 ms, those that answered latest first. Settle waits for releases that are out. A slow agent is waited for beside newer calls.

--- a/discovery/agentrule/agentrule.go
+++ b/discovery/agentrule/agentrule.go
@@ -28,9 +28,10 @@
 	// doubtAfter is the silence after which a second watch is opened beside a
 	// pushed one: a line has been missed, and half a second more.
 	doubtAfter = 2500 * time.Millisecond
-	// replaceAfter is how long such a second watch may say nothing: an agent that
-	// is there answers at once.
+	// replaceAfter is how long a call may say nothing until another is opened beside
+	// it: an agent that is there mostly answers at once. The slow one stays.
 	replaceAfter = time.Second
+	mostOpen     = 3 // calls at once
 	// againAfter is the wait after a call that failed where lists are pushed: well
 	// under the shortest time that a router has to act on a leaving (settings'
 	// safety.stop-sending-within-ns, 250 ms).
@@ -198,19 +199,15 @@
 	}
 	var live, newest *call
 	r.calls = slices.DeleteFunc(r.calls, func(c *call) bool {
-		limit := Silent
-		if r.cfg.Pushed && c.heard.IsZero() && len(r.calls) > 1 {
-			limit = replaceAfter
-		}
-		if end := c.quiet().Add(limit); now.Before(end) {
-			soon(end)
-		} else {
+		end := c.quiet().Add(Silent)
+		if !now.Before(end) {
 			drop = append(drop, c.id)
-			if c.epoch == r.epoch && limit == Silent {
+			if c.epoch == r.epoch {
 				r.over(now, c, false, firstWithin)
 			}
 			return true
 		}
+		soon(end)
 		if c.epoch == r.epoch {
 			newest = c
 			if live == nil || c.quiet().After(live.quiet()) {
@@ -219,26 +216,20 @@
 		}
 		return false
 	})
+	var due time.Time
 	switch {
 	case live == nil:
-		if now.Before(r.next) {
-			soon(r.next)
-			return drop, 0, wake
-		}
-	case !r.cfg.Pushed || newest != live && newest.heard.IsZero():
+		due = r.next
+	case !r.cfg.Pushed || len(r.calls) >= mostOpen:
 		return drop, 0, wake
+	case newest.heard.IsZero():
+		due = newest.asked.Add(replaceAfter)
 	default:
-		after := doubtAfter
-		if live.heard.IsZero() {
-			after = replaceAfter
-		}
-		if due := live.quiet().Add(after); now.Before(due) {
-			soon(due)
-			return drop, 0, wake
-		}
-		if len(r.calls) > 1 {
-			return drop, 0, wake
-		}
+		due = live.quiet().Add(doubtAfter)
+	}
+	if now.Before(due) {
+		soon(due)
+		return drop, 0, wake
 	}
 	r.last++
 	r.calls = append(r.calls, &call{id: r.last, epoch: r.epoch, asked: now})
--- a/discovery/agentrule/agentrule_test.go
+++ b/discovery/agentrule/agentrule_test.go
@@ -241,3 +241,28 @@
 		})
 	}
 }
+
+// An agent that takes seconds to answer is waited for, not asked anew for ever.
+func TestASlowAgentIsHeardInTheEnd(t *testing.T) {
+	for _, takes := range []time.Duration{time.Second, 3 * time.Second, Silent - step} {
+		r, start := New(Config{Pushed: true}), time.Unix(1e9, 0)
+		due, told := map[Call]time.Time{}, false
+		for now := start; !told; now = now.Add(step) {
+			require.Less(t, now.Sub(start), 2*Silent, "%v", takes)
+			drop, open, _ := r.Next(now)
+			for _, id := range drop {
+				delete(due, id)
+			}
+			if open != 0 {
+				due[open] = now.Add(takes)
+			}
+			require.LessOrEqual(t, len(due), mostOpen)
+			for id, at := range due {
+				if !now.Before(at) {
+					r.Told(now, id)
+					told = true
+				}
+			}
+		}
+	}
+}
--- a/logic/api.go
+++ b/logic/api.go
@@ -138,7 +138,7 @@
 	ServersChanged EventKind = iota // Members, Whole
 	Arrived                         // Request
 	AnswerStarted                   // ID, Server, Latency, Load
-	AttemptEnded                    // ID, Server, Latency, Status, Closed, Kept, Stale, Load
+	AttemptEnded                    // ID, Server, Latency, Status, Closed, Kept, Stale, Unreached, Load
 	ClientLeft                      // ID
 	TimerFired                      // Token
 	LoadTold                        // Server, Load: as others tell of it
@@ -183,8 +183,11 @@
 	Closed  bool   // the request has its final answer
 	Kept    uint32 // prompt tokens found kept; 1 with Full: no state
 	Stale   bool   // ConnectionReset of a connection that had been kept: the server may be well
-	Load    Load
-	Token   uint64
+	// Unreached says that the attempt never reached its server: what is held for the request
+	// has been held all the while, and it does not count towards the bound on attempts.
+	Unreached bool
+	Load      Load
+	Token     uint64
 }
 
 // ActionKind tells which fields of an Action are set.
@@ -192,7 +195,7 @@
 
 // The kinds of action.
 const (
-	Send     ActionKind = iota // ID, Server, After as time-out
+	Send     ActionKind = iota // ID, Server, After as time-out, Reach
 	CallOff                    // ID, Attempt
 	Refuse                     // ID, After as come-back advice
 	Fail                       // ID
@@ -209,6 +212,7 @@
 	Attempt int
 	Server  ServerID
 	After   time.Duration
+	Reach   time.Duration // the request's last byte must have gone out within this; 0: no bound
 	Token   uint64
 	Text    string
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -34,6 +34,7 @@
 	mixedWeight   = 3.0              // of a mixed server's memory share against the writers'
 	unknownMemory = 1e5              // tokens; only shares against like servers count then
 	coldCaution   = 0.6              // part of the cold budget used; the rest is for chance
+	reachTries    = 3                // servers tried with one held state where connections fail
 	answerPart    = 0.3              // guess of an answer's length as part of its limit, without a hint
 	strayTimes    = 4.0              // a time is out of the usual when so many mean deviations past the mean
 	callOffPart   = 0.3              // part of the aim that every attempt gets before it is called off
@@ -145,8 +146,6 @@
 	return actions
 }
 
-func (g *Gateway) do(a Action) { g.out = append(g.out, a) }
-
 // ---- the list of servers
 
 func (g *Gateway) list(e *Event) {
@@ -291,8 +290,6 @@
 	g.proceed(r)
 }
 
-func (g *Gateway) class(r *request) *Class { return &g.set.Classes[r.Class] }
-
 // inQuota tells whether the tenant is within this gateway's even part of its quota. The burst allows for
 // chance as well: of a small part, even traffic comes in lumps.
 func (g *Gateway) inQuota(tenant int) bool {
@@ -352,10 +349,6 @@
 	return aim.Seconds()
 }
 
-// waitAt is how long, in seconds, requests have lately waited at the servers of a role beyond the usual.
-// It fades with time, or where this gateway sees little with a few of its arrivals.
-func (g *Gateway) waitAt(role Role) float64 { return g.pools[role].wait.value(g.now, g.waitSpan()) }
-
 func (g *Gateway) waited(role Role, sec float64) {
 	g.pools[role].wait.average(g.now, g.waitSpan(), math.Max(0, sec), 0.02)
 }
@@ -407,11 +400,6 @@
 	r.renewed = math.Min(1, h.seen.v/2)
 }
 
-// readSeconds is how long s takes for so many prompt tokens.
-func (g *Gateway) readSeconds(s *server, tokens float64) float64 {
-	return g.reads[s.Kind].seconds(tokens) * g.slowness(s)
-}
-
 // missing is the part of a prompt to be read at s: what the table does not hold there and, at the homes
 // of its prefix, peers will not have had read. Away from them a prefix stays kept only if own requests
 // alone come often enough.
@@ -704,7 +692,15 @@
 	s.waiting++
 	r.out, r.called, r.server, r.sentAt, r.check = true, false, s, g.now, math.MaxInt64
 	r.sends++
-	g.do(Action{Kind: Send, ID: r.ID, Server: s.Server, After: g.budget(r, s)})
+	g.do(Action{Kind: Send, ID: r.ID, Server: s.Server, After: g.budget(r, s), Reach: g.reach(r)})
+}
+
+// reach: an attempt must reach its server within this. A state counts as held until then; a try gets a part.
+func (g *Gateway) reach(r *request) time.Duration {
+	if r.reader == nil {
+		return 0
+	}
+	return min(g.set.ReleaseWithin/reachTries, after(g.now, r.heldSince)+g.set.ReleaseWithin)
 }
 
 // budget is the time-out of an attempt: past all that is usual and a good part of the aim, if another try
@@ -720,7 +716,7 @@
 	}
 	d = max(d, time.Duration(callOffPart*float64(r.aim)))
 	// What must not run twice is not called off once it may run: nothing could be tried after it.
-	last := r.sends >= r.most || s.role != RoleRead && g.class(r).Effect == EffectOnce
+	last := r.sends-r.unreached >= r.most || s.role != RoleRead && g.class(r).Effect == EffectOnce
 	if d > left/2 || last {
 		d = left
 	} else if g.set.CancelAllowed {
@@ -798,7 +794,7 @@
 		return
 	}
 	s, was := r.server, r.phase
-	r.out, r.phase, r.heldSince = false, held, g.now
+	r.free(g.now, e.Unreached)
 	g.tell(s, e.Load)
 	if was != streaming {
 		r.settle()
@@ -839,7 +835,11 @@
 
 // proceed takes a request with no attempt out on: to a writer with its state, or to a reader.
 func (g *Gateway) proceed(r *request) {
-	spent := g.closing || r.sends >= r.most || after(g.now, r.deadline) <= holdMargin
+	if r.reader != nil && g.reach(r) < g.set.ReleaseWithin/reachTries/2 {
+		r.reader = nil // too late to reach a writer with it: it is let go of, and the prompt read again
+		g.do(Action{Kind: Release, ID: r.ID})
+	}
+	spent := g.closing || r.sends-r.unreached >= r.most || after(g.now, r.deadline) <= holdMargin
 	if spent || r.mayHaveRun && g.class(r).Effect == EffectOnce {
 		g.giveUp(r)
 		return
@@ -871,7 +871,7 @@
 		s.quiet, s.fails, s.shunned = g.now, 0, 0
 	case Full:
 		s.quiet = g.now
-		if e.Kept == 1 {
+		if e.Kept == 1 || e.Unreached {
 			break
 		}
 		// Its queue is full, whatever this gateway has there: peers' work, or left behind.
@@ -900,7 +900,7 @@
 
 // hold keeps a request for a moment: no server may take it now.
 func (g *Gateway) hold(r *request) {
-	stateDue := r.reader != nil && after(r.heldSince, g.now) > g.set.ReleaseWithin/2
+	stateDue := r.reader != nil && r.unreached == 0 && after(r.heldSince, g.now) > g.set.ReleaseWithin/2
 	if after(g.now, r.deadline) <= holdMargin+holdStep || stateDue {
 		g.giveUp(r)
 		return
@@ -909,10 +909,6 @@
 	g.arm(r, holdStep)
 }
 
-func (g *Gateway) arm(r *request, d time.Duration) {
-	g.do(Action{Kind: SetTimer, After: d, Token: uint64(r.ID)})
-}
-
 func (g *Gateway) timer(id RequestID) {
 	r := g.requests[id]
 	switch {
--- a/logic/state.go
+++ b/logic/state.go
@@ -32,12 +32,13 @@
 	called            bool // the attempt has been called off
 	mayHaveRun        bool // some attempt at ranServer, sent at ranAt, may have had its effect
 	sends, failed     int
+	unreached         int // of the sends, those that never reached their server
 	server, ranServer *server
 	tried             [4]*server
 	reader            *server // where the read state waits; nil: none
 	sentAt, ranAt     Time
 	check             Time      // when a timer has something to look at
-	heldSince         Time      // since when a state may wait with no attempt out
+	heldSince         Time      // since when a state may wait with no attempt that has reached a server
 	luck              Key       // to draw by, the same however often
 	homes             []*server // readers where its prefix meets
 	renewed           float64   // part of a prefix that own requests alone keep warm anywhere
@@ -132,6 +133,16 @@
 	return e, false
 }
 
+// free takes the end of an attempt. One that never reached its server has left what is held as it was.
+func (r *request) free(now Time, unreached bool) {
+	r.out, r.phase = false, held
+	if unreached {
+		r.unreached++
+	} else {
+		r.heldSince = now
+	}
+}
+
 // settle takes an attempt's charges back.
 func (r *request) settle() {
 	r.server.waiting--
@@ -189,3 +200,20 @@
 	surveyed, swept Time
 	ending, closing bool // the instance is about to end; what is in hand is given up
 }
+
+func (g *Gateway) do(a Action) { g.out = append(g.out, a) }
+
+func (g *Gateway) arm(r *request, d time.Duration) {
+	g.do(Action{Kind: SetTimer, After: d, Token: uint64(r.ID)})
+}
+
+func (g *Gateway) class(r *request) *Class { return &g.set.Classes[r.Class] }
+
+// readSeconds is how long s takes for so many prompt tokens.
+func (g *Gateway) readSeconds(s *server, tokens float64) float64 {
+	return g.reads[s.Kind].seconds(tokens) * g.slowness(s)
+}
+
+// waitAt is how long, in seconds, requests have lately waited at the servers of a role beyond the usual.
+// It fades with time, or where this gateway sees little with a few of its arrivals.
+func (g *Gateway) waitAt(role Role) float64 { return g.pools[role].wait.value(g.now, g.waitSpan()) }
--- a/router/api.go
+++ b/router/api.go
@@ -39,6 +39,10 @@
 	Request *Request
 	Worker  *Worker
 	Wait    time.Duration // how long the core will wait for the answer to begin
+	// Reach is how long the request's last byte may take to go out, connecting
+	// included; past it the attempt ends as one that never reached its worker. 0
+	// means no bound.
+	Reach time.Duration
 }
 
 // Answer is a worker's answer that has begun.
@@ -59,6 +63,8 @@
 	Kept   uint32
 	Load   logic.Load // the worker's report, if one came along
 	Stale  bool       // a reset of a connection that had been kept: it says nothing of the worker
+	// Unreached says that the request's last byte never went out.
+	Unreached bool
 }
 
 // Sink takes what becomes of an attempt: Started or Ended, once. Any goroutine
@@ -73,9 +79,9 @@
 type Transport interface {
 	// Send starts an attempt. The returned function gives it up, at any time.
 	Send(Attempt, Sink) (giveUp func())
-	// Release asks the given workers, one after the other until one took it, to
-	// let go of all that is held for the named request. It calls done, once and
-	// later, when that has ended either way.
+	// Release asks the given workers, each a little after the one before until one
+	// took it, to let go of all that is held for the named request. It calls done, once
+	// and later, when that has ended either way.
 	Release(name string, workers []*Worker, done func())
 	// Forget drops what is kept of a worker that has left or restarted.
 	Forget(*Worker)
--- a/router/book.go
+++ b/router/book.go
@@ -111,7 +111,9 @@
 // leaves be lost to it: that attempt waits.
 func (b *book) letGo(ex *exchange) {
 	ex.releases++
+	b.core.letting.Add(1)
 	b.transport.Release(ex.Name, b.core.roster.running(), func() {
+		b.core.letting.Add(-1)
 		b.core.post(func() {
 			ex.releases--
 			if ex.releases == 0 && ex.attempt != nil {
--- a/router/core.go
+++ b/router/core.go
@@ -14,8 +14,13 @@
 // mailboxSize bounds what waits for the core; who posts to a full one waits.
 const mailboxSize = 1024
 
-// settleFor covers a release and the second one that may follow it.
-const settleFor = 2 * crossing
+// settleFor covers a second release that may follow the first, settleMost what releases
+// take where workers don't answer.
+const (
+	settleFor  = crossing
+	settleStep = 5 * time.Millisecond
+	settleMost = 600 * time.Millisecond
+)
 
 // Config is what a core is made of.
 type Config struct {
@@ -38,6 +43,7 @@
 	mail    chan func()
 	stopped chan struct{}
 	open    atomic.Int64 // requests in hand, and those whose last attempt is still out
+	letting atomic.Int64 // releases that are out
 	roster  roster
 
 	intake    intake
@@ -52,14 +58,15 @@
 // core's goroutine touches it.
 type exchange struct {
 	*Request
-	client   Client
-	attempt  *attempt // the one that is out
-	sends    int
-	last     logic.Status
-	closed   bool // it has its final answer, or the client has gone
-	answered bool // an answer has begun
-	unsure   bool // a read was cut off: the worker may hold its state all the same
-	releases int  // that are out; what is sent meanwhile waits for them
+	client    Client
+	attempt   *attempt // the one that is out
+	sends     int
+	unreached int // of the sends, those that never reached a worker
+	last      logic.Status
+	closed    bool // it has its final answer, or the client has gone
+	answered  bool // an answer has begun
+	unsure    bool // a read was cut off: the worker may hold its state all the same
+	releases  int  // that are out; what is sent meanwhile waits for them
 }
 
 // New returns a core; Run starts it.
@@ -151,10 +158,19 @@
 	c.post(func() { c.routing.push(logic.Event{Kind: logic.Closing, Latency: in}) })
 }
 
-// Settle waits, within reason, until what was let go of last has gone out.
+// Settle waits, within reason, until what was let go of last has been taken.
 func (c *Core) Settle(ctx context.Context) {
-	select {
-	case <-time.After(settleFor):
-	case <-ctx.Done():
+	most := time.After(settleMost)
+	for next := settleFor; ; next = settleStep {
+		select {
+		case <-time.After(next):
+			if c.letting.Load() == 0 {
+				return
+			}
+		case <-most:
+			return
+		case <-ctx.Done():
+			return
+		}
 	}
 }
--- a/router/route.go
+++ b/router/route.go
@@ -56,7 +56,7 @@
 		}
 		switch a.Kind {
 		case logic.Send:
-			r.core.sender.send(ex, a.Server, a.After)
+			r.core.sender.send(ex, a)
 		case logic.CallOff:
 			r.core.sender.callOff(ex, a.Attempt)
 		case logic.Refuse:
--- a/router/send.go
+++ b/router/send.go
@@ -8,6 +8,10 @@
 	"lichenshelf/logic"
 )
 
+// mostSends times the bound on attempts is that on all that are begun, those that never
+// reach a worker included.
+const mostSends = 3
+
 // sender starts attempts, waits for them and reports their ends.
 type sender struct {
 	core      *Core
@@ -27,21 +31,22 @@
 	timer  *time.Timer
 	to     *Worker
 	wait   time.Duration
-	giveUp func() // nil until it has started
+	reach  time.Duration // as of sentAt; 0: no bound
+	giveUp func()        // nil until it has started
 	ended  bool
 }
 
-func (s *sender) send(ex *exchange, server logic.ServerID, wait time.Duration) {
-	w := s.core.roster.worker(server)
-	a := &attempt{core: s.core, ex: ex, number: ex.sends, server: server, sentAt: time.Now(), to: w, wait: wait}
+func (s *sender) send(ex *exchange, act *logic.Action) {
+	w := s.core.roster.worker(act.Server)
+	a := &attempt{core: s.core, ex: ex, number: ex.sends, server: act.Server, sentAt: time.Now(), to: w, wait: act.After, reach: act.Reach}
 	switch {
-	case ex.closed || ex.attempt != nil || s.most > 0 && ex.sends >= s.most:
+	case ex.closed || ex.attempt != nil || s.most > 0 && (ex.sends-ex.unreached >= s.most || ex.sends >= mostSends*s.most):
 		s.report(a, Outcome{Status: logic.NotSent})
 		return
 	case w == nil || !w.MaySend():
 		// Told to leave between the decision and now: nothing was sent.
 		ex.sends++
-		s.report(a, Outcome{Status: logic.Full})
+		s.report(a, Outcome{Status: logic.Full, Unreached: true})
 		return
 	}
 	if s.permit != nil {
@@ -49,7 +54,7 @@
 		case NotThere:
 			ex.sends++
 			s.count.Add("attempts_not_there", 1)
-			s.report(a, Outcome{Status: logic.Full})
+			s.report(a, Outcome{Status: logic.Full, Unreached: true})
 			return
 		case NotAgain:
 			s.count.Add("attempts_not_again", 1)
@@ -60,7 +65,7 @@
 	ex.sends++
 	ex.attempt = a
 	s.count.Add("attempts_sent", 1)
-	a.timer = time.AfterFunc(wait, func() {
+	a.timer = time.AfterFunc(a.wait, func() {
 		s.core.post(func() { s.end(a, Outcome{Status: logic.TimedOut}) })
 	})
 	if ex.releases == 0 {
@@ -70,9 +75,15 @@
 
 // start hands an attempt to the transport, once.
 func (s *sender) start(a *attempt) {
-	if a.giveUp == nil {
-		a.giveUp = s.transport.Send(Attempt{Request: a.ex.Request, Worker: a.to, Wait: a.wait - time.Since(a.sentAt)}, a)
+	if a.giveUp != nil {
+		return
 	}
+	waited := time.Since(a.sentAt) // for a release
+	out := Attempt{Request: a.ex.Request, Worker: a.to, Wait: a.wait - waited}
+	if a.reach > 0 {
+		out.Reach = max(a.reach-waited, time.Nanosecond)
+	}
+	a.giveUp = s.transport.Send(out, a)
 }
 
 // Started implements Sink.
@@ -111,16 +122,20 @@
 
 // report tells the decisions and the counters.
 func (s *sender) report(a *attempt, o Outcome) {
+	if o.Unreached {
+		a.ex.unreached++
+	}
 	s.count.Add("attempts_"+statusNames[o.Status], 1)
 	worker := ""
 	if a.to != nil {
 		worker = a.to.Name
 	}
 	s.core.book.log.WithFields(logrus.Fields{"request": a.ex.Name, "attempt": a.number, "worker": worker,
-		"outcome": statusNames[o.Status], "kept": o.Kept, "prompt": a.ex.PromptTokens,
+		"outcome": statusNames[o.Status], "unreached": o.Unreached, "kept": o.Kept, "prompt": a.ex.PromptTokens,
 		"ms": time.Since(a.sentAt).Milliseconds()}).Debug("attempt ended")
 	s.core.routing.push(logic.Event{Kind: logic.AttemptEnded, ID: a.ex.ID, Attempt: a.number, Server: a.server,
-		Latency: time.Since(a.sentAt), Status: o.Status, Closed: a.ex.closed, Kept: o.Kept, Load: o.Load, Stale: o.Stale})
+		Latency: time.Since(a.sentAt), Status: o.Status, Closed: a.ex.closed, Kept: o.Kept, Load: o.Load, Stale: o.Stale,
+		Unreached: o.Unreached})
 }
 
 // callOff gives up an attempt whose answer has not begun.
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -152,6 +152,7 @@
 	*httptest.Server
 	name, kind string
 	serve      func(w http.ResponseWriter, r *http.Request) // instead of its kind's answer
+	gone       func(id string)                              // told of releases, if it is set
 	mu         sync.Mutex
 	calls      []call
 	conns      int
@@ -193,6 +194,9 @@
 	k.mu.Unlock()
 	switch {
 	case r.Method == http.MethodDelete:
+		if k.gone != nil {
+			k.gone(strings.TrimPrefix(r.URL.Path, "/v1/holds/"))
+		}
 		w.WriteHeader(http.StatusNoContent)
 	case k.serve != nil:
 		k.serve(w, r)
@@ -383,6 +387,15 @@
 	return time.Now()
 }
 
+// listAt adds a worker that is at an address, and no stand-in of this harness.
+func (d *discovery) listAt(name, kind, addr string) {
+	d.mu.Lock()
+	generation := len(d.lines) + 1
+	d.mu.Unlock()
+	d.say(fmt.Sprintf(`{"generation":%d,"reset":false,"instances":[{"instanceId":%q,"hostPort":%q,"zone":"z1","machineType":%q,`+
+		`"cell":1,"lifecycle":"in_service","weight":1.0,"startedAtMs":0}]}`, generation, name, addr, kind))
+}
+
 func listText(generation int, reset bool, lifecycle string, workers ...*worker) string {
 	type instance map[string]any
 	l := map[string]any{"generation": generation, "reset": reset}
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -128,7 +128,7 @@
 func (x *attempt) run(ctx context.Context) {
 	c, status := x.write(ctx)
 	if c == nil {
-		x.sink.Ended(router.Outcome{Status: status})
+		x.sink.Ended(router.Outcome{Status: status, Unreached: true})
 		return
 	}
 	head, err := readHead(c)
@@ -217,6 +217,11 @@
 // write gets the request to the worker, whole. A nil connection means that it
 // never was: the worker has not run it.
 func (x *attempt) write(ctx context.Context) (*conn, logic.Status) {
+	if x.Reach > 0 {
+		var done context.CancelFunc
+		ctx, done = context.WithTimeout(ctx, x.Reach)
+		defer done()
+	}
 	head := x.head()
 	body := x.Request.Payload.(*Message).Body
 	for fresh := false; ; fresh = true {
@@ -274,42 +279,65 @@
 	return slices.Clone(h.Header())
 }
 
-// releaseWait is how long one worker may take to answer a release. A call counts
-// once it has reached a running worker, so the wait only tells which one runs.
-const releaseWait = 100 * time.Millisecond
+const (
+	// releaseWait is how long one worker may take to answer a release. A call counts
+	// once it has reached a running worker, so the wait only tells which one runs.
+	releaseWait = 250 * time.Millisecond
+	// releaseNext is how long the workers asked so far may say nothing before another
+	// one is asked beside them: where a part of them can't be reached, one that can is
+	// found within some tens of milliseconds.
+	releaseNext = 20 * time.Millisecond
+	// mostReleasing bounds the calls of one release that are out at once.
+	mostReleasing = 8
+)
 
-// Release implements router.Transport. Workers with a connection at hand are
-// asked first: what is held must be let go of within a few hundred milliseconds.
+// Release implements router.Transport. Workers that answered latest on a connection
+// that is at hand are asked first: what is held must be let go of within a few
+// hundred milliseconds.
 func (c *Client) Release(name string, workers []*router.Worker, done func()) {
 	if c.cfg.ReleasePath == "" {
 		go done()
 		return
 	}
-	slices.SortStableFunc(workers, func(a, b *router.Worker) int { return c.releaseRank(a) - c.releaseRank(b) })
+	c.pool.order(workers)
 	go func() {
 		defer done()
-		for _, w := range workers {
-			if err := c.release(name, w); err == nil {
-				return
-			}
-			c.cfg.Counters.Add("releases_tried_again", 1)
+		if !c.releaseAt(name, workers) {
+			c.cfg.Counters.Add("releases_nobody_took", 1)
 		}
-		c.cfg.Counters.Add("releases_nobody_took", 1)
 	}()
 }
 
-func (c *Client) releaseRank(w *router.Worker) int {
-	switch {
-	case !w.MaySend():
-		return 2
-	case c.pool.idleAt(w):
-		return 0
+// releaseAt asks the workers in their order until one took the release.
+func (c *Client) releaseAt(name string, workers []*router.Worker) bool {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ends := make(chan error, len(workers))
+	next := time.NewTimer(0)
+	defer next.Stop()
+	for asked, out := 0, 0; asked < len(workers) || out > 0; {
+		select {
+		case err := <-ends:
+			out--
+			if err == nil {
+				return true
+			}
+			c.cfg.Counters.Add("releases_tried_again", 1)
+			next.Reset(0)
+		case <-next.C:
+			if asked < len(workers) && out < mostReleasing {
+				w := workers[asked]
+				asked, out = asked+1, out+1
+				go func() { ends <- c.release(ctx, name, w) }()
+				next.Reset(releaseNext)
+			}
+		}
 	}
-	return 1
+	return false
 }
 
-func (c *Client) release(name string, w *router.Worker) error {
-	ctx, cancel := context.WithTimeout(context.Background(), releaseWait)
+func (c *Client) release(ctx context.Context, name string, w *router.Worker) error {
+	ctx, cancel := context.WithTimeout(ctx, releaseWait)
 	defer cancel()
 	cn, err := c.pool.get(ctx, w, false)
 	if err != nil {
@@ -321,6 +349,7 @@
 	h.SetHost(w.Addr)
 	h.SetNoDefaultContentType(true)
 	deadline, _ := ctx.Deadline()
+	defer context.AfterFunc(ctx, func() { _ = cn.TCPConn.Close() })()
 	var resp fasthttp.Response
 	if err = cn.SetDeadline(deadline); err == nil {
 		_, err = cn.Write(h.Header())
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -11,6 +11,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -221,9 +222,25 @@
 	p.mu.Unlock()
 }
 
-// idleAt tells whether a connection to the worker is at hand.
-func (p *pool) idleAt(w *router.Worker) bool {
+// order puts the workers in the order in which they are most likely to be reached at
+// once: those with a connection at hand first, the latest used before others, and those
+// that are leaving last. Workers that are alike keep their order.
+func (p *pool) order(workers []*router.Worker) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.idle[w]) > 0
+	last := make(map[*router.Worker]time.Time, len(p.idle))
+	for w, list := range p.idle {
+		if len(list) > 0 {
+			last[w] = list[len(list)-1].kept
+		}
+	}
+	p.mu.Unlock()
+	slices.SortStableFunc(workers, func(a, b *router.Worker) int {
+		if a.MaySend() != b.MaySend() {
+			if a.MaySend() {
+				return -1
+			}
+			return 1
+		}
+		return last[b].Compare(last[a])
+	})
 }
