After SIGTERM a request that comes too late to be finished is refused, not begun

What SIGKILL finds unanswered is lost if it came more than 0.7 s after SIGTERM, and there clients don't ask for the rest, so streams can't be moved. At fault: platform.Config.TakeFor (0.5 s without resume) closed the listener alone; a connection taken before stayed open up to listener.freshFor (1 s) or while half a request was on it, and what came there was served. Ruled out: a request taken by the listener after that time (quietSince had closed it).

Server.Stop notes when the time to take clients is over; Call.Route refuses from then on (503, come back after 1 s), counted as requests_refused_at_the_end. Where streams can be moved the time is the whole of LeaveAfter, as before.

Process test: a request completed 1 s after SIGTERM was answered 200 before, 503 now, and the process ends.

--- a/downstream/server.go
+++ b/downstream/server.go
@@ -24,6 +24,7 @@
 	lingerAfter = 500 * time.Millisecond
 	quietFor    = 300 * time.Millisecond
 	lookEvery   = 20 * time.Millisecond
+	elsewhere   = time.Second // advice that goes with a refusal at the end
 )
 
 // Config is what a Server is made of.
@@ -45,6 +46,7 @@
 	http     *fasthttp.Server
 	listener *listener
 	stopping atomic.Bool
+	over     atomic.Bool // what still comes is refused
 	bodies   room
 }
 
@@ -92,6 +94,8 @@
 // on their way and other routers may be stopping as well, it goes on accepting for a
 // moment and then until none has come for quietFor, takeMost at most. Then it closes
 // the listener, while nothing waits there, and returns once no connection is left.
+// Requests that come after takeMost, on connections that are open still, are refused:
+// their answers might not end before the process has to.
 func (s *Server) Stop(ctx context.Context, takeMost time.Duration) error {
 	began := time.Now()
 	s.stopping.Store(true)
@@ -100,6 +104,7 @@
 	case <-time.After(lingerAfter):
 	case <-ctx.Done():
 	}
+	defer time.AfterFunc(takeMost-time.Since(began), func() { s.over.Store(true) }).Stop()
 	tick := time.NewTicker(lookEvery)
 	defer tick.Stop()
 	for closed := false; ; {
@@ -243,6 +248,10 @@
 
 // Route hands the call's request to the core and waits for its answer.
 func (c *Call) Route(r *router.Request) Answer {
+	if c.server.over.Load() {
+		c.server.cfg.Counters.Add("requests_refused_at_the_end", 1)
+		return Answer{Refused: true, RetryAfter: elsewhere, Last: logic.NotSent}
+	}
 	w := &waiter{answers: make(chan Answer, 2)}
 	ticket := c.server.cfg.Core.Submit(r, w)
 	c.conn.watch(func() {
--- a/test/platform_test.go
+++ b/test/platform_test.go
@@ -1,6 +1,8 @@
 package test
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -267,6 +269,34 @@
 	require.True(t, p.logged("answers_served 2"), "the counters are printed at exit")
 }
 
+// A request that is whole only late after SIGTERM is refused: its stream could still run when the
+// process is killed, and nobody asks for the rest.
+func TestTermRefusesWhatComesTooLateToBeFinished(t *testing.T) {
+	r, w := pair(t, nil)
+	p, _ := platform(t, r, w)
+	c, err := net.Dial("tcp", p.addr)
+	require.NoError(t, err)
+	defer c.Close()
+	req := p.request("query", newID(), patience)
+	var text bytes.Buffer
+	require.NoError(t, req.Write(&text))
+	half := text.Len() / 2
+	_, err = c.Write(text.Bytes()[:half])
+	require.NoError(t, err)
+	p.signal(syscall.SIGTERM)
+	eventually(t, func() bool { return p.logged("stopping") }, "the signal is taken")
+	time.Sleep(time.Second)
+	_, err = c.Write(text.Bytes()[half:])
+	require.NoError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(c), req)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	resp.Body.Close()
+	p.waitExit()
+	require.Zero(t, posts(r, w))
+	require.True(t, p.logged("requests_refused_at_the_end 1"))
+}
+
 func TestCountersAreToldOnRequest(t *testing.T) {
 	r, w := pair(t, nil)
 	p, _ := platform(t, r, w)
