The timer that ends the taking of clients is set before its stop is deferred

go vet named it: the time left was computed in the deferred statement's argument, which reads as if it ran at the end. No change of what is done; vet is clean again.

--- a/downstream/server.go
+++ b/downstream/server.go
@@ -104,7 +104,8 @@
 	case <-time.After(lingerAfter):
 	case <-ctx.Done():
 	}
-	defer time.AfterFunc(takeMost-time.Since(began), func() { s.over.Store(true) }).Stop()
+	over := time.AfterFunc(time.Until(began.Add(takeMost)), func() { s.over.Store(true) })
+	defer over.Stop()
 	tick := time.NewTicker(lookEvery)
 	defer tick.Stop()
 	for closed := false; ; {
