A cold writer in another cell is worth a far move only where writers make requests wait

At fault: logic.pick preferred any cold writer that this gateway had a right to, in whatever cell; a right for one near the reader is seldom there.

Elsewhere the right is used like any warm writer's room, unless requests wait at writers (farWait, 0.2 s: a part of the shortest aim in use by which a request would be late). A test that a large fleet's work fits one message.

--- a/fleet/link/link_test.go
+++ b/fleet/link/link_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"fmt"
 	"hash/crc32"
 	"io"
 	"net"
@@ -15,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"lichenshelf/fleet/budget"
+	"lichenshelf/fleet/counts"
 	"lichenshelf/fleet/members"
 	relay "lichenshelf/internal/standin/link"
 	"lichenshelf/metrics"
@@ -35,6 +37,23 @@
 	t.Logf("%d bytes", len(frame))
 }
 
+// The work at 4,096 workers of long names is one message; what its head promises takes no memory before it comes.
+func TestALargeFleetsWorkFitsAMessage(t *testing.T) {
+	e := example()
+	e.Counts = &counts.State{Router: "a", Life: 1, Version: 2, Work: map[string]counts.Work{}}
+	for i := range 4096 {
+		e.Counts.Work[fmt.Sprintf("worker-%s-%08x", strings.Repeat("n", 48), i)] = counts.Work{Unread: 1e6 / 3, Held: 1e5 / 7}
+	}
+	frame, err := Encode(e)
+	require.NoError(t, err)
+	got, err := Decode(bytes.NewReader(frame))
+	require.NoError(t, err)
+	require.Equal(t, e, got)
+	_, err = Decode(bytes.NewReader(frame[:len(frame)/2]))
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	t.Logf("%d bytes", len(frame))
+}
+
 // framed puts any text into a frame whose head fits.
 func framed(t *testing.T, body []byte) []byte {
 	head := make([]byte, headSize)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -36,6 +36,7 @@
 	coldCaution   = 0.6              // part of the cold budget used; the rest is for chance
 	rightsPart    = 0.4              // the same by rights alone, where little is seen of peers
 	homePart      = 0.4              // and the other, where requests meet
+	farWait       = 0.2              // seconds of wait at writers from which a cold one is worth a far move
 	lull          = 4                // times the settings' time for a fall: rights come for so long at most
 	coldHomes     = 8.0              // power of warmth that homes go by where rights seldom meet their prompts
 	reachTries    = 3                // servers tried with one held state where connections fail
@@ -454,6 +455,7 @@
 func (g *Gateway) pick(r *request, weigh func(*server) (int, float64)) *server {
 	var best *server
 	bestClass, bestCost := never, math.Inf(1)
+	few, jam := g.unseen > mostUnseen, g.waitAt(RoleWrite) > farWait
 	for _, s := range g.servers {
 		if !g.allowed(r, s) {
 			continue
@@ -464,7 +466,7 @@
 		}
 		if slices.Contains(r.tried[:], s) {
 			class += 8
-		} else if g.unseen > mostUnseen && s.fails == 0 && g.warmth(s) < 1 {
+		} else if few && s.fails == 0 && g.warmth(s) < 1 && (class == 0 || r.reader == nil || jam) {
 			class -= 32 // a right that is not used lapses, and of many gateways each has few
 		}
 		if s.fails > 1 && (g.now < s.shunned || r.failed > 0) {
