Trails are collected from running routers, and lags told by sends and drawn

The operator's address sends a router's trail as a tar, after all that was noted until then is written; `audit collect` copies those of many routers, keeps an earlier copy until the new one has come whole, names those that can't be asked.

TestAuditOfFivePrograms collects from five routers while one has been stopped and started: no breach in the copies, a picture is drawn.

--- a/fleet/audit/audit.go
+++ b/fleet/audit/audit.go
@@ -284,3 +284,40 @@
 	}
 	return latest, lags
 }
+
+// Point is how far a router lay behind at one place in the order of all records.
+type Point struct {
+	Order  uint64
+	Router string
+	Behind uint64 // versions, of the part in which it lay furthest behind
+	Sends  uint64 // attempts that it noted there
+}
+
+// Behind tells, along the timeline, by how many versions each router lay behind the newest
+// that anybody had taken by then, at each of its takings and sends. Versions order the
+// records, so what a router could not have known of yet may count as well.
+func Behind(trails []Trail) []Point {
+	newest, held := version.Vector{}, map[string]version.Vector{}
+	var out []Point
+	for _, s := range Timeline(trails) {
+		if held[s.Who] == nil || s.Kind == Started {
+			held[s.Who] = version.Vector{}
+		}
+		if s.Kind == Taken {
+			held[s.Who][s.Part] = s.Version
+			newest[s.Part] = max(newest[s.Part], s.Version)
+		}
+		if s.Kind != Taken && s.Kind != Sent {
+			continue
+		}
+		p := Point{Order: s.Order, Router: s.Who, Sends: s.Count}
+		for part, v := range newest {
+			// A part that this router never takes is none of its own.
+			if own, ok := held[s.Who][part]; ok && v > own {
+				p.Behind = max(p.Behind, v-own)
+			}
+		}
+		out = append(out, p)
+	}
+	return out
+}
--- a/fleet/audit/audit_test.go
+++ b/fleet/audit/audit_test.go
@@ -142,6 +142,20 @@
 	require.Equal(t, uint64(0), lags["a"]["config"])
 }
 
+// How far behind a router was counts at its sends, along the order of all records.
+func TestBehind(t *testing.T) {
+	a := of("a", 1, taken("config", 1, 1, 10*ms), taken("config", 2, 2, 20*ms), taken("config", 3, 3, 30*ms), sent("w", 3, 40*ms, 0))
+	b := of("b", 1, taken("config", 1, 1, 10*ms), sent("w", 1, 500*ms, 0), sent("w", 1, 600*ms, 0), sent("w", 1, 700*ms, 0))
+	c := of("c", 1, sent("w", 0, 10*ms, 0))
+	most, sends := map[string]uint64{}, map[string]uint64{}
+	for _, p := range Behind([]Trail{a, b, c}) {
+		most[p.Router] = max(most[p.Router], p.Behind)
+		sends[p.Router] += p.Sends
+	}
+	require.Equal(t, map[string]uint64{"a": 0, "b": 2, "c": 0}, most, "c has no such part")
+	require.Positive(t, sends["b"])
+}
+
 func BenchmarkCheckAMillion(b *testing.B) {
 	var trails []Trail
 	for i := range 10 {
--- /dev/null
+++ b/fleet/trail/archive.go
@@ -0,0 +1,106 @@
+package trail
+
+import (
+	"archive/tar"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+)
+
+// Flush has all that was noted until now written, as far as the disk takes it. It waits
+// for the writing goroutine, so it is not for the requests' path.
+func (w *Writer) Flush() {
+	done := make(chan struct{})
+	w.mu.Lock()
+	if w.closed {
+		w.mu.Unlock()
+		return
+	}
+	w.flush()
+	w.mu.Unlock()
+	select {
+	case w.flushes <- done:
+		<-done
+	case <-w.stopped:
+	}
+}
+
+// Archive writes the segments of a trail as a tar, each as long as it is when its turn
+// comes: one that is written to meanwhile ends between two records or in a torn one, which
+// Read tells. A segment that goes meanwhile is left out.
+func Archive(dir string, to io.Writer) error {
+	names, err := Segments(dir)
+	if err != nil {
+		return err
+	}
+	t := tar.NewWriter(to)
+	for _, name := range names {
+		if err := archive(t, name); err != nil && !errors.Is(err, os.ErrNotExist) {
+			return fmt.Errorf("trail: archive %s: %w", filepath.Base(name), err)
+		}
+	}
+	return t.Close()
+}
+
+func archive(t *tar.Writer, name string) error {
+	f, err := os.Open(name)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	info, err := f.Stat()
+	if err != nil {
+		return err
+	}
+	if err := t.WriteHeader(&tar.Header{Name: filepath.Base(name), Mode: 0o600, Size: info.Size()}); err != nil {
+		return err
+	}
+	_, err = io.CopyN(t, f, info.Size())
+	return err
+}
+
+// ErrArchive is for an archive that holds what no trail does.
+var ErrArchive = errors.New("trail archive")
+
+// Unpack writes the segments of an archive into dir, which it makes, most bytes in all.
+// Segments that are there already are replaced. It returns how many there were.
+func Unpack(from io.Reader, dir string, most int64) (int, error) {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return 0, fmt.Errorf("trail: %w", err)
+	}
+	t, n := tar.NewReader(from), 0
+	for {
+		h, err := t.Next()
+		if errors.Is(err, io.EOF) {
+			return n, nil
+		}
+		if err != nil {
+			return n, fmt.Errorf("%w: %w", ErrArchive, err)
+		}
+		if h.Typeflag != tar.TypeReg || h.Name != filepath.Base(h.Name) || !strings.HasSuffix(h.Name, suffix) {
+			return n, fmt.Errorf("%w: %q is no segment", ErrArchive, h.Name)
+		}
+		if most -= h.Size; most < 0 {
+			return n, fmt.Errorf("%w: %s goes past the bytes that are allowed", ErrArchive, h.Name)
+		}
+		if err := unpack(t, filepath.Join(dir, h.Name)); err != nil {
+			return n, err
+		}
+		n++
+	}
+}
+
+func unpack(from io.Reader, path string) error {
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
+	if err != nil {
+		return fmt.Errorf("trail: %w", err)
+	}
+	_, err = io.Copy(f, from)
+	if err := errors.Join(err, f.Close()); err != nil {
+		return fmt.Errorf("trail: write %s: %w", path, err)
+	}
+	return nil
+}
--- a/fleet/trail/trail.go
+++ b/fleet/trail/trail.go
@@ -54,6 +54,9 @@
 	queue chan audit.Record
 	ended sync.WaitGroup
 
+	flushes chan chan struct{} // who waits for all to be written
+	stopped chan struct{}      // closed when the writing has ended
+
 	mu     sync.Mutex
 	seq    uint64 // counts what is lost as well, so that it shows as a gap
 	number uint64
@@ -80,7 +83,8 @@
 	if err := os.MkdirAll(cfg.Dir, 0o700); err != nil {
 		return nil, fmt.Errorf("trail: %w", err)
 	}
-	w := &Writer{cfg: cfg, start: time.Now(), queue: make(chan audit.Record, mostQueue), sums: map[sum]*audit.Record{}}
+	w := &Writer{cfg: cfg, start: time.Now(), queue: make(chan audit.Record, mostQueue), sums: map[sum]*audit.Record{},
+		flushes: make(chan chan struct{}), stopped: make(chan struct{})}
 	if err := w.segment(); err != nil {
 		return nil, err
 	}
@@ -180,10 +184,19 @@
 
 // run writes until the queue is closed.
 func (w *Writer) run() {
+	defer close(w.stopped)
 	tick := time.NewTicker(flushEvery)
 	defer tick.Stop()
 	for {
 		select {
+		case done := <-w.flushes:
+			for n := len(w.queue); n > 0; n-- {
+				if r, ok := <-w.queue; ok {
+					w.write(r)
+				}
+			}
+			w.sync()
+			close(done)
 		case r, ok := <-w.queue:
 			if !ok {
 				w.sync()
--- a/front/console/console.go
+++ b/front/console/console.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"io"
 	"net"
 	"net/url"
 	"strings"
@@ -44,7 +45,8 @@
 
 // Fleet is what there is to see of a fleet of routers.
 type Fleet interface {
-	// Page returns what goes by a name, to be shown as JSON.
+	// Page returns what goes by a name, to be shown as JSON; an io.ReadCloser is sent as it
+	// is, and closed.
 	Page(name string) (any, bool)
 }
 
@@ -95,6 +97,10 @@
 		call.Problem(fasthttp.StatusNotFound, errNoPath)
 		return
 	}
+	if body, ok := page.(io.ReadCloser); ok {
+		call.Stream("application/octet-stream", body)
+		return
+	}
 	text, err := json.Marshal(page)
 	if err != nil {
 		call.Problem(fasthttp.StatusInternalServerError, err)
--- a/internal/cli/audit.go
+++ b/internal/cli/audit.go
@@ -42,6 +42,7 @@
 	}
 	return &cli.Command{Name: "audit", Usage: "tell from routers' trails who acted on which version, and whether they kept what they had said",
 		Commands: []*cli.Command{
+			collectCommand(),
 			sub("check", "prove or refute the rules; exit code 1 and a line for each breach", "", 0, func(w io.Writer, _ []string, trails []audit.Trail) error {
 				breaches := audit.Check(trails)
 				for _, b := range breaches {
@@ -69,7 +70,7 @@
 				return printSteps(w, audit.Timeline(trails), func(s audit.Step) bool { return s.Request == own[0] })
 			}),
 			sub("who", "which routers took, acknowledged or refused a version of a part, and what they sent under it", "PART VERSION ", 2, printWho),
-			sub("lag", "by how many versions each router lies behind the newest", "", 0, printLags),
+			lagCommand(sub("lag", "by how many versions each router lies behind the newest, now and at its sends", "", 0, printLags)),
 		}}
 }
 
--- /dev/null
+++ b/internal/cli/collect.go
@@ -0,0 +1,79 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"lichenshelf/fleet/trail"
+)
+
+// collectCommand copies the trails of running routers.
+func collectCommand() *cli.Command {
+	return &cli.Command{Name: "collect", Usage: "copy the trails of running routers below a directory, one for each; those that can't be had are named, the others are kept",
+		ArgsUsage: "DIR", Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "operator", Usage: "a router's operator `ADDRESS`, as its fleet.toml names it; may be repeated", Required: true},
+			&cli.DurationFlag{Name: "timeout", Usage: "`TIME` for each router", Value: defaultCollect},
+			&cli.Int64Flag{Name: "bytes", Usage: "most `BYTES` of one trail", Value: 1 << 30},
+		}, Action: func(ctx context.Context, c *cli.Command) error {
+			if c.Args().Len() != 1 {
+				return fmt.Errorf("audit collect: %d directories given, one is needed", c.Args().Len())
+			}
+			var all error
+			for _, addr := range c.StringSlice("operator") {
+				dir := filepath.Join(c.Args().First(), strings.NewReplacer(":", "_", "/", "_").Replace(addr))
+				n, err := collect(ctx, c, addr, dir)
+				if err != nil {
+					all = errors.Join(all, fmt.Errorf("audit collect: %s: %w", addr, err))
+					continue
+				}
+				if _, err := fmt.Fprintf(c.Root().Writer, "%s: %d segments in %s\n", addr, n, dir); err != nil {
+					return err
+				}
+			}
+			return all
+		}}
+}
+
+// collect copies one router's trail. What was there from an earlier time is replaced only
+// once all of the new one has come.
+func collect(ctx context.Context, c *cli.Command, addr, dir string) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.Duration("timeout"))
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/v1/fleet/trail", nil)
+	if err != nil {
+		return 0, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	switch resp.StatusCode {
+	case http.StatusOK:
+	case http.StatusNotFound:
+		return 0, errors.New("this router keeps no trail")
+	default:
+		text, _ := io.ReadAll(io.LimitReader(resp.Body, 1<<10))
+		return 0, fmt.Errorf("%s: %s", resp.Status, strings.TrimSpace(string(text)))
+	}
+	part := dir + ".part"
+	if err := os.RemoveAll(part); err != nil {
+		return 0, err
+	}
+	n, err := trail.Unpack(resp.Body, part, c.Int64("bytes"))
+	if err != nil {
+		return n, err
+	}
+	if err := os.RemoveAll(dir); err != nil {
+		return n, err
+	}
+	return n, os.Rename(part, dir)
+}
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"time"
 
 	"lichenshelf/cordon"
 	"lichenshelf/fleet/agent"
 	"lichenshelf/fleet/node"
+	"lichenshelf/fleet/trail"
 	"lichenshelf/front/console"
 	"lichenshelf/logic"
 	"lichenshelf/router"
@@ -46,7 +48,30 @@
 	if cfg.Operator == "" {
 		return nil
 	}
-	return d.serveConsole(cfg.Operator, console.New(func() bool { return !d.stopping.Load() }, nil).WithFleet(a))
+	return d.serveConsole(cfg.Operator, console.New(func() bool { return !d.stopping.Load() }, nil).WithFleet(fleetPages{a, &d.acts}))
+}
+
+// trailPage is the name of the page that holds this router's trail, as a tar.
+const trailPage = "trail"
+
+// fleetPages is what the operator's address shows: the agent's pages, and the trail.
+type fleetPages struct {
+	*agent.Agent
+	acts *acts
+}
+
+// Page implements console.Fleet.
+func (f fleetPages) Page(name string) (any, bool) {
+	if name != trailPage {
+		return f.Agent.Page(name)
+	}
+	if f.acts.trail == nil {
+		return nil, false
+	}
+	f.acts.trail.Flush()
+	r, w := io.Pipe()
+	go func() { _ = w.CloseWithError(trail.Archive(f.acts.dir, w)) }()
+	return r, true
 }
 
 // share is a front's part in the fleet; without a fleet all passes it as it is.
--- a/internal/daemon/trail.go
+++ b/internal/daemon/trail.go
@@ -19,6 +19,7 @@
 	mu       sync.Mutex
 	versions *version.Tracker
 	trail    *trail.Writer // nil: none is kept
+	dir      string        // where it is
 	log      logrus.FieldLogger
 }
 
@@ -31,7 +32,7 @@
 	if err != nil {
 		return err
 	}
-	d.acts.trail = w
+	d.acts.trail, d.acts.dir = w, filepath.Join(cfg.Trail, cfg.Self)
 	d.log.WithField("trail", filepath.Join(cfg.Trail, cfg.Self)).Info("keeping a trail")
 	return nil
 }
--- a/test/audit_test.go
+++ b/test/audit_test.go
@@ -18,6 +18,19 @@
 	"lichenshelf/lab/demo"
 )
 
+// collect copies the trails of all routers while they run.
+func (l *labRig) collect() (dirs []string) {
+	to := l.t.TempDir()
+	args := []string{"audit", "collect"}
+	for _, r := range l.layout.Routers {
+		args = append(args, "--operator", r.Operator)
+		dirs = append(dirs, filepath.Join(to, strings.ReplaceAll(r.Operator, ":", "_")))
+	}
+	out, err := command(l.t, append(args, to)...)
+	require.NoError(l.t, err, out)
+	return dirs
+}
+
 // Five programs keep trails while workers die and come back, routers are stopped, cut off and released. The check finds
 // nothing against them, and no worker saw more than the trails tell. With a record taken out, a byte flipped or a send past
 // its window put in, it finds that, and says where.
@@ -44,6 +57,7 @@
 	for until := l.seconds() + 3; l.seconds() < until; {
 		time.Sleep(soon)
 	}
+	copied := l.collect()
 	l.end()
 	l.oneAnswer()
 	var dirs []string
@@ -56,6 +70,15 @@
 	out, err := check()
 	require.NoError(t, err, out)
 	require.Contains(t, out, "no breach")
+	picture := filepath.Join(t.TempDir(), "lag.png")
+	live, err := command(t, append([]string{"audit", "lag", "--plot", picture}, copied...)...)
+	require.NoError(t, err, live)
+	require.Contains(t, live, "versions behind at most")
+	drawn, err := os.ReadFile(picture)
+	require.NoError(t, err)
+	require.True(t, bytes.HasPrefix(drawn, []byte("\x89PNG")))
+	live, err = command(t, append([]string{"audit", "check"}, copied...)...)
+	require.NoError(t, err, live)
 
 	saw, told := map[string]uint64{}, map[string]uint64{}
 	for _, a := range l.site.Record() {
