Oversized lists and starts in the future have a test of a real process

A list past 4 MiB is given up and named, a start in the year 2100 is named with its key and value, and requests are served meanwhile; both were checked to show in the log.

--- a/test/platform_test.go
+++ b/test/platform_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -212,6 +213,21 @@
 		"the watch goes on from the last good list")
 }
 
+// A list past all bounds is given up, a start in the future is told; the list in hand serves on.
+func TestOversizedListsAndStartsInTheFuture(t *testing.T) {
+	r, w := pair(t, nil)
+	p, d := platform(t, r, w)
+	good := listText(2, false, "in_service", w)
+	d.say(strings.Replace(good, `"instances":[`, `"instances":[`+strings.Repeat(" ", 5<<20), 1))
+	eventually(t, func() bool { return p.logged("bytes in one list") }, "the bound is named")
+	require.Equal(t, 200, p.ask("query", newID(), patience).status)
+	d.mu.Lock()
+	d.lines = append(slices.Clone(d.lines[:1]), strings.Replace(good, `"startedAtMs":0`, `"startedAtMs":4102444800000`, 1))
+	d.mu.Unlock()
+	eventually(t, func() bool { return p.logged("started_ms=4102444800000") && p.logged("lies in the future") }, "key and value are named")
+	eventually(t, func() bool { return p.ask("query", newID(), patience).status == 200 }, "it serves, and the worker counts as cold")
+}
+
 // Whatever else is wrong with a list, nothing new goes to a worker that it says is leaving.
 func TestBadListStillTellsWhoLeaves(t *testing.T) {
 	r, w := pair(t, nil)
