The lag of trails is told from trails that are read once

lagCommand wrapped the table's action and read every trail a second time. Now one action prints the table, the sends and the picture; defaultCollect stands with the command that uses it. What is printed is the same; TestAuditOfFivePrograms passes.

--- a/internal/cli/audit.go
+++ b/internal/cli/audit.go
@@ -40,6 +40,14 @@
 			return do(c.Root().Writer, c.Args().Slice()[:own], trails)
 		}}
 	}
+	var picture string
+	lag := sub("lag", "by how many versions each router lies behind the newest, now and at its sends", "", 0, func(w io.Writer, _ []string, trails []audit.Trail) error {
+		if err := printLags(w, trails); err != nil {
+			return err
+		}
+		return printBehind(w, trails, picture)
+	})
+	lag.Flags = []cli.Flag{&cli.StringFlag{Name: "plot", Usage: "write a picture of the lags over the order of records to `FILE` (.svg or .png)", Destination: &picture}}
 	return &cli.Command{Name: "audit", Usage: "tell from routers' trails who acted on which version, and whether they kept what they had said",
 		Commands: []*cli.Command{
 			collectCommand(),
@@ -70,7 +78,7 @@
 				return printSteps(w, audit.Timeline(trails), func(s audit.Step) bool { return s.Request == own[0] })
 			}),
 			sub("who", "which routers took, acknowledged or refused a version of a part, and what they sent under it", "PART VERSION ", 2, printWho),
-			lagCommand(sub("lag", "by how many versions each router lies behind the newest, now and at its sends", "", 0, printLags)),
+			lag,
 		}}
 }
 
@@ -127,7 +135,7 @@
 	return t.Flush()
 }
 
-func printLags(w io.Writer, _ []string, trails []audit.Trail) error {
+func printLags(w io.Writer, trails []audit.Trail) error {
 	latest, lags := audit.Lags(trails)
 	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
 	fmt.Fprintln(t, "ROUTER\tPART\tNEWEST\tBEHIND")
--- a/internal/cli/collect.go
+++ b/internal/cli/collect.go
@@ -9,12 +9,16 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
 	"lichenshelf/fleet/trail"
 )
 
+// defaultCollect is how long one router's trail may take to come.
+const defaultCollect = time.Minute
+
 // collectCommand copies the trails of running routers.
 func collectCommand() *cli.Command {
 	return &cli.Command{Name: "collect", Usage: "copy the trails of running routers below a directory, one for each; those that can't be had are named, the others are kept",
--- a/internal/cli/lag.go
+++ b/internal/cli/lag.go
@@ -1,67 +1,39 @@
 package cli
 
 import (
-	"context"
 	"fmt"
+	"io"
 	"maps"
 	"slices"
-	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
-	"github.com/urfave/cli/v3"
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
 
 	"lichenshelf/fleet/audit"
-	"lichenshelf/fleet/trail"
 )
 
-// defaultCollect is how long one router's trail may take to come.
-const defaultCollect = time.Minute
-
 // mostBehind bounds the histogram; more versions than this count as this many.
 const mostBehind = 1_000_000
 
-// lagCommand adds to the table of lags how far behind sends were, and a picture of it.
-func lagCommand(table *cli.Command) *cli.Command {
-	table.Flags = []cli.Flag{&cli.StringFlag{Name: "plot", Usage: "write a picture of the lags over the order of records to `FILE` (.svg or .png)"}}
-	print := table.Action
-	table.Action = func(ctx context.Context, c *cli.Command) error {
-		if err := print(ctx, c); err != nil {
-			return err
-		}
-		var trails []audit.Trail
-		for _, dir := range c.Args().Slice() {
-			t, err := trail.Read(dir)
-			if err != nil {
+// printBehind tells how far behind sends were, and draws it if a file is named.
+func printBehind(w io.Writer, trails []audit.Trail, file string) error {
+	points := audit.Behind(trails)
+	sends := hdrhistogram.New(0, mostBehind, 3)
+	for _, p := range points {
+		if p.Sends > 0 {
+			if err := sends.RecordValues(int64(min(p.Behind, mostBehind)), int64(p.Sends)); err != nil {
 				return fmt.Errorf("audit lag: %w", err)
 			}
-			if t.Router == "" {
-				t.Router = dir
-			}
-			trails = append(trails, t)
 		}
-		points := audit.Behind(trails)
-		sends := hdrhistogram.New(0, mostBehind, 3)
-		for _, p := range points {
-			if p.Sends > 0 {
-				if err := sends.RecordValues(int64(min(p.Behind, mostBehind)), int64(p.Sends)); err != nil {
-					return fmt.Errorf("audit lag: %w", err)
-				}
-			}
-		}
-		if _, err := fmt.Fprintf(c.Root().Writer, "%d sends: %d versions behind at most, %d in one of 100 or more, %d in half of them\n", sends.TotalCount(),
-			sends.Max(), sends.ValueAtQuantile(99), sends.ValueAtQuantile(50)); err != nil {
-			return err
-		}
-		if file := c.String("plot"); file != "" {
-			return plotLags(points, file)
-		}
-		return nil
 	}
-	return table
+	if _, err := fmt.Fprintf(w, "%d sends: %d versions behind at most, %d in one of 100 or more, %d in half of them\n", sends.TotalCount(),
+		sends.Max(), sends.ValueAtQuantile(99), sends.ValueAtQuantile(50)); err != nil || file == "" {
+		return err
+	}
+	return plotLags(points, file)
 }
 
 // plotLags draws each router's greatest lag over the order of records.
