Loans between routers stand in their trails, and the audit proves that no two hold one lease

Change: the ledger tells what it lends, takes back and borrows (budget.Move), the agent notes it before the other end can know, and audit.CheckLoans matches both ends: nothing held that was not lent, for more, for longer or by two, no owner past its share. What a killed owner may have lost of its last half second is passed over, and said so.

--- a/fleet/agent/agent.go
+++ b/fleet/agent/agent.go
@@ -14,6 +14,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"lichenshelf/fleet/budget"
 	"lichenshelf/fleet/link"
 	"lichenshelf/fleet/node"
 )
@@ -37,12 +38,14 @@
 	mu     sync.Mutex
 	node   *node.Node
 	fronts []*Front // in the node's order
+	loans  func(budget.Move)
 }
 
-// New returns an agent; Run and Serve start it. The life is a number that grows with
+// New returns an agent; Run and Serve start it. Loans, if it is not nil, is told of what is lent and borrowed, one after
+// the other and before the other end can know of it; it must return at once. The life is a number that grows with
 // each start, such as the wall clock's; if it does not, the fleet puts it right.
-func New(cfg *Config, life, seed uint64, count Counters, log logrus.FieldLogger) (*Agent, error) {
-	a := &Agent{cfg: cfg, count: count, log: log, start: time.Now()}
+func New(cfg *Config, life, seed uint64, loans func(budget.Move), count Counters, log logrus.FieldLogger) (*Agent, error) {
+	a := &Agent{cfg: cfg, count: count, log: log, start: time.Now(), loans: loans}
 	zones := map[string]string{}
 	var peers []link.Peer
 	for _, r := range cfg.Routers {
@@ -55,7 +58,7 @@
 	if a.node, err = node.New(node.Config{Self: cfg.Self, Zones: zones, Life: life, Lease: cfg.Lease.Duration, Floor: cfg.Floor,
 		Burst: cfg.Burst.Duration, Drift: cfg.Drift, Period: cfg.Period.Duration, Counts: cfg.Counts.Duration, Fanout: cfg.Fanout, Digest: cfg.Digest,
 		Observers: cfg.Observe, Quorum: cfg.Quorum, MostOut: cfg.MostOut, Least: cfg.Least, Hold: cfg.Hold.Duration,
-		Return: cfg.Return.Duration, Repeats: cfg.Repeats, Cold: cfg.Cold}, rand.New(rand.NewPCG(seed, life)), a.now()); err != nil {
+		Return: cfg.Return.Duration, Repeats: cfg.Repeats, Cold: cfg.Cold, Tell: loans != nil}, rand.New(rand.NewPCG(seed, life)), a.now()); err != nil {
 		return nil, fmt.Errorf("router %s: %w", cfg.Self, err)
 	}
 	a.link = link.New(link.Config{Fleet: cfg.Fleet, Self: cfg.Self, Peers: peers, Timeout: cfg.Timeout.Duration,
@@ -141,6 +144,9 @@
 func (a *Agent) receive(e link.Envelope) {
 	a.mu.Lock()
 	answers := a.node.Receive(e, a.now())
+	for _, m := range a.node.Moves() {
+		a.loans(m)
+	}
 	a.mu.Unlock()
 	for _, answer := range answers {
 		a.link.Send(answer)
--- a/fleet/audit/audit.go
+++ b/fleet/audit/audit.go
@@ -74,7 +74,7 @@
 		}
 		out = append(out, c.breaches...)
 	}
-	return out
+	return append(out, CheckLoans(trails)...)
 }
 
 // begin forgets what ends with a process.
--- /dev/null
+++ b/fleet/audit/loans_test.go
@@ -0,0 +1,140 @@
+package audit_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"lichenshelf/fleet/audit"
+	"lichenshelf/fleet/budget"
+)
+
+// lend plays routers that lend each other parts of a limit over links that lose, double and delay, one of them killed on
+// the way, and returns their trails.
+func lend(t require.TestingT, seed uint64) []audit.Trail {
+	const steps, step, lease = 600, 20 * time.Millisecond, time.Second
+	names := []string{"a", "b", "c"}
+	rng := rand.New(rand.NewPCG(seed, 1))
+	trails, ledgers := make([]audit.Trail, len(names)), make([]*budget.Ledger, len(names))
+	note := func(i int, r audit.Record) {
+		n := len(trails[i].Entries)
+		if r.Kind != audit.Started && n > 0 {
+			r.Seq = trails[i].Entries[n-1].Seq
+		}
+		r.Seq++
+		trails[i].Entries = append(trails[i].Entries, audit.Entry{Record: r, Place: audit.Place{File: names[i], Offset: int64(n)}})
+	}
+	start := func(i int, life uint64, now budget.Time) {
+		l, err := budget.New(budget.Config{Self: names[i], Routers: names, Incarnation: life, Lease: lease, Drift: 0.01, Floor: 0.1,
+			Burst: lease, Tell: true}, now)
+		require.NoError(t, err)
+		l.SetLimit("k", 300, now)
+		ledgers[i], trails[i].Router = l, names[i]
+		note(i, audit.Record{Kind: audit.Started, At: time.Duration(now)})
+	}
+	for i := range names {
+		start(i, 1, 0)
+	}
+	kinds := map[budget.MoveKind]audit.Kind{budget.Lent: audit.Lent, budget.Returned: audit.Returned, budget.Borrowed: audit.Borrowed}
+	type mail struct {
+		m  budget.Message
+		at int
+	}
+	var mails []mail
+	post := func(s int, all []budget.Message) {
+		for _, m := range all {
+			for range 1 + rng.IntN(5)/4 {
+				if rng.IntN(8) > 0 {
+					mails = append(mails, mail{m, s + 1 + rng.IntN(4)})
+				}
+			}
+		}
+	}
+	for s := range steps {
+		now := budget.Time(time.Duration(s) * step)
+		if s == steps/2 {
+			start(rng.IntN(len(names)), 2, now)
+		}
+		for i, l := range ledgers {
+			for range rng.IntN(2 + 10*((s/100+i)%3)) { // who wants much changes
+				l.Spend("k", 1, now)
+			}
+			post(s, l.Tick(now))
+		}
+		due := mails
+		mails = nil
+		for _, m := range due {
+			if m.at > s {
+				mails = append(mails, m)
+				continue
+			}
+			i := int(m.m.To[0] - 'a')
+			post(s, ledgers[i].Receive(m.m, now))
+			for _, move := range ledgers[i].Moves() {
+				note(i, audit.Record{Kind: kinds[move.Kind], At: time.Duration(now), Part: move.Key, Peer: move.Router, Epoch: move.Life,
+					Number: move.Seq, Version: move.Using, Amount: move.Amount, Share: move.Share, Window: move.Left})
+			}
+		}
+	}
+	return trails
+}
+
+func of(trails []audit.Trail, kind audit.Kind) (all []*audit.Entry) {
+	for i := range trails {
+		for j := range trails[i].Entries {
+			if e := &trails[i].Entries[j]; e.Kind == kind {
+				all = append(all, e)
+			}
+		}
+	}
+	return all
+}
+
+// Whatever the links do, routers that keep to the rules break none of the audit's.
+func TestLoansThatWereKeptHaveNoBreach(t *testing.T) {
+	require.Greater(t, len(of(lend(t, 1), audit.Borrowed)), 20, "something is lent")
+	rapid.Check(t, func(t *rapid.T) {
+		require.Empty(t, audit.CheckLoans(lend(t, rapid.Uint64().Draw(t, "seed"))))
+	})
+}
+
+// Each thing that a router could have done or written against the rules is found.
+func TestLoansThatWereNotKeptAreFound(t *testing.T) {
+	for name, spoil := range map[string]func(trails []audit.Trail){
+		"held for more than was lent": func(trails []audit.Trail) { of(trails, audit.Borrowed)[3].Amount *= 2 },
+		"held for longer":             func(trails []audit.Trail) { of(trails, audit.Borrowed)[3].Window += time.Minute },
+		"never lent": func(trails []audit.Trail) {
+			held := of(trails, audit.Borrowed)
+			for _, h := range held {
+				later := false
+				for _, l := range of(trails, audit.Lent) {
+					later = later || l.Peer == "b" && l.Epoch == 1 && l.Number > h.Number
+				}
+				if h.Peer == "a" && later {
+					h.Number++ // its owner never saw that ask
+				}
+			}
+		},
+		"two holders": func(trails []audit.Trail) {
+			held := of(trails, audit.Borrowed)
+			*held[4] = *held[3]
+			held[4].Offset++
+			held[4].Peer, held[4].Number = held[3].Peer, held[3].Number
+		},
+		"more lent than there is": func(trails []audit.Trail) {
+			for _, l := range of(trails, audit.Lent) {
+				l.Amount *= 4
+			}
+		},
+	} {
+		trails := lend(t, 7)
+		require.Empty(t, audit.CheckLoans(trails))
+		spoil(trails)
+		breaches := audit.Check(trails)
+		require.NotEmpty(t, breaches, name)
+		require.Equal(t, audit.RuleLease, breaches[len(breaches)-1].Rule, name)
+	}
+}
--- a/fleet/audit/record.go
+++ b/fleet/audit/record.go
@@ -26,11 +26,15 @@
 	ShutOut      Kind = 9  // the router takes nothing new from now on; Text says why
 	Readmitted   Kind = 10 // it does again
 	Ended        Kind = 11 // the router ends in good order
+	Lent         Kind = 12 // Peer may use Amount of this router's Share of Part for Window, by grant Number of Epoch; its older ones than Version are over
+	Returned     Kind = 13 // Peer uses at most Amount of grant Number of Epoch by now
+	Borrowed     Kind = 14 // this router uses Amount of Peer's share of Part for Window, by grant Number of Epoch
 )
 
 // String implements fmt.Stringer.
 func (k Kind) String() string {
-	names := [...]string{"?", "started", "taken", "acknowledged", "refused", "out", "back", "sent", "failed", "shut out", "readmitted", "ended"}
+	names := [...]string{"?", "started", "taken", "acknowledged", "refused", "out", "back", "sent", "failed", "shut out", "readmitted", "ended", "lent",
+		"returned", "borrowed"}
 	if int(k) < len(names) {
 		return names[k]
 	}
@@ -56,6 +60,10 @@
 	Until   time.Duration `cbor:"14,keyasint,omitempty"`
 	Window  time.Duration `cbor:"15,keyasint,omitempty"`
 	Text    string        `cbor:"16,keyasint,omitempty"`
+	Peer    string        `cbor:"17,keyasint,omitempty"` // the router at the other end of a loan
+	Epoch   uint64        `cbor:"18,keyasint,omitempty"` // the life under which the borrower asked
+	Amount  float64       `cbor:"19,keyasint,omitempty"` // a second
+	Share   float64       `cbor:"20,keyasint,omitempty"` // a second
 }
 
 // Place is where a record stands.
--- a/fleet/budget/budget.go
+++ b/fleet/budget/budget.go
@@ -61,6 +61,7 @@
 	Drift       float64       // part by which the speeds of two clocks may differ, 0 to 0.2
 	Floor       float64       // part of each share that is never lent, over 0 to 1
 	Burst       time.Duration // as much as comes in at the held rate in this time may be spent at once
+	Tell        bool          // what is lent and borrowed is told by Moves; it is to be asked for after each call then
 }
 
 // ErrConfig is what a faulty Config wraps.
@@ -115,8 +116,32 @@
 	Using  uint64  `cbor:"9,keyasint"` // in an ask: number of the grant in use; older ones never will be again
 }
 
+// MoveKind says what a Move is.
+type MoveKind uint8
+
+// The kinds of Move. Lent and Returned are the owner's, Borrowed is the borrower's.
+const (
+	Lent MoveKind = iota + 1
+	Returned
+	Borrowed
+)
+
+// Move is a change of what is lent, as one end of it knows it. A grant is known by its key, both routers, the borrower's
+// life and the number of the ask.
+type Move struct {
+	Kind      MoveKind
+	Key       string
+	Router    string // the other end
+	Life, Seq uint64
+	Using     uint64        // of Lent: older grants of this life will never be used again
+	Amount    float64       // a second; of Returned: what is used at most by now
+	Share     float64       // of Lent: what the owner has to lend and to spend, in all
+	Left      time.Duration // until it ends by the clock of the end that tells of it
+}
+
 // Ledger is one router's part in all budgets.
 type Ledger struct {
+	moves   []Move
 	cfg     Config
 	began   Time
 	fenced  bool
@@ -427,9 +452,10 @@
 	case Ask:
 		return l.lend(a, m, now)
 	case Grant:
-		l.take(a, m)
+		l.take(a, m, now)
 	case Return:
 		a.lent[m.From].back(m)
+		l.tell(Move{Kind: Returned, Key: m.Key, Router: m.From, Life: m.Life, Seq: m.Seq, Amount: m.Amount})
 	}
 	l.settle(a, now)
 	return nil
@@ -480,6 +506,7 @@
 		amount = 0
 	}
 	if amount > 0 {
+		l.tell(Move{Kind: Lent, Key: m.Key, Router: m.From, Life: m.Life, Seq: m.Seq, Using: m.Using, Amount: amount, Share: share, Left: l.cfg.Lease})
 		n.grants = append(n.grants, grant{m.Life, m.Seq, amount, now + Time(l.cfg.Lease)})
 		a.level = math.Min(a.level, l.most(a, now))
 	}
@@ -488,7 +515,7 @@
 }
 
 // take counts a grant from when it was asked for.
-func (l *Ledger) take(a *account, m Message) {
+func (l *Ledger) take(a *account, m Message, now Time) {
 	h := a.held[m.From]
 	if h == nil || m.Life != l.cfg.Incarnation || m.Seq <= h.seq {
 		return
@@ -501,11 +528,27 @@
 	h.asks = h.asks[i+1:] // an earlier one is of no use any more
 	h.seq, h.amount = m.Seq, m.Amount
 	h.until = k.at + Time(float64(l.cfg.Lease)*(1-l.cfg.Drift)/(1+l.cfg.Drift))
+	if m.Amount > 0 && h.until > now {
+		l.tell(Move{Kind: Borrowed, Key: m.Key, Router: m.From, Life: m.Life, Seq: m.Seq, Amount: m.Amount, Left: time.Duration(h.until - now)})
+	}
 	if m.Amount < 0.95*k.amount {
 		h.short = k.at + Time(shortFor*float64(l.cfg.Lease))
 	}
 }
 
+func (l *Ledger) tell(m Move) {
+	if l.cfg.Tell {
+		l.moves = append(l.moves, m)
+	}
+}
+
+// Moves returns what was lent, returned and borrowed since it was asked for last, in order.
+func (l *Ledger) Moves() []Move {
+	out := l.moves
+	l.moves = nil
+	return out
+}
+
 // Loan is what one router holds of another's share.
 type Loan struct {
 	Router string
--- a/fleet/node/node.go
+++ b/fleet/node/node.go
@@ -75,6 +75,7 @@
 	Return    time.Duration
 	Repeats   float64 // a second, over all routers; 0: not bounded
 	Cold      float64 // a second, to one cold worker; 0: not bounded
+	Tell      bool    // what is lent is told by Moves
 }
 
 // Node is one router's part.
@@ -122,7 +123,7 @@
 	n.names = slices.Sorted(maps.Keys(cfg.Zones))
 	var err error
 	if n.ledger, err = budget.New(budget.Config{Self: cfg.Self, Routers: n.names, Incarnation: cfg.Life, Epoch: cfg.terms(n.names),
-		Lease: cfg.Lease, Drift: cfg.Drift, Floor: cfg.Floor, Burst: cfg.Burst}, budget.Time(now)); err != nil {
+		Lease: cfg.Lease, Drift: cfg.Drift, Floor: cfg.Floor, Burst: cfg.Burst, Tell: cfg.Tell}, budget.Time(now)); err != nil {
 		return nil, err
 	}
 	if n.members, err = members.New(members.Config{Self: cfg.Self, Routers: n.names, Life: cfg.Life, Period: cfg.Period,
@@ -169,6 +170,9 @@
 	return n.ledger.Spend(key, cost, budget.Time(now))
 }
 
+// Moves tells what was lent, returned and borrowed since it was asked for last.
+func (n *Node) Moves() []budget.Move { return n.ledger.Moves() }
+
 // Leave makes the next messages say that this router leaves: it is not missed then.
 func (n *Node) Leave() { n.members.Leave() }
 
--- a/internal/cli/audit.go
+++ b/internal/cli/audit.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"text/tabwriter"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
@@ -92,6 +93,10 @@
 			of, detail = s.Worker, "within "+s.Window.String()
 		case audit.Back:
 			of = s.Worker
+		case audit.Lent, audit.Borrowed:
+			of, detail = s.Part, fmt.Sprintf("%g a second with %s for %v", s.Amount, s.Peer, s.Window.Round(time.Millisecond))
+		case audit.Returned:
+			of, detail = s.Part, fmt.Sprintf("%s uses %g a second at most", s.Peer, s.Amount)
 		}
 		fmt.Fprintf(t, "%d\t%s\t%.3f s\t%s\t%s\t%d\t%s\t%s\n", s.Order, s.Who, s.At.Seconds(), s.Kind, of, s.Number, detail, s.Place)
 	}
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -23,13 +23,13 @@
 		return err
 	}
 	life := uint64(time.Now().UnixNano())
-	a, err := agent.New(cfg, life, life, d.counters, d.log)
-	if err != nil {
-		return fmt.Errorf("%s: %w", d.files.Fleet, err)
-	}
 	if err := d.openTrail(cfg, life); err != nil {
 		return err
 	}
+	a, err := agent.New(cfg, life, life, d.acts.loans(), d.counters, d.log)
+	if err != nil {
+		return fmt.Errorf("%s: %w", d.files.Fleet, err)
+	}
 	l, err := net.Listen("tcp4", cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("listen for the fleet: %w", err)
--- a/internal/daemon/trail.go
+++ b/internal/daemon/trail.go
@@ -9,6 +9,7 @@
 
 	"lichenshelf/fleet/agent"
 	"lichenshelf/fleet/audit"
+	"lichenshelf/fleet/budget"
 	"lichenshelf/fleet/trail"
 	"lichenshelf/fleet/version"
 )
@@ -45,6 +46,18 @@
 	return recorder{a.trail}
 }
 
+// loans is what the fleet's agent is given; nil without a trail.
+func (a *acts) loans() func(budget.Move) {
+	if a.trail == nil {
+		return nil
+	}
+	kinds := map[budget.MoveKind]audit.Kind{budget.Lent: audit.Lent, budget.Returned: audit.Returned, budget.Borrowed: audit.Borrowed}
+	return func(m budget.Move) {
+		a.trail.Note(audit.Record{Kind: kinds[m.Kind], Part: m.Key, Peer: m.Router, Epoch: m.Life, Number: m.Seq, Version: m.Using,
+			Amount: m.Amount, Share: m.Share, Window: m.Left})
+	}
+}
+
 // resume begins anew above what was acknowledged before the start.
 func (a *acts) resume(part string, acked uint64) {
 	a.mu.Lock()
--- a/test/audit_test.go
+++ b/test/audit_test.go
@@ -39,7 +39,7 @@
 	t.Parallel()
 	const n = 5
 	dir := t.TempDir()
-	l := newLabRig(t, n, labFleet+fmt.Sprintf("trail = %q\n", dir), 25, 11)
+	l := newLabRig(t, n, labFleet+fmt.Sprintf("repeats_per_s = %g\ntrail = %q\n", labRepeats, dir), 25, 11)
 	began := time.Now()
 	l.site.Kill("reader-0", time.Second)
 	l.layout.Between(func(from, to int) bool { return (from < 2) != (to < 2) }, relay.Fault{Refuse: true, Drop: [2]bool{true, true}})
@@ -88,7 +88,7 @@
 	for _, a := range l.site.Record() {
 		saw[a.Worker]++
 	}
-	outs := 0
+	outs, loans := 0, map[audit.Kind]int{}
 	for _, d := range dirs {
 		tr, err := trail.Read(d)
 		require.NoError(t, err)
@@ -98,9 +98,13 @@
 				told[e.Worker] += e.Count
 			case audit.Out:
 				outs++
+			case audit.Lent, audit.Borrowed:
+				loans[e.Kind]++
 			}
 		}
 	}
+	require.Positive(t, loans[audit.Borrowed])
+	require.GreaterOrEqual(t, loans[audit.Lent], loans[audit.Borrowed], "each loan that is held was lent; some grants are lost")
 	require.GreaterOrEqual(t, outs, 2*(n-1), "each router notes who is out")
 	for name, times := range saw {
 		require.GreaterOrEqual(t, told[name], times, "attempts that %s saw", name)
