Workers out by hand have a version, and two consoles in one instant lose neither change

Cause of the loss: cordon.set read the file and put its own in place with nothing between that kept another process out. Change: a lock on a file beside it, 500 ms at most, undone by the process's end; the set carries a version, one more with each change; a file of a version before this one counts as the next.

--- a/cordon/cordon.go
+++ b/cordon/cordon.go
@@ -15,6 +15,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -40,15 +41,18 @@
 	path string
 	log  *logrus.Logger
 
-	mu    sync.Mutex
-	out   map[string]bool // names out by hand
-	seen  os.FileInfo     // of the file as last read or written; nil: there was none
-	blind bool            // the system can't tell of the file, which has been logged
+	mu      sync.Mutex
+	version uint64               // of the set; it only grows
+	took    func(version uint64) // nil: nobody is told
+	out     map[string]bool      // names out by hand
+	seen    os.FileInfo          // of the file as last read or written; nil: there was none
+	blind   bool                 // the system can't tell of the file, which has been logged
 }
 
 // file is what the file holds.
 type file struct {
 	Suspended []string `json:"suspended"`
+	Version   uint64   `json:"version,omitempty"` // one more with each change; 0: of a process that does not count
 }
 
 // Path is where a router's set is kept: in dir, by the router's name, which
@@ -66,35 +70,46 @@
 	return c
 }
 
-// read reads the set kept at path. A file that holds anything else is an error.
-func read(path string) (map[string]bool, error) {
+// OnChange has f told of the set's version, now and at each change. It must return at once.
+func (c *Cordon) OnChange(f func(version uint64)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.took = f
+	f(c.version)
+}
+
+// read reads the set kept at path, and its version. A file that holds anything else is an error.
+func read(path string) (map[string]bool, uint64, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	var f file
 	if err := json.Unmarshal(text, &f); err != nil {
-		return nil, fmt.Errorf("file %s: %w", path, err)
+		return nil, 0, fmt.Errorf("file %s: %w", path, err)
 	}
 	if f.Suspended == nil {
-		return nil, fmt.Errorf("file %s: no list under the key suspended", path)
+		return nil, 0, fmt.Errorf("file %s: no list under the key suspended", path)
 	}
 	out := map[string]bool{}
 	for i, name := range f.Suspended {
 		if name == "" {
-			return nil, fmt.Errorf("file %s: suspended.%d is empty", path, i)
+			return nil, 0, fmt.Errorf("file %s: suspended.%d is empty", path, i)
 		}
 		out[name] = true
 	}
-	return out, nil
+	return out, f.Version, nil
 }
 
 // Discovered implements Taker.
 func (c *Cordon) Discovered(members []router.Member, whole bool) { c.gate.Discovered(members, whole) }
 
-// put makes a set hold; c.mu is held.
-func (c *Cordon) put(out map[string]bool) {
-	c.out = out
+// put makes a set hold; c.mu is held. A version that is none or has been there is taken for the next one.
+func (c *Cordon) put(out map[string]bool, version uint64) {
+	c.out, c.version = out, max(version, c.version+1)
+	if c.took != nil {
+		c.took(c.version)
+	}
 	parts := make(map[string]float64, len(out))
 	for name := range out {
 		parts[name] = 0
@@ -116,6 +131,11 @@
 	if !c.gate.Known(name) && !c.out[name] {
 		return fmt.Errorf("worker %q: %w", name, ErrUnknown)
 	}
+	unlock, err := c.lock()
+	if err != nil {
+		return err
+	}
+	defer unlock()
 	c.follow() // another process may have changed the file since it was read
 	next := maps.Clone(c.out)
 	if out {
@@ -123,16 +143,44 @@
 	} else {
 		delete(next, name)
 	}
-	if err := c.write(next); err != nil {
+	if err := c.write(next, c.version+1); err != nil {
 		return err
 	}
-	c.put(next)
+	c.put(next, c.version+1)
 	return nil
 }
 
+const (
+	lockWait  = 500 * time.Millisecond // for another process to have written its change
+	lockAgain = time.Millisecond
+)
+
+// lock keeps other processes from changing the file until it is undone; c.mu is held. Two consoles that change it in one
+// instant would else each write what they read before the other wrote. It waits lockWait at most. The end of a process undoes its lock.
+func (c *Cordon) lock() (unlock func(), err error) {
+	path := c.path + ".lock"
+	f, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("workers out by hand: %w", err)
+	}
+	for until := time.Now().Add(lockWait); ; time.Sleep(lockAgain) {
+		err = syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
+		if !errors.Is(err, syscall.EWOULDBLOCK) || time.Now().After(until) {
+			break
+		}
+	}
+	if errors.Is(err, syscall.ENOSYS) || errors.Is(err, syscall.ENOTSUP) { // a system without locks: the later of two wins whole there
+		c.log.WithError(err).WithField("file", path).Warn("workers out by hand are changed without a lock")
+	} else if err != nil {
+		_ = f.Close()
+		return nil, fmt.Errorf("workers out by hand: lock %s: %w", path, err)
+	}
+	return func() { _ = f.Close() }, nil
+}
+
 // write puts the set in place whole: a reader sees the old file or the new one.
-func (c *Cordon) write(out map[string]bool) error {
-	f := file{Suspended: make([]string, 0, len(out))}
+func (c *Cordon) write(out map[string]bool, version uint64) error {
+	f := file{Suspended: make([]string, 0, len(out)), Version: version}
 	for name := range out {
 		f.Suspended = append(f.Suspended, name)
 	}
@@ -174,14 +222,14 @@
 		return
 	}
 	c.seen = now
-	out := map[string]bool{}
+	out, version := map[string]bool{}, uint64(0)
 	if now != nil {
-		if out, err = read(c.path); err != nil {
+		if out, version, err = read(c.path); err != nil {
 			c.log.WithError(err).Error("workers out by hand not read, the set in hand stays")
 			return
 		}
 	}
-	c.put(out)
+	c.put(out, version)
 }
 
 // same tells whether the file is as it was; nil stands for none. A set that is
--- a/cordon/cordon_test.go
+++ b/cordon/cordon_test.go
@@ -1,9 +1,11 @@
 package cordon
 
 import (
+	"fmt"
 	"io"
 	"os"
 	"path/filepath"
+	"sync"
 	"testing"
 
 	"github.com/sirupsen/logrus"
@@ -136,3 +138,56 @@
 	require.Len(t, next.lists[calls], 1, "w2 alone")
 	require.True(t, g.Known("w1"))
 }
+
+// Consoles of several processes that change the file in one instant lose none of the changes, and versions only grow.
+func TestConsolesInOneInstantLoseNothing(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "set.json")
+	const processes, each = 4, 12
+	var all []router.Member
+	name := func(p, i int) string { return fmt.Sprintf("w-%d-%d", p, i) }
+	for p := range processes {
+		for i := range each {
+			all = append(all, member(name(p, i), logic.Ready, 0))
+		}
+	}
+	var done sync.WaitGroup
+	for p := range processes {
+		c := New(&taken{}, path, quiet())
+		last := uint64(0)
+		c.OnChange(func(v uint64) {
+			if v < last {
+				t.Errorf("version %d after %d", v, last)
+			}
+			last = v
+		})
+		c.Discovered(all, true)
+		done.Go(func() {
+			for i := range each {
+				if err := c.Suspend(name(p, i)); err != nil {
+					t.Error(err)
+				}
+			}
+		})
+	}
+	done.Wait()
+	out, version, err := read(path)
+	require.NoError(t, err)
+	require.Len(t, out, processes*each)
+	require.EqualValues(t, processes*each, version, "one version for each change")
+}
+
+// A file of a process that does not count is a version of its own.
+func TestSetsWithoutAVersionCountOn(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "set.json")
+	c := New(&taken{}, path, quiet())
+	var seen []uint64
+	c.OnChange(func(v uint64) { seen = append(seen, v) })
+	c.Discovered([]router.Member{member("w1", logic.Ready, 0)}, true)
+	require.NoError(t, c.Suspend("w1"))
+	require.NoError(t, os.WriteFile(path+".new", []byte(`{"suspended":[]}`), 0o600))
+	require.NoError(t, os.Rename(path+".new", path))
+	c.mu.Lock()
+	c.follow()
+	c.mu.Unlock()
+	require.Equal(t, []uint64{0, 1, 2}, seen)
+}
