--- a/discovery/sources/feed.go
+++ b/discovery/sources/feed.go
@@ -45,6 +45,10 @@
 	names    Names                // nil: the front knows neither zones nor kinds
 	registry storesource.Registry // nil: this router holds no replica
 
+	// Took is told of each report that was taken, by its source: its version, which is the source's own count or, with own
+	// false, one more than the last. It is to be set before Apply, and must return at once.
+	Took func(source string, version uint64, own bool)
+
 	serving atomic.Int64
 
 	mu      sync.Mutex
@@ -75,6 +79,7 @@
 	stop   context.CancelFunc // of the source that runs behind it
 	failed bool
 	warned map[string]bool
+	taken  uint64 // reports
 }
 
 // plan is a source that is ready to run; run is nil where somebody else speaks.
@@ -234,6 +239,10 @@
 	}
 	if err != nil {
 		f.log.WithField("source", p.name).WithError(err).Warn("report not taken")
+	} else if p.taken++; f.Took != nil && r.Version > 0 {
+		f.Took(p.name, r.Version, true)
+	} else if f.Took != nil {
+		f.Took(p.name, p.taken, false)
 	}
 	if p.failed {
 		p.failed = false
--- a/fleet/agent/agent.go
+++ b/fleet/agent/agent.go
@@ -17,6 +17,7 @@
 	"lichenshelf/fleet/budget"
 	"lichenshelf/fleet/link"
 	"lichenshelf/fleet/node"
+	"lichenshelf/fleet/version"
 )
 
 // ticksPerLease is how often in a lease what is due is looked for.
@@ -69,6 +70,31 @@
 // now is monotonic, and goes on while the process is stopped.
 func (a *Agent) now() time.Duration { return time.Since(a.start) }
 
+// SetActs sets what the others are told that this router acts on. The vector must not be changed after.
+func (a *Agent) SetActs(v version.Vector) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.node.SetActs(v)
+}
+
+// Renew goes on under a new life: what was lent to this router before is over.
+func (a *Agent) Renew() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.node.Renew()
+}
+
+// Newest is what enough of the others act on, and how long ago they said so; false if they have not.
+func (a *Agent) Newest() (newest version.Vector, ago time.Duration, ok bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	newest, heard, ok := a.node.Newest()
+	return newest, a.now() - heard, ok
+}
+
+// Terms names all that must be the same at two routers that lend each other, beside a budget's limit.
+func (a *Agent) Terms() string { return a.node.Terms() }
+
 // SetLimits sets the limits of all budgets with a prefix, in cost a second over all
 // routers; those that are not named any more are free.
 func (a *Agent) SetLimits(prefix string, limits map[string]float64) {
--- a/fleet/audit/audit.go
+++ b/fleet/audit/audit.go
@@ -172,7 +172,7 @@
 			at := uint64(0)
 			for j, e := range t.Entries {
 				at++
-				if e.Kind == Taken && e.Version > 0 {
+				if e.Kind == Taken && e.Version > 0 && !strings.HasPrefix(e.Part, version.Here) {
 					at = max(at, first[key{e.Part, e.Version - 1}]+1)
 				}
 				if orders[i][j] != at {
@@ -184,7 +184,7 @@
 		for i, t := range trails {
 			for j, e := range t.Entries {
 				k := key{e.Part, e.Version}
-				if was, ok := next[k]; e.Kind == Taken && (!ok || orders[i][j] < was) {
+				if was, ok := next[k]; e.Kind == Taken && !strings.HasPrefix(e.Part, version.Here) && (!ok || orders[i][j] < was) {
 					next[k] = orders[i][j]
 				}
 			}
@@ -270,7 +270,7 @@
 			if e.Kind == Started {
 				clear(held[i])
 			}
-			if e.Kind == Taken {
+			if e.Kind == Taken && !strings.HasPrefix(e.Part, version.Here) {
 				held[i][e.Part] = e.Version
 				latest[e.Part] = max(latest[e.Part], e.Version)
 			}
@@ -303,7 +303,7 @@
 		if held[s.Who] == nil || s.Kind == Started {
 			held[s.Who] = version.Vector{}
 		}
-		if s.Kind == Taken {
+		if s.Kind == Taken && !strings.HasPrefix(s.Part, version.Here) {
 			held[s.Who][s.Part] = s.Version
 			newest[s.Part] = max(newest[s.Part], s.Version)
 		}
--- a/fleet/members/members.go
+++ b/fleet/members/members.go
@@ -242,7 +242,10 @@
 	}
 }
 
-// Life is the own incarnation. It can only grow, and only soon after the start.
+// Renew goes on under the next life.
+func (v *View) Renew() { v.self.Life++ }
+
+// Life is the own incarnation. It can only grow, soon after the start and by Renew.
 func (v *View) Life() uint64 { return v.self.Life }
 
 // Deaf tells whether this router hears so few others that it must doubt itself first.
--- a/fleet/node/node.go
+++ b/fleet/node/node.go
@@ -21,6 +21,7 @@
 	"lichenshelf/fleet/counts"
 	"lichenshelf/fleet/members"
 	"lichenshelf/fleet/verdict"
+	"lichenshelf/fleet/version"
 	"lichenshelf/logic"
 )
 
@@ -39,6 +40,7 @@
 	Budget  []budget.Message    `cbor:"11,keyasint,omitempty"`
 	Judged  []verdict.Judgement `cbor:"12,keyasint,omitempty"` // of the sender and passed on
 	Counts  *counts.State       `cbor:"13,keyasint,omitempty"`
+	Acts    version.Vector      `cbor:"14,keyasint,omitempty"` // what the sender acts on, with Members
 }
 
 // Spoken drops what speaks for another router than the one that sent it.
@@ -96,8 +98,21 @@
 	counted Time // when own work was told to others last
 	told    Time // when others' work was told here last
 	notices []Notice
+	acts    version.Vector // what is told to the others
+	said    map[string]said
 }
 
+// said is what another router said that it acts on.
+type said struct {
+	acts version.Vector
+	at   Time
+}
+
+const (
+	mostParts = 64  // of what a router says that it acts on
+	mostPart  = 512 // bytes of a part's name
+)
+
 // NoticeKind says what has changed.
 type NoticeKind uint8
 
@@ -119,7 +134,7 @@
 
 // New returns a node that has heard of nobody.
 func New(cfg Config, rng *rand.Rand, now Time) (*Node, error) {
-	n := &Node{cfg: cfg, rng: rng, limits: map[string]float64{}, states: map[string]members.State{}}
+	n := &Node{cfg: cfg, rng: rng, limits: map[string]float64{}, states: map[string]members.State{}, said: map[string]said{}}
 	n.names = slices.Sorted(maps.Keys(cfg.Zones))
 	var err error
 	if n.ledger, err = budget.New(budget.Config{Self: cfg.Self, Routers: n.names, Incarnation: cfg.Life, Epoch: cfg.terms(n.names),
@@ -170,6 +185,9 @@
 	return n.ledger.Spend(key, cost, budget.Time(now))
 }
 
+// Terms names what must be the same at two routers that lend each other, beside a budget's limit.
+func (n *Node) Terms() string { return strconv.FormatUint(n.cfg.terms(n.names), 16) }
+
 // Moves tells what was lent, returned and borrowed since it was asked for last.
 func (n *Node) Moves() []budget.Move { return n.ledger.Moves() }
 
@@ -191,7 +209,7 @@
 	}
 	for _, m := range n.members.Tick(members.Time(now)) {
 		e := to(m.To)
-		e.Members = &m
+		e.Members, e.Acts = &m, n.acts
 		if len(n.fronts) > 0 {
 			e.Judged = n.court.Tell(verdict.Time(now))
 		}
@@ -224,6 +242,7 @@
 func (n *Node) Receive(e Envelope, now Time) []Envelope {
 	if e.Members != nil {
 		n.members.Receive(*e.Members, members.Time(now))
+		n.hear(e.From, e.Acts, now)
 	}
 	n.court.Receive(e.Judged, verdict.Time(now))
 	if e.Counts != nil {
@@ -239,6 +258,57 @@
 	return []Envelope{answer}
 }
 
+// Renew goes on under a new life, as a process that has started anew would: what was lent under the one before is over.
+func (n *Node) Renew() {
+	n.members.Renew()
+	n.ledger.SetIncarnation(n.members.Life())
+}
+
+// SetActs sets what the others are told that this router acts on. The vector must not be changed after.
+func (n *Node) SetActs(v version.Vector) { n.acts = v }
+
+// hear takes what another router says that it acts on, unless that makes no sense.
+func (n *Node) hear(from string, v version.Vector, now Time) {
+	if _, ok := n.cfg.Zones[from]; !ok || from == n.cfg.Self || len(v) > mostParts {
+		return
+	}
+	for part := range v {
+		if len(part) > mostPart {
+			return
+		}
+	}
+	n.said[from] = said{v, now}
+}
+
+// Newest tells, for each part that this router acts on too, the newest version that Observers others act on, or all that have
+// said so if they are fewer: one that says anything can't make the others look old. Heard is when so many were heard last;
+// false if nobody was.
+func (n *Node) Newest() (newest version.Vector, heard Time, ok bool) {
+	need := min(max(n.cfg.Observers, 1), len(n.said))
+	if need == 0 {
+		return nil, 0, false
+	}
+	times := make([]Time, 0, len(n.said))
+	versions := map[string][]uint64{}
+	for _, s := range n.said {
+		times = append(times, s.at)
+		for part := range n.acts {
+			if v, ok := s.acts[part]; ok {
+				versions[part] = append(versions[part], v)
+			}
+		}
+	}
+	newest = version.Vector{}
+	for part, all := range versions {
+		if len(all) >= need {
+			slices.Sort(all)
+			newest[part] = all[len(all)-need]
+		}
+	}
+	slices.Sort(times)
+	return newest, times[len(times)-need], true
+}
+
 // notice looks for what has changed.
 func (n *Node) notice(now Time) {
 	if n.members.Fenced() && !n.fenced {
--- a/fleet/node/node_test.go
+++ b/fleet/node/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 	"lichenshelf/fleet/counts"
 	"lichenshelf/fleet/members"
 	"lichenshelf/fleet/verdict"
+	"lichenshelf/fleet/version"
 	"lichenshelf/logic"
 )
 
@@ -283,3 +285,67 @@
 		}
 	}
 }
+
+// What others act on is told by as many as must agree: one that says anything makes nobody look old, and nonsense is passed over.
+func TestWhatOthersActOn(t *testing.T) {
+	for _, n := range []int{1, 8, 80} {
+		f := newFleet(t, n, 0, func(c *Config) { c.Observers = 2 })
+		for name, node := range f.nodes {
+			node.SetActs(version.Vector{"config": 7, "only/" + name: 1})
+		}
+		f.nodes["r-0"].SetActs(version.Vector{"config": 3})
+		f.run(time.Duration(n)*time.Second/8 + 5*time.Second)
+		newest, _, ok := f.nodes["r-0"].Newest()
+		require.Equal(t, n > 1, ok, "%d routers", n)
+		if n == 1 {
+			continue
+		}
+		require.Equal(t, version.Vector{"config": 7}, newest, "%d routers", n)
+		f.nodes["r-1"].SetActs(version.Vector{"config": 1 << 60})
+		f.run(time.Duration(n)*time.Second/8 + 5*time.Second)
+		newest, _, _ = f.nodes["r-0"].Newest()
+		require.Equal(t, version.Vector{"config": 7}, newest, "one liar of %d", n)
+	}
+	n := newFleet(t, 3, 0, nil).nodes["r-0"]
+	n.SetActs(version.Vector{"config": 3})
+	many := version.Vector{}
+	for i := range mostParts + 1 {
+		many[fmt.Sprint(i)] = 1
+	}
+	for _, e := range []Envelope{{From: "stranger", Acts: version.Vector{"config": 9}}, {From: "r-0", Acts: version.Vector{"config": 9}},
+		{From: "r-1", Acts: many}, {From: "r-2", Acts: version.Vector{strings.Repeat("x", mostPart+1): 9}}} {
+		e.Members = &members.Message{From: e.From, To: "r-0"}
+		n.Receive(e, time.Hour)
+	}
+	_, _, ok := n.Newest()
+	require.False(t, ok)
+}
+
+// A router that is let in again goes on under a new life, and what was lent to it before is over.
+func TestRenewEndsWhatWasLent(t *testing.T) {
+	f := newFleet(t, 3, 0, nil)
+	for _, n := range f.nodes {
+		n.SetLimits("k", map[string]float64{"k": 300}, f.now)
+	}
+	borrowed := func() int {
+		for range 200 {
+			f.nodes["r-0"].Spend("k", 1, f.now)
+		}
+		return len(f.nodes["r-0"].Budgets(f.now)[0].Borrowed)
+	}
+	f.run(4 * time.Second)
+	for range 40 {
+		borrowed()
+		f.run(100 * time.Millisecond)
+	}
+	require.Positive(t, borrowed())
+	before := f.nodes["r-0"].Members(f.now).Life
+	f.nodes["r-0"].Renew()
+	require.Greater(t, f.nodes["r-0"].Members(f.now).Life, before)
+	require.Empty(t, f.nodes["r-0"].Budgets(f.now)[0].Borrowed)
+	for range 40 {
+		borrowed()
+		f.run(100 * time.Millisecond)
+	}
+	require.Positive(t, borrowed(), "it borrows anew under its new life")
+}
--- a/fleet/straggler/straggler.go
+++ b/fleet/straggler/straggler.go
@@ -19,6 +19,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -133,6 +134,7 @@
 	times  int  // shut out, each soon after the last
 	byAge  bool // shut out by its right, not by a slot
 	began  bool
+	target version.Vector // what was newest when the router fell behind; once it is there, a newer one counts anew
 }
 
 // New returns a machine of a router that is current.
@@ -154,9 +156,12 @@
 func (m *Machine) Step(v View, now Time) []Action {
 	lacks := v.Held.Behind(v.Newest)
 	behind := lacks >= m.cfg.Versions
+	if m.state != Current && m.target != nil && v.Held.Behind(m.target) == 0 {
+		m.since, m.target = now, maps.Clone(v.Newest) // it is at work: where versions come all the time, nobody ever has the newest
+	}
 	old := m.cfg.MostAge > 0 && Age(v, now) > m.cfg.MostAge
 	if m.state == ShutOut {
-		return m.whileShut(lacks > 0, old, v, now)
+		return m.whileShut(lacks > 0 && now-m.since >= Time(m.cfg.Grace/againAfter), old, v, now)
 	}
 	var out []Action
 	if v.Slot { // asked for before it caught up, and granted after
@@ -169,7 +174,7 @@
 	case !behind:
 		m.state = Current
 	case m.state == Current:
-		m.state, m.since = Behind, now
+		m.state, m.since, m.target = Behind, now, maps.Clone(v.Newest)
 		// All that are behind at once are spread over the time that the rate needs for all routers.
 		m.turn = now + Time(m.rng.Float64()*min(float64(m.cfg.Routers)/m.cfg.Rate*float64(time.Second), float64(m.cfg.Grace)/2))
 		m.asked = now
@@ -202,6 +207,9 @@
 	} else {
 		m.times = 0
 	}
+	if m.state == Current { // by its age alone
+		m.since, m.target = now, nil
+	}
 	m.state, m.shut, m.byAge, m.steady, m.began = ShutOut, now, byAge, -1, true
 	m.turn = now
 	return []Action{{Kind: Shut, Why: why}}
--- a/fleet/straggler/straggler_test.go
+++ b/fleet/straggler/straggler_test.go
@@ -335,3 +335,56 @@
 		require.ErrorContains(t, err, name)
 	}
 }
+
+// Versions that come all the time make nobody a straggler that takes each of them within the grace, and one that was shut
+// out for lack of one comes back under them.
+func TestVersionsThatComeAllTheTime(t *testing.T) {
+	for _, n := range []int{1, 8, 80, 200} {
+		w := newWorld(t, n, nil)
+		w.stuck[0] = n > 1
+		for range 8 * int(grace/tick) {
+			w.newest++ // each look finds a newer one than it has taken
+			w.run(t, tick)
+		}
+		require.Equal(t, n > 7, w.shut[0], "%d routers, a quarter of them may be out", n)
+		for i := 1; i < n; i++ {
+			require.False(t, w.shut[i])
+		}
+		w.stuck[0] = false
+		for range 8 * int(grace/tick) {
+			w.newest++
+			w.run(t, tick)
+		}
+		require.Zero(t, w.out(), "%d routers", n)
+	}
+}
+
+// A fence is shut from the moment that a router has not looked for too long until a look clears it, never longer than the grace.
+func TestFence(t *testing.T) {
+	const window, ms = time.Second, time.Millisecond
+	at := func(d time.Duration) Time { return Time(time.Hour + d) }
+	type look struct {
+		asked, now time.Duration // after a stop of a minute
+		lacks      uint64
+		told, open bool
+	}
+	for name, looks := range map[string][]look{
+		"nothing lacking":           {{0, 10 * ms, 0, true, false}, {100 * ms, 110 * ms, 0, true, true}},
+		"asked for before the stop": {{-time.Minute, 10 * ms, 0, true, false}, {5 * ms, 20 * ms, 0, true, false}, {100 * ms, 110 * ms, 0, true, true}},
+		"nobody to ask":             {{0, 10 * ms, 0, false, false}, {time.Second, time.Second, 0, false, false}, {4200 * ms, 4200 * ms, 0, false, true}},
+		"behind": {{0, 10 * ms, 7, true, false}, {time.Second, time.Second, 7, true, false}, {2 * time.Second, 2 * time.Second, 7, true, false},
+			{3 * time.Second, 3 * time.Second, 0, true, true}},
+		"behind, no longer than so": {{0, 10 * ms, 7, true, false}, {4200 * ms, 4200 * ms, 7, true, true}},
+	} {
+		f := NewFence(window, grace, at(0))
+		f.Look(9, true, at(window), at(window)) // to lack something is the machine's
+		require.True(t, f.May(at(2*window)), name)
+		require.False(t, f.May(at(2*window+1)), name)
+		woke := at(time.Minute)
+		require.False(t, f.May(woke), name)
+		for _, l := range looks {
+			f.Look(l.lacks, l.told, woke+Time(l.asked), woke+Time(l.now))
+			require.Equal(t, l.open, f.May(woke+Time(l.now)), "%s, %v after", name, l.now)
+		}
+	}
+}
--- a/fleet/version/version.go
+++ b/fleet/version/version.go
@@ -12,6 +12,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 )
 
 // ErrOlder says that a version lies below one that is held, or was acknowledged.
@@ -20,6 +21,32 @@
 // mostKept is how many vectors are remembered by their numbers.
 const mostKept = 1024
 
+// Here begins the name of a part whose versions this router counts by itself: they order its own records, and can't be
+// held against another router's.
+const Here = "here/"
+
+// Shared is the part of v that can be compared between routers.
+func (v Vector) Shared() Vector {
+	out := Vector{}
+	for part, n := range v {
+		if !strings.HasPrefix(part, Here) {
+			out[part] = n
+		}
+	}
+	return out
+}
+
+// Known is the part of v that o has as well.
+func (v Vector) Known(o Vector) Vector {
+	out := Vector{}
+	for part, n := range v {
+		if _, ok := o[part]; ok {
+			out[part] = n
+		}
+	}
+	return out
+}
+
 // Vector holds the version of each part. A part that is missing has version 0.
 type Vector map[string]uint64
 
@@ -80,6 +107,9 @@
 	return true, nil
 }
 
+// Leave gives up a part: what is acted on has none of it any more.
+func (t *Tracker) Leave(part string) { delete(t.held, part) }
+
 // Floor notes that a version of a part was acknowledged before the start.
 func (t *Tracker) Floor(part string, acked uint64) { t.acked[part] = max(t.acked[part], acked) }
 
--- a/front/platform/front.go
+++ b/front/platform/front.go
@@ -40,6 +40,7 @@
 var (
 	errNoPath   = errors.New("no such path")
 	errRefused  = errors.New("no room for the request now")
+	errShutOut  = errors.New("this router lies behind the others and takes nothing new")
 	errTimedOut = errors.New("no worker answered in time")
 	errFailed   = errors.New("the request failed")
 )
@@ -48,6 +49,7 @@
 type Front struct {
 	cfg     *Config
 	ready   func() bool
+	shut    atomic.Bool
 	classes atomic.Pointer[classTable]
 }
 
@@ -91,14 +93,21 @@
 	return now.Rules
 }
 
+// Shut makes the front take nothing new, or take it again. What it has in hand ends as usual.
+func (f *Front) Shut(shut bool) { f.shut.Store(shut) }
+
 // Handle answers one call.
 func (f *Front) Handle(call *downstream.Call) {
 	path, _, _ := strings.Cut(string(call.Request.Header.RequestURI()), "?")
 	switch path {
 	case healthPath:
-		call.Ready(f.ready)
+		call.Ready(func() bool { return f.ready() && !f.shut.Load() })
 	case chatPath:
-		if call.Allow(fasthttp.MethodPost) {
+		switch {
+		case f.shut.Load():
+			call.Response.Header.Set(fasthttp.HeaderRetryAfter, "1")
+			call.Problem(fasthttp.StatusServiceUnavailable, errShutOut)
+		case call.Allow(fasthttp.MethodPost):
 			f.chat(call)
 		}
 	default:
--- a/front/platform/watch.go
+++ b/front/platform/watch.go
@@ -122,6 +122,14 @@
 	return nil
 }
 
+// Again asks discovery anew for what is newer than the list in hand. The call that is out stays until that has been told.
+func (w *Watch) Again() {
+	select {
+	case w.moved <- struct{}{}:
+	default:
+	}
+}
+
 func (w *Watch) address() string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -37,6 +37,33 @@
 // AckPath is where a router's word on a configuration stands.
 func AckPath(config, router string) string { return path.Join(acksPath, config, router) }
 
+// records is what a router needs of the store: of its own replica, or of others' over their API.
+type records interface {
+	ID() string
+	Latest(config string) store.Revision
+	// CatchUp fails where it can't be told what is newest of a configuration.
+	CatchUp(ctx context.Context, config string) error
+	// Follow returns a channel that is closed at the next version of a configuration.
+	Follow(config string) (changed <-chan struct{}, stop func(), err error)
+	Get(path string) ([]byte, store.Stat, error)
+	Put(ctx context.Context, path string, data []byte) error
+	Make(ctx context.Context, path string, data []byte) error
+	Drop(ctx context.Context, path string) error
+}
+
+// ownReplica is the replica of this process as records.
+type ownReplica struct{ *store.Replica }
+
+func (r ownReplica) CatchUp(ctx context.Context, _ string) error { return r.Replica.CatchUp(ctx) }
+
+func (r ownReplica) Follow(config string) (<-chan struct{}, func(), error) {
+	w, err := r.Watch(path.Join("/config", config))
+	if err != nil {
+		return nil, nil, err
+	}
+	return w.Changed(), w.Stop, nil
+}
+
 // published follows the model API's configuration in the store and applies it to the front
 // as it runs.
 type published struct {
@@ -58,9 +85,9 @@
 // and reads what this router has acknowledged before it was started: it does not go below
 // that, or it would act on what it has said to be over.
 func (d *daemon) newPublished(cfg *modelapi.Config) (*published, error) {
-	p := &published{d: d, file: *cfg, cfg: cfg, path: AckPath(modelapi.ConfigName, d.replica.ID()), ack: Ack{Router: d.replica.ID()}, kick: make(chan struct{}, 1)}
+	p := &published{d: d, file: *cfg, cfg: cfg, path: AckPath(modelapi.ConfigName, d.records.ID()), ack: Ack{Router: d.records.ID()}, kick: make(chan struct{}, 1)}
 	var before Ack
-	text, _, err := d.replica.Get(p.path)
+	text, _, err := d.records.Get(p.path)
 	switch {
 	case errors.Is(err, store.ErrNoNode):
 	case err != nil:
@@ -70,9 +97,9 @@
 			d.log.WithError(err).WithField("node", p.path).Warn("own acknowledgement makes no sense, passed over")
 		}
 	}
-	latest := d.replica.Latest(modelapi.ConfigName)
+	latest := d.records.Latest(modelapi.ConfigName)
 	if latest.Version == 0 { // never published: somebody may have set the node by hand
-		text, _, err := d.replica.Get(modelapi.ConfigPath)
+		text, _, err := d.records.Get(modelapi.ConfigPath)
 		if err != nil && !errors.Is(err, store.ErrNoNode) {
 			return nil, fmt.Errorf("read the store: %w", err)
 		}
@@ -111,12 +138,12 @@
 func (p *published) follow(ctx context.Context) {
 	log := p.d.log.WithField("configuration", modelapi.ConfigName)
 	for told := p.ack.Version == 0; ctx.Err() == nil; {
-		watch, err := p.d.replica.Watch(modelapi.ConfigPath)
+		changed, stop, err := p.d.records.Follow(modelapi.ConfigName)
 		if err != nil {
 			log.WithError(err).Error("published configurations can't be followed")
 			return
 		}
-		if r := p.d.replica.Latest(modelapi.ConfigName); r.Version != p.ack.Version && r.Version != p.ack.Refused {
+		if r := p.d.records.Latest(modelapi.ConfigName); r.Version != p.ack.Version && r.Version != p.ack.Refused {
 			p.take(r)
 			told = false
 		}
@@ -127,13 +154,13 @@
 			}
 		}
 		select {
-		case <-watch.Changed():
+		case <-changed:
 		case <-again:
 		case <-p.kick:
 			p.change(func(a *Ack) { a.Refused = 0 })
 		case <-ctx.Done():
 		}
-		watch.Stop()
+		stop()
 	}
 }
 
@@ -156,7 +183,7 @@
 	var restart []string
 	p.cfg, restart = p.cfg.Applied(&next, p.d.fleet != nil)
 	if p.d.fleet != nil {
-		p.d.fleet.SetLimits(modelapi.QuotaPrefix, p.cfg.Quotas())
+		p.d.setQuotas(p.cfg)
 	}
 	settings := p.cfg.Settings()
 	p.core.Retune(settings.Classes, settings.MaxAttempts)
@@ -172,7 +199,7 @@
 	p.change(func(a *Ack) { a.TimeMs = time.Now().UnixMilli() })
 	text, err := json.Marshal(p.ack)
 	if err == nil {
-		err = p.d.replica.Put(ctx, p.path, text)
+		err = p.d.records.Put(ctx, p.path, text)
 	}
 	if err != nil {
 		p.d.log.WithError(err).Warn("version not acknowledged yet")
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -33,6 +33,9 @@
 	"lichenshelf/store"
 )
 
+// discoveryPart and an address name a list of workers among what the router acts on.
+const discoveryPart = "workers/discovery@"
+
 const (
 	defaultSockets = 1024
 	spareSockets   = 40          // for discovery, the listener, files and the runtime
@@ -42,6 +45,8 @@
 	bodiesPart     = 0.25        // of the limit, for the bodies of requests in hand
 	settleWait     = time.Second // for discovery's first word, where workers are known already
 	storeWait      = 30 * time.Second
+	settleAgain    = 200 * time.Millisecond
+	followPace     = 500 * time.Millisecond // of looks at a store without a replica here
 	movesPart      = 6                      // of the time until all is given up, the last, in which streams move
 	dropAfter      = 300 * time.Millisecond // all was given up, connections with half a request are closed
 	takeModelAPI   = 30 * time.Second       // after SIGTERM, while clients come
@@ -63,6 +68,7 @@
 	feeds    map[string]*sources.Feed // by front, those that take sources
 	ctx      context.Context          // ends with the program; what a reload starts runs until then
 	replica  *store.Replica
+	records  records // of the store; nil without one
 	api      *store.API
 	zk       *zkfront.Server // nil: off
 	cordon   *cordon.Cordon  // nil without the platform's front
@@ -71,11 +77,18 @@
 	fleet    *agent.Agent // nil: this router shares nothing with others
 	fleetOf  int          // how many routers share, with a fleet
 	fleetCfg *agent.Config
+	fence    *fence // nil: this router may always send
+	follow   *published
+	shutters []shutter
 	acts     acts
 	failed   chan error
 	stopping atomic.Bool
+	listFrom atomic.Pointer[string] // the discovery whose list was taken last
 }
 
+// shutter is a front that can be made to take nothing new.
+type shutter interface{ Shut(bool) }
+
 type front struct {
 	core   *router.Core
 	server *downstream.Server
@@ -153,6 +166,11 @@
 			return fmt.Errorf("start the model API: %w", err)
 		}
 	}
+	if d.fleetCfg != nil && len(d.fronts) > 0 {
+		if err := d.watchStraggling(ctx, d.fleetCfg); err != nil {
+			return err
+		}
+	}
 	if len(d.fronts) == 0 && d.replica == nil {
 		return errors.New("nothing to serve: --config FILE (or ROUTER_CONFIG) starts the platform's front, " +
 			"--modelapi FILE with listen set the model API, --store FILE with id set the store")
@@ -220,14 +238,15 @@
 	}
 	d.cordon = cordon.New(taker, cordon.Path(os.TempDir(), cfg.Name), d.log)
 	go d.cordon.Follow(ctx)
+	d.cordon.OnChange(func(v uint64) { d.acts.follow(version.Here+"workers/by-hand", v) })
 	taker = d.cordon
 	d.watch = platform.NewWatch(cfg, taker, d.log)
 	d.watch.Failed = failed
 	d.watch.Took = func(addr string, generation int64) {
-		// Another discovery may count otherwise, so it is a part of its own.
-		if _, err := d.acts.take("workers/discovery@"+addr, uint64(max(generation, 0))); err != nil {
-			d.log.WithError(err).Debug("an older list from discovery")
+		if last := d.listFrom.Swap(&addr); last != nil && *last != addr {
+			d.acts.leave(discoveryPart + *last) // another discovery may count otherwise
 		}
+		d.acts.follow(discoveryPart+addr, uint64(max(generation, 0)))
 	}
 	go d.watch.Run(ctx)
 	started := time.Now()
@@ -236,6 +255,7 @@
 		return settled && !d.stopping.Load()
 	}
 	d.platform, d.platCore = platform.NewFront(cfg, ready), core
+	d.shutters = append(d.shutters, d.platform)
 	if err := d.listen(cfg.Listen, front{core: core, take: cfg.TakeFor(), leave: cfg.LeaveAfter()}, downstream.Config{Handler: d.platform.Handle,
 		Problem: downstream.TextProblem, MaxBody: platform.MaxBody,
 		MaxBytes: int64(float64(memory) * bodiesPart), MaxConns: clients}); err != nil {
@@ -269,7 +289,7 @@
 		return err
 	}
 	var follow *published
-	if d.replica != nil {
+	if d.records != nil {
 		if err := d.settle(starting); err != nil {
 			return err
 		}
@@ -281,7 +301,7 @@
 	var budgets modelapi.Budgets
 	if d.fleet != nil {
 		cfg.Routers = d.fleetOf
-		d.fleet.SetLimits(modelapi.QuotaPrefix, cfg.Quotas())
+		d.setQuotas(cfg)
 		budgets = d.fleet
 	}
 	settings := cfg.Settings()
@@ -300,35 +320,45 @@
 	}
 	ready := func() bool { return feed.Ready() && !d.stopping.Load() }
 	models := modelapi.NewFront(cfg, ready, budgets)
+	d.shutters = append(d.shutters, models)
 	if follow != nil {
 		follow.front, follow.core = models, core
+		d.follow = follow
 		go follow.follow(ctx)
-		if d.fleetCfg != nil {
-			if err := d.watchStraggling(ctx, d.fleetCfg, follow); err != nil {
-				return err
-			}
-		}
 	}
 	return d.listen(cfg.Listen, front{core: core, take: takeModelAPI}, downstream.Config{Handler: models.Handle,
 		Problem: modelapi.Problem, MaxBody: cfg.MaxBody,
 		MaxBytes: cfg.MaxBytes, MaxConns: clients})
 }
 
-// settle waits until the replica has caught up: a router must not start with another
+// settle waits until the store has told what is newest: a router must not start with another
 // configuration than its fellows for want of patience.
 func (d *daemon) settle(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, storeWait)
 	defer cancel()
-	select {
-	case <-d.replica.Settled():
-		return nil
-	case <-ctx.Done():
-		return fmt.Errorf("the store can't tell what is newest, for the configuration: %w", ctx.Err())
+	if d.replica != nil {
+		select {
+		case <-d.replica.Settled():
+			return nil
+		case <-ctx.Done():
+			return fmt.Errorf("the store can't tell what is newest, for the configuration: %w", ctx.Err())
+		}
+	}
+	for {
+		err := d.records.CatchUp(ctx, modelapi.ConfigName)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-time.After(settleAgain):
+		case <-ctx.Done():
+			return fmt.Errorf("the store can't tell what is newest, for the configuration: %w", err)
+		}
 	}
 }
 
 func (d *daemon) core(ctx context.Context, decider logic.Decider, t router.Transport, p share, attempts, open int) *router.Core {
-	core := router.New(router.Config{Decider: decider, Transport: t, Permit: p.permit(), Counters: d.counters,
+	core := router.New(router.Config{Decider: decider, Transport: t, Permit: p.permit(), Fence: d.fence.check(), Counters: d.counters,
 		MaxAttempts: attempts, MaxOpen: open, Log: d.log})
 	go core.Run(ctx)
 	return core
@@ -354,6 +384,12 @@
 
 func (d *daemon) startStore() error {
 	cfg, err := store.LoadConfig(d.files.Store)
+	if err == nil && len(cfg.Follow) > 0 {
+		f := store.NewFollower(cfg.Name, followPace, cfg.Follow...)
+		d.records = f
+		go f.Run(d.ctx, modelapi.ConfigName)
+		d.log.WithField("name", cfg.Name).WithField("follow", cfg.Follow).Info("following the store")
+	}
 	if err != nil || cfg.ID == "" {
 		return err
 	}
@@ -365,6 +401,7 @@
 	if d.replica, err = store.Open(*cfg); err != nil {
 		return errors.Join(err, l.Close())
 	}
+	d.records = ownReplica{d.replica}
 	d.api = store.NewAPI(d.replica, storeChecks)
 	go func() {
 		if err := d.api.Serve(l); err != nil {
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -12,6 +12,7 @@
 	"lichenshelf/fleet/node"
 	"lichenshelf/fleet/trail"
 	"lichenshelf/front/console"
+	"lichenshelf/front/modelapi"
 	"lichenshelf/logic"
 	"lichenshelf/router"
 )
@@ -35,6 +36,11 @@
 		return fmt.Errorf("listen for the fleet: %w", err)
 	}
 	d.fleet, d.fleetOf, d.fleetCfg = a, len(cfg.Routers), cfg
+	d.acts.count("fleet/terms", a.Terms())
+	d.acts.tellOthers(a.SetActs)
+	if g := cfg.Straggle.Grace.Duration; g > 0 {
+		d.fence = newFence(g)
+	}
 	go func() {
 		if err := a.Serve(l); err != nil {
 			d.failed <- err
@@ -51,6 +57,13 @@
 	return d.serveConsole(cfg.Operator, console.New(func() bool { return !d.stopping.Load() }, nil).WithFleet(fleetPages{a, &d.acts}))
 }
 
+// setQuotas makes accounts' quotas limits over all routers. They are a version of their own in the trail.
+func (d *daemon) setQuotas(cfg *modelapi.Config) {
+	quotas := cfg.Quotas()
+	d.fleet.SetLimits(modelapi.QuotaPrefix, quotas)
+	d.acts.count("fleet/quotas", fmt.Sprint(quotas))
+}
+
 // trailPage is the name of the page that holds this router's trail, as a tar.
 const trailPage = "trail"
 
--- a/internal/daemon/sources.go
+++ b/internal/daemon/sources.go
@@ -6,6 +6,7 @@
 	"lichenshelf/discovery/membership"
 	"lichenshelf/discovery/sources"
 	"lichenshelf/discovery/storesource"
+	"lichenshelf/fleet/version"
 	"lichenshelf/front/modelapi"
 	"lichenshelf/front/platform"
 	"lichenshelf/router"
@@ -18,6 +19,13 @@
 		registry = storesource.Replica{Replica: d.replica}
 	}
 	f := sources.NewFeed(front, core, registry, names, d.log)
+	f.Took = func(source string, v uint64, own bool) {
+		part := "workers/" + front + "/" + source
+		if !own {
+			part = version.Here + part
+		}
+		d.acts.follow(part, v)
+	}
 	if err := f.Apply(d.ctx, d.sources, d.sourcesOf(front, d.sources)); err != nil {
 		return nil, err
 	}
--- a/internal/daemon/straggler.go
+++ b/internal/daemon/straggler.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"math/rand/v2"
 	"path"
+	"strings"
+	"sync"
 	"time"
 
 	"lichenshelf/fleet/agent"
@@ -23,11 +25,41 @@
 	leastLook = 50 * time.Millisecond
 )
 
-// straggling brings this router up where it lies behind the published configuration, or shuts
-// it out.
+// fence keeps what this router sends back while it may act on what is long over; nil keeps nothing back.
+type fence struct {
+	mu    sync.Mutex
+	fence *straggler.Fence
+	start time.Time
+}
+
+// newFence returns a fence for a grace. A turn of the looks takes up to actWait longer than they are apart.
+func newFence(grace time.Duration) *fence {
+	return &fence{fence: straggler.NewFence(grace+actWait, grace, 0), start: time.Now()}
+}
+
+// look notes a look that was begun at a time. Told is whether the store answered it: what other routers say may have waited in
+// this one's sockets while it was stopped.
+func (f *fence) look(lacks uint64, told bool, began time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.fence.Look(lacks, told, straggler.Time(began.Sub(f.start)), straggler.Time(time.Since(f.start)))
+}
+
+// check is what a core asks before it sends; nil: it need not.
+func (f *fence) check() func() bool {
+	if f == nil {
+		return nil
+	}
+	return func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.fence.May(straggler.Time(time.Since(f.start)))
+	}
+}
+
+// straggling brings this router up where it lies behind the others or the published configuration, or shuts it out.
 type straggling struct {
 	d       *daemon
-	follow  *published
 	machine *straggler.Machine
 	cfg     straggler.Config
 	every   time.Duration
@@ -37,12 +69,12 @@
 }
 
 // watchStraggling starts it, where the fleet's file gives a grace.
-func (d *daemon) watchStraggling(ctx context.Context, cfg *agent.Config, follow *published) error {
+func (d *daemon) watchStraggling(ctx context.Context, cfg *agent.Config) error {
 	c := cfg.Straggle
 	if c.Grace.Duration == 0 {
 		return nil
 	}
-	s := &straggling{d: d, follow: follow, start: time.Now(), every: max(c.Grace.Duration/looks, leastLook),
+	s := &straggling{d: d, start: time.Now(), every: max(c.Grace.Duration/looks, leastLook),
 		cfg: straggler.Config{Routers: len(cfg.Routers), Rank: cfg.Rank(), Versions: 1, Grace: c.Grace.Duration, MostAge: c.MostAge.Duration,
 			MostShut: c.MostShut, Rate: c.Rate, Steady: c.Steady.Duration}}
 	var err error
@@ -71,24 +103,37 @@
 	}
 }
 
-// look learns what is newest. What can't be learnt stays as it was, and grows old.
+// look learns what is newest, of the store and of the other routers. What can't be learnt stays as it was, and grows old.
 func (s *straggling) look(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, s.every)
 	defer cancel()
-	at := straggler.Time(time.Since(s.start))
-	s.view.Held = version.Vector{configPart: s.follow.version()}
-	if s.d.replica.CatchUp(ctx) == nil {
-		s.view.Newest, s.view.Heard = version.Vector{configPart: s.d.replica.Latest(modelapi.ConfigName).Version}, at
+	began, sure := time.Now(), false
+	at := straggler.Time(began.Sub(s.start))
+	s.view.Held = s.d.acts.held()
+	newest, ago, told := s.d.fleet.Newest()
+	if told = told && ago < s.cfg.Grace; told {
+		s.view.Newest, s.view.Heard = newest.Known(s.view.Held), max(s.view.Heard, at-straggler.Time(ago))
 	}
+	if s.d.follow != nil && s.d.records.CatchUp(ctx, modelapi.ConfigName) == nil {
+		if !told {
+			s.view.Newest = version.Vector{}
+		}
+		sure = true
+		s.view.Newest[configPart], s.view.Heard = s.d.records.Latest(modelapi.ConfigName).Version, at
+	}
+	s.d.fence.look(s.view.Held.Behind(s.view.Newest), sure, began)
 }
 
 func (s *straggling) slotPath(i int) string { return path.Join(shutPath, fmt.Sprintf("slot-%d", i)) }
 
 // forgetSlots gives back what a process of this name has left.
 func (s *straggling) forgetSlots(ctx context.Context) {
+	if s.d.records == nil {
+		return
+	}
 	for i := range s.cfg.Slots() {
-		text, _, err := s.d.replica.Get(s.slotPath(i))
-		if err == nil && string(text) == s.d.replica.ID() {
+		text, _, err := s.d.records.Get(s.slotPath(i))
+		if err == nil && string(text) == s.d.records.ID() {
 			s.drop(ctx, s.slotPath(i))
 		}
 	}
@@ -97,7 +142,7 @@
 func (s *straggling) drop(ctx context.Context, node string) bool {
 	ctx, cancel := context.WithTimeout(ctx, actWait)
 	defer cancel()
-	if err := s.d.replica.Drop(ctx, node); err != nil {
+	if err := s.d.records.Drop(ctx, node); err != nil {
 		s.d.log.WithError(err).WithField("slot", node).Warn("slot not given back yet")
 		return false
 	}
@@ -106,13 +151,16 @@
 
 // ask takes a slot that is free, or finds that this router has one.
 func (s *straggling) ask(ctx context.Context) {
+	if s.d.records == nil { // nobody has slots to give; there are the rights
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, actWait)
 	defer cancel()
 	for i := range s.cfg.Slots() {
 		node := s.slotPath(i)
-		err := s.d.replica.Make(ctx, node, []byte(s.d.replica.ID()))
+		err := s.d.records.Make(ctx, node, []byte(s.d.records.ID()))
 		if errors.Is(err, store.ErrNodeExists) {
-			if text, _, e := s.d.replica.Get(node); e == nil && string(text) == s.d.replica.ID() {
+			if text, _, e := s.d.records.Get(node); e == nil && string(text) == s.d.records.ID() {
 				err = nil // asked for before, and the answer was lost
 			}
 		}
@@ -126,11 +174,29 @@
 	}
 }
 
+// bringUp asks anew for what this router lacks: the configuration is tried again, discovery is asked for the difference.
+func (s *straggling) bringUp() {
+	if s.d.follow != nil && s.view.Held[configPart] < s.view.Newest[configPart] {
+		s.d.follow.again()
+	}
+	for part, v := range s.view.Newest {
+		if s.d.watch != nil && strings.HasPrefix(part, discoveryPart) && s.view.Held[part] < v {
+			s.d.watch.Again()
+		}
+	}
+}
+
+func (s *straggling) shut(shut bool) {
+	for _, f := range s.d.shutters {
+		f.Shut(shut)
+	}
+}
+
 func (s *straggling) act(ctx context.Context, a straggler.Action) {
-	log := s.d.log.WithField("newest", s.view.Newest[configPart]).WithField("held", s.view.Held[configPart])
+	log := s.d.log.WithField("newest", s.view.Newest).WithField("held", s.view.Held)
 	switch a.Kind {
 	case straggler.BringUp:
-		s.follow.again()
+		s.bringUp()
 	case straggler.AskSlot:
 		s.ask(ctx)
 	case straggler.GiveSlot:
@@ -139,11 +205,12 @@
 		}
 	case straggler.Shut:
 		log.WithField("why", a.Why).Error("shut out: this router takes nothing new until it has caught up")
-		s.follow.front.Shut(true)
+		s.shut(true)
 		s.d.acts.shut(audit.ShutOut, a.Why)
 	case straggler.LetIn:
 		log.Warn("let in again")
 		s.d.acts.shut(audit.Readmitted, "")
-		s.follow.front.Shut(false)
+		s.d.fleet.Renew()
+		s.shut(false)
 	}
 }
--- a/internal/daemon/trail.go
+++ b/internal/daemon/trail.go
@@ -2,6 +2,7 @@
 
 import (
 	"path/filepath"
+	"strings"
 	"sync"
 	"time"
 
@@ -14,6 +15,8 @@
 	"lichenshelf/fleet/version"
 )
 
+const mostText = 512 // bytes of what a record says
+
 // acts knows the versions that this router acts on, and keeps its trail if there is one. Its
 // methods may be called from any goroutine and wait for no disk.
 type acts struct {
@@ -22,6 +25,7 @@
 	trail    *trail.Writer // nil: none is kept
 	dir      string        // where it is
 	log      logrus.FieldLogger
+	tell     func(version.Vector) // the other routers; nil: nobody
 }
 
 // openTrail begins this router's trail, if the fleet's file names a directory.
@@ -76,10 +80,54 @@
 	}
 	if changed {
 		a.note(audit.Record{Kind: audit.Taken, Part: part, Version: v, Number: a.versions.Number()})
+		if a.tell != nil && !strings.HasPrefix(part, version.Here) {
+			a.tell(a.versions.Held().Shared())
+		}
 	}
 	return a.versions.Number(), nil
 }
 
+// follow is take for what the router has gone over to already, whatever it is; an older version than was held shows in the trail.
+func (a *acts) follow(part string, v uint64) {
+	if _, err := a.take(part, v); err != nil {
+		a.log.WithError(err).Debug("an older version of " + part)
+	}
+}
+
+// count takes the next version of a part that this router counts by itself.
+func (a *acts) count(part, text string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	part = version.Here + part
+	v := a.versions.Held()[part] + 1
+	text = text[:min(len(text), mostText)]
+	if _, err := a.versions.Take(part, v); err == nil {
+		a.note(audit.Record{Kind: audit.Taken, Part: part, Version: v, Number: a.versions.Number(), Text: text})
+	}
+}
+
+// leave gives up a part, which this router does not act on any more.
+func (a *acts) leave(part string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.versions.Leave(part)
+}
+
+// tellOthers has f told of what can be compared with other routers' versions, now and at each change.
+func (a *acts) tellOthers(f func(version.Vector)) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.tell = f
+	f(a.versions.Held().Shared())
+}
+
+// held is what can be compared with other routers' versions.
+func (a *acts) held() version.Vector {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.versions.Held().Shared()
+}
+
 // refuse notes that a version is not taken.
 func (a *acts) refuse(part string, v uint64, why error) {
 	a.mu.Lock()
--- a/router/core.go
+++ b/router/core.go
@@ -27,7 +27,10 @@
 	Decider   logic.Decider
 	Transport Transport
 	Permit    Permit // asked before each attempt; nil: all may go
-	Counters  Counters
+	// Fence is asked before each attempt, and again right before its first byte: with false nothing new goes out. It
+	// may be called from any goroutine and must return at once; nil: all may go.
+	Fence    func() bool
+	Counters Counters
 	// MaxAttempts bounds the attempts of one request; 0 means no bound.
 	MaxAttempts int
 	// MaxOpen bounds the requests in hand; more are refused at the door.
@@ -77,7 +80,7 @@
 		cfg.Log = silent
 	}
 	c := &Core{mail: make(chan func(), mailboxSize), stopped: make(chan struct{})}
-	c.roster.workers = map[logic.ServerID]*Worker{}
+	c.roster.workers, c.roster.fence = map[logic.ServerID]*Worker{}, cfg.Fence
 	c.intake = intake{core: c, limit: int64(cfg.MaxOpen), count: cfg.Counters}
 	c.admission = admission{core: c, exchanges: map[logic.RequestID]*exchange{}, names: map[string]bool{}}
 	c.routing = routing{core: c, decider: cfg.Decider, start: time.Now(), log: cfg.Log}
--- a/router/roster.go
+++ b/router/roster.go
@@ -22,6 +22,7 @@
 	Addr    string
 	since   logic.Time
 	leaving atomic.Bool
+	fence   func() bool // nil: none
 }
 
 // Since is when the worker last started, as its list says; 0 means long ago.
@@ -30,13 +31,14 @@
 // MaySend tells whether something new may go to the worker. A sender asks right
 // before the first byte: between the decision and the write a connection may
 // have had to come up, and a drain may have been told meanwhile.
-func (w *Worker) MaySend() bool { return !w.leaving.Load() }
+func (w *Worker) MaySend() bool { return !w.leaving.Load() && (w.fence == nil || w.fence()) }
 
 // roster holds the workers that discovery has named. Discovery's goroutine marks
 // a leaving worker here before the core hears of it, so that queued sends stop.
 type roster struct {
 	mu      sync.RWMutex
 	workers map[logic.ServerID]*Worker
+	fence   func() bool // nil: none
 }
 
 // apply takes a list and returns the workers whose connections are void.
@@ -55,7 +57,7 @@
 			if m.Health == logic.Gone {
 				continue
 			}
-			w = &Worker{ID: m.Server, Name: m.Name, Addr: m.Addr, since: m.Since}
+			w = &Worker{ID: m.Server, Name: m.Name, Addr: m.Addr, since: m.Since, fence: r.fence}
 			r.workers[m.Server] = w
 		}
 		w.leaving.Store(m.Health != logic.Ready)
--- a/router/send.go
+++ b/router/send.go
@@ -43,6 +43,10 @@
 	case ex.closed || ex.attempt != nil || s.most > 0 && (ex.sends-ex.unreached >= s.most || ex.sends >= mostSends*s.most):
 		s.report(a, Outcome{Status: logic.NotSent})
 		return
+	case s.core.roster.fence != nil && !s.core.roster.fence():
+		s.count.Add("attempts_fenced", 1)
+		s.report(a, Outcome{Status: logic.NotSent})
+		return
 	case w == nil || !w.MaySend():
 		// Told to leave between the decision and now: nothing was sent.
 		ex.sends++
--- a/store/config.go
+++ b/store/config.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"strings"
 
 	"lichenshelf/conffile"
 )
@@ -14,7 +15,17 @@
 	if err != nil {
 		return nil, err
 	}
-	if c.ID == "" {
+	for i, addr := range c.Follow {
+		if _, _, err := net.SplitHostPort(addr); err != nil {
+			return nil, file.Bad(fmt.Sprintf("follow.%d", i), addr, err.Error())
+		}
+	}
+	switch {
+	case len(c.Follow) > 0 && c.ID != "":
+		return nil, file.Bad("follow", c.Follow, "this router has a replica of its own, "+c.ID+", and follows that")
+	case len(c.Follow) > 0 && (c.Name == "" || strings.Contains(c.Name, "/")):
+		return nil, file.Bad("name", c.Name, "a router that follows has to be called something, without /, that no other one is called")
+	case c.ID == "":
 		return &c, nil
 	}
 	if _, err := c.self(); err != nil {
--- a/store/replica.go
+++ b/store/replica.go
@@ -37,6 +37,9 @@
 	// ZooKeeper is where ZooKeeper clients connect to this replica; empty: the
 	// front is off.
 	ZooKeeper string `toml:"zookeeper"`
+	// Follow and Name are of a router without a replica: the API addresses of those that have one, and what it is called there.
+	Follow []string `toml:"follow"`
+	Name   string   `toml:"name"`
 
 	// Pace shortens raft's heartbeat, election and lease times where it is not 0.
 	Pace time.Duration `toml:"-"`
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -55,13 +55,6 @@
 	require.Eventually(t, f, patient, soon, what)
 }
 
-func freeAddr(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // program is a running lichenshelf.
 type program struct {
 	t    *testing.T
@@ -443,7 +436,7 @@
 }
 
 func platformAt(t *testing.T, d *discovery, idle time.Duration) *program {
-	addr, file := freeAddr(t), config(t, `{"generation":0,"reset":true,"instances":[]}`, idle)
+	addr, file := ownAddr(t), config(t, `{"generation":0,"reset":true,"instances":[]}`, idle)
 	p := start(t, addr, []string{"ROUTER_LISTEN=" + addr, "ROUTER_NAME=n1",
 		"ROUTER_DISCOVERY=" + d.Listener.Addr().String(), "ROUTER_CONFIG=" + file}, "serve")
 	p.file = file
--- a/test/leaving_test.go
+++ b/test/leaving_test.go
@@ -107,7 +107,7 @@
 			other := newWorker(t, "s-00000003", "writer", nil)
 			d := newDiscovery(t)
 			d.list(true, "in_service", r, w, other)
-			addr, file := freeAddr(t), config(t, `{"generation":0,"reset":true,"instances":[]}`, connIdle)
+			addr, file := ownAddr(t), config(t, `{"generation":0,"reset":true,"instances":[]}`, connIdle)
 			among(t, file, routers)
 			p := start(t, addr, []string{"ROUTER_LISTEN=" + addr, "ROUTER_NAME=n1",
 				"ROUTER_DISCOVERY=" + d.Listener.Addr().String(), "ROUTER_CONFIG=" + file}, "serve")
@@ -131,7 +131,7 @@
 	other := newWorker(t, "s-00000003", "writer", nil)
 	d := newDiscovery(t)
 	d.list(true, "in_service", r, other)
-	addr, file := freeAddr(t), config(t, listText(0, true, "in_service", r, w), connIdle)
+	addr, file := ownAddr(t), config(t, listText(0, true, "in_service", r, w), connIdle)
 	among(t, file, 300)
 	p := start(t, addr, []string{"ROUTER_LISTEN=" + addr, "ROUTER_NAME=n1",
 		"ROUTER_DISCOVERY=" + d.Listener.Addr().String(), "ROUTER_CONFIG=" + file}, "serve").waitReady()
@@ -148,7 +148,7 @@
 	require.NoError(t, err)
 	at := l.Addr().String()
 	require.NoError(t, l.Close())
-	addr, file := freeAddr(t), config(t, listText(0, true, "in_service", r, w, other), connIdle)
+	addr, file := ownAddr(t), config(t, listText(0, true, "in_service", r, w, other), connIdle)
 	among(t, file, 300)
 	p := start(t, addr, []string{"ROUTER_LISTEN=" + addr, "ROUTER_NAME=n1", "ROUTER_DISCOVERY=" + at,
 		"ROUTER_CONFIG=" + file}, "serve").waitReady()
--- a/test/modelapi_test.go
+++ b/test/modelapi_test.go
@@ -50,7 +50,7 @@
 // modelAPI starts the front before the given stand-ins. Settings are further
 // lines of its file.
 func modelAPI(t *testing.T, settings string, backends ...*worker) *api {
-	addr := freeAddr(t)
+	addr := ownAddr(t)
 	a := &api{file: filepath.Join(t.TempDir(), "modelapi.toml"),
 		settings: fmt.Sprintf("listen = %q\n%s\n", addr, settings)}
 	a.write(t, nil, backends...)
--- a/test/platform_test.go
+++ b/test/platform_test.go
@@ -251,8 +251,8 @@
 	d.list(true, "in_service", r, w)
 	p.waitReady()
 
-	addr := freeAddr(t) // a discovery that is down: the known workers have to do
-	old := start(t, addr, []string{"ROUTER_LISTEN=" + addr, "ROUTER_DISCOVERY=" + freeAddr(t),
+	addr := ownAddr(t) // a discovery that is down: the known workers have to do
+	old := start(t, addr, []string{"ROUTER_LISTEN=" + addr, "ROUTER_DISCOVERY=" + ownAddr(t),
 		"ROUTER_CONFIG=" + config(t, listText(7, true, "in_service", r, w), connIdle)}, "serve").waitReady()
 	require.Equal(t, 200, old.ask("query", newID(), patience).status)
 }
@@ -386,7 +386,7 @@
 	require.NoError(t, err)
 	p.reconfigure(`{"discovery":`)
 	eventually(t, func() bool { return p.logged("discovery stays as it is") }, "a file that can't be read is told")
-	addr := freeAddr(t)
+	addr := ownAddr(t)
 	p.reconfigure(fmt.Sprintf(`{"discovery":%q,%s`, addr, good[1:]))
 	eventually(t, func() bool { return p.logged("connect to discovery: dial tcp " + addr) }, "the new address is tried")
 	again, err := http.DefaultClient.Do(p.request("query", newID(), patience))
--- a/test/sizes_test.go
+++ b/test/sizes_test.go
@@ -61,7 +61,7 @@
 	d := newDiscovery(t)
 	d.say(list(1, true, func(int) string { return "in_service" }))
 
-	addr, file := freeAddr(t), config(t, list(0, true, func(int) string { return "in_service" }), connIdle)
+	addr, file := ownAddr(t), config(t, list(0, true, func(int) string { return "in_service" }), connIdle)
 	among(t, file, routers)
 	text, err := os.ReadFile(file)
 	require.NoError(t, err)
--- a/test/sources_test.go
+++ b/test/sources_test.go
@@ -91,7 +91,7 @@
 
 // run starts the program and its clients.
 func (s *sourced) run() {
-	addr := freeAddr(s.t)
+	addr := ownAddr(s.t)
 	s.settings = fmt.Sprintf("listen = %q\nmax_open = 64\n[embeddings]\naim = \"1s\"\ndeadline = \"5s\"\n", addr)
 	s.write(s.t, nil)
 	s.program = start(s.t, addr, nil, "serve", "--modelapi", s.file, "--sources", s.sources).waitReady()
@@ -415,7 +415,7 @@
 	require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
 	d := newDiscovery(t)
 	d.list(true, "in_service", r, w)
-	addr, config := freeAddr(t), config(t, `{"generation":0,"reset":true,"instances":[]}`, connIdle)
+	addr, config := ownAddr(t), config(t, `{"generation":0,"reset":true,"instances":[]}`, connIdle)
 	p := start(t, addr, []string{"ROUTER_LISTEN=" + addr, "ROUTER_NAME=n1", "ROUTER_DISCOVERY=" + d.Listener.Addr().String(),
 		"ROUTER_CONFIG=" + config}, "serve", "--sources", file).waitReady()
 	p.file = config
--- a/test/store_test.go
+++ b/test/store_test.go
@@ -25,10 +25,10 @@
 func replicas(t *testing.T, modelSettings string) (programs []*program, apis []string, front *program) {
 	var peers strings.Builder
 	for i := range 3 {
-		apis = append(apis, freeAddr(t))
-		fmt.Fprintf(&peers, "[[peer]]\nid = \"r%d\"\nraft = %q\napi = %q\n", i, freeAddr(t), apis[i])
+		apis = append(apis, ownAddr(t))
+		fmt.Fprintf(&peers, "[[peer]]\nid = \"r%d\"\nraft = %q\napi = %q\n", i, ownAddr(t), apis[i])
 	}
-	listen := freeAddr(t)
+	listen := ownAddr(t)
 	file := filepath.Join(t.TempDir(), "modelapi.toml")
 	require.NoError(t, os.WriteFile(file, []byte(fmt.Sprintf("listen = %q\n%s", listen, modelSettings)), 0o600))
 	for i := range 3 {
--- a/test/upgrade_test.go
+++ b/test/upgrade_test.go
@@ -29,7 +29,7 @@
 	out := newWorker(t, "s-00000003", "writer", nil)
 	d := newDiscovery(t)
 	d.list(true, "in_service", r, w, out)
-	addr, first, second := freeAddr(t), freeAddr(t), freeAddr(t)
+	addr, first, second := ownAddr(t), ownAddr(t), ownAddr(t)
 	tmp, file := t.TempDir(), config(t, `{"generation":0,"reset":true,"instances":[]}`, connIdle)
 	env := []string{"ROUTER_LISTEN=" + addr, "ROUTER_NAME=n1", "TMPDIR=" + tmp,
 		"ROUTER_DISCOVERY=" + d.Listener.Addr().String(), "ROUTER_CONFIG=" + file}
--- a/test/zk_test.go
+++ b/test/zk_test.go
@@ -122,10 +122,10 @@
 	a, b := newWorker(t, "a", "model", model), newWorker(t, "b", "model", model)
 	var peers, zkAddrs, apis []string
 	for i := range 3 {
-		apis, zkAddrs = append(apis, freeAddr(t)), append(zkAddrs, freeAddr(t))
-		peers = append(peers, fmt.Sprintf("[[peer]]\nid = \"r%d\"\nraft = %q\napi = %q\n", i, freeAddr(t), apis[i]))
+		apis, zkAddrs = append(apis, ownAddr(t)), append(zkAddrs, ownAddr(t))
+		peers = append(peers, fmt.Sprintf("[[peer]]\nid = \"r%d\"\nraft = %q\napi = %q\n", i, ownAddr(t), apis[i]))
 	}
-	listen, dir := freeAddr(t), t.TempDir()
+	listen, dir := ownAddr(t), t.TempDir()
 	file, sources := filepath.Join(dir, "modelapi.toml"), filepath.Join(dir, "sources.toml")
 	require.NoError(t, os.WriteFile(file, []byte(fmt.Sprintf("listen = %q\n", listen)), 0o600))
 	require.NoError(t, os.WriteFile(sources, []byte(fmt.Sprintf("[[source]]\nname = \"zk\"\nkind = \"zookeeper\"\nservers = [%q, %q, %q]\npath = \"/service/chat\"\nsession = \"4s\"\n",
