Publishing under kills, stops and late links is checked by porcupine over five programs

Change: TestPublishingUnderHarm: three replicas, two routers without one, relays between them; publishers that repeat a request until its outcome is known, readers, acknowledgements; kills and stops of any of the five, links cut, one way or 3 s late. The ledger beside the history is shown to find each of its faults. Five harms with a fixed seed in the usual run, -soak for longer ones.

--- a/test/straggler_test.go
+++ b/test/straggler_test.go
@@ -1,20 +1,29 @@
 package test
 
 import (
+	"context"
+	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/anishathalye/porcupine"
 	"github.com/stretchr/testify/require"
 
 	"lichenshelf/fleet/audit"
 	"lichenshelf/fleet/trail"
+	relay "lichenshelf/internal/standin/link"
+	"lichenshelf/lab/history"
+	"lichenshelf/store"
 )
 
 // followers are routers of one fleet without a replica, beside a store of three.
@@ -23,6 +32,7 @@
 	routers []*program
 	names   []string
 	trails  string
+	links   []*relay.Relay // from the routers to the replicas
 }
 
 // newFollowers starts n of them before a backend; straggling is the end of their fleet's file.
@@ -32,6 +42,13 @@
 	api := fmt.Sprintf("[[backend]]\nname = \"m-a\"\naddr = %q\n", backend.Listener.Addr())
 	f := &followers{published: newPublished(t, api), trails: t.TempDir()}
 	f.front.waitReady()
+	var follow []string
+	for _, addr := range f.apis {
+		link, err := relay.New(addr)
+		require.NoError(t, err)
+		t.Cleanup(link.Close)
+		f.links, follow = append(f.links, link), append(follow, strconv.Quote(link.Addr()))
+	}
 	var members strings.Builder
 	for i := range n {
 		f.names = append(f.names, fmt.Sprintf("f%d", i))
@@ -46,7 +63,7 @@
 		}
 		f.routers = append(f.routers, start(t, listen, nil, "serve",
 			"--modelapi", write("modelapi.toml", fmt.Sprintf("listen = %q\n%s", listen, api)),
-			"--store", write("store.toml", fmt.Sprintf("follow = [%q, %q, %q]\nname = %q\n", f.apis[0], f.apis[1], f.apis[2], f.names[i])),
+			"--store", write("store.toml", fmt.Sprintf("follow = [%s]\nname = %q\n", strings.Join(follow, ", "), f.names[i])),
 			"--fleet", write("fleet.toml", fmt.Sprintf("fleet = \"f\"\nself = %q\nperiod = \"100ms\"\ntrail = %q\n%s%s", f.names[i], f.trails, members.String(), straggling))))
 	}
 	for _, p := range f.routers {
@@ -182,3 +199,233 @@
 		})
 	}
 }
+
+// ledger is what publishers, readers and routers said of one configuration.
+type ledger struct {
+	t        *testing.T
+	h        *history.History
+	mu       sync.Mutex
+	texts    map[uint64]string // by version
+	versions map[string]uint64
+	acks     map[string]uint64 // by router
+	reads    int
+	faults   []string
+}
+
+func (l *ledger) fault(format string, args ...any) {
+	l.faults = append(l.faults, fmt.Sprintf(format, args...))
+}
+
+// saw notes a version and its text: each has one of the other, whoever says it and whenever.
+func (l *ledger) saw(version uint64, text string) {
+	if was, ok := l.texts[version]; ok && was != text {
+		l.fault("version %d is %q and %q", version, was, text)
+	}
+	if was, ok := l.versions[text]; ok && was != version {
+		l.fault("%q is version %d and %d: taken twice", text, was, version)
+	}
+	l.texts[version], l.versions[text] = text, version
+}
+
+const ledgerName = "config"
+
+// publish publishes a text of its own under one request's name, over and over until its outcome is known.
+func (l *ledger) publish(ctx context.Context, client int, c *store.Client, n int64) {
+	text := fmt.Sprintf("max_open = %d\n", 10+n)
+	called := l.h.Now()
+	for {
+		r, err := c.Publish("modelapi", []byte(text), fmt.Sprintf("request-%d", n), "soak", nil, 0)
+		if err == nil {
+			l.h.Wrote(client, ledgerName, text, called, true)
+			l.mu.Lock()
+			l.saw(r.Version, text)
+			l.mu.Unlock()
+			return
+		}
+		if ctx.Err() != nil {
+			l.h.Wrote(client, ledgerName, text, called, false)
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func (l *ledger) read(client int, c *store.Client) {
+	called := l.h.Now()
+	list, err := c.Published("modelapi")
+	if err != nil {
+		return
+	}
+	value := "0"
+	if len(list) > 0 {
+		value = list[len(list)-1].Text
+	}
+	l.h.Read(client, ledgerName, value, called)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reads++
+	for _, r := range list {
+		l.saw(r.Version, r.Text)
+	}
+}
+
+// ack reads what a router has acknowledged, which never goes back.
+func (l *ledger) ack(c *store.Client, router string) {
+	n, err := c.Node("/acks/modelapi/" + router)
+	var a struct{ Version uint64 }
+	if err != nil || json.Unmarshal([]byte(n.Data), &a) != nil {
+		return
+	}
+	l.acked(router, a.Version)
+}
+
+func (l *ledger) acked(router string, version uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if version < l.acks[router] {
+		l.fault("%s acknowledges %d after %d", router, version, l.acks[router])
+	}
+	l.acks[router] = version
+}
+
+// Publishers, readers and routers without a replica beside replicas that are killed and stopped, a majority among them, and
+// links that are cut or late by up to 3 s. What is published is linearizable, nothing acknowledged is lost or taken twice, no router
+// goes below what it acknowledged, and each ends at the newest. Five harms without -soak; with it, for as long as it says.
+func TestPublishingUnderHarm(t *testing.T) {
+	t.Parallel()
+	seed, harms := uint64(1), 5
+	end := time.Now().Add(4 * patience)
+	if *soakFor > 0 {
+		seed, harms, end = uint64(time.Now().UnixNano()), 1<<30, time.Now().Add(*soakFor)
+	}
+	t.Logf("seed %d", seed)
+	f := newFollowers(t, 2, "[straggler]\ngrace = \"2s\"\nmost_shut = 0.5\nsteady = \"200ms\"\n")
+	l := &ledger{t: t, h: history.New(), texts: map[uint64]string{}, versions: map[string]uint64{}, acks: map[string]uint64{}}
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	var all sync.WaitGroup
+	var next, answers, odd atomic.Int64
+	for id := range 4 {
+		rng := rand.New(rand.NewPCG(seed, uint64(id)))
+		c := store.NewClient(f.apis[id%3], f.apis[(id+1)%3], f.apis[(id+2)%3])
+		all.Go(func() {
+			for ctx.Err() == nil {
+				switch {
+				case id < 2:
+					l.publish(ctx, id, c, next.Add(1))
+				case rng.IntN(2) == 0:
+					l.read(id, c)
+				default:
+					l.ack(c, f.names[rng.IntN(len(f.names))])
+				}
+				time.Sleep(time.Duration(rng.IntN(400)) * time.Millisecond)
+			}
+		})
+	}
+	for i := range f.routers {
+		a := &api{program: f.routers[i]} // its address stays, whichever process has it
+		all.Go(func() {
+			for ctx.Err() == nil {
+				switch a.post(embedPath, "", embedBody).status {
+				case 200, 503:
+					answers.Add(1)
+				default: // killed or stopped
+					odd.Add(1)
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+	}
+	rng := rand.New(rand.NewPCG(seed, 99))
+	programs := append(append([]*program{}, f.programs...), f.routers...)
+	did := map[string]int{}
+	for ; harms > 0 && time.Now().Before(end); harms-- {
+		some := func(n int) (who []int) {
+			for i := range n {
+				if rng.IntN(2) == 0 {
+					who = append(who, i)
+				}
+			}
+			return who
+		}
+		wait := func(most time.Duration) { time.Sleep(time.Duration(rng.Int64N(int64(most)))) }
+		switch rng.IntN(3) {
+		case 0:
+			who := some(len(programs))
+			did[fmt.Sprint(len(who), " stopped")]++
+			for _, i := range who {
+				programs[i].signal(syscall.SIGSTOP)
+			}
+			wait(5 * time.Second)
+			for _, i := range who {
+				programs[i].signal(syscall.SIGCONT)
+			}
+		case 1:
+			who := some(len(programs))
+			did[fmt.Sprint(len(who), " killed")]++
+			for _, i := range who {
+				programs[i].signal(syscall.SIGKILL)
+				<-programs[i].exit
+			}
+			for _, i := range who {
+				programs[i] = start(t, programs[i].addr, nil, programs[i].cmd.Args[1:]...)
+			}
+		default:
+			who := some(len(f.links))
+			did[fmt.Sprint(len(who), " links")]++
+			for _, i := range who {
+				f.links[i].Set([]relay.Fault{{Refuse: true, Drop: [2]bool{true, true}}, {Drop: [2]bool{false, true}}, {Delay: 3 * time.Second}}[rng.IntN(3)])
+				f.links[i].Cut()
+			}
+			wait(5 * time.Second)
+			for _, i := range who {
+				f.links[i].Set(relay.Fault{})
+				f.links[i].Cut()
+			}
+		}
+		wait(time.Second)
+	}
+	copy(f.programs, programs)
+	copy(f.routers, programs[len(f.programs):])
+	stop()
+	all.Wait()
+	c := store.NewClient(f.apis...)
+	eventually(t, func() bool {
+		list, err := c.Published("modelapi")
+		if err != nil {
+			return false
+		}
+		for _, name := range f.names {
+			l.ack(c, name)
+			if l.acks[name] != list[len(list)-1].Version {
+				return false
+			}
+		}
+		return true
+	}, "each router ends at the newest")
+	result, n := l.h.Check(5 * time.Minute)
+	t.Logf("%d operations, %d versions, %d reads; clients had %d answers, %d times none; harms %v; %s", n, len(l.texts), l.reads, answers.Load(), odd.Load(), did, result)
+	require.Equal(t, porcupine.Ok, result)
+	require.Empty(t, l.faults)
+	var trails []audit.Trail
+	for i := range f.routers {
+		trails = append(trails, f.end(i))
+	}
+	for _, b := range audit.Check(trails) {
+		require.Equal(t, audit.RuleDamaged, b.Rule, "a killed router's last record may be torn, and nothing else: %s", b)
+	}
+}
+
+// The ledger finds a version that changes its text, a text that is taken twice and an acknowledgement that goes back.
+func TestTheLedgerFindsFaults(t *testing.T) {
+	l := &ledger{texts: map[uint64]string{}, versions: map[string]uint64{}, acks: map[string]uint64{}}
+	l.acked("r", 2)
+	l.acked("r", 2)
+	l.saw(1, "a")
+	l.saw(1, "a")
+	require.Empty(t, l.faults)
+	l.saw(1, "b")
+	l.saw(2, "a")
+	l.acked("r", 1)
+	require.Len(t, l.faults, 3)
+}
