The store's API takes as many connections as routers may be; what it told stays true while it is silent

Seen: 200 followers that were told of one version at once: "The incoming connection cannot be served, because 256 concurrent connections are served", 13 of 200 could not acknowledge (store/api.go apiConns, a cap below 1,024). And a router that was shut out was let in while the store's leader stood still (TestRouterThatCantApplyIsShutOut, which now makes the one that is shut out lead the store): the other routers' word took the place of what the store had told, and says nothing of a part that is held at none (daemon/straggler.go look).

Change: 8,192 connections, two for each of 4,096 routers; what the store has told counts until it tells something newer. Relays between each pair of replicas; a roll-back while routers are cut off.

--- a/internal/daemon/straggler.go
+++ b/internal/daemon/straggler.go
@@ -66,6 +66,7 @@
 	start   time.Time
 	view    straggler.View
 	slot    string // the node of the slot that is held
+	stored  uint64 // the newest configuration that the store has told of
 }
 
 // watchStraggling starts it, where the fleet's file gives a grace.
@@ -110,16 +111,21 @@
 	began, sure := time.Now(), false
 	at := straggler.Time(began.Sub(s.start))
 	s.view.Held = s.d.acts.held()
+	if s.d.follow != nil {
+		s.view.Held[configPart] = s.d.follow.version() // also where it goes by none that was published
+	}
 	newest, ago, told := s.d.fleet.Newest()
-	if told = told && ago < s.cfg.Grace; told {
+	if told && ago < s.cfg.Grace {
 		s.view.Newest, s.view.Heard = newest.Known(s.view.Held), max(s.view.Heard, at-straggler.Time(ago))
+	} else if s.view.Newest == nil {
+		s.view.Newest = version.Vector{}
 	}
 	if s.d.follow != nil && s.d.records.CatchUp(ctx, modelapi.ConfigName) == nil {
-		if !told {
-			s.view.Newest = version.Vector{}
-		}
 		sure = true
-		s.view.Newest[configPart], s.view.Heard = s.d.records.Latest(modelapi.ConfigName).Version, at
+		s.stored, s.view.Heard = s.d.records.Latest(modelapi.ConfigName).Version, at
+	}
+	if s.d.follow != nil { // what the store has told stays true while it can't be asked
+		s.view.Newest[configPart] = max(s.view.Newest[configPart], s.stored)
 	}
 	s.d.fence.look(s.view.Held.Behind(s.view.Newest), sure, began)
 }
--- a/store/api.go
+++ b/store/api.go
@@ -25,7 +25,9 @@
 	// maxCall bounds a call's body: a ZooKeeper client's frame, as JSON.
 	maxCall    = 2 << 20
 	apiTimeout = 90 * time.Second
-	apiConns   = 256
+	// apiConns is of the most routers that a fleet's file may list, each with a call here and one that was sent on from another
+	// replica. A connection takes memory only while it is there.
+	apiConns = 2 * 4096
 )
 
 // Node is a node as the API tells it.
--- /dev/null
+++ b/store/follower_test.go
@@ -0,0 +1,82 @@
+package store
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func (c *cluster) followers(n int, pace time.Duration) []*Follower {
+	c.leader()
+	var addrs []string
+	for _, cfg := range c.cfg {
+		addrs = append(addrs, cfg.Self().API)
+	}
+	out := make([]*Follower, n)
+	for i := range out {
+		k := i % len(addrs)
+		out[i] = NewFollower(fmt.Sprintf("f-%d", i), pace, append(addrs[k:len(addrs):len(addrs)], addrs[:k]...)...)
+	}
+	return out
+}
+
+// Nodes are made with what is above them, changed, made once only, and dropped, at whichever replica a follower asks.
+func TestFollowersChangeNodes(t *testing.T) {
+	c := newCluster(t)
+	for i, f := range c.followers(3, time.Second) {
+		p := fmt.Sprintf("/acks/m%d/f", i)
+		for _, text := range []string{"x", "y"} {
+			require.NoError(t, f.Put(t.Context(), p, []byte(text)))
+			got, _, err := f.Get(p)
+			require.NoError(t, err)
+			require.Equal(t, text, string(got))
+		}
+		require.NoError(t, f.Make(t.Context(), p+"/slot", nil))
+		require.ErrorIs(t, f.Make(t.Context(), p+"/slot", nil), ErrNodeExists)
+		require.NoError(t, f.Drop(t.Context(), p+"/slot"))
+		require.NoError(t, f.Drop(t.Context(), p+"/slot"), "one that is not there is no fault")
+		_, _, err := f.Get(p + "/slot")
+		require.ErrorIs(t, err, ErrNoNode)
+		ended, cancel := context.WithCancel(t.Context())
+		cancel()
+		require.ErrorIs(t, f.Put(ended, p, nil), ErrUnknown)
+	}
+}
+
+// 200 followers that all lie behind hear of a version, each once, and acknowledge it; what is asked for again is never older.
+func TestTwoHundredFollowers(t *testing.T) {
+	const n = 200
+	c := newCluster(t)
+	all := c.followers(n, 100*time.Millisecond)
+	ctx, stop := context.WithCancel(t.Context())
+	var running, told sync.WaitGroup
+	for _, f := range all {
+		changed, _, err := f.Follow("m")
+		require.NoError(t, err)
+		running.Go(func() { f.Run(ctx, "m") })
+		told.Go(func() {
+			<-changed
+			if f.Latest("m").Version != 1 || f.Put(ctx, "/acks/m/"+f.ID(), []byte("1")) != nil {
+				t.Errorf("%s is told of %d, or can't acknowledge", f.ID(), f.Latest("m").Version)
+			}
+		})
+	}
+	at := time.Now()
+	_, err := c.replicas[c.leader()].Publish(ctx, "m", []byte("x = 1"), "first", "test", nil)
+	require.NoError(t, err)
+	told.Wait()
+	t.Logf("%v from the publish to the last of %d acknowledgements, at a pace of 100 ms", time.Since(at), n)
+	names, err := c.replicas[c.leader()].Children("/acks/m")
+	require.NoError(t, err)
+	require.Len(t, names, n)
+	for _, f := range all[:9] {
+		require.NoError(t, f.CatchUp(ctx, "m"))
+		require.EqualValues(t, 1, f.Latest("m").Version)
+	}
+	stop()
+	running.Wait()
+}
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"path/filepath"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,13 +27,18 @@
 	apis     []*API
 }
 
+var hosts atomic.Int32
+
 func newCluster(t testing.TB) *cluster {
 	c := &cluster{t: t, replicas: make([]*Replica, 3), apis: make([]*API, 3)}
 	var peers []Peer
 	for i := range c.replicas {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		// Addresses of their own: they are closed until the replica starts, and connections take free ports of 127.0.0.1 meanwhile.
+		n := hosts.Add(1)
+		host := fmt.Sprintf("127.79.%d.%d:0", n/250, 1+n%250)
+		l, err := net.Listen("tcp4", host)
 		require.NoError(t, err)
-		a, err := net.Listen("tcp", "127.0.0.1:0")
+		a, err := net.Listen("tcp4", host)
 		require.NoError(t, err)
 		peers = append(peers, Peer{ID: fmt.Sprintf("r%d", i), Raft: l.Addr().String(), API: a.Addr().String()})
 		require.NoError(t, l.Close())
--- a/test/config_test.go
+++ b/test/config_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	relay "lichenshelf/internal/standin/link"
 )
 
 // published are three programs with replicas, the first with the model API, and the command at another of them.
@@ -21,11 +23,30 @@
 	apis     []string
 	front    *program
 	dir      string
+	between  []*relay.Relay // one from each replica to each other one
+}
+
+// leads tells which replica takes writes; -1: none that says so.
+func leads(apis []string) int {
+	direct := &http.Client{Timeout: time.Second, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	for i, addr := range apis {
+		req, err := http.NewRequest(http.MethodDelete, "http://"+addr+"/v1/nodes/none", nil)
+		if err != nil {
+			return -1
+		}
+		if resp, err := direct.Do(req); err == nil {
+			_ = resp.Body.Close()
+			if resp.StatusCode == http.StatusNotFound {
+				return i
+			}
+		}
+	}
+	return -1
 }
 
 func newPublished(t *testing.T, file string) *published {
 	p := &published{t: t, dir: t.TempDir()}
-	p.programs, p.apis, p.front = replicas(t, file)
+	p.programs, p.apis, p.front, p.between = replicasBehind(t, file, true)
 	return p
 }
 
@@ -186,6 +207,17 @@
 	out, err := command(t, "config", "--at", apis[2], "show")
 	require.NoError(t, err, out)
 	require.Contains(t, out, "1: ", "why it refuses version 1")
+	// Shut out it may well lead the store: the others stand still in turn until it does.
+	eventually(t, func() bool {
+		l := leads(apis)
+		if l >= 0 && l != odd {
+			programs[l].signal(syscall.SIGSTOP)
+			eventually(t, func() bool { now := leads(apis); return now >= 0 && now != l }, "another one leads")
+			programs[l].signal(syscall.SIGCONT)
+		}
+		return l == odd
+	}, "the one that is shut out leads")
+	require.Equal(t, 503, ask(odd))
 	publish(3, "[embeddings]\ndeadline = \"20s\"\n")
 	eventually(t, func() bool { return programs[odd].logged("let in again") }, "it is let in")
 	eventually(t, func() bool { return ask(odd) == 200 }, "and serves")
--- a/test/store_test.go
+++ b/test/store_test.go
@@ -18,15 +18,36 @@
 	"github.com/anishathalye/porcupine"
 	"github.com/stretchr/testify/require"
 
+	relay "lichenshelf/internal/standin/link"
 	"lichenshelf/lab/history"
 )
 
 // replicas starts three routers that share a store; the first has the model API.
 func replicas(t *testing.T, modelSettings string) (programs []*program, apis []string, front *program) {
-	var peers strings.Builder
-	for i := range 3 {
-		apis = append(apis, ownAddr(t))
-		fmt.Fprintf(&peers, "[[peer]]\nid = \"r%d\"\nraft = %q\napi = %q\n", i, ownAddr(t), apis[i])
+	programs, apis, front, _ = replicasBehind(t, modelSettings, false)
+	return programs, apis, front
+}
+
+// replicasBehind is replicas with, where it is asked for, a relay on the way from each replica to each other one. Each knows
+// the others by its own relays; in the log only their ids count.
+func replicasBehind(t *testing.T, modelSettings string, relayed bool) (programs []*program, apis []string, front *program, links []*relay.Relay) {
+	var rafts []string
+	for range 3 {
+		apis, rafts = append(apis, ownAddr(t)), append(rafts, ownAddr(t))
+	}
+	peersOf := func(i int) string {
+		var peers strings.Builder
+		for j := range 3 {
+			raft := rafts[j]
+			if relayed && j != i {
+				link, err := relay.New(raft)
+				require.NoError(t, err)
+				t.Cleanup(link.Close)
+				links, raft = append(links, link), link.Addr()
+			}
+			fmt.Fprintf(&peers, "[[peer]]\nid = \"r%d\"\nraft = %q\napi = %q\n", j, raft, apis[j])
+		}
+		return peers.String()
 	}
 	listen := ownAddr(t)
 	file := filepath.Join(t.TempDir(), "modelapi.toml")
@@ -34,7 +55,7 @@
 	for i := range 3 {
 		dir := t.TempDir()
 		own := filepath.Join(dir, "store.toml")
-		text := fmt.Sprintf("id = \"r%d\"\ndata_dir = %q\n%s", i, filepath.Join(dir, "data"), peers.String())
+		text := fmt.Sprintf("id = \"r%d\"\ndata_dir = %q\n%s", i, filepath.Join(dir, "data"), peersOf(i))
 		require.NoError(t, os.WriteFile(own, []byte(text), 0o600))
 		args := []string{"serve", "--store", own}
 		if i == 0 {
@@ -42,7 +63,7 @@
 		}
 		programs = append(programs, start(t, listen, nil, args...))
 	}
-	return programs, apis, programs[0]
+	return programs, apis, programs[0], links
 }
 
 // storeCall calls the store's API, until there is a leader to answer.
--- a/test/straggler_test.go
+++ b/test/straggler_test.go
@@ -111,6 +111,22 @@
 	require.NoError(t, err, out)
 	f.shown(1, "f0 2")
 	f.shown(1, "f1 2")
+	// Cut off while the store goes back to version 1, they serve on with 2, and take 3 once they hear of it.
+	for _, link := range f.links {
+		link.Set(relay.Fault{Refuse: true, Drop: [2]bool{true, true}})
+		link.Cut()
+	}
+	out, err = f.command(1, "rollback", "1")
+	require.NoError(t, err, out)
+	for i := range f.routers {
+		require.Equal(t, 200, f.ask(i))
+	}
+	for _, link := range f.links {
+		link.Set(relay.Fault{})
+	}
+	for _, name := range f.names {
+		f.shown(2, name+" 3")
+	}
 	for i := range f.routers {
 		acked := uint64(0)
 		for _, e := range f.end(i).Entries {
@@ -119,7 +135,7 @@
 				acked = e.Version
 			}
 		}
-		require.EqualValues(t, 2, acked)
+		require.EqualValues(t, 3, acked)
 	}
 }
 
@@ -373,16 +389,17 @@
 				programs[i] = start(t, programs[i].addr, nil, programs[i].cmd.Args[1:]...)
 			}
 		default:
-			who := some(len(f.links))
+			links := append(append([]*relay.Relay{}, f.links...), f.between...)
+			who := some(len(links))
 			did[fmt.Sprint(len(who), " links")]++
 			for _, i := range who {
-				f.links[i].Set([]relay.Fault{{Refuse: true, Drop: [2]bool{true, true}}, {Drop: [2]bool{false, true}}, {Delay: 3 * time.Second}}[rng.IntN(3)])
-				f.links[i].Cut()
+				links[i].Set([]relay.Fault{{Refuse: true, Drop: [2]bool{true, true}}, {Drop: [2]bool{false, true}}, {Delay: 3 * time.Second}}[rng.IntN(3)])
+				links[i].Cut()
 			}
 			wait(5 * time.Second)
 			for _, i := range who {
-				f.links[i].Set(relay.Fault{})
-				f.links[i].Cut()
+				links[i].Set(relay.Fault{})
+				links[i].Cut()
 			}
 		}
 		wait(time.Second)
