--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -84,24 +84,31 @@
 // newPublished lays the configuration that the store holds over the file's, if it holds one,
 // and reads what this router has acknowledged before it was started: it does not go below
 // that, or it would act on what it has said to be over.
-func (d *daemon) newPublished(cfg *modelapi.Config) (*published, error) {
+func (d *daemon) newPublished(ctx context.Context, cfg *modelapi.Config) (*published, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeWait)
+	defer cancel()
 	p := &published{d: d, file: *cfg, cfg: cfg, path: AckPath(modelapi.ConfigName, d.records.ID()), ack: Ack{Router: d.records.ID()}, kick: make(chan struct{}, 1)}
 	var before Ack
-	text, _, err := d.records.Get(p.path)
-	switch {
-	case errors.Is(err, store.ErrNoNode):
-	case err != nil:
-		return nil, fmt.Errorf("read the store: %w", err)
-	default:
+	text, err := d.read(ctx, p.path)
+	if err != nil {
+		return nil, err
+	}
+	if text != nil {
 		if err := json.Unmarshal(text, &before); err != nil {
 			d.log.WithError(err).WithField("node", p.path).Warn("own acknowledgement makes no sense, passed over")
 		}
 	}
 	latest := d.records.Latest(modelapi.ConfigName)
+	if latest.Version < before.Version { // published, and acknowledged by the process before this one, since it was asked for
+		if err := tell(ctx, func() error { return d.records.CatchUp(ctx, modelapi.ConfigName) }); err != nil {
+			return nil, err
+		}
+		latest = d.records.Latest(modelapi.ConfigName)
+	}
 	if latest.Version == 0 { // never published: somebody may have set the node by hand
-		text, _, err := d.records.Get(modelapi.ConfigPath)
-		if err != nil && !errors.Is(err, store.ErrNoNode) {
-			return nil, fmt.Errorf("read the store: %w", err)
+		text, err := d.read(ctx, modelapi.ConfigPath)
+		if err != nil {
+			return nil, err
 		}
 		latest.Text = string(text)
 	}
@@ -113,6 +120,20 @@
 	return p, cfg.Override(latest.Text)
 }
 
+// read reads a node, as often as it takes until ctx ends; nil if there is none.
+func (d *daemon) read(ctx context.Context, path string) (text []byte, err error) {
+	err = tell(ctx, func() error {
+		text, _, err = d.records.Get(path)
+		if errors.Is(err, store.ErrNoNode) {
+			text, err = nil, nil
+		} else if err == nil && text == nil {
+			text = []byte{}
+		}
+		return err
+	})
+	return text, err
+}
+
 // version is what this router goes by.
 func (p *published) version() uint64 {
 	p.mu.Lock()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -293,7 +293,7 @@
 		if err := d.settle(starting); err != nil {
 			return err
 		}
-		if follow, err = d.newPublished(cfg); err != nil {
+		if follow, err = d.newPublished(starting, cfg); err != nil {
 			return err
 		}
 	}
@@ -344,8 +344,13 @@
 			return fmt.Errorf("the store can't tell what is newest, for the configuration: %w", ctx.Err())
 		}
 	}
+	return tell(ctx, func() error { return d.records.CatchUp(ctx, modelapi.ConfigName) })
+}
+
+// tell asks the store over and over until it answers or ctx ends: a connection that breaks must not end a start.
+func tell(ctx context.Context, ask func() error) error {
 	for {
-		err := d.records.CatchUp(ctx, modelapi.ConfigName)
+		err := ask()
 		if err == nil {
 			return nil
 		}
