An operator hands over which replica takes writes, and a router that is shut out may lead the store

Change: `lichenshelf store leader [--to ID]`, over raft's transfer; the test hands over to the router that is shut out, sees that it takes nothing new, and publishes by way of it.

--- a/internal/cli/store.go
+++ b/internal/cli/store.go
@@ -79,6 +79,23 @@
 				func(_ context.Context, c *cli.Command, s *store.Client, _ io.Writer) error {
 					return s.Delete(c.Args().First(), c.Int64("version"))
 				}),
+			{Name: "leader", Usage: "print which replica takes writes, or make another one take them", Flags: []cli.Flag{
+				&cli.StringFlag{Name: "to", Usage: "the replica's `ID` that is to lead, as before the one that does is stopped"}},
+				Action: func(_ context.Context, c *cli.Command) error {
+					client, err := storeClient(c)
+					if err != nil {
+						return err
+					}
+					if to := c.String("to"); to != "" {
+						return client.HandOver(to)
+					}
+					leader, err := client.Leader()
+					if err != nil {
+						return err
+					}
+					_, err = fmt.Fprintln(c.Root().Writer, leader)
+					return err
+				}},
 			sub("watch", "print a node, and again whenever it or its list of children changes, until SIGTERM", "PATH", 1, nil, watchNode),
 		},
 	}
--- a/store/api.go
+++ b/store/api.go
@@ -80,6 +80,8 @@
 		err = a.serveTouches(ctx)
 	case path == termPath && ctx.IsPost():
 		err = reply(ctx, fasthttp.StatusOK, a.replica.raft.CurrentTerm())
+	case path == leaderPath:
+		err = a.serveLeader(ctx)
 	case path == newestPath && ctx.IsPost():
 		err = a.serveNewest(ctx)
 	default:
@@ -237,7 +239,8 @@
 		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, "1")
 	case errors.Is(err, ErrUnknown):
 		status = fasthttp.StatusServiceUnavailable
-	case errors.Is(err, ErrNoNode), errors.Is(err, ErrNoSession), errors.Is(err, errNoPath), errors.Is(err, ErrNoRevision):
+	case errors.Is(err, ErrNoNode), errors.Is(err, ErrNoSession), errors.Is(err, errNoPath), errors.Is(err, ErrNoRevision),
+		errors.Is(err, ErrNoReplica):
 		status = fasthttp.StatusNotFound
 	case errors.Is(err, ErrNodeExists), errors.Is(err, ErrBadVersion), errors.Is(err, ErrNotEmpty), errors.Is(err, ErrReused):
 		status = fasthttp.StatusConflict
--- a/test/config_test.go
+++ b/test/config_test.go
@@ -26,24 +26,6 @@
 	between  []*relay.Relay // one from each replica to each other one
 }
 
-// leads tells which replica takes writes; -1: none that says so.
-func leads(apis []string) int {
-	direct := &http.Client{Timeout: time.Second, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
-	for i, addr := range apis {
-		req, err := http.NewRequest(http.MethodDelete, "http://"+addr+"/v1/nodes/none", nil)
-		if err != nil {
-			return -1
-		}
-		if resp, err := direct.Do(req); err == nil {
-			_ = resp.Body.Close()
-			if resp.StatusCode == http.StatusNotFound {
-				return i
-			}
-		}
-	}
-	return -1
-}
-
 func newPublished(t *testing.T, file string) *published {
 	p := &published{t: t, dir: t.TempDir()}
 	p.programs, p.apis, p.front, p.between = replicasBehind(t, file, true)
@@ -207,16 +189,18 @@
 	out, err := command(t, "config", "--at", apis[2], "show")
 	require.NoError(t, err, out)
 	require.Contains(t, out, "1: ", "why it refuses version 1")
-	// Shut out it may well lead the store: the others stand still in turn until it does.
+	// Shut out it may well lead the store.
 	eventually(t, func() bool {
-		l := leads(apis)
-		if l >= 0 && l != odd {
-			programs[l].signal(syscall.SIGSTOP)
-			eventually(t, func() bool { now := leads(apis); return now >= 0 && now != l }, "another one leads")
-			programs[l].signal(syscall.SIGCONT)
+		leader, err := command(t, "store", "--at", apis[odd], "leader")
+		if err == nil && strings.TrimSpace(leader) == fmt.Sprintf("r%d", odd) {
+			return true
 		}
-		return l == odd
+		_, _ = command(t, "store", "--at", apis[0], "--at", apis[1], "--at", apis[2], "--at", apis[3], "--at", apis[4], "--at", apis[5], "leader", "--to", fmt.Sprintf("r%d", odd))
+		return false
 	}, "the one that is shut out leads")
+	out, err = command(t, "store", "--at", apis[0], "leader", "--to", "nobody")
+	require.Error(t, err)
+	require.Contains(t, out, "no such replica")
 	require.Equal(t, 503, ask(odd))
 	publish(3, "[embeddings]\ndeadline = \"20s\"\n")
 	eventually(t, func() bool { return programs[odd].logged("let in again") }, "it is let in")
