Zones: states by agreement, the best shares by a flow of least cost, and a map that moves by bounded steps

Change, the deciding parts: fleet/zone (healthy to lost, returning, out; a zone seen bad from one other zone is a cut link), fleet/shift (shares that stay near while that is safe, readers and writers together, shed by worth; an optimum in whole units by successive shortest paths), fleet/traffic (epochs, a map that grows old without a jump, steps within what zones bear, figures that follow shares).

--- /dev/null
+++ b/fleet/traffic/traffic_test.go
@@ -0,0 +1,381 @@
+package traffic
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"lichenshelf/fleet/shift"
+	"lichenshelf/fleet/zone"
+)
+
+const second = time.Second
+
+func local(zones ...string) Map {
+	m := Map{Epoch: 1, Zones: zones, By: "r", Why: "at first"}
+	for i := range zones {
+		row := make([]float64, len(zones))
+		row[i] = 1
+		m.Read, m.Write = append(m.Read, row), append(m.Write, append([]float64(nil), row...))
+	}
+	return m
+}
+
+func all(string) bool { return true }
+
+func TestMapsThatMakeNoSense(t *testing.T) {
+	m := local("a", "b")
+	require.NoError(t, m.Check())
+	for name, spoil := range map[string]func(m *Map){"zones": func(m *Map) { m.Zones[1] = "a" }, "rows": func(m *Map) { m.Read = m.Read[:1] },
+		"read of a": func(m *Map) { m.Read[0][0] = math.NaN() }, "write of b": func(m *Map) { m.Write[1][0] = 0.5 }, "0 zones": func(m *Map) { *m = Map{} }} {
+		m := local("a", "b")
+		spoil(&m)
+		require.ErrorIs(t, m.Check(), ErrMap, name)
+		require.ErrorContains(t, m.Check(), name)
+	}
+}
+
+// A decider that comes back with an old epoch is not heard, of two at once the first holds, and a later one ends the matter.
+func TestEpochs(t *testing.T) {
+	k, err := NewKeeper(Terms{Fresh: second, Fade: second, Spill: 0.2}, "a")
+	require.NoError(t, err)
+	five, other, six := local("a", "b"), local("a", "b"), local("a", "b")
+	five.Epoch, other.Epoch, six.Epoch = 5, 5, 6
+	other.Read[0] = []float64{0.5, 0.5}
+	require.NoError(t, k.Take(&five, 0))
+	require.ErrorIs(t, k.Take(&other, Time(second)), ErrOther)
+	again := five
+	again.By = "another decider, the same words"
+	require.NoError(t, k.Take(&again, Time(2*second)))
+	_, age := k.Map(Time(3 * second))
+	require.Equal(t, second, age, "renewed")
+	require.NoError(t, k.Take(&six, Time(3*second)))
+	require.ErrorIs(t, k.Take(&five, Time(4*second)), ErrOlder)
+	m, _ := k.Map(0)
+	require.EqualValues(t, 6, m.Epoch)
+}
+
+// A map that is not renewed fades into the own zone and the spill without a jump; what can't be seen is not used meanwhile.
+func TestAMapThatGrowsOld(t *testing.T) {
+	zones := []string{"a", "b", "c"}
+	k, err := NewKeeper(Terms{Fresh: 2 * second, Fade: 10 * second, Spill: 0.2}, "a")
+	require.NoError(t, err)
+	require.InDeltaSlice(t, []float64{0.8, 0.1, 0.1}, k.Shares(zones, all, 0), 1e-9, "without any")
+	m := local(zones...)
+	m.Read[0] = []float64{0.2, 0.8, 0}
+	require.NoError(t, k.Take(&m, 0))
+	require.InDeltaSlice(t, []float64{0.2, 0.8, 0}, k.Shares(zones, all, Time(2*second)), 1e-9)
+	last := k.Shares(zones, all, 0)
+	for at := Time(0); at < Time(20*second); at += Time(100 * time.Millisecond) {
+		now := k.Shares(zones, all, at)
+		for i := range now {
+			require.InDelta(t, last[i], now[i], 0.02, "no jump at %v", time.Duration(at))
+		}
+		last = now
+	}
+	require.InDeltaSlice(t, []float64{0.8, 0.1, 0.1}, last, 1e-9)
+	blind := func(z string) bool { return z != "b" }
+	require.InDeltaSlice(t, []float64{1, 0, 0}, k.Shares(zones, blind, 0), 1e-9, "b's part goes where the rest does")
+	require.InDeltaSlice(t, []float64{0, 0.5, 0.5}, k.Shares(zones, func(z string) bool { return z != "a" }, Time(time.Hour)), 1e-9)
+	foreign, err := NewKeeper(Terms{Fresh: second, Fade: second}, "z")
+	require.NoError(t, err)
+	require.NoError(t, foreign.Take(&m, 0))
+	require.InDeltaSlice(t, []float64{1. / 3, 1. / 3, 1. / 3}, foreign.Shares(zones, all, 0), 1e-9, "a map that does not know the zone")
+}
+
+// world is zones with their load and capacity under a decider, in virtual time.
+type world struct {
+	t      require.TestingT
+	names  []string
+	load   []float64 // of each entry
+	real   []float64 // what each zone takes in truth; 0: lost
+	cfg    zone.Config
+	court  *zone.Court
+	step   *Stepper
+	pace   Pace
+	now    Map
+	at     Time
+	states []zone.Verdict
+	made   int
+	blind  map[[2]int]bool // links that are cut
+	served float64
+	asked  float64
+}
+
+const look = 250 * time.Millisecond
+
+func newWorld(t require.TestingT, load, takes []float64) *world {
+	w := &world{t: t, load: load, real: append([]float64(nil), takes...), blind: map[[2]int]bool{}, at: Time(time.Hour)}
+	for i := range load {
+		w.names = append(w.names, fmt.Sprint("z", i))
+	}
+	w.now = local(w.names...)
+	w.cfg = zone.Config{Zones: w.names, Least: 5, Failing: 0.2, Lost: 0.8, Strain: 0.85, Confirm: second, Hold: 5 * second, Return: 20 * second, Trial: 0.05}
+	w.pace = Pace{Every: second, Up: 0.2, Back: 0.05, Band: 0.02, Burst: 12, PerMin: 20, Reserve: 4}
+	var err error
+	w.court, err = zone.New(w.cfg, zone.Time(w.at))
+	require.NoError(t, err)
+	w.step, err = NewStepper(w.pace, w.at)
+	require.NoError(t, err)
+	return w
+}
+
+// in is the load that zones have by the map that holds.
+func (w *world) in() []float64 {
+	out := make([]float64, len(w.names))
+	for e, l := range w.load {
+		for z := range w.names {
+			out[z] += l * w.now.Read[e][z]
+		}
+	}
+	return out
+}
+
+func (w *world) run(d time.Duration) {
+	n := len(w.names)
+	for end := w.at + Time(d); w.at < end; w.at += Time(look) {
+		in := w.in()
+		view := zone.View{Capacities: map[string]zone.Capacity{}}
+		for e := range n {
+			for z := range n {
+				sent := w.load[e] * w.now.Read[e][z]
+				bad := 0.0
+				if w.real[z] == 0 || w.blind[[2]int{e, z}] {
+					bad = 1
+				}
+				w.asked += sent
+				if bad == 0 {
+					w.served += sent * math.Min(1, w.real[z]/in[z])
+				}
+				if sent > 0 {
+					view.Sights = append(view.Sights, zone.Sight{From: w.names[e], Of: w.names[z], Tried: sent, Bad: sent * bad})
+				}
+				// Routers look at each other's zones with a little traffic of their own, as sessions that hang on to a worker do.
+				view.Sights = append(view.Sights, zone.Sight{From: w.names[e], Of: w.names[z], Tried: 6, Bad: 6 * bad})
+			}
+			w.asked += w.load[e] * (1 - sum(w.now.Read[e])) // shed
+		}
+		for z, name := range w.names {
+			view.Capacities[name] = zone.Capacity{Load: in[z], Now: w.real[z], Listed: w.real[z] > 0}
+		}
+		w.states = w.court.Judge(view, zone.Time(w.at))
+		site := shift.Site{Far: make([][]float64, n), Seen: make([][]bool, n), Safe: 0.8}
+		aim := Aim{Load: w.load, Why: "virtual", By: "r", Bears: make([]float64, n), Usable: make([]bool, n)}
+		for z, v := range w.states {
+			capacity := v.Level * math.Max(w.real[z], 1)
+			site.Zones = append(site.Zones, shift.Zone{Read: capacity, Write: capacity})
+			site.Demand = append(site.Demand, shift.Demand{Entry: z, Load: w.load[z], Worth: 1})
+			aim.Usable[z], aim.Bears[z] = v.Level > 0, math.Max(capacity-in[z], 0)
+			site.Far[z], site.Seen[z] = make([]float64, n), make([]bool, n)
+			for o := range n {
+				site.Seen[z][o] = true
+				if o != z {
+					site.Far[z][o] = 0.5
+				}
+			}
+		}
+		for z, v := range w.states {
+			for _, from := range v.Cut {
+				for e, name := range w.names {
+					if name == from {
+						site.Seen[e][z] = false
+					}
+				}
+			}
+		}
+		plan, err := shift.Solve(site, &shift.Plan{Read: w.now.Read})
+		require.NoError(w.t, err)
+		aim.Read, aim.Write = plan.Read, plan.Write
+		before := w.now
+		if next := w.step.Step(w.now, aim, w.at); next != nil {
+			require.NoError(w.t, next.Check())
+			require.Equal(w.t, w.now.Epoch+1, next.Epoch)
+			w.now = *next
+			w.made++
+			after := w.in()
+			for z := range n {
+				require.LessOrEqual(w.t, after[z], math.Max(in[z], in[z]+aim.Bears[z])+1e-6*(1+in[z]), "zone %d bears no more", z)
+				if !aim.Usable[z] {
+					require.Zero(w.t, after[z], "nothing goes to a zone that may not be used")
+				}
+			}
+			for e := range n {
+				require.LessOrEqual(w.t, sum(w.now.Read[e]), 1+1e-9)
+				if got, had := w.now.Read[e][e], before.Read[e][e]; got > had {
+					require.LessOrEqual(w.t, (got-had)*w.load[e], w.pace.Back*sum(w.load)+1e-6, "a return is slow")
+				}
+			}
+		}
+	}
+}
+
+func sum(v []float64) (s float64) {
+	for _, x := range v {
+		s += x
+	}
+	return s
+}
+
+func (w *world) far() (far float64) {
+	for e, l := range w.load {
+		for z := range w.names {
+			if z != e {
+				far += l * w.now.Read[e][z]
+			}
+		}
+	}
+	return far / sum(w.load)
+}
+
+// A zone is lost in one instant with 40% of the load, its neighbours at 70%: what they can bear goes there, nothing to the lost
+// one, the rest is shed; it returns little by little, and then all is near again.
+func TestAZoneIsLostAndReturns(t *testing.T) {
+	w := newWorld(t, []float64{80, 60, 60}, []float64{115, 86, 86})
+	w.run(10 * second)
+	require.Zero(t, w.far(), "nothing moves when nothing is wrong")
+	require.Zero(t, w.made)
+	w.real[0] = 0
+	w.served, w.asked = 0, 0
+	w.run(5 * second)
+	require.Equal(t, zone.Lost, w.states[0].State)
+	w.served, w.asked = 0, 0
+	w.run(15 * second)
+	t.Logf("served %.3f of all while the zone is lost, of 172 that are left for 200: %.3f at most", w.served/w.asked, 172./200)
+	require.Greater(t, w.served/w.asked, 0.95*172/200)
+	w.real[0] = 115
+	began, near := w.at, time.Duration(0)
+	for w.far() > 0.001 && w.at < began+Time(5*time.Minute) {
+		w.run(second)
+		near = time.Duration(w.at - began)
+	}
+	t.Logf("all near again %v after its workers were, %d maps in all", near, w.made)
+	require.Less(t, near, 4*time.Minute)
+	made := w.made
+	w.run(time.Minute)
+	require.Equal(t, made, w.made, "no more moves once all is well")
+}
+
+// A link that is cut moves what went over it and nothing else; both sides go on serving their own.
+func TestACutLinkMovesLittle(t *testing.T) {
+	w := newWorld(t, []float64{110, 40, 40}, []float64{100, 100, 100})
+	w.run(20 * second)
+	require.Greater(t, w.far(), 0.1, "the excess is elsewhere")
+	to := 1
+	if w.now.Read[0][2] > w.now.Read[0][1] {
+		to = 2
+	}
+	w.blind[[2]int{0, to}], w.blind[[2]int{to, 0}] = true, true
+	w.run(30 * second)
+	require.Zero(t, w.now.Read[0][to])
+	require.InDelta(t, 1, w.now.Read[to][to], 1e-6, "it serves its own")
+	for _, v := range w.states {
+		require.NotEqual(t, zone.Lost, v.State)
+	}
+}
+
+// Whatever happens, at 2 to 4 zones: never onto a zone that is lost, no more to a zone than it bears, no more maps than are
+// stated, and all near again once faults end.
+func TestWhateverHappens(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 4).Draw(t, "zones")
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		load, takes := make([]float64, n), make([]float64, n)
+		for z := range n {
+			takes[z] = 50 + 100*rng.Float64()
+			load[z] = takes[z] * (0.3 + 0.45*rng.Float64())
+		}
+		w := newWorld(t, load, takes)
+		for range rapid.IntRange(1, 10).Draw(t, "harms") {
+			z, o := rng.IntN(n), rng.IntN(n)
+			switch rng.IntN(4) {
+			case 0:
+				w.real[z] = 0
+			case 1:
+				w.real[z] = takes[z]
+			case 2:
+				w.blind[[2]int{z, o}] = !w.blind[[2]int{z, o}]
+			case 3:
+				w.load[z] = takes[z] * 1.5 * rng.Float64()
+			}
+			began, made := w.at, w.made
+			w.run(time.Duration(1+rng.IntN(40)) * second / 2)
+			require.LessOrEqual(t, float64(w.made-made), w.pace.Most(time.Duration(w.at-began)))
+		}
+		for z := range n {
+			w.real[z], w.load[z] = takes[z], takes[z]*0.5
+		}
+		clear(w.blind)
+		w.run(4 * time.Minute)
+		require.InDelta(t, 0, w.far(), 0.05, "near again")
+		for e := range n {
+			require.InDelta(t, 1, sum(w.now.Read[e]), 0.02, "nothing is shed")
+		}
+	})
+}
+
+// The check of what a zone bears finds a decider that moves all at once.
+func TestTheCheckCanFail(t *testing.T) {
+	f := &finding{}
+	w := newWorld(f, []float64{180, 20, 20}, []float64{100, 150, 150})
+	w.run(20 * second)
+	require.False(t, f.found)
+	w.step.pace.Up, w.step.pace.Back = 1, 1
+	w.load[0] = 60
+	w.run(10 * second)
+	require.True(t, f.found)
+}
+
+type finding struct{ found bool }
+
+func (f *finding) Errorf(string, ...any) { f.found = true }
+func (f *finding) FailNow()              {}
+
+func TestFaultyPaces(t *testing.T) {
+	good := Pace{Every: second, Up: 0.2, Back: 0.1, Band: 0.02, Burst: 6, PerMin: 10, Reserve: 2}
+	for name, spoil := range map[string]func(*Pace){"every": func(p *Pace) { p.Every = 0 }, "up is": func(p *Pace) { p.Up = 0 }, "back": func(p *Pace) { p.Back = 0.3 },
+		"band": func(p *Pace) { p.Band = 1 }, "burst": func(p *Pace) { p.Burst = 0 }, "reserve": func(p *Pace) { p.Reserve = 6 }, "per_min": func(p *Pace) { p.PerMin = 0 }} {
+		p := good
+		spoil(&p)
+		_, err := NewStepper(p, 0)
+		require.ErrorIs(t, err, ErrMap)
+		require.ErrorContains(t, err, name)
+	}
+	_, err := NewKeeper(Terms{Fresh: second, Fade: second, Spill: 2}, "a")
+	require.ErrorIs(t, err, ErrMap)
+}
+
+// Figures bring what is sent to the shares, whatever the zones' other costs are.
+func TestFiguresFollowShares(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	for _, share := range []float64{0.1, 0.3, 0.6} {
+		var b Balance
+		at, sent := Time(0), []float64{0, 0, 0}
+		figures := b.Figures([]float64{1 - share, share, 0}, 0, at)
+		for i := range 6000 {
+			at += Time(10 * time.Millisecond)
+			// The server that costs least, by noise as large as the figures.
+			best, z := math.Inf(1), 0
+			for k := range figures {
+				if c := figures[k] * (0.5 + rng.Float64()); c < best {
+					best, z = c, k
+				}
+			}
+			b.Sent(z, 3, at)
+			if i > 2000 {
+				sent[z]++
+			}
+			if i%10 == 0 {
+				figures = b.Figures([]float64{1 - share, share, 0}, 0, at)
+			}
+		}
+		t.Logf("share %.2f: %.3f sent", share, sent[1]/(sent[0]+sent[1]))
+		require.InDelta(t, share, sent[1]/(sent[0]+sent[1]), 0.06)
+		require.Zero(t, sent[2])
+		require.Equal(t, 1.0, figures[0])
+	}
+}
