--- a/logic/logic.go
+++ b/logic/logic.go
@@ -579,9 +579,7 @@
 	if g.now < s.shunned { // one bad sign may be chance: dearer, but not out
 		v *= suspectScale
 	}
-	if s.Zone != g.set.Zone {
-		v *= farScale
-	}
+	v *= g.distance(s)
 	if g.set.Weights && s.Weight > 0 {
 		v /= s.Weight
 	}
--- a/router/core.go
+++ b/router/core.go
@@ -131,6 +131,20 @@
 	})
 }
 
+// Zoner is a decider to which a map of traffic can be told.
+type Zoner interface {
+	SetZones(figures []float64)
+}
+
+// SetZones hands a figure for each zone to the decider, if it takes them; nil ends them.
+func (c *Core) SetZones(figures []float64) {
+	c.post(func() {
+		if z, ok := c.routing.decider.(Zoner); ok {
+			z.SetZones(figures)
+		}
+	})
+}
+
 // Retuner is a decider whose rules can change while it runs.
 type Retuner interface {
 	Retune(classes []logic.Class, maxAttempts int)
