--- a/fleet/agent/agent.go
+++ b/fleet/agent/agent.go
@@ -62,6 +62,11 @@
 		Return: cfg.Return.Duration, Repeats: cfg.Repeats, Cold: cfg.Cold, Tell: loans != nil}, rand.New(rand.NewPCG(seed, life)), a.now()); err != nil {
 		return nil, fmt.Errorf("router %s: %w", cfg.Self, err)
 	}
+	if z, ok := cfg.zones(); ok {
+		if err := a.node.Zones(z, a.now()); err != nil {
+			return nil, fmt.Errorf("router %s: %w", cfg.Self, err)
+		}
+	}
 	a.link = link.New(link.Config{Fleet: cfg.Fleet, Self: cfg.Self, Peers: peers, Timeout: cfg.Timeout.Duration,
 		StaleAfter: cfg.Lease.Duration / 4, Seed: seed, Counters: count, Log: log, Receive: a.receive})
 	return a, nil
@@ -328,7 +333,14 @@
 	if worker, ok := strings.CutPrefix(name, "worker/"); ok && worker != "" {
 		return a.worker(worker), true
 	}
+	if zone, ok := strings.CutPrefix(name, "zone/"); ok && zone != "" {
+		return a.dry(zone)
+	}
 	switch name {
+	case "zones":
+		if p, ok := a.zonesPage(); ok {
+			return p, true
+		}
 	case "members":
 		return a.membersPage(), true
 	case "budgets":
--- a/fleet/agent/config.go
+++ b/fleet/agent/config.go
@@ -7,6 +7,10 @@
 	"time"
 
 	"lichenshelf/conffile"
+	"lichenshelf/fleet/node"
+	"lichenshelf/fleet/shift"
+	"lichenshelf/fleet/traffic"
+	"lichenshelf/fleet/zone"
 )
 
 // Config is the operator's file, deploy/fleet.toml.
@@ -36,6 +40,140 @@
 	Trail    string            `toml:"trail"` // directory; empty: no trail is kept
 	TrailMax int64             `toml:"trail_bytes"`
 	Routers  []Router          `toml:"router"`
+	Shift    Shift             `toml:"shift"`
+	Zones    []Zone            `toml:"zone"`
+	ZoneLink []ZoneLink        `toml:"zone_link"`
+}
+
+// Shift says how traffic is moved between zones; it is off without zones.
+type Shift struct {
+	Least   float64           `toml:"least"`   // attempts of late, of one zone's routers at another, that say something
+	Failing float64           `toml:"failing"` // part of them that goes wrong
+	Lost    float64           `toml:"lost"`
+	Confirm conffile.Duration `toml:"confirm"`
+	Hold    conffile.Duration `toml:"hold"`
+	Return  conffile.Duration `toml:"return"`
+	Trial   float64           `toml:"trial"`
+	Safe    float64           `toml:"safe"`
+	Up      float64           `toml:"up"`
+	Back    float64           `toml:"back"`
+	Every   conffile.Duration `toml:"every"`
+	PerMin  float64           `toml:"maps_per_min"`
+	Spill   float64           `toml:"spill"`
+	Fresh   conffile.Duration `toml:"fresh"`
+	Fade    conffile.Duration `toml:"fade"`
+}
+
+// Zone is what a zone takes with all of its workers warm, in requests a second.
+type Zone struct {
+	Name  string  `toml:"name"`
+	Read  float64 `toml:"read"`
+	Write float64 `toml:"write"`
+}
+
+// ZoneLink is what lies between two zones, either way.
+type ZoneLink struct {
+	From string  `toml:"from"`
+	To   string  `toml:"to"`
+	Far  float64 `toml:"far"`  // cost of distance, 0 to 1
+	Room float64 `toml:"room"` // requests a second whose states may go over it; negative: not bounded
+}
+
+const (
+	usualFar  = 0.5 // between zones whose link is not listed
+	mapsBurst = 12
+	reserve   = 4 // of them, for zones that are lost
+	band      = 0.02
+)
+
+// zones is the node's part of the file; false where no zones are listed.
+func (c *Config) zones() (node.ZoneConfig, bool) {
+	n, s := len(c.Zones), &c.Shift
+	z := node.ZoneConfig{Safe: s.Safe, Capacity: map[string]shift.Zone{}, Terms: traffic.Terms{Fresh: s.Fresh.Duration, Fade: s.Fade.Duration, Spill: s.Spill},
+		Pace: traffic.Pace{Every: s.Every.Duration, Up: s.Up, Back: s.Back, Band: band, Burst: mapsBurst, PerMin: s.PerMin, Reserve: reserve},
+		Judge: zone.Config{Least: s.Least, Failing: s.Failing, Lost: s.Lost, Strain: s.Safe, Confirm: s.Confirm.Duration, Hold: s.Hold.Duration,
+			Return: s.Return.Duration, Trial: s.Trial}}
+	at := map[string]int{}
+	for i, l := range c.Zones {
+		z.Judge.Zones, at[l.Name] = append(z.Judge.Zones, l.Name), i
+		z.Capacity[l.Name] = shift.Zone{Read: l.Read, Write: l.Write}
+		far, room := make([]float64, n), make([]float64, n)
+		for j := range n {
+			if j != i {
+				far[j] = usualFar
+			}
+			room[j] = -1
+		}
+		z.Far, z.Room = append(z.Far, far), append(z.Room, room)
+	}
+	for _, l := range c.ZoneLink {
+		i, j := at[l.From], at[l.To]
+		z.Far[i][j], z.Far[j][i], z.Room[i][j], z.Room[j][i] = l.Far, l.Far, l.Room, l.Room
+	}
+	return z, n > 0
+}
+
+// badZones names what makes no sense in the zones' part of the file.
+func (c *Config) badZones(f *conffile.File) error {
+	names := map[string]bool{}
+	for i, z := range c.Zones {
+		at := func(key string) string { return "zone[" + strconv.Itoa(i) + "]." + key }
+		switch {
+		case z.Name == "" || names[z.Name]:
+			return f.Bad(at("name"), z.Name, "empty, or named twice")
+		case !(z.Read >= 0 && z.Read <= mostRate):
+			return f.Bad(at("read"), z.Read, "not from 0 to 1000000")
+		case !(z.Write >= 0 && z.Write <= mostRate):
+			return f.Bad(at("write"), z.Write, "not from 0 to 1000000")
+		}
+		names[z.Name] = true
+	}
+	for i, l := range c.ZoneLink {
+		at := func(key string) string { return "zone_link[" + strconv.Itoa(i) + "]." + key }
+		switch {
+		case !names[l.From]:
+			return f.Bad(at("from"), l.From, "none of the zones listed")
+		case !names[l.To] || l.To == l.From:
+			return f.Bad(at("to"), l.To, "none of the zones listed, or the same")
+		case !(l.Far >= 0 && l.Far <= 1):
+			return f.Bad(at("far"), l.Far, "not from 0 to 1")
+		case !(l.Room <= mostRate):
+			return f.Bad(at("room"), l.Room, "over 1000000")
+		}
+	}
+	for i, r := range c.Routers {
+		if len(c.Zones) > 0 && !names[r.Zone] {
+			return f.Bad("router["+strconv.Itoa(i)+"].zone", r.Zone, "none of the zones listed")
+		}
+	}
+	s := &c.Shift
+	for _, k := range []struct {
+		key   string
+		value any
+		bad   bool
+		why   string
+	}{
+		{"shift.least", s.Least, !(s.Least > 0 && s.Least <= 1e6), "not over 0 and up to 1000000"},
+		{"shift.failing", s.Failing, !(s.Failing > 0 && s.Failing < s.Lost), "not over 0 and under shift.lost"},
+		{"shift.lost", s.Lost, !(s.Lost <= 1), "over 1"},
+		{"shift.confirm", s.Confirm, s.Confirm.Duration > time.Minute, "over 1m"},
+		{"shift.hold", s.Hold, s.Hold.Duration <= 0 || s.Hold.Duration > time.Hour, "not over 0 and up to 1h"},
+		{"shift.return", s.Return, s.Return.Duration <= 0 || s.Return.Duration > time.Hour, "not over 0 and up to 1h"},
+		{"shift.trial", s.Trial, !(s.Trial > 0 && s.Trial <= 1), "not over 0 and up to 1"},
+		{"shift.safe", s.Safe, !(s.Safe > 0 && s.Safe <= 1), "not over 0 and up to 1"},
+		{"shift.up", s.Up, !(s.Up > 0 && s.Up <= 1), "not over 0 and up to 1"},
+		{"shift.back", s.Back, !(s.Back > 0 && s.Back <= s.Up), "not over 0 and up to shift.up"},
+		{"shift.every", s.Every, s.Every.Duration <= 0 || s.Every.Duration > time.Hour, "not over 0 and up to 1h"},
+		{"shift.maps_per_min", s.PerMin, !(s.PerMin > 0 && s.PerMin <= 600), "not over 0 and up to 600"},
+		{"shift.spill", s.Spill, !(s.Spill >= 0 && s.Spill <= 1), "not from 0 to 1"},
+		{"shift.fresh", s.Fresh, s.Fresh.Duration <= 0 || s.Fresh.Duration > time.Hour, "not over 0 and up to 1h"},
+		{"shift.fade", s.Fade, s.Fade.Duration <= 0 || s.Fade.Duration > time.Hour, "not over 0 and up to 1h"},
+	} {
+		if k.bad {
+			return f.Bad(k.key, k.value, k.why)
+		}
+	}
+	return nil
 }
 
 // Straggle says what becomes of a router that lies behind the published configuration.
@@ -80,7 +218,9 @@
 	c := &Config{Lease: d(2 * time.Second), Floor: 0.1, Burst: d(time.Second), Drift: 0.01, Period: d(500 * time.Millisecond), Counts: d(100 * time.Millisecond),
 		Fanout: 2, Digest: 32, Timeout: d(time.Second), Observe: 2,
 		Quorum: 2, MostOut: 0.3, Least: 3, Hold: d(3 * time.Second), Return: d(10 * time.Second), TrailMax: 64 << 20,
-		Straggle: Straggle{MostShut: 0.25, Rate: 20, Steady: d(2 * time.Second)}}
+		Straggle: Straggle{MostShut: 0.25, Rate: 20, Steady: d(2 * time.Second)},
+		Shift: Shift{Least: 5, Failing: 0.2, Lost: 0.8, Confirm: d(time.Second), Hold: d(5 * time.Second), Return: d(20 * time.Second), Trial: 0.05,
+			Safe: 0.8, Up: 0.2, Back: 0.05, Every: d(time.Second), PerMin: 20, Spill: 0.1, Fresh: d(5 * time.Second), Fade: d(30 * time.Second)}}
 	f, err := conffile.Read(path, c)
 	if err != nil || c.Fleet == "" {
 		return c, err
@@ -140,7 +280,7 @@
 			return nil, f.Bad(k.key, k.value, k.why)
 		}
 	}
-	return c, nil
+	return c, c.badZones(f)
 }
 
 func badAddr(addr string) bool {
--- a/fleet/agent/witness.go
+++ b/fleet/agent/witness.go
@@ -19,6 +19,7 @@
 type Core interface {
 	Discovered(members []router.Member, whole bool)
 	Told(server logic.ServerID, l logic.Load)
+	SetZones(figures []float64)
 }
 
 // Front is one front's part in the fleet: a permit for its core's attempts, what stands
@@ -30,6 +31,7 @@
 	gate  *cordon.Gate
 	core  Core
 	trail Recorder // nil: nothing is kept
+	zones spread
 }
 
 // Recorder keeps what a front does. Its methods must return at once.
@@ -116,7 +118,7 @@
 func lines(members []router.Member) []node.Line {
 	out := make([]node.Line, len(members))
 	for i, m := range members {
-		out[i] = node.Line{Name: m.Name, Server: m.Server, Since: int64(m.Since), Kind: m.Kind, Cell: m.Cell, Gone: m.Health == logic.Gone}
+		out[i] = node.Line{Name: m.Name, Server: m.Server, Since: int64(m.Since), Kind: m.Kind, Cell: m.Cell, Zone: m.Zone, Gone: m.Health == logic.Gone}
 	}
 	return out
 }
@@ -127,6 +129,7 @@
 	a := f.agent
 	a.mu.Lock()
 	f.part.Listed(lines(members), whole, time.Now().UnixNano(), a.now())
+	f.zones.listed(f.cfg.Zones, members, whole)
 	a.mu.Unlock()
 	f.gate.Discovered(members, whole)
 }
@@ -160,6 +163,7 @@
 	s.agent.mu.Lock()
 	s.work = w.front.part.Work(s.worker, &at.Request.Request)
 	s.agent.node.Charge(s.worker, s.work)
+	w.front.zones.sent(s.worker, w.front.cfg.Settings.Kinds, s.agent.now())
 	s.agent.mu.Unlock()
 	if w.front.trail != nil {
 		s.request = at.Request.Name
@@ -263,6 +267,7 @@
 	}
 	s.agent.mu.Lock()
 	s.agent.node.Observe(s.worker, int64(s.since), fault, s.agent.now())
+	s.agent.node.ZoneTried(s.front.zones.of[s.worker].zone, fault != verdict.None, s.agent.now())
 	s.agent.mu.Unlock()
 }
 
@@ -280,9 +285,13 @@
 	}
 	a.mu.Lock()
 	parts, told := a.node.Confer(lists, a.now())
+	parts, figures := a.spread(parts)
 	a.mu.Unlock()
 	for i, f := range fronts {
 		f.gate.Set(parts)
+		if figures != nil {
+			f.core.SetZones(figures[i])
+		}
 		if told != nil {
 			for _, t := range told[i] {
 				f.core.Told(t.Server, t.Load)
--- /dev/null
+++ b/fleet/agent/zones.go
@@ -0,0 +1,192 @@
+package agent
+
+import (
+	"maps"
+	"math"
+	"net/url"
+	"slices"
+	"strings"
+	"time"
+
+	"lichenshelf/fleet/node"
+	"lichenshelf/fleet/shift"
+	"lichenshelf/fleet/traffic"
+	"lichenshelf/logic"
+	"lichenshelf/router"
+)
+
+// spread is a front's part in the traffic between zones: where its workers are, and where its requests were sent. It is
+// behind the agent's lock.
+type spread struct {
+	of      map[string]place // by worker
+	usual   map[string]int   // the most workers that each zone ever had
+	balance traffic.Balance
+}
+
+type place struct {
+	zone  string
+	index int // as the front numbers zones
+	kind  int
+	since int64
+	ready bool
+}
+
+func (s *spread) listed(names []string, members []router.Member, whole bool) {
+	if s.of == nil || whole {
+		s.of = map[string]place{}
+	}
+	for _, m := range members {
+		if m.Health == logic.Gone || m.Zone < 0 || m.Zone >= len(names) {
+			delete(s.of, m.Name)
+			continue
+		}
+		s.of[m.Name] = place{names[m.Zone], m.Zone, m.Kind, int64(m.Since), m.Health == logic.Ready}
+	}
+	if s.usual == nil {
+		s.usual = map[string]int{}
+	}
+	for zone, n := range s.count() {
+		s.usual[zone] = max(s.usual[zone], n)
+	}
+}
+
+func (s *spread) count() map[string]int {
+	out := map[string]int{}
+	for _, p := range s.of {
+		out[p.zone]++
+	}
+	return out
+}
+
+// sent notes where a request is read.
+func (s *spread) sent(worker string, kinds []logic.Kind, now time.Duration) {
+	if p, ok := s.of[worker]; ok && (p.kind >= len(kinds) || kinds[p.kind].Role != logic.RoleWrite) {
+		s.balance.Sent(p.index, p.index+1, traffic.Time(now))
+	}
+}
+
+// up is the part of each zone's workers that serve, as warm as they are by the settings.
+func (s *spread) up(set logic.Settings, wall time.Time) map[string]float64 {
+	out := map[string]float64{}
+	for zone := range s.usual {
+		out[zone] = 0
+	}
+	for _, p := range s.of {
+		if !p.ready {
+			continue
+		}
+		warm := 1.0
+		if age := wall.UnixNano() - p.since; p.since > 0 && set.WarmWithin > 0 && age < int64(set.WarmWithin) {
+			warm = set.ColdShare + (1-set.ColdShare)*math.Max(float64(age), 0)/float64(set.WarmWithin)
+		}
+		out[p.zone] += warm / float64(s.usual[p.zone])
+	}
+	return out
+}
+
+// spread tells the node of the zones' workers, takes those of barred zones out, and gives the figures by front; nil where no
+// zones were set. The lock is held.
+func (a *Agent) spread(parts map[string]float64) (map[string]float64, [][]float64) {
+	names, shares, barred, own, ok := a.node.ZoneShares(a.now())
+	if !ok {
+		return parts, nil
+	}
+	parts = maps.Clone(parts)
+	if parts == nil {
+		parts = map[string]float64{}
+	}
+	up, figures := map[string]float64{}, make([][]float64, len(a.fronts))
+	for i, f := range a.fronts {
+		for zone, part := range f.zones.up(f.cfg.Settings, time.Now()) {
+			if was, ok := up[zone]; !ok || part < was { // a request needs all that its front needs
+				up[zone] = part
+			}
+		}
+		for worker, p := range f.zones.of {
+			if z := slices.Index(names, p.zone); z >= 0 && barred[z] {
+				parts[worker] = 0
+			}
+		}
+		if len(f.cfg.Zones) == 0 {
+			continue
+		}
+		mine, home := make([]float64, len(f.cfg.Zones)), -1
+		for j, name := range f.cfg.Zones {
+			if z := slices.Index(names, name); z >= 0 {
+				mine[j] = shares[z]
+				if z == own {
+					home = j
+				}
+			}
+		}
+		figures[i] = f.zones.balance.Figures(mine, home, traffic.Time(a.now()))
+		for j, name := range f.cfg.Zones {
+			if !slices.Contains(names, name) {
+				figures[i][j] = 0 // the map says nothing of it: the usual cost of distance
+			}
+		}
+	}
+	a.node.ZoneUp(up)
+	return parts, figures
+}
+
+// Arrived notes a request that came to this router.
+func (a *Agent) Arrived() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.node.ZoneArrived(a.now())
+}
+
+// ZonesPage is what there is to see of the zones.
+type ZonesPage struct {
+	Self    string       `json:"self"`
+	Decides bool         `json:"decides"`
+	Zones   []ZoneLine   `json:"zones"`
+	Map     *traffic.Map `json:"map"`
+	AgeS    float64      `json:"age_s"`  // since it was renewed
+	Shares  []float64    `json:"shares"` // of this router's traffic
+	Best    *shift.Plan  `json:"best"`   // what the map moves towards
+}
+
+// ZoneLine is one zone.
+type ZoneLine struct {
+	Name   string   `json:"name"`
+	State  string   `json:"state"`
+	Level  float64  `json:"level"`
+	SinceS float64  `json:"since_s"`
+	Why    string   `json:"why"`
+	Cut    []string `json:"cut"`
+}
+
+func (a *Agent) zonesPage() (ZonesPage, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.now()
+	v, ok := a.node.ZonePage(now)
+	p := ZonesPage{Self: a.cfg.Self, Decides: v.Decides, Zones: []ZoneLine{}, Map: v.Map, AgeS: v.Age.Seconds(), Shares: v.Shares, Best: v.Best}
+	for _, s := range v.States {
+		p.Zones = append(p.Zones, ZoneLine{s.Zone, s.State.String(), s.Level, (now - time.Duration(s.Since)).Seconds(), s.Why, s.Cut})
+	}
+	return p, ok
+}
+
+// Do is an operator's call: zone/NAME/drain, zone/NAME/force, zone/NAME/return.
+func (a *Agent) Do(name string) error {
+	rest, ok := strings.CutPrefix(name, "zone/")
+	zone, verb, found := strings.Cut(rest, "/")
+	zone, err := url.PathUnescape(zone)
+	if !ok || !found || err != nil || !slices.Contains([]string{"drain", "force", "return"}, verb) {
+		return node.ErrNoZone
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.node.ZoneOut(zone, verb != "return", verb == "force", a.now())
+}
+
+// dry is where traffic would go without a zone.
+func (a *Agent) dry(zone string) (*shift.Plan, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	p, err := a.node.ZoneDry(zone)
+	return p, err == nil
+}
--- a/fleet/node/node.go
+++ b/fleet/node/node.go
@@ -41,6 +41,7 @@
 	Judged  []verdict.Judgement `cbor:"12,keyasint,omitempty"` // of the sender and passed on
 	Counts  *counts.State       `cbor:"13,keyasint,omitempty"`
 	Acts    version.Vector      `cbor:"14,keyasint,omitempty"` // what the sender acts on, with Members
+	Zones   *ZoneNews           `cbor:"15,keyasint,omitempty"` // the same
 }
 
 // Spoken drops what speaks for another router than the one that sent it.
@@ -100,6 +101,7 @@
 	notices []Notice
 	acts    version.Vector // what is told to the others
 	said    map[string]said
+	zones   *zones // nil: traffic between zones is each router's own matter
 }
 
 // said is what another router said that it acts on.
@@ -210,6 +212,9 @@
 	for _, m := range n.members.Tick(members.Time(now)) {
 		e := to(m.To)
 		e.Members, e.Acts = &m, n.acts
+		if n.zones != nil {
+			e.Zones = n.zones.tell(now)
+		}
 		if len(n.fronts) > 0 {
 			e.Judged = n.court.Tell(verdict.Time(now))
 		}
@@ -230,6 +235,7 @@
 		e.Budget = append(e.Budget, m)
 	}
 	n.notice(now)
+	n.lookAtZones(now)
 	for _, f := range n.fronts {
 		if limits, changed := f.rules.Cold(attempts.Time(now)); changed {
 			n.SetLimits(f.rules.Prefix(), limits, now)
@@ -243,6 +249,9 @@
 	if e.Members != nil {
 		n.members.Receive(*e.Members, members.Time(now))
 		n.hear(e.From, e.Acts, now)
+		if _, known := n.cfg.Zones[e.From]; n.zones != nil && e.Zones != nil && known && e.From != n.cfg.Self {
+			n.zones.hear(e.From, *e.Zones, now)
+		}
 	}
 	n.court.Receive(e.Judged, verdict.Time(now))
 	if e.Counts != nil {
@@ -348,7 +357,8 @@
 type FrontConfig struct {
 	Name     string
 	Settings logic.Settings
-	Reports  bool // workers report their load themselves, others' part in it: it is not told twice
+	Reports  bool     // workers report their load themselves, others' part in it: it is not told twice
+	Zones    []string // names of the zones that workers' lines number; nil: none are known
 }
 
 // Front is one front's part.
@@ -366,6 +376,7 @@
 	Server     logic.ServerID
 	Since      int64 // wall clock of its latest start in nanoseconds; 0: long ago
 	Kind, Cell int
+	Zone       int
 	Gone       bool
 }
 
--- /dev/null
+++ b/fleet/node/zones.go
@@ -0,0 +1,409 @@
+package node
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"lichenshelf/fleet/members"
+	"lichenshelf/fleet/shift"
+	"lichenshelf/fleet/traffic"
+	"lichenshelf/fleet/zone"
+)
+
+// ZoneConfig says how zones are judged and traffic is moved between them. All of it must be the same at every router.
+type ZoneConfig struct {
+	Judge    zone.Config // its Zones are those of the map
+	Terms    traffic.Terms
+	Pace     traffic.Pace
+	Safe     float64               // part of a zone's capacity up to which it is loaded while another one has room
+	Capacity map[string]shift.Zone // requests a second that a zone takes, with all of its workers warm
+	Far      [][]float64           // cost of distance, 0 to 1
+	Room     [][]float64           // requests a second between readers and writers; negative: not bounded
+}
+
+// ZoneNews is what one router tells of the zones.
+type ZoneNews struct {
+	Tried map[string]float64 `cbor:"1,keyasint"` // own attempts lately, by the worker's zone
+	Bad   map[string]float64 `cbor:"2,keyasint"` // those that could not reach it, were reset or answered by an error
+	Load  float64            `cbor:"3,keyasint"` // requests a second that come to it
+	Up    map[string]float64 `cbor:"4,keyasint"` // part of each zone's workers that serve, as warm as they are
+	Ops   map[string]ZoneOp  `cbor:"5,keyasint"` // operators' words
+	Map   *traffic.Map       `cbor:"6,keyasint,omitempty"`
+	Age   time.Duration      `cbor:"7,keyasint"` // since the map was renewed
+}
+
+// ZoneOp is an operator's word on a zone; the later version counts.
+type ZoneOp struct {
+	Out     bool   `cbor:"1,keyasint"`
+	Version uint64 `cbor:"2,keyasint"`
+}
+
+// The faults of operators' calls.
+var (
+	ErrNoZone   = errors.New("no such zone")
+	ErrLastZone = errors.New("no other zone could take its traffic")
+)
+
+const (
+	zoneLook   = 250 * time.Millisecond
+	zoneMemory = 4 * time.Second // over which attempts and arrivals fade: routers leave bad workers by themselves within a second or two
+	zoneStale  = 3 * time.Second // after which another router's word counts no more
+	leastPart  = 1e-3            // of a fading count, under which it is none
+)
+
+// zones is a node's part in the traffic between zones.
+type zones struct {
+	cfg    ZoneConfig
+	own    string
+	court  *zone.Court
+	step   *traffic.Stepper
+	keep   *traffic.Keeper
+	news   ZoneNews // of this router; counts as of at
+	at     Time
+	others map[string]heardZones
+	looked Time
+	states []zone.Verdict
+	plan   *shift.Plan // what the best would be, as it was found last
+	site   shift.Site  // from which
+	level  []float64   // of each zone's capacity that may be used, which is in the site
+}
+
+type heardZones struct {
+	ZoneNews
+	at Time
+}
+
+// Zones makes this node judge zones and follow a map of traffic between them, as a router of its own zone, which must be one of
+// those of the config.
+func (n *Node) Zones(cfg ZoneConfig, now Time) error {
+	own := n.cfg.Zones[n.cfg.Self]
+	if !slices.Contains(cfg.Judge.Zones, own) {
+		return fmt.Errorf("%w: %q, of router %s", ErrNoZone, own, n.cfg.Self)
+	}
+	z := &zones{cfg: cfg, own: own, at: now, others: map[string]heardZones{}}
+	var err error
+	if z.court, err = zone.New(cfg.Judge, zone.Time(now)); err != nil {
+		return err
+	}
+	if z.step, err = traffic.NewStepper(cfg.Pace, traffic.Time(now)); err != nil {
+		return err
+	}
+	if z.keep, err = traffic.NewKeeper(cfg.Terms, own); err != nil {
+		return err
+	}
+	site := shift.Site{Far: cfg.Far, Room: cfg.Room, Safe: cfg.Safe}
+	for _, name := range cfg.Judge.Zones {
+		site.Zones = append(site.Zones, cfg.Capacity[name])
+	}
+	if _, err := shift.Solve(site, nil); err != nil {
+		return err
+	}
+	z.news = ZoneNews{Tried: map[string]float64{}, Bad: map[string]float64{}, Up: map[string]float64{}, Ops: map[string]ZoneOp{}}
+	n.zones = z
+	return nil
+}
+
+func (z *zones) fade(now Time) {
+	if now <= z.at {
+		return
+	}
+	f := math.Exp(-float64(now-z.at) / float64(zoneMemory))
+	for _, m := range []map[string]float64{z.news.Tried, z.news.Bad} {
+		for name := range m {
+			if m[name] *= f; m[name] < leastPart {
+				delete(m, name)
+			}
+		}
+	}
+	z.news.Load *= f
+	z.at = now
+}
+
+// ZoneArrived notes a request that came to this router.
+func (n *Node) ZoneArrived(now Time) {
+	if z := n.zones; z != nil {
+		z.fade(now)
+		z.news.Load += 1 / zoneMemory.Seconds()
+	}
+}
+
+// ZoneTried notes how an attempt at a worker of a zone ended.
+func (n *Node) ZoneTried(of string, bad bool, now Time) {
+	if z := n.zones; z != nil && slices.Contains(z.cfg.Judge.Zones, of) {
+		z.fade(now)
+		z.news.Tried[of]++
+		if bad {
+			z.news.Bad[of]++
+		}
+	}
+}
+
+// ZoneUp notes which part of a zone's workers serve, as warm as they are.
+func (n *Node) ZoneUp(up map[string]float64) {
+	if z := n.zones; z != nil {
+		z.news.Up = up
+	}
+}
+
+// tell is what goes to the others.
+func (z *zones) tell(now Time) *ZoneNews {
+	z.fade(now)
+	out := z.news
+	out.Tried, out.Bad, out.Up, out.Ops = maps.Clone(out.Tried), maps.Clone(out.Bad), maps.Clone(out.Up), maps.Clone(out.Ops)
+	out.Map, out.Age = z.keep.Map(traffic.Time(now))
+	return &out
+}
+
+// hear takes another router's word. A map that makes no sense, is older or another one of the same epoch is passed over.
+func (z *zones) hear(from string, news ZoneNews, now Time) {
+	for _, m := range []map[string]float64{news.Tried, news.Bad, news.Up} {
+		for name, v := range m {
+			if !slices.Contains(z.cfg.Judge.Zones, name) || !(v >= 0) || math.IsInf(v, 0) {
+				return
+			}
+		}
+	}
+	if !(news.Load >= 0) || math.IsInf(news.Load, 0) || news.Age < 0 {
+		return
+	}
+	z.others[from] = heardZones{news, now}
+	for name, op := range news.Ops {
+		if op.Version > z.news.Ops[name].Version && slices.Contains(z.cfg.Judge.Zones, name) {
+			z.news.Ops[name] = op
+		}
+	}
+	if news.Map != nil && slices.Equal(news.Map.Zones, z.cfg.Judge.Zones) {
+		_ = z.keep.Take(news.Map, traffic.Time(now-news.Age))
+	}
+}
+
+// decides tells whether this router makes the maps: the first by name of those that are alive, if it hears enough of them.
+func (n *Node) decides(now Time) bool {
+	if n.fenced || n.members.Deaf(members.Time(now)) {
+		return false
+	}
+	for _, name := range n.names {
+		if name == n.cfg.Self {
+			return true
+		}
+		if n.members.State(name, members.Time(now)) == members.Alive {
+			return false
+		}
+	}
+	return false
+}
+
+// look judges anew, and makes the next map where this router does that.
+func (n *Node) lookAtZones(now Time) {
+	z := n.zones
+	if z == nil || now-z.looked < zoneLook {
+		return
+	}
+	z.looked = now
+	z.fade(now)
+	all := z.cfg.Judge.Zones
+	view := zone.View{Capacities: map[string]zone.Capacity{}, Out: map[string]bool{}}
+	load, up, heard := make([]float64, len(all)), make([]float64, len(all)), make([]float64, len(all))
+	told, routers := make([]float64, len(all)), make([]float64, len(all)) // of each zone, that were heard lately, and all
+	for _, from := range n.cfg.Zones {
+		if e := slices.Index(all, from); e >= 0 {
+			routers[e]++
+		}
+	}
+	add := func(from string, news ZoneNews) {
+		e := slices.Index(all, from)
+		if e < 0 {
+			return
+		}
+		load[e] += news.Load
+		told[e]++
+		for i, of := range all {
+			if news.Tried[of] > 0 {
+				view.Sights = append(view.Sights, zone.Sight{From: from, Of: of, Tried: news.Tried[of], Bad: math.Min(news.Bad[of], news.Tried[of])})
+			}
+			if v, ok := news.Up[of]; ok {
+				up[i], heard[i] = up[i]+math.Min(v, 1), heard[i]+1
+			}
+		}
+	}
+	add(z.own, z.news)
+	for _, name := range slices.Sorted(maps.Keys(z.others)) {
+		if o := z.others[name]; now-o.at <= zoneStale {
+			add(n.cfg.Zones[name], o.ZoneNews)
+		} else {
+			delete(z.others, name)
+		}
+	}
+	for e := range all { // a router hears some of the others at a time: they stand for the rest of their zone
+		if told[e] > 0 {
+			load[e] *= routers[e] / told[e]
+		}
+	}
+	current, _ := z.keep.Map(traffic.Time(now))
+	if current == nil {
+		current = z.nearest()
+	}
+	site := shift.Site{Far: z.cfg.Far, Room: z.cfg.Room, Safe: z.cfg.Safe, Seen: make([][]bool, len(all))}
+	takes := make([]float64, len(all))
+	for i, name := range all {
+		part := 1.0 // nobody has told of its workers yet
+		if heard[i] > 0 {
+			part = up[i] / heard[i]
+		}
+		takes[i] = part
+		in := 0.0
+		for e := range all {
+			in += load[e] * current.Read[e][i]
+		}
+		c := z.cfg.Capacity[name]
+		view.Capacities[name] = zone.Capacity{Load: in, Now: part * math.Min(c.Read, c.Write), Listed: part > 0}
+		view.Out[name] = z.news.Ops[name].Out
+		site.Seen[i] = make([]bool, len(all))
+		for j := range all {
+			site.Seen[i][j] = true
+		}
+	}
+	z.states = z.court.Judge(view, zone.Time(now))
+	aim := traffic.Aim{Load: load, Bears: make([]float64, len(all)), Level: make([]float64, len(all)), By: n.cfg.Self}
+	for i, v := range z.states {
+		c := z.cfg.Capacity[v.Zone]
+		site.Zones = append(site.Zones, shift.Zone{Read: c.Read * takes[i] * v.Level, Write: c.Write * takes[i] * v.Level})
+		site.Demand = append(site.Demand, shift.Demand{Entry: i, Load: load[i], Worth: 1})
+		aim.Level[i] = v.Level
+		aim.Bears[i] = math.Max(0, site.Zones[i].Read-view.Capacities[v.Zone].Load)
+		for _, from := range v.Cut {
+			site.Seen[slices.Index(all, from)][i] = false
+		}
+		if v.State != zone.Healthy && v.State != zone.Strained {
+			aim.Why += fmt.Sprintf("%s %s: %s; ", v.Zone, v.State, v.Why)
+		}
+	}
+	plan, err := shift.Solve(site, &shift.Plan{Read: current.Read})
+	if err != nil {
+		return // checked at the start; capacities are parts of what was checked
+	}
+	for e := range all { // an entry without load of its own stays near, or with what holds
+		if load[e] == 0 {
+			plan.Read[e] = slices.Clone(current.Read[e])
+			for i := range all {
+				if aim.Level[i] == 0 {
+					plan.Read[e][i] = 0
+				}
+			}
+		}
+	}
+	for r := range all {
+		if sum := total(plan.Write[r]); sum == 0 {
+			plan.Write[r] = slices.Clone(current.Write[r])
+		}
+	}
+	z.plan, z.site, z.level = plan, site, aim.Level
+	if !n.decides(now) {
+		return
+	}
+	aim.Read, aim.Write = plan.Read, plan.Write
+	next := z.step.Step(*current, aim, traffic.Time(now))
+	if next == nil {
+		next = current // renewed
+	}
+	_ = z.keep.Take(next, traffic.Time(now))
+}
+
+func total(v []float64) (sum float64) {
+	for _, x := range v {
+		sum += x
+	}
+	return sum
+}
+
+// nearest is the map that holds before there is one: all stays where it comes in.
+func (z *zones) nearest() *traffic.Map {
+	all := z.cfg.Judge.Zones
+	m := &traffic.Map{Epoch: 1, Zones: all, Why: "before there was one"}
+	for i := range all {
+		row := make([]float64, len(all))
+		row[i] = 1
+		m.Read, m.Write = append(m.Read, row), append(m.Write, slices.Clone(row))
+	}
+	return m
+}
+
+// sees tells whether own attempts reach a zone; without any it counts as seen.
+func (z *zones) sees(name string) bool {
+	tried := z.news.Tried[name]
+	return tried < z.cfg.Judge.Least || z.news.Bad[name] < z.cfg.Judge.Lost*tried
+}
+
+// ZoneShares is the part of this router's traffic that is to be read in each zone, and which zones are barred; false where no
+// zones were set.
+func (n *Node) ZoneShares(now Time) (names []string, shares []float64, barred []bool, own int, ok bool) {
+	z := n.zones
+	if z == nil {
+		return nil, nil, nil, 0, false
+	}
+	z.fade(now)
+	names = z.cfg.Judge.Zones
+	shares = z.keep.Shares(names, z.sees, traffic.Time(now))
+	for _, name := range names {
+		barred = append(barred, z.keep.Barred(name, traffic.Time(now)))
+	}
+	return names, shares, barred, slices.Index(names, z.own), true
+}
+
+// ZoneView is what there is to see of the zones.
+type ZoneView struct {
+	States  []zone.Verdict
+	Map     *traffic.Map
+	Age     time.Duration
+	Best    *shift.Plan // what the map moves towards
+	Decides bool
+	Shares  []float64 // of this router
+}
+
+// ZonePage tells of the zones; false where none were set.
+func (n *Node) ZonePage(now Time) (ZoneView, bool) {
+	z := n.zones
+	if z == nil {
+		return ZoneView{}, false
+	}
+	v := ZoneView{States: z.states, Best: z.plan, Decides: n.decides(now)}
+	v.Map, v.Age = z.keep.Map(traffic.Time(now))
+	_, v.Shares, _, _, _ = n.ZoneShares(now)
+	return v, true
+}
+
+// ZoneDry tells where traffic would go if a zone were out, by what is known now.
+func (n *Node) ZoneDry(name string) (*shift.Plan, error) {
+	z := n.zones
+	if z == nil || !slices.Contains(z.cfg.Judge.Zones, name) || len(z.site.Zones) == 0 {
+		return nil, fmt.Errorf("%w: %.64q", ErrNoZone, name)
+	}
+	site := z.site
+	site.Zones = slices.Clone(site.Zones)
+	site.Zones[slices.Index(z.cfg.Judge.Zones, name)] = shift.Zone{}
+	return shift.Solve(site, z.plan)
+}
+
+// ZoneOut takes an operator's word that a zone is out, or back with false. A zone that is the last one that may be used is
+// ErrLastZone unless it is forced.
+func (n *Node) ZoneOut(name string, out, force bool, now Time) error {
+	z := n.zones
+	if z == nil || !slices.Contains(z.cfg.Judge.Zones, name) {
+		return fmt.Errorf("%w: %.64q", ErrNoZone, name)
+	}
+	left := 0
+	for _, v := range z.states {
+		if v.Zone != name && v.Level > 0 && !z.news.Ops[v.Zone].Out {
+			left++
+		}
+	}
+	if out && left == 0 && !force {
+		return fmt.Errorf("%w: all of it would be shed", ErrLastZone)
+	}
+	z.news.Ops[name] = ZoneOp{out, max(z.news.Ops[name].Version+1, uint64(now.Milliseconds()))}
+	return nil
+}
--- /dev/null
+++ b/fleet/node/zones_test.go
@@ -0,0 +1,226 @@
+package node
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lichenshelf/fleet/members"
+	"lichenshelf/fleet/shift"
+	"lichenshelf/fleet/traffic"
+	"lichenshelf/fleet/zone"
+)
+
+var large = flag.Bool("large", false, "TestNodesAgreeOnZones at 80 and 300 routers")
+
+var zoneNames = []string{"a", "b", "c"}
+
+func zoneConfig() ZoneConfig {
+	c := ZoneConfig{Safe: 0.8, Capacity: map[string]shift.Zone{}, Terms: traffic.Terms{Fresh: 5 * time.Second, Fade: 20 * time.Second, Spill: 0.2},
+		Judge: zone.Config{Zones: zoneNames, Least: 3, Failing: 0.2, Lost: 0.8, Strain: 0.8, Confirm: time.Second, Hold: 20 * time.Second, Return: 10 * time.Second, Trial: 0.05},
+		Pace:  traffic.Pace{Every: time.Second, Up: 0.2, Back: 0.05, Band: 0.02, Burst: 12, PerMin: 20, Reserve: 4}}
+	for i, name := range zoneNames {
+		c.Capacity[name] = shift.Zone{Read: 100, Write: 100}
+		far := []float64{0.5, 0.5, 0.5}
+		far[i] = 0
+		c.Far = append(c.Far, far)
+	}
+	return c
+}
+
+// zoned is nodes in three zones whose requests go as their shares say.
+type zoned struct {
+	*fleet
+	ill  map[string]bool      // zones where all goes wrong
+	dead map[string]bool      // routers
+	sent map[string][]float64 // of each router, its shares at the last look
+	load float64              // requests a second of each entry
+}
+
+func newZoned(t testing.TB, n int) *zoned {
+	z := &zoned{ill: map[string]bool{}, dead: map[string]bool{}, sent: map[string][]float64{}, load: 60}
+	z.fleet = newFleet(t, n, 0, func(c *Config) {
+		for i := range n {
+			c.Zones[fmt.Sprintf("r-%d", i)] = zoneNames[i%len(zoneNames)]
+		}
+	})
+	for _, node := range z.nodes {
+		require.NoError(t, node.Zones(zoneConfig(), z.now))
+		node.ZoneUp(map[string]float64{"a": 1, "b": 1, "c": 1})
+	}
+	return z
+}
+
+const zoneTick = 50 * time.Millisecond
+
+func (z *zoned) run(d time.Duration) {
+	n := len(z.nodes)
+	each := z.load * float64(len(zoneNames)) / float64(n) * zoneTick.Seconds()
+	for end := z.now + d; z.now < end; z.now += zoneTick {
+		for i := range n {
+			name := fmt.Sprintf("r-%d", i)
+			node := z.nodes[name]
+			if z.dead[name] {
+				continue
+			}
+			_, shares, barred, _, ok := node.ZoneShares(z.now)
+			require.True(z.t, ok)
+			z.sent[name] = shares
+			// So many requests in this time, by parts of one: each is noted as often as it would be.
+			node.zones.fade(z.now)
+			node.zones.news.Load += each / zoneMemory.Seconds()
+			for k, of := range zoneNames {
+				looks := shares[k]*each + 0.1 // sessions that hang on
+				if barred[k] {
+					looks = 0
+				}
+				node.zones.news.Tried[of] += looks
+				if z.ill[of] {
+					node.zones.news.Bad[of] += looks
+				}
+			}
+			z.send(node.Tick(z.now))
+		}
+	}
+}
+
+func (z *zoned) states(of string) map[string]int {
+	out := map[string]int{}
+	for name, node := range z.nodes {
+		if z.dead[name] {
+			continue
+		}
+		v, _ := node.ZonePage(z.now)
+		for _, s := range v.States {
+			if s.Zone == of {
+				out[s.State.String()]++
+			}
+		}
+	}
+	return out
+}
+
+func (z *zoned) epochs() (least, most uint64, deciders int) {
+	least = math.MaxUint64
+	for name, node := range z.nodes {
+		if z.dead[name] {
+			continue
+		}
+		v, _ := node.ZonePage(z.now)
+		if v.Decides {
+			deciders++
+		}
+		if v.Map != nil {
+			least, most = min(least, v.Map.Epoch), max(most, v.Map.Epoch)
+		}
+	}
+	return least, most, deciders
+}
+
+// A zone goes wrong: all routers come to know it, go by one map, send nothing there, and go back to it when it is well; with the
+// decider dead on the way, and with one router that tells nonsense.
+func TestNodesAgreeOnZones(t *testing.T) {
+	sizes := []int{6, 30}
+	if *large {
+		sizes = []int{80, 300}
+	}
+	for _, n := range sizes {
+		z := newZoned(t, n)
+		spread := 5*time.Second + time.Duration(n)*100*time.Millisecond // until news is everywhere
+		z.run(2 * spread)
+		require.Equal(t, map[string]int{"healthy": n}, z.states("a"))
+		_, _, deciders := z.epochs()
+		require.Equal(t, 1, deciders, "%d routers", n)
+		for _, shares := range z.sent {
+			require.InDelta(t, 1, shares[0]+shares[1]+shares[2], 1e-6)
+		}
+		z.ill["a"] = true
+		began, barred := z.now, 0
+		for until := z.now + 2*spread; barred < n && z.now < until; {
+			z.run(100 * time.Millisecond)
+			barred = 0
+			for _, node := range z.nodes {
+				if _, shares, out, _, _ := node.ZoneShares(z.now); out[0] {
+					barred++
+					require.Zero(t, shares[0], "nothing is sent there")
+				}
+			}
+		}
+		require.Equal(t, n, barred, "%d routers: %v", n, z.states("a"))
+		took := z.now - began
+		z.dead["r-0"] = true // it decided
+		z.ill["a"] = false
+		z.run(4*spread + 90*time.Second)
+		require.Equal(t, n-1, z.states("a")["healthy"], "%d routers: %v", n, z.states("a"))
+		least, most, deciders := z.epochs()
+		require.Equal(t, 1, deciders, "%d routers", n)
+		require.LessOrEqual(t, most-least, uint64(1), "%d routers", n)
+		for i := 3; i < n; i += 3 {
+			require.Greater(t, z.sent[fmt.Sprintf("r-%d", i)][0], 0.9, "near again at %d of %d", i, n)
+		}
+		t.Logf("%d routers: the zone is barred at all %v after it went wrong; epoch %d at the end", n, took, most)
+	}
+}
+
+// What makes no sense is passed over, an operator's later word counts, and the last zone is not drained.
+func TestZoneNewsThatMakesNoSense(t *testing.T) {
+	z := newZoned(t, 3)
+	node := z.nodes["r-0"]
+	for name, news := range map[string]ZoneNews{
+		"a negative count": {Tried: map[string]float64{"b": -1}},
+		"no number":        {Bad: map[string]float64{"b": math.NaN()}},
+		"no such zone":     {Up: map[string]float64{"nowhere": 1}},
+		"load without end": {Load: math.Inf(1)},
+		"an age below 0":   {Age: -1},
+	} {
+		node.Receive(Envelope{From: "r-1", Members: &members.Message{From: "r-1", To: "r-0"}, Zones: &news}, z.now)
+		require.Empty(t, node.zones.others, name)
+	}
+	foreign := traffic.Map{Epoch: 1 << 60, Zones: []string{"x", "b", "c"}}
+	wild := traffic.Map{Epoch: 1 << 60, Zones: zoneNames, Read: [][]float64{{2, 0, 0}, {0, 1, 0}, {0, 0, 1}}, Write: [][]float64{{1, 0, 0}, {0, 1, 0}, {0, 0, 1}}}
+	for _, m := range []*traffic.Map{&foreign, &wild} {
+		node.Receive(Envelope{From: "r-1", Members: &members.Message{From: "r-1", To: "r-0"}, Zones: &ZoneNews{Map: m}}, z.now)
+		held, _ := node.zones.keep.Map(0)
+		require.Nil(t, held)
+	}
+	z.run(5 * time.Second)
+	require.ErrorIs(t, node.ZoneOut("nowhere", true, false, z.now), ErrNoZone)
+	require.NoError(t, node.ZoneOut("a", true, false, z.now))
+	require.NoError(t, z.nodes["r-2"].ZoneOut("b", true, false, z.now))
+	z.run(5 * time.Second)
+	require.ErrorIs(t, node.ZoneOut("c", true, false, z.now), ErrLastZone)
+	p, err := node.ZoneDry("c")
+	require.NoError(t, err)
+	require.False(t, p.Feasible(), "nothing would be left")
+	require.NoError(t, node.ZoneOut("a", false, false, z.now))
+	z.run(20 * time.Second)
+	require.Equal(t, map[string]int{"strained": 3}, z.states("a"), "with what b had")
+	require.Equal(t, map[string]int{"out": 3}, z.states("b"))
+	require.NoError(t, node.ZoneOut("c", true, true, z.now))
+}
+
+// Cut in two halves of three zones, the side that hears less than half of the others decides nothing and goes over to its own zone.
+func TestTheSmallerSideOfACut(t *testing.T) {
+	z := newZoned(t, 9)
+	z.run(10 * time.Second)
+	small := map[string]bool{"r-0": true, "r-3": true} // both of zone a; r-0 decided
+	z.cut = func(from, to string) bool { return small[from] != small[to] }
+	z.run(60 * time.Second)
+	v, _ := z.nodes["r-0"].ZonePage(z.now)
+	require.False(t, v.Decides)
+	require.Greater(t, v.Age, 20*time.Second)
+	require.InDeltaSlice(t, []float64{0.8, 0.1, 0.1}, z.sent["r-0"], 0.01, "its own zone and the spill")
+	w, _ := z.nodes["r-1"].ZonePage(z.now)
+	require.True(t, w.Decides)
+	require.Less(t, w.Age, 2*time.Second)
+	z.cut = nil
+	z.run(20 * time.Second)
+	v, _ = z.nodes["r-0"].ZonePage(z.now)
+	require.True(t, v.Decides, "it goes on from the epoch that came meanwhile")
+	require.GreaterOrEqual(t, v.Map.Epoch, w.Map.Epoch)
+	require.Less(t, v.Age, 2*time.Second)
+}
--- a/fleet/traffic/step.go
+++ b/fleet/traffic/step.go
@@ -42,7 +42,7 @@
 	Read, Write [][]float64
 	Load        []float64 // of each entry, in one unit
 	Bears       []float64 // load that a zone may get more of in this step, warm and cold as it is, beside Up; negative: not bounded
-	Usable      []bool    // zones that may be used at all
+	Level       []float64 // part of each zone's capacity that may be used; at 0 it may not be used at all
 	Why, By     string
 }
 
@@ -63,23 +63,33 @@
 	for e := range n {
 		for z := range n {
 			far = math.Max(far, math.Abs(aim.Read[e][z]-now.Read[e][z]))
-			urgent = urgent || !aim.Usable[z] && now.Read[e][z] > 0
+			urgent = urgent || aim.Level[z] == 0 && now.Read[e][z] > 0
 		}
 	}
 	for r := range n {
 		for w := range n {
 			far = math.Max(far, math.Abs(aim.Write[r][w]-now.Write[r][w]))
-			urgent = urgent || !aim.Usable[w] && aim.Usable[r] && now.Write[r][w] > 0
+			urgent = urgent || aim.Level[w] == 0 && aim.Level[r] > 0 && now.Write[r][w] > 0
 		}
 	}
+	level := make([]float64, n)
+	opened := false
+	for z, l := range aim.Level { // what a map says is whether a zone is barred; the ramp between is in its shares
+		if l > 0 {
+			level[z] = 1
+		}
+		was := len(now.Level) == 0 || now.Level[z] > 0
+		urgent = urgent || level[z] == 0 && was
+		opened = opened || level[z] > 0 && !was
+	}
 	need := 1.0
 	if !urgent {
 		need += float64(s.pace.Reserve)
 	}
-	if s.level < need || !urgent && (far <= s.pace.Band || s.began && at-s.last < Time(s.pace.Every)) {
+	if s.level < need || !urgent && (!opened && far <= s.pace.Band || s.began && at-s.last < Time(s.pace.Every)) {
 		return nil
 	}
-	next := Map{Epoch: now.Epoch + 1, Zones: now.Zones, Why: aim.Why, By: aim.By, Read: rows(now.Read), Write: rows(aim.Write)}
+	next := Map{Epoch: now.Epoch + 1, Zones: now.Zones, Level: level, Why: aim.Why, By: aim.By, Read: rows(now.Read), Write: rows(aim.Write)}
 	s.read(&next, now, aim, total)
 	if next.same(&now) {
 		return nil
@@ -96,7 +106,7 @@
 		// What all entries together want more of here, in load.
 		more, ownMore := 0.0, 0.0
 		for e := range n {
-			if d := (aim.Read[e][z] - now.Read[e][z]) * aim.Load[e]; d > 0 && aim.Usable[z] {
+			if d := (aim.Read[e][z] - now.Read[e][z]) * aim.Load[e]; d > 0 && aim.Level[z] > 0 {
 				more += d
 				if e == z {
 					ownMore = d
@@ -118,7 +128,7 @@
 		for e := range n {
 			d := aim.Read[e][z] - now.Read[e][z]
 			switch {
-			case !aim.Usable[z]:
+			case aim.Level[z] == 0:
 				next.Read[e][z] = 0
 			case d > 0 && e == z:
 				next.Read[e][z] += d * ownPart
--- a/fleet/traffic/traffic.go
+++ b/fleet/traffic/traffic.go
@@ -33,6 +33,8 @@
 	Write [][]float64 `cbor:"4,keyasint" json:"write"` // by readers' zone and writers' zone
 	Why   string      `cbor:"5,keyasint" json:"why"`
 	By    string      `cbor:"6,keyasint" json:"by"` // the router that decided
+	// Level is the part of each zone's capacity that may be used; nothing new goes to the workers of one at 0. Empty: all of it.
+	Level []float64 `cbor:"7,keyasint,omitempty" json:"level"`
 }
 
 // The faults of a map.
@@ -61,6 +63,14 @@
 			return bad("zones hold %q, empty or named twice", z)
 		}
 	}
+	if len(m.Level) != 0 && len(m.Level) != n {
+		return bad("%d levels of %d zones", len(m.Level), n)
+	}
+	for i, l := range m.Level {
+		if !(l >= 0 && l <= 1) {
+			return bad("level of %s is %v, not from 0 to 1", m.Zones[i], l)
+		}
+	}
 	for name, rows := range map[string][][]float64{"read": m.Read, "write": m.Write} {
 		for i, row := range rows {
 			sum := 0.0
@@ -81,7 +91,7 @@
 // same tells whether two maps say the same, whoever made them and why.
 func (m *Map) same(o *Map) bool {
 	equal := func(a, b [][]float64) bool { return slices.EqualFunc(a, b, slices.Equal) }
-	return slices.Equal(m.Zones, o.Zones) && equal(m.Read, o.Read) && equal(m.Write, o.Write)
+	return slices.Equal(m.Zones, o.Zones) && slices.Equal(m.Level, o.Level) && equal(m.Read, o.Read) && equal(m.Write, o.Write)
 }
 
 // Terms say how a router holds a map.
@@ -129,6 +139,16 @@
 // Map is what holds, and how long ago it was renewed; nil without one.
 func (k *Keeper) Map(now Time) (*Map, time.Duration) { return k.now, time.Duration(max(now-k.at, 0)) }
 
+// Barred tells whether nothing new may go to a zone's workers: by the map, while it is fresh. One that grows old bars nobody
+// any more; own evidence does.
+func (k *Keeper) Barred(zone string, now Time) bool {
+	if k.now == nil || len(k.now.Level) == 0 || time.Duration(now-k.at) > k.terms.Fresh {
+		return false
+	}
+	i := slices.Index(k.now.Zones, zone)
+	return i >= 0 && k.now.Level[i] == 0
+}
+
 // Shares is the part of this router's traffic that is to be read in each of the zones; what is missing to 1 is to be shed.
 // Seen tells which zones it can reach itself; those that it can't get nothing, and theirs goes to the ones it sees as they
 // share.
--- a/fleet/zone/zone.go
+++ b/fleet/zone/zone.go
@@ -149,11 +149,13 @@
 
 // looks is what sights say of one zone, by the zone that they are from.
 type looks struct {
+	of                  string
 	lost, failing, well []string
 	share               float64 // that goes wrong, over all
 }
 
 func (c *Court) looks(v View, of string) (l looks) {
+	l.of = of
 	tried, bad := map[string]float64{}, map[string]float64{}
 	allTried, allBad := 0.0, 0.0
 	for _, s := range v.Sights {
@@ -184,15 +186,27 @@
 
 // worst is what the sights, taken together, say that a zone is, and why.
 func (l *looks) worst() (State, string) {
-	switch {
-	case len(l.lost) >= 2 && len(l.well) == 0:
-		return Lost, fmt.Sprintf("%.0f%% went wrong, as seen from %v", 100*l.share, l.lost)
-	case len(l.lost)+len(l.failing) >= 2 && len(l.well) <= len(l.lost)+len(l.failing)-2:
-		return Failing, fmt.Sprintf("%.0f%% went wrong, as seen from %v", 100*l.share, append(l.lost[:len(l.lost):len(l.lost)], l.failing...))
+	worse := append(l.lost[:len(l.lost):len(l.lost)], l.failing...)
+	why := fmt.Sprintf("%.0f%% went wrong, as seen from %v", 100*l.share, worse)
+	switch inside := slices.Contains(worse, l.of); {
+	case len(l.well) == 0 && (slices.Contains(l.lost, l.of) || len(l.lost) >= 2):
+		return Lost, why
+	case (inside || len(worse) >= 2) && len(l.well) <= max(len(worse)-2, 0):
+		return Failing, why
 	}
 	return Healthy, ""
 }
 
+// cut is from where the zone can't be reached, while it is not lost.
+func (l *looks) cut() (out []string) {
+	for _, from := range l.lost {
+		if from != l.of {
+			out = append(out, from)
+		}
+	}
+	return out
+}
+
 // Judge takes what is known and returns what each zone is, in the order of the Config. It is to be called several times in a
 // Confirm.
 func (c *Court) Judge(v View, now Time) []Verdict {
@@ -202,7 +216,7 @@
 		c.step(r, &l, v.Capacities[name], v.Out[name], now)
 		verdict := Verdict{Zone: name, State: r.state, Level: r.level, Since: r.since, Why: r.why}
 		if r.state != Lost { // else all are without it
-			verdict.Cut = l.lost
+			verdict.Cut = l.cut()
 		}
 		out = append(out, verdict)
 	}
--- a/front/console/console.go
+++ b/front/console/console.go
@@ -48,6 +48,8 @@
 	// Page returns what goes by a name, to be shown as JSON; an io.ReadCloser is sent as it
 	// is, and closed.
 	Page(name string) (any, bool)
+	// Do does what goes by a name; an error says why not, and nothing was done then.
+	Do(name string) error
 }
 
 // WithFleet makes the console show the fleet.
@@ -84,6 +86,12 @@
 }
 
 func (c *Console) page(call *downstream.Call, name string) {
+	if call.Request.Header.IsPost() {
+		if err := c.fleet.Do(name); err != nil {
+			call.Problem(fasthttp.StatusConflict, err)
+		}
+		return
+	}
 	if !call.Allow(fasthttp.MethodGet) {
 		return
 	}
--- a/front/platform/config.go
+++ b/front/platform/config.go
@@ -301,6 +301,17 @@
 	return i, ok
 }
 
+// Names are those of "class", "tenant", "zone" or "kind", by their numbers.
+func (c *Config) Names(what string) []string {
+	out := make([]string, len(c.names[what]))
+	for name, i := range c.names[what] {
+		if i < len(out) {
+			out[i] = name
+		}
+	}
+	return out
+}
+
 // key turns a name from the wire into a number: its hexadecimal value, or a hash
 // that is the same at every router.
 func key(s string) uint64 {
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -66,7 +66,7 @@
 			storeCommand(),
 			configCommand(),
 			auditCommand(),
-			fleetCommand(),
+			fleetCommand(), zoneCommand(),
 			{
 				Name: "version", Usage: "print the version",
 				Action: func(_ context.Context, c *cli.Command) error {
--- /dev/null
+++ b/internal/cli/zone.go
@@ -0,0 +1,126 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"slices"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"lichenshelf/fleet/agent"
+	"lichenshelf/fleet/shift"
+)
+
+// zoneCommand looks at the traffic between zones at a running router, and takes zones out and back.
+func zoneCommand() *cli.Command {
+	at := &cli.StringFlag{Name: "operator", Usage: "the router's operator `ADDRESS`, as its fleet.toml names it; the others hear of it", Required: true}
+	force := &cli.BoolFlag{Name: "force", Usage: "also the last zone that may be used, whose traffic would all be shed"}
+	dry := &cli.BoolFlag{Name: "dry-run", Usage: "print where traffic would go, and change nothing"}
+	one := func(c *cli.Command) (string, error) {
+		if c.Args().Len() != 1 {
+			return "", fmt.Errorf("zone %s: %d names given, one is needed", c.Name, c.Args().Len())
+		}
+		return url.PathEscape(c.Args().First()), nil
+	}
+	return &cli.Command{Name: "zone", Usage: "look at the traffic between zones, and take zones out and back", Commands: []*cli.Command{
+		{Name: "show", Usage: "zones, the map, and why it is so", Flags: []cli.Flag{at}, Action: func(ctx context.Context, c *cli.Command) error {
+			return show(ctx, c, "zones", showZones)
+		}},
+		{Name: "drain", Usage: "take a zone out: nothing new goes there", ArgsUsage: "NAME", Flags: []cli.Flag{at, force, dry}, Action: func(ctx context.Context, c *cli.Command) error {
+			name, err := one(c)
+			if err != nil {
+				return err
+			}
+			if c.Bool("dry-run") {
+				return show(ctx, c, "zone/"+name, showPlan(c.Args().First()))
+			}
+			verb := "drain"
+			if c.Bool("force") {
+				verb = "force"
+			}
+			return call(ctx, "http://"+c.String("operator")+"/v1/fleet/zone/"+name+"/"+verb)
+		}},
+		{Name: "return", Usage: "give a zone back: it gets a growing part", ArgsUsage: "NAME", Flags: []cli.Flag{at}, Action: func(ctx context.Context, c *cli.Command) error {
+			name, err := one(c)
+			if err != nil {
+				return err
+			}
+			return call(ctx, "http://"+c.String("operator")+"/v1/fleet/zone/"+name+"/return")
+		}},
+	}}
+}
+
+// call posts an operator's call.
+func call(ctx context.Context, uri string) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, uri, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, mostPage))
+	if err == nil && resp.StatusCode != http.StatusOK {
+		err = fmt.Errorf("the router says: %s", strings.TrimSpace(string(text)))
+	}
+	return err
+}
+
+func showZones(w io.Writer, text []byte) error {
+	var p agent.ZonesPage
+	if err := json.Unmarshal(text, &p); err != nil {
+		return err
+	}
+	fmt.Fprintln(w, "ZONE\tSTATE\tMAY BE USED\tFOR\tCUT OFF FROM\tWHY")
+	for _, z := range p.Zones {
+		cut := "-"
+		if len(z.Cut) > 0 {
+			cut = strings.Join(z.Cut, ", ")
+		}
+		fmt.Fprintf(w, "%s\t%s\t%.0f%%\t%.1f s\t%s\t%s\n", z.Name, z.State, 100*z.Level, z.SinceS, cut, z.Why)
+	}
+	if p.Map == nil {
+		_, err := fmt.Fprintln(w, "no map yet: traffic stays near")
+		return err
+	}
+	fmt.Fprintf(w, "\nmap %d of %s, renewed %.1f s ago: %s\n", p.Map.Epoch, p.Map.By, p.AgeS, p.Map.Why)
+	header, rows := append([]string{"ENTERS"}, p.Map.Zones...), p.Map.Read
+	fmt.Fprintln(w, strings.Join(header, "\t")+"\tSHED")
+	for i, name := range p.Map.Zones {
+		fmt.Fprintf(w, "%s\t%s\n", name, parts(rows[i]))
+	}
+	fmt.Fprintf(w, "this router\t%s\n", parts(p.Shares))
+	return nil
+}
+
+// parts are shares in hundredths, and what is missing to all.
+func parts(shares []float64) string {
+	var out []string
+	left := 1.0
+	for _, s := range shares {
+		out = append(out, fmt.Sprintf("%.0f%%", 100*s))
+		left -= s
+	}
+	return strings.Join(append(out, fmt.Sprintf("%.0f%%", 100*max(left, 0))), "\t")
+}
+
+func showPlan(zone string) func(io.Writer, []byte) error {
+	return func(w io.Writer, text []byte) error {
+		var p shift.Plan
+		if err := json.Unmarshal(text, &p); err != nil {
+			return err
+		}
+		fmt.Fprintf(w, "without %s: %.1f%% of all traffic is read in another zone than it comes in, %.1f%% moves\n", zone, 100*p.Far, 100*p.Moved)
+		if !p.Feasible() {
+			fmt.Fprintf(w, "NOT ALL OF IT FITS: up to %.0f%% of an entry's traffic is shed\n", 100*slices.Max(p.Shed))
+		}
+		return nil
+	}
+}
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -46,7 +46,7 @@
 	// Follow returns a channel that is closed at the next version of a configuration.
 	Follow(config string) (changed <-chan struct{}, stop func(), err error)
 	Get(path string) ([]byte, store.Stat, error)
-	Put(ctx context.Context, path string, data []byte) error
+	Swap(ctx context.Context, path string, data []byte, version int64) error
 	Make(ctx context.Context, path string, data []byte) error
 	Drop(ctx context.Context, path string) error
 }
@@ -213,6 +213,23 @@
 	log.WithField("restart", restart).Info("published configuration taken")
 }
 
+// write puts the acknowledgement in the place of the one that is there, which is not of a later version: a call whose outcome
+// is not known may be applied long after, also one of a process before this one, and must not take back what was said since.
+func (p *published) write(ctx context.Context, text []byte) error {
+	old, stat, err := p.d.records.Get(p.path)
+	if errors.Is(err, store.ErrNoNode) {
+		return p.d.records.Make(ctx, p.path, text)
+	}
+	if err != nil {
+		return err
+	}
+	var said Ack
+	if json.Unmarshal(old, &said) == nil && said.Version > p.ack.Version {
+		return fmt.Errorf("%s acknowledges version %d there, this process goes by %d", p.ack.Router, said.Version, p.ack.Version)
+	}
+	return p.d.records.Swap(ctx, p.path, text, stat.Version)
+}
+
 // acknowledge tells the store what this router goes by.
 func (p *published) acknowledge(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, ackWait)
@@ -220,7 +237,7 @@
 	p.change(func(a *Ack) { a.TimeMs = time.Now().UnixMilli() })
 	text, err := json.Marshal(p.ack)
 	if err == nil {
-		err = p.d.records.Put(ctx, p.path, text)
+		err = p.write(ctx, text)
 	}
 	if err != nil {
 		p.d.log.WithError(err).Warn("version not acknowledged yet")
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -224,7 +224,7 @@
 	if cfg.OpenCap > 0 {
 		open = min(open, cfg.OpenCap)
 	}
-	part := d.shares(sources.Platform, cfg.Settings, cfg.Reports.Understands())
+	part := d.shares(sources.Platform, cfg.Settings, cfg.Reports.Understands(), cfg.Names("zone"))
 	core := d.core(ctx, logic.New(cfg.Settings, cfg.Seed), part.watch(platform.NewTransport(cfg, workers, d.counters)), part,
 		cfg.Settings.MaxAttempts, open)
 	taker := part.before(core)
@@ -256,7 +256,7 @@
 	}
 	d.platform, d.platCore = platform.NewFront(cfg, ready), core
 	d.shutters = append(d.shutters, d.platform)
-	if err := d.listen(cfg.Listen, front{core: core, take: cfg.TakeFor(), leave: cfg.LeaveAfter()}, downstream.Config{Handler: d.platform.Handle,
+	if err := d.listen(cfg.Listen, front{core: core, take: cfg.TakeFor(), leave: cfg.LeaveAfter()}, downstream.Config{Handler: d.counted(d.platform.Handle),
 		Problem: downstream.TextProblem, MaxBody: platform.MaxBody,
 		MaxBytes: int64(float64(memory) * bodiesPart), MaxConns: clients}); err != nil {
 		return err
@@ -308,7 +308,7 @@
 	if d.fleet != nil {
 		settings.Tenants = nil // quotas are the fleet's, so the decisions know no account past its own
 	}
-	part := d.shares(sources.ModelAPI, settings, false)
+	part := d.shares(sources.ModelAPI, settings, false, nil)
 	core := d.core(ctx, logic.New(settings, uint64(time.Now().UnixNano())), part.watch(modelapi.NewTransport(cfg, workers, d.counters)), part,
 		settings.MaxAttempts, cfg.MaxOpen)
 	feed, err := d.feed(sources.ModelAPI, part.before(core), nil)
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"lichenshelf/cordon"
+	"lichenshelf/downstream"
 	"lichenshelf/fleet/agent"
 	"lichenshelf/fleet/node"
 	"lichenshelf/fleet/trail"
@@ -90,11 +91,11 @@
 // share is a front's part in the fleet; without a fleet all passes it as it is.
 type share struct{ front *agent.Front }
 
-func (d *daemon) shares(name string, s logic.Settings, reports bool) share {
+func (d *daemon) shares(name string, s logic.Settings, reports bool, zones []string) share {
 	if d.fleet == nil {
 		return share{}
 	}
-	return share{d.fleet.Front(node.FrontConfig{Name: name, Settings: s, Reports: reports}, d.acts.recorder())}
+	return share{d.fleet.Front(node.FrontConfig{Name: name, Settings: s, Reports: reports, Zones: zones}, d.acts.recorder())}
 }
 
 func (s share) watch(t router.Transport) router.Transport {
@@ -104,6 +105,17 @@
 	return s.front.Watch(t)
 }
 
+// counted is a handler of calls that also tells the fleet of them, where it shares.
+func (d *daemon) counted(handle func(*downstream.Call)) func(*downstream.Call) {
+	if d.fleet == nil {
+		return handle
+	}
+	return func(call *downstream.Call) {
+		d.fleet.Arrived()
+		handle(call)
+	}
+}
+
 func (s share) permit() router.Permit {
 	if s.front == nil {
 		return nil
--- a/store/follower.go
+++ b/store/follower.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"path"
+	"strconv"
 	"sync"
 	"time"
 
@@ -158,6 +159,13 @@
 	return err
 }
 
+// Swap sets a node that is at a version, as Replica.Swap does.
+func (f *Follower) Swap(ctx context.Context, p string, data []byte, version int64) error {
+	return within(ctx, func() error {
+		return f.send(fasthttp.MethodPut, p, nodesPath+p+"?version="+strconv.FormatInt(version, 10), data)
+	})
+}
+
 // Make makes a node that must not be there yet, with all that is above it. ErrNodeExists means that somebody has it.
 func (f *Follower) Make(ctx context.Context, p string, data []byte) error {
 	return within(ctx, func() error { return f.create(p, data) })
@@ -185,12 +193,18 @@
 
 // change puts a change to the replicas, and tells the faults apart that a caller must know.
 func (f *Follower) change(method, p string, data []byte) error {
-	status, answer, err := f.client.call(method, nodesPath+p, data)
+	return f.send(method, p, nodesPath+p, data)
+}
+
+func (f *Follower) send(method, p, uri string, data []byte) error {
+	status, answer, err := f.client.call(method, uri, data)
 	switch {
 	case err != nil:
 		return err
 	case status == fasthttp.StatusNotFound:
 		return fmt.Errorf("%w: %s", ErrNoNode, p)
+	case status == fasthttp.StatusConflict && method == fasthttp.MethodPut:
+		return fmt.Errorf("%w: %s", ErrBadVersion, p)
 	case status == fasthttp.StatusConflict && method == fasthttp.MethodPost:
 		return fmt.Errorf("%w: %s", ErrNodeExists, p)
 	case status/100 != 2:
--- a/store/publish.go
+++ b/store/publish.go
@@ -158,6 +158,12 @@
 	return errOf(r.propose(ctx, command{Op: opPut, Path: path, Data: data}))
 }
 
+// Swap sets a node that is at a version, at the leader wherever that is. A call of which the outcome is not known and that is applied
+// late changes nothing that was written after it was made. ErrBadVersion means that the node has moved on.
+func (r *Replica) Swap(ctx context.Context, path string, data []byte, version int64) error {
+	return errOf(r.propose(ctx, command{Op: opSet, Path: path, Data: data, Version: version}))
+}
+
 // Make makes a node that must not be there yet, with all that is above it, at the leader
 // wherever that is. ErrNodeExists means that somebody has it.
 func (r *Replica) Make(ctx context.Context, p string, data []byte) error {
--- a/test/straggler_test.go
+++ b/test/straggler_test.go
@@ -197,6 +197,7 @@
 			wait.Wait()
 			close(codes)
 			if !fenced {
+				eventually(t, func() bool { return f.ask(0) == 200 }, "it serves while nobody can tell it better")
 				for _, p := range f.programs {
 					p.signal(syscall.SIGCONT)
 				}
--- /dev/null
+++ b/test/zone_test.go
@@ -0,0 +1,150 @@
+package test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lichenshelf/fleet/agent"
+	"lichenshelf/lab/demo"
+	"lichenshelf/lab/engine"
+)
+
+const zones = 3
+
+// zonedSite is three zones alike: two readers, three writers and a mixed worker in each.
+func zonedSite() engine.Config {
+	cfg := demo.Site()
+	cfg.Servers = nil
+	for z := range zones {
+		add := func(kind int, name string) {
+			cfg.Servers = append(cfg.Servers, engine.Spec{Name: fmt.Sprintf("%s-z%d", name, z), Kind: kind, Cell: z, Zone: z, Started: -time.Hour})
+		}
+		add(0, "reader-0")
+		add(0, "reader-1")
+		add(1, "writer-0")
+		add(1, "writer-1")
+		add(1, "writer-2")
+		add(2, "mixed-0")
+	}
+	return cfg
+}
+
+const zonedFleet = labFleet + "most_out = 0.0\n[shift]\nleast = 1.5\nconfirm = \"500ms\"\nhold = \"2s\"\nreturn = \"4s\"\ntrial = 0.1\nfresh = \"2s\"\nfade = \"10s\"\nspill = 0.3\n" +
+	"[[zone]]\nname = \"z0\"\nread = 40.0\nwrite = 40.0\n[[zone]]\nname = \"z1\"\nread = 40.0\nwrite = 40.0\n[[zone]]\nname = \"z2\"\nread = 40.0\nwrite = 40.0\n"
+
+// zonedRig is six programs in three zones.
+type zonedRig struct {
+	*labRig
+}
+
+func (z *zonedRig) page(i int) (p agent.ZonesPage) {
+	f := &fleetRig{t: z.t}
+	for _, r := range z.layout.Routers {
+		f.operator = append(f.operator, r.Operator)
+	}
+	f.page(i, "zones", &p)
+	return p
+}
+
+func (z *zonedRig) state(i int, name string) string {
+	for _, l := range z.page(i).Zones {
+		if l.Name == name {
+			return l.State
+		}
+	}
+	return ""
+}
+
+// arrivals counts what the workers of a zone took since a time.
+func (z *zonedRig) arrivals(zone int, since time.Time) (n int) {
+	for _, a := range z.site.Record() {
+		if strings.HasSuffix(a.Worker, fmt.Sprintf("-z%d", zone)) && a.At.After(since) {
+			n++
+		}
+	}
+	return n
+}
+
+func (z *zonedRig) everywhere(zone, state string) {
+	z.t.Helper()
+	for i := range z.routers {
+		eventually(z.t, func() bool { return z.state(i, zone) == state }, fmt.Sprintf("%s is %s at router %d", zone, state, i))
+	}
+}
+
+// Six programs in three zones. All workers of one zone go wrong at once: it is lost at every router, its workers see nothing more, the
+// others serve; back again it returns little by little. An operator's drain holds at all routers, that of the last zone is
+// refused, and a dry run changes nothing.
+func TestAZoneIsLostAndDrainedByAgreement(t *testing.T) {
+	t.Parallel()
+	rules := demo.Rules
+	rules.Zoned = true
+	z := &zonedRig{newLabRigOf(t, zonedSite(), rules, 2*zones, zonedFleet, 30, 5)}
+	z.everywhere("z0", "healthy")
+	eventually(t, func() bool {
+		deciders := 0
+		for i := range z.routers {
+			if z.page(i).Decides {
+				deciders++
+			}
+		}
+		return deciders == 1
+	}, "one decides once they have heard of each other")
+	eventually(t, func() bool { return z.arrivals(0, time.Time{}) > 20 && z.arrivals(1, time.Time{}) > 20 }, "all zones are used")
+
+	ill := func(on bool) {
+		for _, s := range zonedSite().Servers {
+			if s.Zone == 0 {
+				z.site.Set(s.Name, engine.Fault{Errors: on})
+			}
+		}
+	}
+	ill(true)
+	z.everywhere("z0", "lost")
+	eventually(t, func() bool {
+		since := time.Now().Add(-500 * time.Millisecond)
+		return z.arrivals(0, since) == 0 && z.arrivals(1, since)+z.arrivals(2, since) > 5
+	}, "nothing goes there any more, the others serve")
+	out, err := command(t, "zone", "show", "--operator", z.layout.Routers[3].Operator)
+	require.NoError(t, err, out)
+	require.Regexp(t, `z0 +lost +0%`, out)
+	require.Contains(t, out, "went wrong, as seen from")
+	ill(false)
+	z.everywhere("z0", "returning")
+	z.everywhere("z0", "healthy")
+	back := time.Now()
+	eventually(t, func() bool { return z.arrivals(0, back) > 20 }, "it is used again")
+
+	operator := z.layout.Routers[4].Operator
+	out, err = command(t, "zone", "drain", "--operator", operator, "--dry-run", "z1")
+	require.NoError(t, err, out)
+	require.Contains(t, out, "without z1")
+	require.Equal(t, "healthy", z.state(4, "z1"))
+	for _, name := range []string{"z1", "z2"} {
+		out, err = command(t, "zone", "drain", "--operator", operator, name)
+		require.NoError(t, err, out)
+		z.everywhere(name, "out")
+	}
+	out, err = command(t, "zone", "drain", "--operator", operator, "z0")
+	require.Error(t, err)
+	require.Contains(t, out, "no other zone could take its traffic")
+	out, err = command(t, "zone", "drain", "--operator", operator, "elsewhere")
+	require.Error(t, err, out)
+	eventually(t, func() bool {
+		since := time.Now().Add(-500 * time.Millisecond)
+		return z.arrivals(1, since)+z.arrivals(2, since) == 0 && z.arrivals(0, since) > 0
+	}, "all goes to the one that is left")
+	for _, name := range []string{"z1", "z2"} {
+		out, err = command(t, "zone", "return", "--operator", operator, name)
+		require.NoError(t, err, out)
+		z.everywhere(name, "healthy")
+	}
+	fates, all := z.end()
+	z.oneAnswer()
+	t.Logf("%d requests: %v", all, fates)
+	require.Greater(t, fates[0], all/2)
+}
