A follower of the store has one look out at a time

Cause: each look for stragglers (16 a second at a grace of 500 ms) began a call of its own that went on for up to 5 s past its time; with replicas that answer 3 s late some 50 would be out at once, from each router. Change: the next look waits for the one that is out, and asks anew after it: an answer to an older question opens no fence. Result: the follower's tests under the race detector, and the two process tests of stops and followers, green.

--- a/store/follower.go
+++ b/store/follower.go
@@ -20,6 +20,7 @@
 	id     string
 	pace   time.Duration
 	client *Client
+	turn   chan struct{} // held by the one look that is out
 
 	mu      sync.Mutex
 	at      map[string]seenNode // by configuration
@@ -33,7 +34,7 @@
 // NewFollower returns a follower under a name, which is to be unique among all routers, that looks at the replicas' API
 // addresses once in a pace.
 func NewFollower(id string, pace time.Duration, addrs ...string) *Follower {
-	return &Follower{id: id, pace: pace, client: NewClient(addrs...), at: map[string]seenNode{}, latest: map[string]Revision{},
+	return &Follower{id: id, pace: pace, client: NewClient(addrs...), turn: make(chan struct{}, 1), at: map[string]seenNode{}, latest: map[string]Revision{},
 		watches: map[string][]chan struct{}{}}
 }
 
@@ -50,7 +51,7 @@
 			return
 		}
 		for _, name := range names {
-			_ = f.look(name) // the next one tells
+			_ = f.CatchUp(ctx, name) // the next one tells
 		}
 	}
 }
@@ -88,10 +89,19 @@
 	return nil
 }
 
-// CatchUp asks for what is newest now. It fails if no replica can tell, or ctx ends first.
+// CatchUp asks for what is newest now, once the look that is out has ended: one that began before the call does not answer it,
+// and slow replicas are not asked by more and more at a time. It fails if no replica can tell, or ctx ends first.
 func (f *Follower) CatchUp(ctx context.Context, name string) error {
+	select {
+	case f.turn <- struct{}{}:
+	case <-ctx.Done():
+		return fmt.Errorf("ask the store: %w", ctx.Err())
+	}
 	done := make(chan error, 1)
-	go func() { done <- f.look(name) }()
+	go func() {
+		defer func() { <-f.turn }()
+		done <- f.look(name)
+	}()
 	select {
 	case err := <-done:
 		return err
