Zone calls go by the one HTTP call of the command line; a field nobody read is gone

Found on rereading: internal/cli/zone.go made its POST with a request loop of its own beside fetch, which has a time-out and a check of the status; fleet/node kept the levels of zones and never read them; the solver's constant had the name of two of its variables. Change: operate serves both methods, so zone calls end after 5 s as the looks do; the field is out; the constant is called unreached.

--- a/fleet/node/zones.go
+++ b/fleet/node/zones.go
@@ -69,7 +69,6 @@
 	states []zone.Verdict
 	plan   *shift.Plan // what the best would be, as it was found last
 	site   shift.Site  // from which
-	level  []float64   // of each zone's capacity that may be used, which is in the site
 }
 
 type heardZones struct {
@@ -197,7 +196,7 @@
 	return false
 }
 
-// look judges anew, and makes the next map where this router does that.
+// lookAtZones judges anew, and makes the next map where this router does that.
 func (n *Node) lookAtZones(now Time) {
 	z := n.zones
 	if z == nil || now-z.looked < zoneLook {
@@ -301,7 +300,7 @@
 			plan.Write[r] = slices.Clone(current.Write[r])
 		}
 	}
-	z.plan, z.site, z.level = plan, site, aim.Level
+	z.plan, z.site = plan, site
 	if !n.decides(now) {
 		return
 	}
--- a/fleet/shift/flow.go
+++ b/fleet/shift/flow.go
@@ -30,7 +30,7 @@
 
 func (g *graph) flow(e int) int { return g.full[e/2] - g.room[e] }
 
-const far = int(^uint(0) >> 2)
+const unreached = int(^uint(0) >> 2)
 
 // solve sends as much as there is from source to sink, on the cheapest ways first: each length's ways are used up by depth
 // before the next length is looked for.
@@ -42,7 +42,7 @@
 			height[v] += min(dist[v], dist[sink])
 		}
 		copy(at, g.first)
-		for g.push(source, sink, far, height, at, on) > 0 {
+		for g.push(source, sink, unreached, height, at, on) > 0 {
 		}
 	}
 }
@@ -72,7 +72,7 @@
 // shortest finds the cost of the cheapest way to each node, by the heights under which no edge costs less than nothing.
 func (g *graph) shortest(source, sink int, height, dist []int) bool {
 	for i := range dist {
-		dist[i] = far
+		dist[i] = unreached
 	}
 	dist[source] = 0
 	q := &queue{{0, source}}
@@ -92,7 +92,7 @@
 			}
 		}
 	}
-	return dist[sink] < far
+	return dist[sink] < unreached
 }
 
 type item struct{ dist, node int }
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -78,10 +78,13 @@
 
 const mostPage = 4 << 20
 
-func fetch(ctx context.Context, url string) ([]byte, error) {
+func fetch(ctx context.Context, url string) ([]byte, error) { return operate(ctx, http.MethodGet, url) }
+
+// operate makes a call at an operator's address and returns the answer, 5 s later at the latest; another status than 200 is an error.
+func operate(ctx context.Context, method, url string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	req, err := http.NewRequestWithContext(ctx, method, url, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/cli/zone.go
+++ b/internal/cli/zone.go
@@ -21,6 +21,10 @@
 	at := &cli.StringFlag{Name: "operator", Usage: "the router's operator `ADDRESS`, as its fleet.toml names it; the others hear of it", Required: true}
 	force := &cli.BoolFlag{Name: "force", Usage: "also the last zone that may be used, whose traffic would all be shed"}
 	dry := &cli.BoolFlag{Name: "dry-run", Usage: "print where traffic would go, and change nothing"}
+	call := func(ctx context.Context, c *cli.Command, name, verb string) error {
+		_, err := operate(ctx, http.MethodPost, "http://"+c.String("operator")+"/v1/fleet/zone/"+name+"/"+verb)
+		return err
+	}
 	one := func(c *cli.Command) (string, error) {
 		if c.Args().Len() != 1 {
 			return "", fmt.Errorf("zone %s: %d names given, one is needed", c.Name, c.Args().Len())
@@ -43,36 +47,18 @@
 			if c.Bool("force") {
 				verb = "force"
 			}
-			return call(ctx, "http://"+c.String("operator")+"/v1/fleet/zone/"+name+"/"+verb)
+			return call(ctx, c, name, verb)
 		}},
 		{Name: "return", Usage: "give a zone back: it gets a growing part", ArgsUsage: "NAME", Flags: []cli.Flag{at}, Action: func(ctx context.Context, c *cli.Command) error {
 			name, err := one(c)
 			if err != nil {
 				return err
 			}
-			return call(ctx, "http://"+c.String("operator")+"/v1/fleet/zone/"+name+"/return")
+			return call(ctx, c, name, "return")
 		}},
 	}}
 }
 
-// call posts an operator's call.
-func call(ctx context.Context, uri string) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, uri, nil)
-	if err != nil {
-		return err
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(resp.Body, mostPage))
-	if err == nil && resp.StatusCode != http.StatusOK {
-		err = fmt.Errorf("the router says: %s", strings.TrimSpace(string(text)))
-	}
-	return err
-}
-
 func showZones(w io.Writer, text []byte) error {
 	var p agent.ZonesPage
 	if err := json.Unmarshal(text, &p); err != nil {
