Answers, closes and clients that leave no longer depend on what is sent behind a request

Answers have a write deadline of their own now, with which it writes them at once. - conn.watch ended at the first early byte, and a request that had been sent ahead of a close was routed. The watch reads ahead up to 272 KiB a connection, a quarter of the bodies' bound in all, and looks for the close behind that. - drop closed at once: a request that came just then reset the connection. What is idle is shut first, what comes after that is dropped, and it is closed when its client has closed it or after 0.5 s. So is every connection after its last answer. - at the very end half a request was closed without a word; it is refused with 503. - while a process stops, an answer no longer announces the close while requests behind it have been read: their client can't tell.

TestDropUnreadEndsAStopBesideHalfARequest wanted any end of the connection; it wants the refusal and an end that is no reset now.

--- a/downstream/body.go
+++ b/downstream/body.go
@@ -58,6 +58,9 @@
 func (c *Call) refuseBody(err error) {
 	var late net.Error
 	switch {
+	case hurried(c.RequestCtx):
+		c.Response.Header.Set(fasthttp.HeaderRetryAfter, "1")
+		c.Problem(fasthttp.StatusServiceUnavailable, errEnding)
 	case errors.Is(err, errNoRoom):
 		c.Response.Header.Set(fasthttp.HeaderRetryAfter, "1")
 		c.Problem(fasthttp.StatusServiceUnavailable, err)
--- a/downstream/handover_test.go
+++ b/downstream/handover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -139,6 +140,7 @@
 	}
 	s.DropUnread()
 	require.NoError(t, <-ended)
-	_, err = half.Read(make([]byte, 1))
-	require.Error(t, err)
+	text, err := io.ReadAll(half)
+	require.NoError(t, err, "it ends, and is not reset")
+	require.Regexp(t, "^HTTP/1.1 503 ", string(text))
 }
--- a/downstream/listener.go
+++ b/downstream/listener.go
@@ -8,11 +8,14 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"lichenshelf/router"
 )
 
@@ -31,9 +34,14 @@
 	net.Listener
 	most  int
 	count router.Counters
-	mu    sync.Mutex
-	conns map[*conn]bool
-	last  time.Time // when the latest was accepted
+	ahead room // what watches have read ahead
+	// crossing, if set, is called right before a connection is shut: tests let bytes come there.
+	crossing func()
+	mu       sync.Mutex
+	conns    map[*conn]bool
+	ending   int           // of conns, those that are
+	last     time.Time     // when the latest was accepted
+	linger   time.Duration // how long what is shut may take to be closed
 }
 
 // freshFor is how long a new connection is left open at the end, for its request to come.
@@ -42,6 +50,10 @@
 // noDescriptor is how long to wait for one where the system has none left.
 const noDescriptor = 5 * time.Millisecond
 
+// One of endingPart connections may be ending beside those in use: what gives way is shut first, and
+// closed when its client has seen that.
+const endingPart = 16
+
 // Accept implements net.Listener. Clients come with more connections than there
 // is room for, and some ask once and keep theirs for good: what has waited
 // longest gives way, or the others would be turned away.
@@ -51,7 +63,9 @@
 		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
 			// The server would end on this error.
 			l.count.Add("connections_without_a_descriptor", 1)
-			l.evict()
+			l.mu.Lock()
+			l.evict(true)
+			l.mu.Unlock()
 			time.Sleep(noDescriptor)
 			continue
 		}
@@ -69,50 +83,100 @@
 
 // take adds a connection, if need be in place of another.
 func (l *listener) take(c *conn) bool {
-	l.mu.Lock()
-	full := l.most > 0 && len(l.conns) >= l.most
-	l.mu.Unlock()
-	if full && !l.evict() {
-		return false
-	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	for l.most > 0 && (len(l.conns) >= l.most || len(l.conns)-l.ending >= l.most-l.most/endingPart) {
+		if !l.evict(len(l.conns) >= l.most) {
+			return false
+		}
+	}
 	l.conns[c] = true
 	l.last = c.since
 	return true
 }
 
-// evict closes the connection that is missed least: one that only lingers, else
-// the one that has waited longest, else the one whose request comes slowest.
-func (l *listener) evict() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+// evict ends the connection that is missed least. One that is ending already is closed where one must be
+// closed at once; else the one that has waited longest is shut, or the one whose request comes slowest
+// answered. The lock is held.
+func (l *listener) evict(now bool) bool {
 	for {
 		var victim *conn
 		for c := range l.conns {
-			if c.phase != serving && (victim == nil || c.phase < victim.phase ||
-				c.phase == victim.phase && c.since.Before(victim.since)) {
+			if c.phase != serving && (now || !c.ending) && (victim == nil || c.missedLess(victim)) {
 				victim = c
 			}
 		}
-		if victim == nil {
+		switch {
+		case victim == nil:
 			return false
-		}
-		if victim.phase == waiting && victim.pending() {
+		case victim.ending:
+			l.remove(victim)
+			_ = victim.Conn.Close()
+			return true
+		case victim.phase == waiting && victim.pending():
 			victim.phase, victim.since = reading, time.Now() // its server has not got to it yet
 			continue
+		case victim.phase == waiting:
+			l.shut(victim)
+		default:
+			l.hurry(victim)
 		}
 		l.count.Add("connections_evicted", 1)
-		l.drop(victim)
 		return true
 	}
 }
 
-// drop closes a connection that is not serving; the lock is held.
-func (l *listener) drop(c *conn) {
+// missedLess tells which of two connections gives way; the lock is held.
+func (c *conn) missedLess(than *conn) bool {
+	switch {
+	case c.ending != than.ending:
+		return c.ending
+	case c.phase != than.phase:
+		return c.phase < than.phase
+	}
+	return c.since.Before(than.since)
+}
+
+// shut ends a connection that is between requests: its sending is shut, so that its client sees it end,
+// and what still comes is dropped unread by anybody. Closed at once, it would be reset by a request that
+// comes just then, and take what its client has not read yet with it. The lock is held.
+func (l *listener) shut(c *conn) {
+	if l.crossing != nil {
+		l.crossing()
+	}
 	c.dropped = true
+	l.end(c)
+	c.phase, c.since = lingering, time.Now()
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.CloseWrite()
+	}
+	_ = c.Conn.SetReadDeadline(longAgo) // its server wakes, and closes it
+}
+
+// hurry ends the wait for the rest of a request: its server answers at once. The lock is held.
+func (l *listener) hurry(c *conn) {
+	c.hurried = true
+	l.end(c)
+	_ = c.Conn.SetReadDeadline(longAgo)
+}
+
+// longAgo is a deadline that is over.
+var longAgo = time.Unix(1, 0)
+
+// end notes that a connection is on its way out; the lock is held.
+func (l *listener) end(c *conn) {
+	if l.conns[c] && !c.ending {
+		l.ending++
+	}
+	c.ending = true
+}
+
+// remove forgets a connection; the lock is held.
+func (l *listener) remove(c *conn) {
+	if l.conns[c] && c.ending {
+		l.ending--
+	}
 	delete(l.conns, c)
-	_ = c.Conn.Close()
 }
 
 // quietSince is how long no connection has been accepted, since the given time at most.
@@ -132,7 +196,7 @@
 	return len(l.conns)
 }
 
-// closeIdle closes the connections that are between requests. A request that
+// closeIdle shuts the connections that are between requests. A request that
 // crosses this is sent again by its client, on a new connection; one whose bytes
 // have come already, but that the server has not read yet, is left to be served:
 // closing on it would lose a request that was taken. So is, for a moment, a new
@@ -142,7 +206,7 @@
 	defer l.mu.Unlock()
 	for c := range l.conns {
 		if c.phase == waiting && !c.pending() && (c.used || time.Since(c.since) >= freshFor) {
-			l.drop(c)
+			l.shut(c)
 		}
 	}
 }
@@ -155,26 +219,33 @@
 	// Under the lock of home:
 	phase   phase
 	since   time.Time // when the phase began
-	dropped bool      // closed from outside, and to be served no more
+	dropped bool      // shut from outside, and to be served no more
+	hurried bool      // what has not come of its request is not waited for
+	ending  bool      // it is one of these, or its last answer is out
 	used    bool      // something has come on it
 
 	lastRead atomic.Int64 // when the latest bytes came, in Unix nanoseconds
 	deadline time.Time    // the server's own
 	watching chan struct{}
-	byte1    []byte // read by the watch, for the server
+	left     func() // what the watch calls
+	ahead    []byte // read by the watch, for the server
 	err      error  // met by the watch, for the server
-	linger   bool   // it is closed with something of a request unread
+	given    int64  // bytes that the server has got
+	asked    int64  // of them, those of the requests that it has handled, as far as can be told
 }
 
 // enter begins a phase. It tells whether the connection is still there.
 func (c *conn) enter(p phase) bool {
 	c.home.mu.Lock()
 	defer c.home.mu.Unlock()
+	if c.dropped {
+		return false
+	}
 	if c.phase != p {
 		c.phase, c.since = p, time.Now()
 	}
 	c.used = c.used || p != waiting
-	return !c.dropped
+	return true
 }
 
 // pending tells whether bytes have come that nobody has read.
@@ -195,41 +266,95 @@
 	return err == nil && n > 0
 }
 
-// watch calls left once if the client closes the connection. It ends when the
-// server reads again.
+// mostAhead bounds what is read ahead of a connection's server: a request of the largest size. What is
+// further behind stays with the system; a client that sends more than both take is seen to leave
+// when the server gets there. It is read by aheadStep at first, then by as much as there is, to aheadMost.
+const (
+	mostAhead = 256<<10 + headBuffer
+	aheadStep = 512
+	aheadMost = 16 << 10
+)
+
+// watch calls left once if the client closes the connection, also behind requests that it has sent
+// ahead. It ends when the server reads again.
 func (c *conn) watch(left func()) {
-	c.endWatch() // of an earlier request, where this one came along with it
-	if c.err != nil || len(c.byte1) > 0 {
-		return // the server will meet it, and there is nothing to read ahead of it
+	if c.gone() {
+		left()
+		return
 	}
+	c.left = left
+	c.look(mostAhead)
+}
+
+// look is the watch, which reads so much ahead at most.
+func (c *conn) look(most int) {
 	done := make(chan struct{})
 	c.watching = done
 	_ = c.Conn.SetReadDeadline(time.Time{})
 	go func() {
 		defer close(done)
-		var b [1]byte
-		n, err := c.Conn.Read(b[:])
-		if n > 0 { // the next request, early: it waits for its turn
-			c.byte1 = b[:n]
-			return
-		}
-		if ne, ok := err.(net.Error); ok && ne.Timeout() {
-			return // the server wants to read
+		for len(c.ahead) < most {
+			step := min(max(len(c.ahead), aheadStep), aheadMost, most-len(c.ahead))
+			if !c.home.ahead.take(int64(step)) {
+				break
+			}
+			b := make([]byte, step)
+			n, err := c.Conn.Read(b)
+			c.ahead = append(c.ahead, b[:n]...)
+			c.home.ahead.used.Add(int64(n - step))
+			if err != nil {
+				c.ended(err)
+				return
+			}
 		}
-		c.err = err
-		left()
+		c.ended(c.hungUp())
 	}()
 }
 
+// ended takes the error that a watch met.
+func (c *conn) ended(err error) {
+	if ne, ok := err.(net.Error); ok && ne.Timeout() {
+		return // the server wants to read
+	}
+	c.err = err
+	c.left()
+}
+
+// hungUp waits, without reading, until the client has closed its side.
+func (c *conn) hungUp() error {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return os.ErrDeadlineExceeded
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return err
+	}
+	if err := raw.Read(func(fd uintptr) bool {
+		look := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(look, 0)
+		return err == nil && n > 0 && look[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	}); err != nil {
+		return err
+	}
+	return io.EOF
+}
+
+// gone tells whether the client has closed the connection, as far as was seen; the watch ends.
+func (c *conn) gone() bool {
+	c.endWatch()
+	return c.err != nil
+}
+
 // endWatch takes the connection back from the watch.
 func (c *conn) endWatch() {
 	if c.watching == nil {
 		return
 	}
-	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+	_ = c.Conn.SetReadDeadline(longAgo)
 	<-c.watching
 	c.watching = nil
-	_ = c.Conn.SetReadDeadline(c.deadline)
+	_ = c.SetReadDeadline(c.deadline)
 }
 
 // Read implements net.Conn for the server.
@@ -238,74 +363,134 @@
 	if c.err != nil {
 		return 0, c.err
 	}
-	if c.asked() {
-		// Only now is the answer out: a stream goes on long after its handler has
-		// returned, and must not be closed as idle.
-		c.enter(waiting)
+	// Only now is the answer out: a stream goes on long after its handler has
+	// returned, and must not be closed as idle.
+	if !c.between() {
+		return 0, net.ErrClosed
 	}
-	if len(c.byte1) > 0 {
-		n := copy(p, c.byte1)
-		c.byte1 = c.byte1[n:]
+	if len(c.ahead) > 0 {
+		n := copy(p, c.ahead)
+		c.home.ahead.used.Add(-int64(n))
+		if c.ahead = c.ahead[n:]; len(c.ahead) == 0 {
+			c.ahead = nil
+		}
 		return c.arrived(n, nil)
 	}
 	return c.arrived(c.Conn.Read(p))
 }
 
-// asked tells whether the server reads for the next request.
-func (c *conn) asked() bool {
+// between begins the wait for the next request where an answer is out. It tells whether the
+// connection is still there.
+func (c *conn) between() bool {
 	c.home.mu.Lock()
 	defer c.home.mu.Unlock()
-	return c.phase == serving
+	if c.phase == serving {
+		c.phase, c.since = waiting, time.Now()
+	}
+	return !c.dropped
 }
 
-// arrived takes what was read, unless the connection has been dropped meanwhile:
-// its client knows by then that nothing was served.
+// arrived takes what was read, unless the connection has been shut meanwhile: its client knows by
+// then that nothing was served.
 func (c *conn) arrived(n int, err error) (int, error) {
 	if n > 0 {
 		if !c.enter(reading) {
 			return 0, net.ErrClosed
 		}
+		c.given += int64(n)
 		c.lastRead.Store(time.Now().UnixNano())
 	}
+	if err != nil && !c.between() {
+		return 0, net.ErrClosed
+	}
 	return n, err
 }
 
+// late tells whether the rest of the request was not waited for.
+func (c *conn) late() bool {
+	c.home.mu.Lock()
+	defer c.home.mu.Unlock()
+	return c.hurried
+}
+
+// leastRequest is the size of the shortest request.
+const leastRequest = len("GET / HTTP/1.1\n\n")
+
+// handled notes a request that the server has read, of a size that may be told a few bytes too small;
+// below 0 it is not known.
+func (c *conn) handled(size int) {
+	if size < 0 {
+		c.asked = c.given
+		return
+	}
+	c.asked += int64(size)
+}
+
+// last tells whether the answer that begins may be the connection's last: nothing has been read of further
+// requests, nor will be. A client whose request was read can't tell that it was not served.
+func (c *conn) last() bool {
+	watched := c.watching != nil
+	c.endWatch()
+	last := len(c.ahead) == 0 && c.given-c.asked < int64(leastRequest)
+	if watched && c.err == nil {
+		most := mostAhead
+		if last {
+			most = 0
+		}
+		c.look(most)
+	}
+	return last
+}
+
 // SetReadDeadline implements net.Conn for the server.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.deadline = t
 	if c.watching != nil {
 		return nil // set when the watch has ended
 	}
+	c.home.mu.Lock()
+	defer c.home.mu.Unlock()
+	if c.dropped || c.hurried {
+		return nil // it is over
+	}
 	return c.Conn.SetReadDeadline(t)
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. Unless its client has gone, the connection is shut first and closed when
+// its client has closed it, or after a moment: closed at once, it would be reset by what comes just then,
+// and the answer lost before the client has read it.
 func (c *conn) Close() error {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok && c.linger && c.enter(lingering) {
-		go c.discard(tcp)
-		return nil
-	}
-	c.leave()
-	return c.Conn.Close()
-}
-
-func (c *conn) leave() {
+	c.endWatch()
+	c.home.ahead.used.Add(-int64(len(c.ahead)))
+	c.ahead = nil
+	tcp, ok := c.Conn.(*net.TCPConn)
 	c.home.mu.Lock()
 	defer c.home.mu.Unlock()
-	delete(c.home.conns, c)
+	if !c.home.conns[c] || !ok || c.err != nil {
+		c.home.remove(c)
+		return c.Conn.Close()
+	}
+	c.home.end(c)
+	c.phase, c.since = lingering, time.Now()
+	go c.discard(tcp, time.Now().Add(c.home.linger))
+	return nil
 }
 
 const (
 	discardFor  = 500 * time.Millisecond
+	discardLast = 200 * time.Millisecond // where the process is about to be killed
 	discardMost = 4 << 20
 )
 
-// discard reads what the client still sends before it closes. Closed at once, the
-// connection would be reset, and the answer lost before the client has read it.
-func (c *conn) discard(tcp *net.TCPConn) {
-	defer tcp.Close()
-	defer c.leave()
-	if tcp.CloseWrite() != nil || tcp.SetReadDeadline(time.Now().Add(discardFor)) != nil {
+// discard drops what the client still sends before it closes the connection.
+func (c *conn) discard(tcp *net.TCPConn, until time.Time) {
+	defer func() {
+		c.home.mu.Lock()
+		defer c.home.mu.Unlock()
+		c.home.remove(c)
+		_ = tcp.Close()
+	}()
+	if tcp.CloseWrite() != nil || tcp.SetReadDeadline(until) != nil {
 		return
 	}
 	_, _ = io.CopyN(io.Discard, tcp, discardMost)
--- a/downstream/server.go
+++ b/downstream/server.go
@@ -24,6 +24,7 @@
 	lingerAfter = 500 * time.Millisecond
 	quietFor    = 300 * time.Millisecond
 	lookEvery   = 20 * time.Millisecond
+	aheadPart   = 4           // of the bound of bodies, for what is read ahead beside them
 	elsewhere   = time.Second // advice that goes with a refusal at the end
 )
 
@@ -55,8 +56,8 @@
 	if cfg.writeWait == 0 {
 		cfg.writeWait = defaultWait
 	}
-	s := &Server{cfg: cfg, listener: &listener{Listener: l, most: cfg.MaxConns, count: cfg.Counters, conns: map[*conn]bool{}}}
-	s.bodies.most = cfg.MaxBytes
+	s := &Server{cfg: cfg, listener: &listener{Listener: l, most: cfg.MaxConns, count: cfg.Counters, conns: map[*conn]bool{}, linger: discardFor}}
+	s.bodies.most, s.listener.ahead.most = cfg.MaxBytes, cfg.MaxBytes/aheadPart
 	// The listener bounds the connections. The server's own bound would turn new ones
 	// away while those that gave way to them are still ending.
 	s.http = &fasthttp.Server{
@@ -127,34 +128,48 @@
 	}
 }
 
-// DropUnread closes all connections but those with a whole request in hand, for a
-// process that must leave: half a request would keep Stop waiting until its deadline.
+// DropUnread ends all connections but those with a whole request in hand, for a process that must
+// leave: half a request would keep Stop waiting until its deadline. It is refused.
 func (s *Server) DropUnread() {
 	s.listener.mu.Lock()
 	defer s.listener.mu.Unlock()
+	s.listener.linger = discardLast
 	for c := range s.listener.conns {
-		if c.phase != serving {
-			s.listener.drop(c)
+		switch {
+		case c.ending || c.phase == serving:
+		case c.phase == waiting && !c.pending():
+			s.listener.shut(c)
+		default:
+			s.listener.hurry(c)
 		}
 	}
 }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	call := &Call{RequestCtx: ctx, server: s, conn: ctx.Conn().(*conn)}
-	if err := checkHead(&ctx.Request.Header); err != nil {
+	head := &ctx.Request.Header
+	size := head.ContentLength()
+	if err := checkHead(head); err != nil {
 		call.Problem(fasthttp.StatusBadRequest, err)
 		call.end()
 	} else {
 		s.cfg.Handler(call)
-		if size := ctx.Request.Header.ContentLength(); !call.read && (size == -1 || size > 0) {
+		if !call.read && (size == -1 || size > 0) {
 			call.end()
 		}
 	}
-	if s.stopping.Load() {
+	if size == -1 { // chunked
+		call.conn.handled(-1)
+	} else {
+		call.conn.handled(max(size, 0) + len(head.Method()) + len(head.RequestURI()) + len(head.Protocol()) + len(head.RawHeaders()))
+	}
+	if s.stopping.Load() && call.conn.last() {
 		ctx.Response.SetConnectionClose()
 	}
 	call.conn.enter(serving)
-	s.allow(call.conn)
+	// With a deadline of its own the answer goes out whole now. Else the server keeps its end back
+	// while it has read of a further request, until that is answered.
+	_ = ctx.SetWriteDeadline(time.Now().Add(s.cfg.writeWait))
 }
 
 // allow gives the answer its time to be taken. Each one needs it anew: a deadline
@@ -163,10 +178,14 @@
 
 // unreadable answers what is no request that can be served.
 func (s *Server) unreadable(ctx *fasthttp.RequestCtx, err error) {
-	status := fasthttp.StatusBadRequest
+	status, fault := fasthttp.StatusBadRequest, errUnreadable
 	var small *fasthttp.ErrSmallBuffer
 	var late net.Error
 	switch {
+	case hurried(ctx):
+		status = fasthttp.StatusServiceUnavailable
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, "1")
+		fault = errEnding
 	case errors.As(err, &late) && late.Timeout():
 		status = fasthttp.StatusRequestTimeout
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
@@ -175,15 +194,23 @@
 		status = fasthttp.StatusRequestHeaderFieldsTooLarge
 	}
 	s.cfg.Counters.Add("calls_answered_"+strconv.Itoa(status), 1)
-	s.cfg.Problem(ctx, status, errUnreadable)
+	s.cfg.Problem(ctx, status, fault)
 	if c, ok := ctx.Conn().(*conn); ok {
-		c.linger = c.lastRead.Load() > 0 // or nothing can be on its way
 		s.allow(c)
 	}
 	ctx.Response.SetConnectionClose()
 }
 
-var errUnreadable = errors.New("the request can't be read, or is too large")
+// hurried tells whether the rest of the call's request was not waited for.
+func hurried(ctx *fasthttp.RequestCtx) bool {
+	c, ok := ctx.Conn().(*conn)
+	return ok && c.late()
+}
+
+var (
+	errUnreadable = errors.New("the request can't be read, or is too large")
+	errEnding     = errors.New("the rest of the request is not waited for, try again")
+)
 
 // Call is one call of a client.
 type Call struct {
@@ -195,10 +222,7 @@
 }
 
 // end closes the connection after the answer. Nothing that comes on it is served.
-func (c *Call) end() {
-	c.conn.linger = true
-	c.Response.SetConnectionClose()
-}
+func (c *Call) end() { c.Response.SetConnectionClose() }
 
 // TextProblem answers a call that is not routed with a status and what is
 // wrong, as plain text: a Config.Problem for fronts that have no form of their own.
@@ -253,6 +277,9 @@
 		c.server.cfg.Counters.Add("requests_refused_at_the_end", 1)
 		return Answer{Refused: true, RetryAfter: elsewhere, Last: logic.NotSent}
 	}
+	if c.conn.gone() { // with what it had sent ahead unanswered
+		return Answer{Left: true}
+	}
 	w := &waiter{answers: make(chan Answer, 2)}
 	ticket := c.server.cfg.Core.Submit(r, w)
 	c.conn.watch(func() {
