Asked lists are in hand within 6 s of discovery answering, and crossings are forced between processes

At fault: agentrule.over drew the wait after a failed call from up to 4 x routers/20 s (15 s and more at 280 routers), and one call that hung was waited for alone. Now no wait is longer than 4 s from the call that failed, a second call goes beside one that says nothing for 2.5 to 3.5 s, bytes that never end a list count as silence, and a call that fails beside a silent one keeps the pace (pushed lists as well: it was made again at once).

No change of the decisions. test/crossings_test.go: asked lists, clients that go, idle clients that fill the descriptors, thirty processes that start beside a discovery that fails, events in step, signals that cross.

--- a/discovery/agentrule/agentrule.go
+++ b/discovery/agentrule/agentrule.go
@@ -8,8 +8,9 @@
 // counts as known to the router: so a watch that breaks or falls silent is replaced
 // at once, however many routers there are. Where lists are asked for, one service
 // answers all routers and bears only so much: what fails one of them mostly fails
-// all, and asked by all at a steady pace it may never come back. So there the span
-// in which a router draws its next call grows with their number and with failures.
+// all. So there the span in which a router draws its next call grows with their number
+// and with failures, as far as the time allows after which a change counts as told
+// whatever has failed: 6 s after discovery had it and could be reached.
 package agentrule
 
 import (
@@ -36,22 +37,27 @@
 	// under the shortest time that a router has to act on a leaving (settings'
 	// safety.stop-sending-within-ns, 250 ms).
 	againAfter = 100 * time.Millisecond
-	// mostNonsense bounds the wait after lists that make no sense: asked again, the
+	// mostNonsense bounds the wait after pushed lists that make no sense: asked again, the
 	// agent will mostly say the same.
 	mostNonsense = 2 * time.Second
 
 	// leastSpan, askedTogether and mostSpans set the spans where lists are asked
 	// for: all routers together ask askedTogether times a second at first, and
-	// failures let the span grow mostSpans times.
+	// failures let the span grow mostSpans times, as far as mostWait.
 	leastSpan     = 200 * time.Millisecond
 	askedTogether = 20
 	mostSpans     = 4
 	afterFailed   = 4 // of Config.MustAsk, after a call that failed
-	// firstWithin bounds the span of the first call after a watch that fell silent:
-	// what is left of the 6 s once Silent is over.
-	firstWithin = 800 * time.Millisecond
-	// resetWithin bounds it after one that ended by itself, which tells at once.
-	resetWithin = 4 * time.Second
+	// mostWait bounds every wait between calls where lists are asked for. What counts as told
+	// 6 s after discovery could be reached has to be in hand by then. So N routers that
+	// meet nothing but failures ask some N/2 times a second in all.
+	mostWait = 4 * time.Second
+	// Where lists are asked for, a second call goes beside one that has said nothing, or nothing
+	// for so long, at a time drawn between these.
+	besideAfter  = 2500 * time.Millisecond
+	besideWithin = 3500 * time.Millisecond
+	// silentWithin bounds the wait after a call that was given up: Silent has taken the rest of 6 s.
+	silentWithin = 800 * time.Millisecond
 )
 
 // Config is what the rule goes by.
@@ -73,13 +79,20 @@
 	epoch int
 	asked time.Time
 	heard time.Time // of the last byte; zero: none came yet
+	begun time.Time // a list that has not come to its end; zero: none
 	told  bool      // it has brought a list
+	// beside is the silence after which another call is opened beside this one.
+	beside time.Duration
 }
 
-// quiet is since when nothing has come on the call.
+// quiet is since when nothing has come on the call, or nothing that helps: the bytes of one
+// list may come for ever.
 func (c *call) quiet() time.Time {
-	if c.heard.IsZero() {
+	switch {
+	case c.heard.IsZero():
 		return c.asked
+	case !c.begun.IsZero():
+		return c.begun
 	}
 	return c.heard
 }
@@ -92,7 +105,8 @@
 	calls []*call // in the order in which they were opened
 	last  Call
 	epoch int       // counts the addresses
-	next  time.Time // no call of this epoch is opened before this
+	next  time.Time // no call of this epoch is opened before this, if no other is out
+	pause time.Time // nor beside another before this: one that failed is not made again at once
 	odd   int       // lists in a row that made no sense
 }
 
@@ -102,9 +116,11 @@
 	b := backoff.NewExponentialBackOff()
 	b.InitialInterval = max(leastSpan, time.Duration(cfg.Routers)*time.Second/askedTogether)
 	b.MaxInterval, b.Multiplier, b.RandomizationFactor = mostSpans*b.InitialInterval, 2, 0
-	if most := afterFailed * cfg.MustAsk; most > 0 {
-		b.InitialInterval, b.MaxInterval = min(b.InitialInterval, most), min(b.MaxInterval, most)
+	most := mostWait - leastSpan/2
+	if cfg.MustAsk > 0 {
+		most = min(most, afterFailed*cfg.MustAsk)
 	}
+	b.InitialInterval, b.MaxInterval = min(b.InitialInterval, most), min(b.MaxInterval, most)
 	b.Reset()
 	return &Rule{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), spans: b}
 }
@@ -123,6 +139,17 @@
 	}
 }
 
+// Begun notes that bytes came on a call that begin a list or go on with one. It is
+// over when the list is told, or the call has ended.
+func (r *Rule) Begun(now time.Time, id Call) {
+	if c := r.find(id); c != nil {
+		c.heard = now
+		if c.begun.IsZero() {
+			c.begun = now
+		}
+	}
+}
+
 // Told notes that a call brought a list that was taken over. It returns the calls
 // that are not needed beside it; they count as ended.
 func (r *Rule) Told(now time.Time, id Call) (drop []Call) {
@@ -130,7 +157,7 @@
 	if c == nil {
 		return nil
 	}
-	c.heard, c.told = now, true
+	c.heard, c.begun, c.told = now, time.Time{}, true
 	if c.epoch == r.epoch {
 		r.odd = 0
 		r.spans.Reset()
@@ -154,15 +181,16 @@
 	}
 	r.calls = slices.DeleteFunc(r.calls, func(o *call) bool { return o == c })
 	if c.epoch == r.epoch {
-		r.over(now, c, nonsense, resetWithin)
+		r.over(now, c, nonsense)
+		r.pause = r.next
 	}
 }
 
 // over sets when the next call may be opened.
-func (r *Rule) over(now time.Time, c *call, nonsense bool, within time.Duration) {
+func (r *Rule) over(now time.Time, c *call, nonsense bool) {
 	worked := c.told && !nonsense
 	switch {
-	case nonsense:
+	case nonsense && r.cfg.Pushed:
 		r.odd++
 		r.next = now.Add(min(againAfter<<min(r.odd-1, 10), mostNonsense))
 	case r.cfg.Pushed && worked:
@@ -170,9 +198,10 @@
 	case r.cfg.Pushed:
 		r.next = now.Add(againAfter)
 	case worked:
-		r.next = now.Add(r.draw(min(r.spans.NextBackOff(), within)))
+		r.next = now.Add(r.draw(r.spans.NextBackOff()))
 	default:
-		r.next = now.Add(leastSpan/2 + r.draw(r.spans.NextBackOff()))
+		// From when it was asked: it may have taken long to fail.
+		r.next = later(now.Add(leastSpan/2), c.asked.Add(leastSpan/2+r.draw(r.spans.NextBackOff())))
 	}
 }
 
@@ -184,7 +213,7 @@
 // old one still says counts until the new one speaks.
 func (r *Rule) Moved(now time.Time) {
 	r.epoch++
-	r.next, r.odd = now, 0
+	r.next, r.pause, r.odd = now, now, 0
 	r.spans.Reset()
 }
 
@@ -202,8 +231,10 @@
 		end := c.quiet().Add(Silent)
 		if !now.Before(end) {
 			drop = append(drop, c.id)
-			if c.epoch == r.epoch {
-				r.over(now, c, false, firstWithin)
+			if c.epoch == r.epoch && r.cfg.Pushed {
+				r.over(now, c, false)
+			} else if c.epoch == r.epoch {
+				r.next = later(r.next, now.Add(r.draw(min(r.spans.NextBackOff(), silentWithin))))
 			}
 			return true
 		}
@@ -220,19 +251,30 @@
 	switch {
 	case live == nil:
 		due = r.next
-	case !r.cfg.Pushed || len(r.calls) >= mostOpen:
+	case len(r.calls) >= mostOpen:
 		return drop, 0, wake
+	case !r.cfg.Pushed:
+		due = later(live.quiet(), newest.asked).Add(newest.beside)
 	case newest.heard.IsZero():
 		due = newest.asked.Add(replaceAfter)
 	default:
 		due = live.quiet().Add(doubtAfter)
 	}
+	due = later(due, r.pause)
 	if now.Before(due) {
 		soon(due)
 		return drop, 0, wake
 	}
 	r.last++
-	r.calls = append(r.calls, &call{id: r.last, epoch: r.epoch, asked: now})
+	r.calls = append(r.calls, &call{id: r.last, epoch: r.epoch, asked: now,
+		beside: besideAfter + r.draw(besideWithin-besideAfter)})
 	soon(now.Add(replaceAfter))
 	return drop, r.last, wake
 }
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/front/platform/watch.go
+++ b/front/platform/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -78,7 +79,9 @@
 type news struct {
 	id   agentrule.Call
 	text []byte
-	err  error
+	// begun says that the bytes belong to a list that has not come to its end.
+	begun bool
+	err   error
 }
 
 // Told tells whether discovery has spoken since the start.
@@ -201,7 +204,11 @@
 		}
 	}
 	if err == nil {
-		w.rule.Heard(now, n.id)
+		if n.begun {
+			w.rule.Begun(now, n.id)
+		} else {
+			w.rule.Heard(now, n.id)
+		}
 		return
 	}
 	// The list in hand stays. Asking again brings what a spoilt line would have.
@@ -282,7 +289,7 @@
 		return fmt.Errorf("discovery answered %d", resp.StatusCode())
 	}
 	// One object after the other, however they are broken into lines.
-	body := &bounded{Reader: resp.BodyStream()}
+	body := &bounded{Reader: resp.BodyStream(), begun: func() { tell(news{begun: true}) }}
 	lists := json.NewDecoder(body)
 	for {
 		var text json.RawMessage
@@ -318,10 +325,11 @@
 	return n, err
 }
 
-// bounded ends what goes on for too long without making a whole.
+// bounded ends what goes on for too long without making a whole, and tells of lists that have begun.
 type bounded struct {
 	io.Reader
-	left int
+	left  int
+	begun func()
 }
 
 func (b *bounded) Read(p []byte) (int, error) {
@@ -330,6 +338,9 @@
 	}
 	n, err := b.Reader.Read(p)
 	b.left -= n
+	if len(bytes.TrimSpace(p[:n])) > 0 {
+		b.begun()
+	}
 	return n, err
 }
 
--- /dev/null
+++ b/test/crossings_test.go
@@ -0,0 +1,400 @@
+package test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+
+	"lichenshelf/internal/standin/link"
+)
+
+// told6 is the time after which a change counts as told, whatever failed before.
+const told6 = 6 * time.Second
+
+// asking makes a program's configuration one of a deployment where lists are asked for.
+func asking(t *testing.T, file string) {
+	text, err := os.ReadFile(file)
+	require.NoError(t, err)
+	changed := strings.Replace(string(text), `"balancers":`, `"membership-mode":"subscribe","balancers":`, 1)
+	require.NotEqual(t, string(text), changed)
+	require.NoError(t, os.WriteFile(file, []byte(changed), 0o600))
+}
+
+// Where lists are asked for, a leaving counts as told 6 s after discovery could be reached again, whatever it did until
+// then and however many routers ask it.
+func TestAskedListsAreToldIn6Seconds(t *testing.T) {
+	for name, fault := range map[string]func(d *discovery, r *link.Relay) (over func()){
+		"refuses": func(_ *discovery, r *link.Relay) func() {
+			r.Set(link.Fault{Refuse: true})
+			r.Cut()
+			return func() { r.Set(link.Fault{}) }
+		},
+		"says nothing": func(_ *discovery, r *link.Relay) func() {
+			r.Set(link.Fault{Drop: [2]bool{true, true}})
+			return func() { r.Set(link.Fault{}) }
+		},
+		"answers 503": func(d *discovery, r *link.Relay) func() {
+			d.refuse(true)
+			r.Cut()
+			return func() { d.refuse(false) }
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r, w := pair(t, nil)
+			other := newWorker(t, "s-00000003", "writer", nil)
+			d := newDiscovery(t)
+			d.list(true, "in_service", r, w, other)
+			relay, err := link.New(d.Listener.Addr().String())
+			require.NoError(t, err)
+			defer relay.Close()
+			addr, file := ownAddr(t), config(t, `{"generation":0,"reset":true,"instances":[]}`, connIdle)
+			among(t, file, 300)
+			asking(t, file)
+			p := start(t, addr, []string{"ROUTER_LISTEN=" + addr, "ROUTER_NAME=n1", "ROUTER_DISCOVERY=" + relay.Addr(),
+				"ROUTER_CONFIG=" + file}, "serve").waitReady()
+			stop := traffic(p)
+			defer stop()
+			eventually(t, func() bool { return posts(w) > 0 && posts(other) > 0 }, "both writers are in use")
+			over := fault(d, relay)
+			time.Sleep(9 * time.Second) // waits have grown by then as far as they do
+			generation := d.list(false, "terminating", w)
+			over()
+			from := time.Now()
+			eventually(t, func() bool { return p.logged(fmt.Sprintf("generation=%d ", generation)) }, "it is told")
+			require.Less(t, time.Since(from), told6)
+		})
+	}
+}
+
+// raw opens a connection to a program and sends text.
+func (p *program) raw(text string) net.Conn {
+	c, err := net.Dial("tcp", p.addr)
+	require.NoError(p.t, err)
+	p.t.Cleanup(func() { _ = c.Close() })
+	_, err = io.WriteString(c, text)
+	require.NoError(p.t, err)
+	return c
+}
+
+// text is a request as it goes over a connection.
+func (p *program) text(class, id string, patience time.Duration) string {
+	req := p.request(class, id, patience)
+	var b strings.Builder
+	require.NoError(p.t, req.Write(&b))
+	return b.String()
+}
+
+// A client that closes its connection has gone: no attempt begins for it 0.1 s later, wherever its request stands, and
+// none for what it has sent ahead.
+func TestNothingBeginsForAClientThatHasGone(t *testing.T) {
+	const gone = 100 * time.Millisecond
+	slow := func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(700 * time.Millisecond)
+		read(w, r)
+	}
+	for name, tc := range map[string]struct {
+		reader func(http.ResponseWriter, *http.Request)
+		deaf   int // writers that don't come up
+		ahead  int // requests behind the first
+	}{
+		"while it is read":                {reader: slow},
+		"with one request ahead":          {reader: slow, ahead: 1},
+		"with more than the server reads": {reader: slow, ahead: 40},
+		"while a writer is reached":       {deaf: 3},
+	} {
+		for way, leave := range map[string]func(*net.TCPConn) error{
+			"close": (*net.TCPConn).Close,
+			"reset": func(c *net.TCPConn) error { _ = c.SetLinger(0); return c.Close() },
+			"shut":  (*net.TCPConn).CloseWrite,
+		} {
+			t.Run(name+", "+way, func(t *testing.T) {
+				t.Parallel()
+				r := newWorker(t, "s-00000001", "reader", tc.reader)
+				workers := []*worker{r}
+				if tc.deaf == 0 {
+					workers = append(workers, newWorker(t, "s-00000002", "writer", nil))
+				}
+				p, d := platform(t, workers...)
+				for i := range tc.deaf {
+					addr, _ := deaf(t)
+					d.listAt(fmt.Sprintf("s-000002%02x", i), "writer", addr)
+				}
+				p.told(1 + tc.deaf)
+				ids := []string{newID()}
+				text := p.text("query", ids[0], patience)
+				for range tc.ahead {
+					ids = append(ids, newID())
+					text += p.text("query", ids[len(ids)-1], patience)
+				}
+				c := p.raw(text)
+				eventually(t, func() bool { return posts(r) > 0 }, "the first is at work")
+				require.NoError(t, leave(c.(*net.TCPConn)))
+				left := time.Now()
+				time.Sleep(1500 * time.Millisecond) // an attempt would begin as the first one's answer comes
+				for _, k := range workers {
+					for _, got := range k.got(http.MethodPost) {
+						require.Less(t, got.at.Sub(left), gone, "%s at %s", got.id, k.name)
+					}
+				}
+				require.Equal(t, 1, posts(workers...))
+			})
+		}
+	}
+}
+
+// Idle clients that fill the descriptors, while discovery is down, leave it, workers and the console theirs: the list is
+// heard as soon as it is told, clients that ask are served, and what is held is let go of.
+func TestIdleClientsLeaveDescriptorsToOthers(t *testing.T) {
+	const sockets = 256
+	r := newWorker(t, "s-00000001", "reader", nil)
+	gone := newWorker(t, "s-00000002", "writer", cut)
+	d := newDiscovery(t)
+	d.list(true, "in_service", r, gone)
+	addr, console, file := ownAddr(t), ownAddr(t), config(t, `{"generation":0,"reset":true,"instances":[]}`, connIdle)
+	text, err := os.ReadFile(file)
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(file, []byte(strings.Replace(string(text), `"sockets":1024`, fmt.Sprintf(`"sockets":%d`, sockets), 1)), 0o600))
+	p := start(t, addr, []string{"ROUTER_LISTEN=" + addr, "ROUTER_NAME=n1", "ROUTER_CONSOLE=" + console,
+		"ROUTER_DISCOVERY=" + d.Listener.Addr().String(), "ROUTER_CONFIG=" + file}, "serve").waitReady()
+	limit := unix.Rlimit{Cur: sockets, Max: sockets}
+	require.NoError(t, unix.Prlimit(p.cmd.Process.Pid, unix.RLIMIT_NOFILE, &limit, nil))
+	up := d.stop()
+	d.CloseClientConnections()
+	var idle []net.Conn
+	for range 2 * sockets {
+		c, err := net.Dial("tcp", addr)
+		require.NoError(t, err)
+		defer c.Close()
+		idle = append(idle, c)
+	}
+	d.CloseClientConnections() // what asks discovery needs a new one now
+	id := newID()
+	require.NotEqual(t, 200, p.ask("query", id, time.Second).status, "its writer breaks off")
+	eventually(t, func() bool { return released(id, r, gone) }, "what is held is let go of")
+	writer := newWorker(t, "s-00000003", "writer", nil)
+	generation := d.list(false, "in_service", writer)
+	up()
+	from := time.Now()
+	p.told(generation)
+	require.Less(t, time.Since(from), loaded)
+	eventually(t, func() bool { return p.ask("query", newID(), patience).status == 200 }, "clients are served")
+	resp, err := http.Get("http://" + console + "/v1/readyz")
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	require.Equal(t, 200, resp.StatusCode)
+	_, open := used(t, p.cmd.Process.Pid)
+	t.Logf("%d idle clients, %d descriptors of %d", len(idle), open, sockets)
+	require.LessOrEqual(t, open, sockets)
+}
+
+// Thirty processes that start together are ready in time, whatever discovery does just then.
+func TestProcessesAreReadyWhateverDiscoveryDoes(t *testing.T) {
+	const processes, within = 30, 10 * time.Second
+	r, w := pair(t, nil)
+	mute, _ := deaf(t)
+	dead := ownAddr(t)
+	slow, err := net.Listen("tcp", "127.0.0.1:0") // it takes calls, and says nothing
+	require.NoError(t, err)
+	defer slow.Close()
+	var all sync.WaitGroup
+	var programs []*program
+	for i := range processes {
+		addr, file := ownAddr(t), config(t, listText(0, true, "in_service", r, w), connIdle)
+		among(t, file, processes)
+		programs = append(programs, start(t, addr, []string{"ROUTER_LISTEN=" + addr, fmt.Sprintf("ROUTER_NAME=n%d", i),
+			"ROUTER_DISCOVERY=" + []string{mute, dead, slow.Addr().String()}[i%3], "ROUTER_CONFIG=" + file}, "serve"))
+	}
+	from := time.Now()
+	took := make([]time.Duration, processes)
+	for i, p := range programs {
+		all.Go(func() {
+			for time.Since(from) < patient && p.status(http.MethodGet, "/healthz") != 200 {
+				time.Sleep(soon)
+			}
+			took[i] = time.Since(from)
+		})
+	}
+	all.Wait()
+	inTime := 0
+	for _, d := range took {
+		if d < within {
+			inTime++
+		}
+	}
+	t.Logf("ready after %v", took)
+	require.GreaterOrEqual(t, inTime, processes*9/10)
+	require.Equal(t, 200, programs[0].ask("query", newID(), patience).status)
+}
+
+// step by step: a writer goes on only when its client has got what it wrote last.
+type inStep struct {
+	mu  sync.Mutex
+	got map[string]chan struct{} // by request, a word for each event that its client has
+}
+
+func (s *inStep) of(id string) chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.got[id] == nil {
+		s.got[id] = make(chan struct{}, 100)
+	}
+	return s.got[id]
+}
+
+// serve writes events one by one, each when the one before has arrived.
+func (s *inStep) serve(events int) func(http.ResponseWriter, *http.Request) {
+	return func(w http.ResponseWriter, r *http.Request) {
+		begin(w)
+		for range events {
+			select {
+			case <-s.of(r.Header.Get("X-Correlation-Id")):
+			case <-r.Context().Done():
+				return
+			}
+			_, _ = io.WriteString(w, "data: next\n\n")
+			w.(http.Flusher).Flush()
+		}
+		_, _ = io.WriteString(w, rest)
+	}
+}
+
+// follow asks for streams all at once and returns how many began and how many came to their end, where no event may take
+// longer than most after the one before.
+func (s *inStep) follow(p *program, addr string, streams int, most time.Duration) (begun, ended int) {
+	var all sync.WaitGroup
+	var mu sync.Mutex
+	for range streams {
+		all.Go(func() {
+			id := newID()
+			req := p.request("query", id, patience)
+			req.URL.Host = addr
+			resp, err := http.DefaultClient.Do(req)
+			if err != nil {
+				return
+			}
+			defer resp.Body.Close()
+			if resp.StatusCode != 200 {
+				return
+			}
+			mu.Lock()
+			begun++
+			mu.Unlock()
+			late := time.AfterFunc(most, func() { _ = resp.Body.Close() })
+			defer late.Stop()
+			for lines := bufio.NewScanner(resp.Body); lines.Scan(); {
+				if text := lines.Text(); text == "data: [DONE]" {
+					mu.Lock()
+					ended++
+					mu.Unlock()
+				} else if text != "" {
+					late.Reset(most)
+					s.of(id) <- struct{}{}
+				}
+			}
+		})
+	}
+	all.Wait()
+	return begun, ended
+}
+
+// Events are passed on one by one as they come, beside clients that read nothing of long streams: none waits for the
+// one behind it. The check fails where they are held back.
+func TestEventsArePassedOnOneByOne(t *testing.T) {
+	const streams, stuck, each = 200, 10, 8
+	steps := &inStep{got: map[string]chan struct{}{}}
+	r := newWorker(t, "s-00000001", "reader", nil)
+	w := newWorker(t, "s-00000002", "writer", func(rw http.ResponseWriter, req *http.Request) {
+		if req.Header.Get("X-Stuck") == "" {
+			steps.serve(each)(rw, req)
+			return
+		}
+		begin(rw)
+		for range 100 { // more than a connection holds
+			if _, err := io.WriteString(rw, "data: "+strings.Repeat("x", 64<<10)+"\n\n"); err != nil {
+				return
+			}
+		}
+	})
+	p, _ := platform(t, r, w)
+	for range stuck {
+		p.raw(strings.Replace(p.text("query", newID(), patience), "\r\n", "\r\nX-Stuck: 1\r\n", 1))
+	}
+	eventually(t, func() bool { return posts(w) > 0 }, "long streams have begun")
+	var begun, ended int
+	for begun < streams {
+		b, e := steps.follow(p, p.addr, 50, patient)
+		begun, ended = begun+b, ended+e
+	}
+	require.GreaterOrEqual(t, ended, begun*19/20, "streams that came to their end in step, of %d", begun)
+
+	relay, err := link.New(p.addr)
+	require.NoError(t, err)
+	defer relay.Close()
+	relay.Set(link.Fault{Delay: 200 * time.Millisecond})
+	begun, ended = 0, 0
+	for begun == 0 {
+		begun, ended = steps.follow(p, relay.Addr(), 3, 100*time.Millisecond)
+	}
+	require.Zero(t, ended, "the check can fail")
+}
+
+// Signals that cross: each process ends in good order, and what it has in hand is answered.
+func TestSignalsThatCross(t *testing.T) {
+	for name, signals := range map[string][]syscall.Signal{
+		"SIGTERM twice":       {syscall.SIGTERM, syscall.SIGTERM},
+		"SIGHUP then SIGTERM": {syscall.SIGHUP, syscall.SIGTERM},
+		"SIGTERM then SIGHUP": {syscall.SIGTERM, syscall.SIGHUP},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			more := make(chan struct{})
+			r, w := pair(t, held(more))
+			p, _ := platform(t, r, w)
+			answers := make(chan answer, 1)
+			go func() { answers <- p.ask("query", newID(), patience) }()
+			eventually(t, func() bool { return posts(w) == 1 }, "the answer has begun")
+			half := p.raw("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Le")
+			body := p.raw(p.text("query", newID(), patience)[:400])
+			for _, s := range signals {
+				p.signal(s)
+			}
+			eventually(t, func() bool { return p.logged("stopping") }, "it stops")
+			close(more)
+			a := <-answers
+			require.NoError(t, a.err)
+			require.Equal(t, events+rest, a.body)
+			for _, c := range []net.Conn{half, body} {
+				require.NoError(t, c.SetReadDeadline(time.Now().Add(patient)))
+				_, err := io.ReadAll(c)
+				require.NoError(t, err, "half a request is not reset")
+			}
+			p.waitExit()
+		})
+	}
+}
+
+// Told to end before it is ready, a process ends at once and in good order.
+func TestSIGTERMBeforeReady(t *testing.T) {
+	slow, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer slow.Close()
+	addr, file := ownAddr(t), config(t, `{"generation":0,"reset":true,"instances":[]}`, connIdle)
+	p := start(t, addr, []string{"ROUTER_LISTEN=" + addr, "ROUTER_NAME=n1", "ROUTER_DISCOVERY=" + slow.Addr().String(),
+		"ROUTER_CONFIG=" + file}, "serve")
+	eventually(t, func() bool { return p.logged("serving") }, "it listens")
+	require.Equal(t, 503, p.status(http.MethodGet, "/healthz"))
+	p.signal(syscall.SIGTERM)
+	p.waitExit()
+}
