--- a/upstream/chunked.go
+++ b/upstream/chunked.go
@@ -93,7 +93,7 @@
 		return nil, short(err)
 	}
 	line, ok := bytes.CutSuffix(line, []byte("\r\n"))
-	if !ok {
+	if !ok || bytes.IndexByte(line, '\r') >= 0 { // other readers end the line there
 		return nil, errChunk
 	}
 	return line, nil
--- /dev/null
+++ b/upstream/chunked_fuzz_test.go
@@ -0,0 +1,33 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net/http/httputil"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A chunked body that is taken whole is what the standard library reads there, to the byte, and what is handed on of
+// one that is not is a beginning of it. Nothing is held beyond a chunk.
+func FuzzChunked(f *testing.F) {
+	for _, text := range []string{
+		wholeText, "0\r\n\r\n", "2\r\nab\r\n0\r\nX: y\r\n\r\n", "2;x=y\r\nab\r\n0\r\n\r\n", "00000002\r\nab\r\n0\r\n\r\n", "2 \r\nab\r\n0\r\n\r\n",
+		"zz\r\n", "-2\r\nab\r\n", "1\r\nab\r\n0\r\n\r\n", "C0000000\r\nab", "2\nab\n", "2\r\nab", "+2\r\nab\r\n0\r\n\r\n", "0x2\r\nab\r\n0\r\n\r\n",
+	} {
+		f.Add([]byte(text))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		ours, err := io.ReadAll(&chunked{br: bufio.NewReaderSize(bytes.NewReader(text), readBuffer)})
+		theirs, theirErr := io.ReadAll(httputil.NewChunkedReader(bytes.NewReader(text)))
+		require.LessOrEqual(t, len(ours), len(text))
+		if err == nil {
+			require.NoError(t, theirErr, "%q is taken", text)
+			require.Equal(t, string(theirs), string(ours))
+			return
+		}
+		require.True(t, bytes.HasPrefix(theirs, ours) || bytes.HasPrefix(ours, theirs), "%q: %q is handed on, not %q", text, ours, theirs)
+	})
+}
--- a/upstream/crossings_test.go
+++ b/upstream/crossings_test.go
@@ -254,3 +254,26 @@
 	<-done
 	require.Len(t, taken, 1)
 }
+
+// A worker that says something on a resting connection, half a line or another answer, is not taken at its word: the
+// next request goes out on a connection of its own.
+func TestWhatComesOnARestingConnectionIsNoAnswer(t *testing.T) {
+	for _, text := range []string{"H", "HTTP/1.1 2", "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n", accepted} {
+		said := make(chan struct{}, 2)
+		c, w, counters := against(t, func(nc net.Conn) {
+			for first := true; request(nc); first = false {
+				_, _ = io.WriteString(nc, accepted)
+				if first {
+					_, _ = io.WriteString(nc, text)
+					said <- struct{}{}
+				}
+			}
+		})
+		for range 2 {
+			e, _ := send(c, w, true)
+			require.Equal(t, logic.PromptRead, (<-e.outcomes).Status, "%q", text)
+			<-said
+		}
+		require.EqualValues(t, 2, counters.Get("connections_opened"), "%q", text)
+	}
+}
