An answer begins with a whole event: the first one comes in parts, and may break off between them

At fault: upstream/body.go, await, took any first bytes for the first event, so the attempt was the client's and could not be made again.

TestAnAnswerBeginsWithAWholeEvent fails without the mend (run on the code before).

--- a/upstream/body.go
+++ b/upstream/body.go
@@ -62,20 +62,55 @@
 	return n, err
 }
 
-// await reads the first bytes of a stream.
+// await reads a stream to the end of its first event, which may come in many parts: with the first byte
+// passed on the attempt belongs to the client, who has nothing of an event that breaks off. Once begun,
+// the event must end within headWait. A stream that ends before, in good order, is handed on as it is.
 func (b *body) await() error {
 	buf := make([]byte, readBuffer)
 	for {
 		n, err := b.read(buf)
-		if n > 0 {
-			b.first = buf[:n]
+		begun := len(b.first) > 0
+		b.first = append(b.first, buf[:n]...)
+		switch {
+		case hasEvent(b.first), len(b.first) >= mostChunk, err == io.EOF && len(b.first) > 0:
 			b.err = err
+			if err == nil {
+				err = b.conn.SetReadDeadline(time.Time{})
+			}
+			if err != nil && err != io.EOF {
+				return fmt.Errorf("stream given up: %w", err)
+			}
 			return nil
-		}
-		if err != nil {
+		case err != nil:
 			return fmt.Errorf("stream without an event: %w", err)
+		case !begun && len(b.first) > 0:
+			if err := b.conn.SetReadDeadline(time.Now().Add(headWait)); err != nil {
+				return fmt.Errorf("stream given up: %w", err)
+			}
+		}
+	}
+}
+
+// hasEvent tells whether text holds an event that is whole: a line of data, and the blank line that ends it.
+// Lines end with LF, CR LF or CR.
+func hasEvent(text []byte) bool {
+	data := bytes.HasPrefix(text, []byte("data"))
+	for i, c := range text {
+		if c != '\n' && c != '\r' {
+			continue
+		}
+		line := text[i+1:]
+		if c == '\r' && bytes.HasPrefix(line, []byte("\n")) {
+			line = line[1:]
+		}
+		switch {
+		case data && len(line) > 0 && (line[0] == '\n' || line[0] == '\r'):
+			return true
+		case bytes.HasPrefix(line, []byte("data")):
+			data = true
 		}
 	}
+	return false
 }
 
 // Read implements io.Reader.
--- a/upstream/crossings_test.go
+++ b/upstream/crossings_test.go
@@ -277,3 +277,67 @@
 		require.EqualValues(t, 2, counters.Get("connections_opened"), "%q", text)
 	}
 }
+
+// The first event comes in parts, and its connection breaks between them: nothing of it is handed on, and the attempt
+// may be made elsewhere. So with one that comes no further. Whole, in whatever form, it is handed on at once.
+func TestAnAnswerBeginsWithAWholeEvent(t *testing.T) {
+	chunk := func(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+	for _, parts := range [][]string{
+		{"data: {\"choi"}, {"d"}, {"data: x"}, {"data: x\n"}, {"data: x\r\n"}, {"da", "ta: x", "\n"}, {": a comment\n\n"}, {"\n\n"},
+		{": a comment\n\n", "data: x\n", "data: y\n"},
+	} {
+		for _, stays := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%q %v", parts, stays), func(t *testing.T) {
+				t.Parallel()
+				c, w, _ := against(t, func(nc net.Conn) {
+					request(nc)
+					_, _ = io.WriteString(nc, streamHead)
+					for _, p := range parts {
+						_, _ = io.WriteString(nc, chunk(p))
+					}
+					if !stays {
+						_ = nc.Close()
+					}
+				})
+				e, _ := send(c, w, true)
+				select {
+				case o := <-e.outcomes:
+					require.Equal(t, logic.ConnectionReset, o.Status)
+				case <-e.answers:
+					t.Fatal("a part was handed on")
+				case <-time.After(10 * time.Second):
+					t.Fatal("it is waited for")
+				}
+			})
+		}
+	}
+	for _, parts := range [][]string{
+		{"data: x\n\n"}, {"data: x\r\n\r\n"}, {"data: x\r\r"}, {"event: a\ndata: x\n", "\n"}, {"d", "ata: ", "x\r\n", "\r\n"},
+		{": a comment\n\n", "data: x\n\n"}, {"\n\ndata: x\n\nda"},
+	} {
+		t.Run(fmt.Sprintf("%q", parts), func(t *testing.T) {
+			t.Parallel()
+			c, w, _ := against(t, func(nc net.Conn) {
+				request(nc)
+				_, _ = io.WriteString(nc, streamHead)
+				for _, p := range parts {
+					_, _ = io.WriteString(nc, chunk(p))
+				}
+				_, _ = nc.Read(make([]byte, 1))
+			})
+			e, giveUp := send(c, w, true)
+			defer giveUp()
+			select {
+			case a := <-e.answers:
+				want, got := strings.Join(parts, ""), make([]byte, 64)
+				n, err := io.ReadFull(a, got[:len(want)])
+				require.NoError(t, err)
+				require.Equal(t, want, string(got[:n]))
+			case o := <-e.outcomes:
+				t.Fatalf("it ended: %v", o.Status)
+			case <-time.After(10 * time.Second):
+				t.Fatal("it is waited for")
+			}
+		})
+	}
+}
