--- a/upstream/crossings_test.go
+++ b/upstream/crossings_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"os/exec"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -341,3 +342,28 @@
 		})
 	}
 }
+
+// The lack of a descriptor says nothing of a worker, and the attempt has not reached it. It is looked at in a process
+// of its own, whose descriptors are taken away.
+func TestTheLackOfADescriptorIsNoFaultOfAWorker(t *testing.T) {
+	const child = "LICHENSHELF_TEST_WITHOUT_DESCRIPTORS"
+	if os.Getenv(child) == "" {
+		cmd := exec.Command(os.Args[0], "-test.run=^"+t.Name()+"$", "-test.count=1", "-test.v", "-test.timeout=10s")
+		cmd.Env = append(os.Environ(), child+"=1")
+		out, err := cmd.CombinedOutput()
+		require.NoError(t, err, string(out))
+		require.Contains(t, string(out), "--- PASS: "+t.Name())
+		return
+	}
+	c, w, counters := against(t, func(nc net.Conn) { request(nc); _, _ = io.WriteString(nc, accepted) })
+	var usual syscall.Rlimit
+	require.NoError(t, syscall.Getrlimit(syscall.RLIMIT_NOFILE, &usual))
+	none := syscall.Rlimit{Cur: 3, Max: usual.Max} // those are open
+	require.NoError(t, syscall.Setrlimit(syscall.RLIMIT_NOFILE, &none))
+	e, _ := send(c, w, true)
+	o := <-e.outcomes
+	require.NoError(t, syscall.Setrlimit(syscall.RLIMIT_NOFILE, &usual))
+	require.Equal(t, logic.Full, o.Status)
+	require.True(t, o.Unreached)
+	require.EqualValues(t, 1, counters.Get("attempts_without_a_connection"))
+}
