A body that breaks off is no request, also past what the server reads ahead

At fault: fasthttp's requestStream takes an early end of the connection for the body's where a length was announced and more than its 8 KiB have come (streaming.go: strictEOF is set for answers alone), and downstream/body.go, readBody, took that for whole: a client that left half-way had the first part of its prompt sent to a worker as a request of its own, unless it was seen to leave first. TestABodyThatBreaksOffIsNoRequest fails without it (20,000 and 39,999 of 40,000 bytes; run). Ruled out by it: less than 8 KiB, chunked bodies.

--- a/downstream/body.go
+++ b/downstream/body.go
@@ -102,6 +102,8 @@
 		switch {
 		case err == io.EOF && len(body) > most:
 			return body, errTooLarge
+		case err == io.EOF && len(body) < size: // the server's reader takes an early end for the body's
+			return body, io.ErrUnexpectedEOF
 		case err == io.EOF:
 			return body, nil
 		case err != nil:
--- a/downstream/crossings_test.go
+++ b/downstream/crossings_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -296,3 +297,43 @@
 		require.Regexp(t, "^HTTP/1.1 503 (?s:.*)Retry-After: ", read(t, c), "%q", text)
 	}
 }
+
+// A body that breaks off is no request, however much of it has come: sent on, it would be another than its client's.
+func TestABodyThatBreaksOffIsNoRequest(t *testing.T) {
+	for way, leave := range ways {
+		for _, came := range []int{0, 1, 5000, 20000, 39999} {
+			for _, chunked := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s after %d, chunked %v", way, came, chunked), func(t *testing.T) {
+					t.Parallel()
+					whole := make(chan int, 1)
+					s, url := serve(t, Config{MaxBody: 64 << 10, Handler: func(c *Call) {
+						if body, release, ok := c.Body(); ok {
+							release()
+							whole <- len(body)
+						}
+					}})
+					head := "Content-Length: 40000\r\n\r\n"
+					if chunked {
+						head = "Transfer-Encoding: chunked\r\n\r\n9c40\r\n"
+					}
+					c := dial(t, url, "POST / HTTP/1.1\r\nHost: x\r\n"+head+strings.Repeat("x", came))
+					waitPhase(t, s, reading)
+					require.Eventually(t, func() bool { return !pendingAt(s) }, atLast, time.Millisecond, "all that came is read")
+					require.NoError(t, leave(c))
+					require.Eventually(t, func() bool { return s.listener.open() == 0 }, atLast, time.Millisecond)
+					require.Empty(t, whole)
+				})
+			}
+		}
+	}
+}
+
+// pendingAt tells whether bytes have come on a connection that its server has not read.
+func pendingAt(s *Server) bool {
+	s.listener.mu.Lock()
+	defer s.listener.mu.Unlock()
+	for c := range s.listener.conns {
+		return c.pending()
+	}
+	return false
+}
--- a/downstream/server_test.go
+++ b/downstream/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -24,7 +25,7 @@
 func serve(t *testing.T, cfg Config) (*Server, string) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	cfg.MaxBody, cfg.MaxConns, cfg.Counters = 1<<10, most, &metrics.Set{}
+	cfg.MaxBody, cfg.MaxConns, cfg.Counters = cmp.Or(cfg.MaxBody, 1<<10), most, &metrics.Set{}
 	cfg.Problem = func(ctx *fasthttp.RequestCtx, status int, fault error) {
 		ctx.SetStatusCode(status)
 		ctx.SetBodyString(fault.Error())
