--- a/fleet/trail/trail_test.go
+++ b/fleet/trail/trail_test.go
@@ -119,11 +119,11 @@
 func TestBounded(t *testing.T) {
 	dir := t.TempDir()
 	const most = 1 << 17
-	w, _ := open(t, dir, 1, most)
+	w, counters := open(t, dir, 1, most)
 	for i := range 20_000 {
 		w.Note(audit.Record{Kind: audit.Failed, Worker: "w", Request: fmt.Sprint(i)})
-		if i%100 == 0 {
-			time.Sleep(time.Millisecond) // the writer is not to be outrun here
+		if i%100 == 0 { // the writer is not to be outrun here, however slow the disk is
+			require.Eventually(t, func() bool { return counters.Get("trail_records") >= int64(i) }, time.Minute, 100*time.Microsecond)
 		}
 	}
 	require.NoError(t, w.Close())
