--- a/upstream/client.go
+++ b/upstream/client.go
@@ -42,7 +42,7 @@
 	MaxAnswer      int           // bound of an answer that is read whole
 	StreamStall    time.Duration // a stream without a byte for so long is broken
 	// BodyWait is how long the body of what is no answer for the client may take, once its head
-	// is there: the head tells what has become of the request. 0 means headWait.
+	// is there. 0 means headWait.
 	BodyWait    time.Duration
 	WaitHeader  string // tells a worker how long its answer is waited for
 	ReleasePath string // where held state is let go of, before the request's name
@@ -174,8 +174,9 @@
 	}
 }
 
-// judge tells the outcome of what is no answer for the client. Its head says what has become of the
-// request; of its body, which may break off or never end, what comes in time is looked at.
+// judge tells the outcome of what is no answer for the client. Its body, which may break off or never end, is
+// waited for within BodyWait: without its end nothing says that the request never ran. A prompt that was
+// read is held from the head on.
 func (x *attempt) judge(c *conn, head *fasthttp.ResponseHeader, body *body, err error) router.Outcome {
 	var text []byte
 	if err == nil {
@@ -183,10 +184,13 @@
 			text, err = body.whole(x.client.cfg.MaxAnswer)
 		}
 	}
+	o := x.client.cfg.Judge(head.StatusCode(), head, text)
 	if err != nil {
 		_ = c.Close()
+		if o.Status != logic.PromptRead { // the head is of an answer that is spoilt: it may be of one that ran
+			o = router.Outcome{Status: logic.ConnectionReset}
+		}
 	}
-	o := x.client.cfg.Judge(head.StatusCode(), head, text)
 	if body != nil {
 		o.Load = body.load
 	}
