A release's call-off is taken back before its connection is kept for others

The call-off is stopped first now, and a connection that was being closed is not kept. The window was there before; asking many workers at once made it wider.

--- a/downstream/body.go
+++ b/downstream/body.go
@@ -57,11 +57,11 @@
 
 func (c *Call) refuseBody(err error) {
 	var late net.Error
+	if hurried(c.RequestCtx) {
+		err = errEnding
+	}
 	switch {
-	case hurried(c.RequestCtx):
-		c.Response.Header.Set(fasthttp.HeaderRetryAfter, "1")
-		c.Problem(fasthttp.StatusServiceUnavailable, errEnding)
-	case errors.Is(err, errNoRoom):
+	case errors.Is(err, errEnding), errors.Is(err, errNoRoom):
 		c.Response.Header.Set(fasthttp.HeaderRetryAfter, "1")
 		c.Problem(fasthttp.StatusServiceUnavailable, err)
 	case errors.Is(err, errTooLarge):
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -405,7 +405,7 @@
 	h.SetHost(w.Addr)
 	h.SetNoDefaultContentType(true)
 	deadline, _ := ctx.Deadline()
-	defer context.AfterFunc(ctx, func() { _ = cn.TCPConn.Close() })()
+	stop := context.AfterFunc(ctx, func() { _ = cn.TCPConn.Close() })
 	var resp fasthttp.Response
 	if err = cn.SetDeadline(deadline); err == nil {
 		_, err = cn.Write(h.Header())
@@ -414,7 +414,8 @@
 			err = resp.ReadLimitBody(cn.br, c.cfg.MaxAnswer)
 		}
 	}
-	if err != nil || resp.ConnectionClose() {
+	// Called off before it is handed back: another worker that took the release would close it in the next one's hands.
+	if !stop() || err != nil || resp.ConnectionClose() {
 		_ = cn.Close()
 	} else {
 		c.pool.put(w, cn)
