The solver's reference knows sixths alone: a plan that sheds less may lie over by that much

The solver serves 5.0 and lies 2.0 over the safe load; the reference, which places sixths of a demand, serves 4.83 and lies 1.67 over. Both shed the same within a hundredth, so the test took the better plan for the worse one. The solver is not at fault: at this site 5 is the most, and 1 at the readers and 1 at the writers is what 5 costs. At 20,000 checks the old comparison fails after 3,450 of them. Replaced by one that allows for what is shed less, and no more: each unit served beyond the reference may lie over at a reader and a writer (four units where worths differ by a quarter), and is compared always, where the old one passed over plans that shed less. 20,000 checks green. With each of the solver's costs taken out (over, far, states over links, worth, shed) it fails within two checks.

--- a/fleet/shift/shift_test.go
+++ b/fleet/shift/shift_test.go
@@ -218,13 +218,14 @@
 			all += d.Load
 		}
 		near := 0.01 * all
+		// Brute force knows sixths of a demand alone: the plan may shed less, and what it takes beyond that lies over the safe
+		// load, at a reader and a writer, and may go far. To take a unit of dearer load costs a cycle of four units at most, since
+		// worths differ by a quarter; so does a unit less over the safe load cost one of a unit.
+		more := 4 * max(0, bestShed-shed)
 		require.LessOrEqual(t, shed, bestShed+near, "shed")
-		if shed > bestShed-near {
-			require.LessOrEqual(t, over, bestOver+near, "over the safe load")
-			if over > bestOver-near && shed > bestShed-near {
-				require.LessOrEqual(t, dist, bestDist+near*4, "distance")
-			}
-		}
+		require.LessOrEqual(t, over, bestOver+2*more+near, "over the safe load")
+		less := max(0, bestOver+2*more-over)
+		require.LessOrEqual(t, dist, bestDist+2*(1+stateCost)*(more+less)+near*4, "distance")
 		require.InDelta(t, over, p.Over, near)
 	})
 }
