A request that workers reject is nobody's: no retries, nothing held against workers, no name kept

Now: Rejected, for 4xx but 408, 410 and 429: one attempt, a 400 to the client. A request waits for the one of its name that is in hand, and fails if that one may have run. TestDoorBounds... wanted the second to fail at once; it fails once the first may have run. TestARequestWaitsForTheOneOfItsName: 20 times with -race; without the line it fails in all cases but the one of an answer that has begun.

--- a/front/platform/front.go
+++ b/front/platform/front.go
@@ -43,6 +43,7 @@
 	errShutOut  = errors.New("this router lies behind the others and takes nothing new")
 	errTimedOut = errors.New("no worker answered in time")
 	errFailed   = errors.New("the request failed")
+	errRejected = errors.New("a worker found fault with the request")
 )
 
 // Front turns clients' calls into requests for the core and its answers into theirs.
@@ -132,6 +133,8 @@
 	switch {
 	case answer.Body != nil:
 		call.Stream("text/event-stream", answer.Body)
+	case answer.Last == logic.Rejected:
+		call.Problem(fasthttp.StatusBadRequest, errRejected)
 	case answer.Refused:
 		call.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(answer.RetryAfter.Seconds(), 'f', 3, 64))
 		call.Problem(fasthttp.StatusServiceUnavailable, errRefused)
@@ -240,6 +243,9 @@
 		return router.Outcome{Status: logic.Full, Kept: 1}
 	case (status == fasthttp.StatusServiceUnavailable || status == fasthttp.StatusGatewayTimeout) && neverRan:
 		return router.Outcome{Status: logic.Full}
+	case status == fasthttp.StatusRequestTimeout || status == fasthttp.StatusGone || status == fasthttp.StatusTooManyRequests:
+	case status/100 == 4:
+		return router.Outcome{Status: logic.Rejected}
 	}
 	return router.Outcome{Status: logic.ServerError}
 }
--- a/logic/api.go
+++ b/logic/api.go
@@ -128,6 +128,7 @@
 	Cancelled
 	NotSent
 	PromptRead // the state waits at the reader
+	Rejected   // the server found fault with the request itself: it has not run, and no other server would take it
 )
 
 // EventKind tells which fields of an Event are set.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -830,7 +830,7 @@
 	noState := e.Status == Full && e.Kept == 1
 	if e.Status == PromptRead {
 		r.reader = s
-	} else if was == reading || noState {
+	} else if was == reading && e.Status != Rejected || noState {
 		// The state is lost to us, but a reader behind a cut path may still hold it: always let go.
 		r.reader = nil
 		g.do(Action{Kind: Release, ID: r.ID})
@@ -846,7 +846,7 @@
 	switch {
 	case r.closed:
 		g.drop(r)
-	case e.Status == NotSent:
+	case e.Status == NotSent || e.Status == Rejected:
 		g.giveUp(r)
 	case e.Status == Full && !noState && r.sends > 2:
 		g.hold(r) // where all are full, asking each of them at once only adds to it
@@ -918,6 +918,8 @@
 		s.missed(g.now, e.Status == ConnectFailed, g.set.FallAfter)
 	case ServerError:
 		g.sample(s, 2)
+	case Rejected: // that says nothing of the server but that it answers
+		s.quiet = g.now
 	}
 }
 
--- a/router/admit.go
+++ b/router/admit.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"slices"
 	"time"
 
 	"lichenshelf/logic"
@@ -16,27 +17,81 @@
 	core      *Core
 	lastID    logic.RequestID
 	exchanges map[logic.RequestID]*exchange
-	names     map[string]bool
-	over      []*exchange // may be forgotten once the decisions know of their end
+	names     map[string]*exchange
+	behind    map[string][]*exchange // wait for the one of their name that is in hand, in order of arrival
+	over      []*exchange            // may be forgotten once the decisions know of their end
 }
 
 func (a *admission) admit(ex *exchange) {
-	a.lastID++
-	ex.ID = a.lastID
-	if a.names[ex.Name] {
-		// A name stands for one request at the workers: two at once would share
-		// their held state and each other's attempts.
-		a.core.open.Add(-1)
+	first := a.names[ex.Name]
+	if first == nil {
+		a.enter(ex)
+		return
+	}
+	// A name stands for one request at the workers: two at once would share their held state and each
+	// other's attempts. But anybody may use a name, and what is in hand may be rejected as nobody's.
+	if first.ran || first.answered {
 		a.core.book.duplicate(ex)
 		return
 	}
-	a.names[ex.Name] = true
+	a.behind[ex.Name] = append(a.behind[ex.Name], ex)
+	time.AfterFunc(a.left(ex), func() {
+		a.core.post(func() {
+			if a.leaveLine(ex) {
+				a.core.book.duplicate(ex)
+			}
+		})
+	})
+}
+
+// left is how long the decisions may take over a request.
+func (a *admission) left(ex *exchange) time.Duration {
+	return max(ex.Patience-time.Since(ex.Received)-answerMargin, 0)
+}
+
+// enter puts a request before the decisions.
+func (a *admission) enter(ex *exchange) {
+	a.lastID++
+	ex.ID = a.lastID
+	a.names[ex.Name] = ex
 	a.exchanges[ex.ID] = ex
 	q := ex.Request.Request
-	q.Patience = max(q.Patience-time.Since(ex.Received)-answerMargin, 0)
+	q.Patience = a.left(ex)
 	a.core.routing.push(logic.Event{Kind: logic.Arrived, Request: q})
 }
 
+// leaveLine takes a request out that waits behind another of its name; false if it does not wait.
+func (a *admission) leaveLine(ex *exchange) bool {
+	line := a.behind[ex.Name]
+	i := slices.Index(line, ex)
+	if i < 0 {
+		return false
+	}
+	if a.behind[ex.Name] = slices.Delete(line, i, i+1); len(line) == 1 {
+		delete(a.behind, ex.Name)
+	}
+	return true
+}
+
+// next is for those that wait behind a request. If it may have run they may be copies of it, and end. If it has ended
+// otherwise, and what was held for it has been let go of, the first of them goes on.
+func (a *admission) next(first *exchange) {
+	for line := a.behind[first.Name]; len(line) > 0; line = a.behind[first.Name] {
+		ex := line[0]
+		switch {
+		case first.ran || first.answered:
+			a.leaveLine(ex)
+			a.core.book.duplicate(ex)
+		case first.releases > 0 || a.names[first.Name] != nil:
+			return
+		default:
+			a.leaveLine(ex)
+			a.enter(ex)
+			return
+		}
+	}
+}
+
 // forget drops an exchange that is closed and has nothing out. It stays until the
 // decisions have heard of its end: they may still have its held state let go.
 func (a *admission) forget(ex *exchange) {
@@ -51,6 +106,7 @@
 			delete(a.exchanges, ex.ID)
 			delete(a.names, ex.Name)
 			a.core.open.Add(-1)
+			a.next(ex)
 		}
 	}
 	a.over = a.over[:0]
--- a/router/book.go
+++ b/router/book.go
@@ -40,8 +40,9 @@
 	b.close(ex)
 }
 
-// duplicate ends a request whose name is in hand already.
+// duplicate ends a request whose name is that of one in hand that may have run.
 func (b *book) duplicate(ex *exchange) {
+	b.core.open.Add(-1)
 	b.count.Add("requests_duplicate", 1)
 	ex.closed = true
 	ex.client.Fail(logic.NotSent)
@@ -67,6 +68,12 @@
 
 // left takes a client's going away: what is out for it is given up.
 func (b *book) left(ex *exchange) {
+	if b.core.admission.leaveLine(ex) {
+		b.core.open.Add(-1)
+		b.count.Add("clients_left", 1)
+		ex.closed = true
+		return
+	}
 	if b.core.admission.exchanges[ex.ID] != ex {
 		return
 	}
@@ -116,8 +123,12 @@
 		b.core.letting.Add(-1)
 		b.core.post(func() {
 			ex.releases--
-			if ex.releases == 0 && ex.attempt != nil {
+			switch {
+			case ex.releases > 0:
+			case ex.attempt != nil:
 				b.core.sender.start(ex.attempt)
+			default:
+				b.core.admission.next(ex)
 			}
 		})
 	})
--- a/router/core.go
+++ b/router/core.go
@@ -68,6 +68,7 @@
 	last      logic.Status
 	closed    bool // it has its final answer, or the client has gone
 	answered  bool // an answer has begun
+	ran       bool // an attempt may have run, as far as its outcome tells
 	unsure    bool // a read was cut off: the worker may hold its state all the same
 	releases  int  // that are out; what is sent meanwhile waits for them
 }
@@ -82,7 +83,7 @@
 	c := &Core{mail: make(chan func(), mailboxSize), stopped: make(chan struct{})}
 	c.roster.workers, c.roster.fence = map[logic.ServerID]*Worker{}, cfg.Fence
 	c.intake = intake{core: c, limit: int64(cfg.MaxOpen), count: cfg.Counters}
-	c.admission = admission{core: c, exchanges: map[logic.RequestID]*exchange{}, names: map[string]bool{}}
+	c.admission = admission{core: c, exchanges: map[logic.RequestID]*exchange{}, names: map[string]*exchange{}, behind: map[string][]*exchange{}}
 	c.routing = routing{core: c, decider: cfg.Decider, start: time.Now(), log: cfg.Log}
 	c.sender = sender{core: c, transport: cfg.Transport, permit: cfg.Permit, most: cfg.MaxAttempts, count: cfg.Counters}
 	c.relay = relay{core: c}
--- a/router/core_test.go
+++ b/router/core_test.go
@@ -165,14 +165,100 @@
 	w := newWires()
 	c, counters := run(t, sendAll(make(chan logic.Event, 4)), w)
 	submit(c, "a")
-	<-w.sent
+	first := <-w.sent
 	again, _ := submit(c, "a")
-	require.Equal(t, "failed", <-again.answers)
+	refused, _ := submit(c, "b") // what waits behind its name is in hand
+	require.Equal(t, "refused", <-refused.answers)
+	require.Empty(t, w.sent, "two of one name are out together")
+	first.Ended(Outcome{Status: logic.ServerError})
+	require.Equal(t, "failed", <-again.answers, "the first may have run")
+	require.Eventually(t, func() bool { return c.Open() == 0 }, time.Minute, time.Millisecond)
+	submit(c, "a")
+	<-w.sent
 	submit(c, "b")
 	<-w.sent
 	third, _ := submit(c, "c")
 	require.Equal(t, "refused", <-third.answers)
-	require.EqualValues(t, 1, counters.Get("requests_refused_at_the_door"))
+	require.EqualValues(t, 2, counters.Get("requests_refused_at_the_door"))
+	require.EqualValues(t, 1, counters.Get("requests_duplicate"))
+}
+
+// A name may be used by anybody: a copy of a request that workers reject must not take the place of the real one, which
+// may come later, nor may two of one name be out together, nor the second run where the first may have.
+func TestARequestWaitsForTheOneOfItsName(t *testing.T) {
+	never := []logic.Status{logic.Rejected, logic.Full, logic.ConnectFailed}
+	mayHave := []logic.Status{logic.ServerError, logic.ConnectionReset, logic.Cancelled, logic.TimedOut}
+	start := func(t *testing.T) (c *Core, w *wires, first Sink, second caller, ticket Ticket) {
+		w = newWires()
+		c, _ = run(t, sendAll(make(chan logic.Event, 8)), w)
+		submit(c, "a")
+		first = <-w.sent
+		second, ticket = submit(c, "a")
+		return
+	}
+	for _, s := range never {
+		t.Run("goes on after "+statusNames[s], func(t *testing.T) {
+			c, w, first, second, _ := start(t)
+			first.Ended(Outcome{Status: s})
+			(<-w.sent).Started(text{eof{}})
+			require.Equal(t, "stream", <-second.answers)
+			require.Equal(t, 1, c.Open())
+		})
+	}
+	for _, s := range mayHave {
+		t.Run("fails after "+statusNames[s], func(t *testing.T) {
+			c, w, first, second, _ := start(t)
+			first.Ended(Outcome{Status: s})
+			require.Equal(t, "failed", <-second.answers)
+			require.Eventually(t, func() bool { return c.Open() == 0 }, time.Minute, time.Millisecond)
+			require.Empty(t, w.sent)
+		})
+	}
+	t.Run("goes on once what was held is let go of", func(t *testing.T) {
+		w := newWires()
+		w.taken = make(chan struct{})
+		ended := make(chan logic.Event, 8)
+		c, _ := run(t, sendAll(ended), w)
+		submit(c, "a")
+		first := <-w.sent
+		submit(c, "a")
+		first.Ended(Outcome{Status: logic.Full})
+		<-ended
+		<-w.released
+		c.post(func() {}) // what the end brought about has been done
+		seen := make(chan int)
+		c.post(func() { seen <- len(w.sent) })
+		require.Zero(t, <-seen, "its read could be overtaken by the release")
+		w.taken <- struct{}{}
+		<-w.sent
+	})
+	t.Run("fails once the first is answered", func(t *testing.T) {
+		c, w, first, second, _ := start(t)
+		first.Started(text{eof{}})
+		require.Equal(t, "failed", <-second.answers)
+		third, _ := submit(c, "a")
+		require.Equal(t, "failed", <-third.answers)
+		require.Empty(t, w.sent)
+	})
+	t.Run("fails when its time is up", func(t *testing.T) {
+		w := newWires()
+		c, _ := run(t, sendAll(make(chan logic.Event, 8)), w)
+		submit(c, "a")
+		<-w.sent
+		second := caller{make(chan string, 4)}
+		c.Submit(&Request{Name: "a", Received: time.Now(), Request: logic.Request{Patience: 50 * time.Millisecond}}, second)
+		require.Equal(t, "failed", <-second.answers)
+		require.Empty(t, w.sent)
+	})
+	t.Run("leaves with its client", func(t *testing.T) {
+		c, w, first, second, ticket := start(t)
+		ticket.Leave()
+		require.Eventually(t, func() bool { return c.Open() == 1 }, time.Minute, time.Millisecond)
+		first.Ended(Outcome{Status: logic.Rejected})
+		require.Eventually(t, func() bool { return c.Open() == 0 }, time.Minute, time.Millisecond)
+		require.Empty(t, w.sent)
+		require.Empty(t, second.answers)
+	})
 }
 
 func TestSendToALeavingWorkerNeverHappens(t *testing.T) {
--- a/router/relay.go
+++ b/router/relay.go
@@ -18,6 +18,7 @@
 	a.timer.Stop()
 	ex := a.ex
 	ex.answered, ex.closed = true, true
+	r.core.admission.next(ex)
 	r.core.routing.push(logic.Event{Kind: logic.AnswerStarted, ID: ex.ID, Attempt: a.number, Server: a.server,
 		Latency: time.Since(a.sentAt), Load: answer.Load()})
 	r.core.book.note(ex, "answering")
--- a/router/route.go
+++ b/router/route.go
@@ -36,8 +36,10 @@
 		for i := range r.actions {
 			r.do(&r.actions[i])
 		}
+		if len(r.events) == 0 {
+			r.core.admission.sweep() // which may let requests in that waited for it
+		}
 	}
-	r.core.admission.sweep()
 }
 
 func (r *routing) do(a *logic.Action) {
--- a/router/send.go
+++ b/router/send.go
@@ -117,6 +117,12 @@
 		// A read may have ended well just as it was cut off.
 		a.ex.unsure = !a.ex.answered
 	}
+	switch o.Status {
+	case logic.Full, logic.ConnectFailed, logic.NotSent, logic.PromptRead, logic.Rejected:
+	default:
+		a.ex.ran = true
+		s.core.admission.next(a.ex)
+	}
 	if a.ex.answered {
 		s.core.book.answered(o.Status)
 	}
@@ -159,5 +165,5 @@
 var statusNames = map[logic.Status]string{
 	logic.Served: "served", logic.ServerError: "error", logic.Full: "turned_away", logic.TimedOut: "timed_out",
 	logic.ConnectFailed: "connect_failed", logic.ConnectionReset: "reset", logic.Cancelled: "cancelled",
-	logic.NotSent: "not_sent", logic.PromptRead: "prompt_read",
+	logic.NotSent: "not_sent", logic.PromptRead: "prompt_read", logic.Rejected: "rejected",
 }
