A connection with an empty stream is not kept, and first events are found in one pass

Cause, read in the code: body.read put the connection of a 200 without a byte back into the pool, and run closed it a moment later as broken: in between another attempt could take it, and was reset. The connection is closed at once. TestAConnectionWithAnEmptyStreamIsNotKept fails without it ('it was kept'). hasEvent looked at the first event from its start for each chunk: firstEvent looks at each byte once. go test -race -count=3 ./upstream green.

--- a/upstream/body.go
+++ b/upstream/body.go
@@ -21,6 +21,7 @@
 	conn    *conn
 	head    *fasthttp.ResponseHeader
 	stream  io.Reader // nil for a status that has no body
+	events  bool      // it is one of events, and has one at least
 	first   []byte    // read ahead, to see that the answer has begun
 	tail    []byte    // its latest bytes, which tell what was found kept
 	load    logic.Load
@@ -37,6 +38,7 @@
 func newBody(x *attempt, c *conn, head *fasthttp.ResponseHeader) (*body, error) {
 	b := &body{attempt: x, conn: c, head: head, stall: x.client.cfg.StreamStall}
 	b.load = x.client.report(b.load, head.Peek(x.client.cfg.LoadHeader))
+	b.events = head.StatusCode() == fasthttp.StatusOK && x.Request.Payload.(*Message).Stream
 	size := head.ContentLength()
 	switch {
 	case head.StatusCode() == fasthttp.StatusNoContent || head.StatusCode() == fasthttp.StatusNotModified:
@@ -67,12 +69,13 @@
 // the event must end within headWait. A stream that ends before, in good order, is handed on as it is.
 func (b *body) await() error {
 	buf := make([]byte, readBuffer)
+	var event firstEvent
 	for {
 		n, err := b.read(buf)
 		begun := len(b.first) > 0
 		b.first = append(b.first, buf[:n]...)
 		switch {
-		case hasEvent(b.first), len(b.first) >= mostChunk, err == io.EOF && len(b.first) > 0:
+		case event.ends(buf[:n]), len(b.first) >= mostChunk, err == io.EOF && len(b.first) > 0:
 			b.err = err
 			if err == nil {
 				err = b.conn.SetReadDeadline(time.Time{})
@@ -91,23 +94,33 @@
 	}
 }
 
-// hasEvent tells whether text holds an event that is whole: a line of data, and the blank line that ends it.
-// Lines end with LF, CR LF or CR.
-func hasEvent(text []byte) bool {
-	data := bytes.HasPrefix(text, []byte("data"))
-	for i, c := range text {
-		if c != '\n' && c != '\r' {
-			continue
-		}
-		line := text[i+1:]
-		if c == '\r' && bytes.HasPrefix(line, []byte("\n")) {
-			line = line[1:]
-		}
+// firstEvent finds the end of a stream's first event: a line of data, and the blank line that ends it. Lines end
+// with LF, CR LF or CR.
+type firstEvent struct {
+	data    bool // a line of data has ended
+	matched int  // of the field's name, at the beginning of the line
+	column  int
+	cr      bool // the byte before was one
+}
+
+// ends takes the next part of the stream. It tells whether the event is whole.
+func (e *firstEvent) ends(part []byte) bool {
+	const field = "data"
+	for _, c := range part {
+		half := c == '\n' && e.cr // of a line's end
+		e.cr = c == '\r'
 		switch {
-		case data && len(line) > 0 && (line[0] == '\n' || line[0] == '\r'):
+		case half:
+		case c != '\n' && c != '\r':
+			if e.column < len(field) && e.matched == e.column && c == field[e.column] {
+				e.matched++
+			}
+			e.column++
+		case e.data && e.column == 0:
 			return true
-		case bytes.HasPrefix(line, []byte("data")):
-			data = true
+		default:
+			e.data = e.data || e.matched == len(field)
+			e.matched, e.column = 0, 0
 		}
 	}
 	return false
@@ -140,6 +153,8 @@
 	b.tail = append(b.tail, p[:n]...)
 	b.tail = b.tail[max(0, len(b.tail)-tailSize):]
 	switch {
+	case err == io.EOF && b.events && len(b.tail) == 0: // no answer of this request's: a better one may follow
+		_ = b.conn.Close()
 	case err == io.EOF:
 		b.load = b.attempt.client.report(b.load, commentIn(b.tail, b.attempt.client.cfg.LoadHeader))
 		b.finish()
--- a/upstream/crossings_test.go
+++ b/upstream/crossings_test.go
@@ -367,3 +367,36 @@
 	require.True(t, o.Unreached)
 	require.EqualValues(t, 1, counters.Get("attempts_without_a_connection"))
 }
+
+// An answer without a single event is not this request's: it may be a second one for the request before, and the real one
+// on its way. Its connection must not get to another request, not for a moment.
+func TestAConnectionWithAnEmptyStreamIsNotKept(t *testing.T) {
+	for _, text := range []string{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", streamHead + "0\r\n\r\n"} {
+		closed := make(chan struct{}, 1)
+		c, w, _ := against(t, replies(text, closed))
+		e, _ := send(c, w, true)
+		require.Equal(t, logic.ConnectionReset, (<-e.outcomes).Status)
+		<-closed
+		c.pool.mu.Lock()
+		require.Empty(t, c.pool.idle[w], "it was kept")
+		require.Zero(t, c.pool.open)
+		c.pool.mu.Unlock()
+	}
+}
+
+// The end of a first event is found by looking at each byte once, however small the parts are.
+func TestFirstEventsInParts(t *testing.T) {
+	for text, want := range map[string]bool{
+		"data: x\n\n": true, "data: x\r\n\r\n": true, "data: x\r\r": true, "data\n\n": true, ": c\n\ndata: x\n\n": true, "id: 1\ndata: x\n\n": true,
+		"data: x\n": false, "data: x\r\n": false, "dat: x\n\n": false, " data: x\n\n": false, "\n\n\n": false, "x data: x\n\n": false, "data": false,
+	} {
+		for size := 1; size <= len(text); size++ {
+			var e firstEvent
+			got := false
+			for i := 0; i < len(text) && !got; i += size {
+				got = e.ends([]byte(text[i:min(i+size, len(text))]))
+			}
+			require.Equal(t, want, got, "%q in parts of %d", text, size)
+		}
+	}
+}
