A writer that has turned a request away counts as full for a moment

Cause: judge took a writer's refusal for a wait of its role alone; without own streams there, and without load reports, share() made that writer the emptiest of its cell, and the next requests went to it first. In process tests up to 11 of 20 requests were refused with half of eight writers full, each with all five tries used. Now its memory counts as held, fading within a second, as the backlog of a full reader does. TestAFullWriterIsNotAskedWhileAnotherHasRoom fails without it.

--- a/logic/guards_test.go
+++ b/logic/guards_test.go
@@ -173,6 +173,30 @@
 
 // Backlog refuses at intake, the less worthy first, with advice; without it a jam never ends.
 // Nothing has been read yet, as after a restart, so the aims' growth stands in for the pace.
+// A writer that has just turned a request away has no own streams and looks the emptiest of all: it is not asked again
+// while another one has room, and is once some time has gone by.
+func TestAFullWriterIsNotAskedWhileAnotherHasRoom(t *testing.T) {
+	r := newRig(t, reader(1, 0), writer(2, 0), writer(3, 0))
+	read := func() (RequestID, []Action) {
+		id, acts := r.arrive(Request{Session: 5})
+		r.wantSend(acts, 1)
+		return id, r.end(id, 1, PromptRead, 0)
+	}
+	a, acts := read()
+	full := find(acts, Send).Server
+	room := 5 - full
+	r.wantSend(r.end(a, full, Full, 0), room)
+	r.start(a, room)
+	for range 5 {
+		b, acts := read()
+		r.wantSend(acts, room)
+		r.start(b, room)
+	}
+	r.wait(5 * ghostFade)
+	_, acts = read()
+	r.wantSend(acts, full)
+}
+
 func TestBacklogRefusesTheLessWorthyFirst(t *testing.T) {
 	r := newRig(t, reader(1, 0), writer(3, 0))
 	refusedAt := [2]int{}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -566,9 +566,9 @@
 func (g *Gateway) share(s *server) float64 {
 	mean := g.pools[s.role].share
 	if !g.reports {
-		return s.tokens/s.memory*(1+g.peers*(1-g.unseen)) + g.blind*mean*g.unseen
+		return s.turnedAway(g.now) + s.tokens/s.memory*(1+g.peers*(1-g.unseen)) + g.blind*mean*g.unseen
 	}
-	return mean + g.trust(s, shareFade)*(s.load.MemoryShare-mean) + s.since/s.memory
+	return s.turnedAway(g.now) + mean + g.trust(s, shareFade)*(s.load.MemoryShare-mean) + s.since/s.memory
 }
 
 // ---- health
@@ -893,16 +893,17 @@
 		s.record(r, g.now)
 	case Served:
 		s.quiet, s.fails, s.shunned = g.now, 0, 0
-	case Full:
-		s.quiet = g.now
-		if e.Kept == 1 || e.Unreached {
+	case Full, Rejected:
+		if s.quiet = g.now; e.Kept == 1 || e.Unreached || e.Status == Rejected { // it has room
 			break
 		}
 		// Its queue is full, whatever this gateway has there: peers' work, or left behind.
 		g.waited(s.role, fullBacklog.Seconds())
-		if full := fullBacklog.Seconds() / g.readSeconds(s, 1); s.role != RoleWrite {
-			s.ghost.add(g.now, ghostFade, math.Max(0, full-s.ghost.value(g.now, ghostFade)))
+		full := s.memory // of a writer: without own streams it would look the emptiest
+		if s.role != RoleWrite {
+			full = fullBacklog.Seconds() / g.readSeconds(s, 1)
 		}
+		s.ghost.add(g.now, ghostFade, math.Max(0, full-s.ghost.value(g.now, ghostFade)))
 	case TimedOut, Cancelled:
 		s.ghost.add(g.now, ghostFade, r.charge)
 		if e.Status == TimedOut || r.called {
@@ -918,8 +919,6 @@
 		s.missed(g.now, e.Status == ConnectFailed, g.set.FallAfter)
 	case ServerError:
 		g.sample(s, 2)
-	case Rejected: // that says nothing of the server but that it answers
-		s.quiet = g.now
 	}
 }
 
--- a/logic/state.go
+++ b/logic/state.go
@@ -67,7 +67,7 @@
 	listed        bool
 	kept          map[Key]entry
 	unread        float64 // prompt tokens sent and not yet read
-	ghost         fading  // tokens left behind by time-outs
+	ghost         fading  // tokens left behind by time-outs; at a writer, those of work that it turned away
 	tokens, since float64 // own tokens in its memory; those sent since its last report
 	slow          fading  // observed time against its kind's pace, less one
 	streams       int
@@ -83,6 +83,15 @@
 	loadAt        Time
 }
 
+// turnedAway is the part of a writer's memory that stands for its having had no room; of other servers it is
+// load (pending).
+func (s *server) turnedAway(now Time) float64 {
+	if s.role != RoleWrite {
+		return 0
+	}
+	return s.ghost.value(now, ghostFade) / s.memory
+}
+
 // fading is a value that decays towards zero with time.
 type fading struct {
 	v  float64
