--- a/logic/crowd_test.go
+++ b/logic/crowd_test.go
@@ -22,6 +22,7 @@
 	// over is told of a request that was refused or failed.
 	over     func(c *crowd, gateway int, id RequestID)
 	requests map[RequestID]Request
+	doing    Action // the send that answer is asked about
 }
 
 type crowdEvent struct {
@@ -56,6 +57,7 @@
 			c.over(c, gateway, a.ID)
 		case Send:
 			c.sent[a.Server] = append(c.sent[a.Server], c.now)
+			c.doing = a
 			status, took := c.answer(c, a.Server)
 			end := Event{Kind: AttemptEnded, ID: a.ID, Server: a.Server, Latency: took, Status: status}
 			if role := g.byID[a.Server].role; status == Served && role == RoleRead {
--- /dev/null
+++ b/logic/fairness_test.go
@@ -0,0 +1,118 @@
+package logic
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// shares of what was asked for that was answered, by how it is asked for.
+type shares struct {
+	all, long float64 // of all, and of the tenth with the longest prompts
+	shunned   float64 // sessions of which every turn was refused, beyond what chance gives
+}
+
+const (
+	mostShunned = 0.12     // the operators' bounds: of a quiet day's sessions,
+	leastQuiet  = 2.0 / 3  // of the class's share, for the longest prompts on a quiet day,
+	leastBusy   = 0.5      // and on others
+	readRate    = 20_000.0 // tokens a second of one reader
+)
+
+// fairness plays sessions whose turns come by any gateway, one of ten sessions with prompts ten times as long, at readers that
+// work on one prompt after the other; load is the part of what they can read that is asked for.
+func fairness(n int, load float64, seed uint64) shares {
+	const turns, spread = 3, 4 * time.Second
+	members := fleet(24, 0)
+	c := newCrowd(n, members, Time(time.Hour))
+	c.rng = rand.New(rand.NewPCG(uint64(n), seed))
+	free, readers := map[ServerID]Time{}, 0.0
+	for _, m := range members {
+		if m.Kind == 0 {
+			readers++
+		}
+	}
+	c.answer = func(c *crowd, s ServerID) (Status, time.Duration) {
+		if c.gateways[0].byID[s].role != RoleRead {
+			return Served, 50 * time.Millisecond
+		}
+		was := free[s]
+		free[s] = max(was, c.now) + Time(seconds(c.requests[c.doing.ID].PromptTokens/readRate))
+		took := time.Duration(free[s] - c.now)
+		if took > c.doing.After { // called off while it waits
+			free[s] = was
+			return TimedOut, c.doing.After
+		}
+		return Served, took
+	}
+	type session struct{ asked, refused int }
+	sessions, of := []*session{}, map[RequestID]*session{}
+	later := map[Time][]func(){}
+	var asked, answered [2]float64 // of short prompts, of long ones
+	kind := func(q Request) int {
+		if q.PromptTokens > 10_000 {
+			return 1
+		}
+		return 0
+	}
+	c.over = func(c *crowd, _ int, id RequestID) {
+		of[id].refused++
+		answered[kind(c.requests[id])]--
+	}
+	turn := func(s *session, q Request) {
+		s.asked++
+		of[c.ids+1] = s
+		asked[kind(q)]++
+		answered[kind(q)]++
+		c.ask(c.rng.IntN(n), q)
+	}
+	const mean = 0.9*2000 + 0.1*20_000 // tokens
+	perTick := load * readers * readRate / mean / turns * crowdTick.Seconds()
+	for end := c.now + Time(40*time.Second); c.now < end; {
+		for _, f := range later[c.now] {
+			f()
+		}
+		for x := perTick; x > 0 && c.now < end-Time(2*spread) && c.rng.Float64() < x; x-- {
+			q := Request{Session: Key(c.rng.Uint64()), PromptTokens: 1000 + 2000*c.rng.Float64(), MaxTokens: 100, Patience: 4 * time.Second}
+			if c.rng.Float64() < 0.1 {
+				q.PromptTokens *= 10
+			}
+			s := &session{}
+			sessions = append(sessions, s)
+			turn(s, q)
+			for i := 1; i < turns; i++ {
+				at := c.now + Time(i)*Time(spread)/turns + Time(c.rng.IntN(20))*Time(crowdTick)
+				later[at/Time(crowdTick)*Time(crowdTick)] = append(later[at/Time(crowdTick)*Time(crowdTick)], func() { turn(s, q) })
+			}
+		}
+		c.run(crowdTick, 0)
+	}
+	refused, all := 0.0, 0.0
+	for _, s := range sessions {
+		refused += float64(s.refused) / float64(s.asked) / float64(len(sessions))
+		if s.refused == s.asked {
+			all += 1 / float64(len(sessions))
+		}
+	}
+	return shares{(answered[0] + answered[1]) / (asked[0] + asked[1]), answered[1] / asked[1], all - math.Pow(refused, turns)}
+}
+
+// With any number of gateways the longest prompts get their part of what their class gets, and on a quiet day no set of sessions
+// is refused throughout.
+func TestLongPromptsAndSessionsAreNotSingledOut(t *testing.T) {
+	for _, n := range []int{1, 8, 80, 300} {
+		for seed := range uint64(2) {
+			quiet, busy := fairness(n, 0.6, seed), fairness(n, 1.4, seed)
+			t.Logf("%3d gateways, seed %d: quiet %.2f, long %.2f, shunned %+.2f; busy %.2f, long %.2f", n, seed, quiet.all, quiet.long,
+				quiet.shunned, busy.all, busy.long)
+			if quiet.long < leastQuiet*quiet.all || quiet.shunned > mostShunned {
+				t.Errorf("%d gateways, seed %d, quiet: %s", n, seed, fmt.Sprint(quiet))
+			}
+			if busy.long < leastBusy*busy.all {
+				t.Errorf("%d gateways, seed %d, busy: %s", n, seed, fmt.Sprint(busy))
+			}
+		}
+	}
+}
