--- a/front/platform/front.go
+++ b/front/platform/front.go
@@ -106,7 +106,7 @@
 	case chatPath:
 		switch {
 		case f.shut.Load():
-			call.Response.Header.Set(fasthttp.HeaderRetryAfter, "1")
+			f.advise(call, time.Second)
 			call.Problem(fasthttp.StatusServiceUnavailable, errShutOut)
 		case call.Allow(fasthttp.MethodPost):
 			f.chat(call)
@@ -136,7 +136,7 @@
 	case answer.Last == logic.Rejected:
 		call.Problem(fasthttp.StatusBadRequest, errRejected)
 	case answer.Refused:
-		call.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(answer.RetryAfter.Seconds(), 'f', 3, 64))
+		f.advise(call, answer.RetryAfter)
 		call.Problem(fasthttp.StatusServiceUnavailable, errRefused)
 	case answer.Left:
 		call.Response.SetConnectionClose()
@@ -147,6 +147,14 @@
 	}
 }
 
+// advise tells when to come back, as far as the settings let routers do so.
+func (f *Front) advise(call *downstream.Call, after time.Duration) {
+	s := &f.cfg.Settings
+	if after = min(after, s.MaxRetryAfter); s.RetryAfter && after > 0 {
+		call.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	}
+}
+
 // message takes what goes on to workers. The server uses its buffers again.
 func message(call *downstream.Call, body []byte) *upstream.Message {
 	m := &upstream.Message{
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -437,9 +437,13 @@
 const connIdle = 30 * time.Second
 
 func config(t *testing.T, known string, idle time.Duration) string {
+	return configOf(t, known, fmt.Sprintf(settings, idle.Nanoseconds()))
+}
+
+func configOf(t *testing.T, known, settings string) string {
 	file := filepath.Join(t.TempDir(), "config.json")
 	text := fmt.Sprintf(`{"name":"n1","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
-		"known":%s,"settings":%s}`, known, fmt.Sprintf(settings, idle.Nanoseconds()))
+		"known":%s,"settings":%s}`, known, settings)
 	require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
 	return file
 }
@@ -452,7 +456,12 @@
 }
 
 func platformAt(t *testing.T, d *discovery, idle time.Duration) *program {
-	addr, file := ownAddr(t), config(t, `{"generation":0,"reset":true,"instances":[]}`, idle)
+	return platformOf(t, d, config(t, `{"generation":0,"reset":true,"instances":[]}`, idle))
+}
+
+// platformOf starts the program by a configuration's file.
+func platformOf(t *testing.T, d *discovery, file string) *program {
+	addr := ownAddr(t)
 	p := start(t, addr, []string{"ROUTER_LISTEN=" + addr, "ROUTER_NAME=n1",
 		"ROUTER_DISCOVERY=" + d.Listener.Addr().String(), "ROUTER_CONFIG=" + file}, "serve")
 	p.file = file
