A request by key whose window is over is answered at once; repeats in the shortest window are tested

Found by writing the test that was owed: where an attempt of a by-key request may have run and the window of repeats is over, no server is allowed any more, but proceed went on holding the request (logic.go, proceed and allowed): with a read state until that is due, at mixed workers until its client's patience ends. It gives up at once now, and allowed leaves the window to it. TestPastItsWindowARequestIsAnswered fails without it ('past its window true: failed false'). TestRepeatsKeepTheirWindow (processes; 400 ms) passes without it too, since a held state ends the wait there; it covers the window itself. Also: a client's retry while the first is out, in every class.

--- a/logic/guards_test.go
+++ b/logic/guards_test.go
@@ -490,6 +490,27 @@
 	}
 }
 
+// Past the window in which its workers discard repeats, a request by key can't be sent on any more: it is answered at once,
+// and not when its client's patience ends.
+func TestPastItsWindowARequestIsAnswered(t *testing.T) {
+	for _, past := range []bool{false, true} {
+		r := newRig(t, reader(1, 0), writer(2, 0), writer(3, 0))
+		id, _ := r.arrive(Request{Class: 2, Patience: 20 * time.Second})
+		first := find(r.end(id, 1, PromptRead, 0), Send).Server
+		r.wait(testSettings().Classes[2].RepeatWindow - 100*time.Millisecond)
+		if past {
+			r.wait(100 * time.Millisecond)
+		}
+		acts := r.end(id, first, ConnectionReset, 0)
+		if got := find(acts, Fail) != nil; got != past {
+			t.Errorf("past its window %v: failed %v", past, got)
+		}
+		if got := find(acts, Send) != nil; got == past {
+			t.Errorf("past its window %v: sent %v", past, got)
+		}
+	}
+}
+
 // A timer set for the read has nothing to say of the write that follows it: a writer that has been silent for
 // a moment has not had its time yet.
 func TestTimerOfTheReadDoesNotCallOffTheWrite(t *testing.T) {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -514,15 +514,13 @@
 	p.unread.average(g.now, g.waitSpan(), l.UnreadToken, fastLearn)
 }
 
-// allowed keeps the rules: drains, cold servers, and the group of a by-key request.
+// allowed keeps the rules: drains, cold servers, and the group of a by-key request; proceed, its window.
 func (g *Gateway) allowed(r *request, s *server) bool {
 	if !s.usable() || s != r.guest && !g.coldRoom(s) || s.role == RoleRead && r.reader != nil {
 		return false
 	}
 	if r.mayHaveRun {
 		switch c := g.class(r); {
-		case c.Effect == EffectOnce, c.Effect == EffectByKey && after(r.ranAt, g.now) >= c.RepeatWindow:
-			return false
 		case c.Effect == EffectByKey && c.Group == GroupZone:
 			return s.Zone == r.ranServer.Zone
 		case c.Effect == EffectByKey && c.Group == GroupCell:
@@ -862,7 +860,9 @@
 		g.do(Action{Kind: Release, ID: r.ID})
 	}
 	spent := g.closing || r.sends-r.unreached >= r.most || after(g.now, r.deadline) <= holdMargin
-	if spent || r.mayHaveRun && g.class(r).Effect == EffectOnce {
+	c := g.class(r)
+	over := c.Effect == EffectOnce || c.Effect == EffectByKey && after(r.ranAt, g.now) >= c.RepeatWindow
+	if spent || r.mayHaveRun && over {
 		g.giveUp(r)
 		return
 	}
--- a/test/deployments_test.go
+++ b/test/deployments_test.go
@@ -1,6 +1,7 @@
 package test
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"strings"
@@ -19,6 +20,7 @@
 	tries                         int
 	grace, release, idle, connect time.Duration
 	advice                        time.Duration // the longest; 0: clients are not told when to come back
+	window                        time.Duration // in which repeats by key are discarded; 0: 5 s
 	asked                         bool          // lists are asked for
 }
 
@@ -43,7 +45,7 @@
 	}
 	for _, c := range [][2]string{{d.repeatable, "repeatable"}, {d.keyed, "by_key"}, {d.once, "once"}} {
 		if c[0] != "" {
-			classes = append(classes, fmt.Sprintf(`{"name":%q,"effect":%q,"group":"all","points":1.0,"target-ns":1500000000,"late-share":0.2,"repeat-window-ns":5000000000}`, c[0], c[1]))
+			classes = append(classes, fmt.Sprintf(`{"name":%q,"effect":%q,"group":"all","points":1.0,"target-ns":1500000000,"late-share":0.2,"repeat-window-ns":%d}`, c[0], c[1], cmp.Or(d.window, 5*time.Second).Nanoseconds()))
 			aims, paces = append(aims, "40000.0"), append(paces, "60000000")
 		}
 	}
--- /dev/null
+++ b/test/repeats_test.go
@@ -0,0 +1,96 @@
+package test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A request by key is sent again only within the window in which its workers discard repeats, counted from its first attempt that
+// may have run, also where the window is the shortest; past it, it is answered at once. One that must never run twice, and a
+// repeatable one, go by their own rule whatever the window is.
+func TestRepeatsKeepTheirWindow(t *testing.T) {
+	const window, patience = 400 * time.Millisecond, 4 * time.Second
+	for name, tc := range map[string]struct {
+		class       func(*deployment) string
+		breaksAfter time.Duration
+		again       bool
+	}{
+		"by key within":        {func(d *deployment) string { return d.keyed }, 50 * time.Millisecond, true},
+		"by key past":          {func(d *deployment) string { return d.keyed }, window + 50*time.Millisecond, false},
+		"never twice, within":  {func(d *deployment) string { return d.once }, 50 * time.Millisecond, false},
+		"repeatable, past":     {func(d *deployment) string { return d.repeatable }, window + 50*time.Millisecond, true},
+		"never twice, at once": {func(d *deployment) string { return d.once }, 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := deployments[2]
+			d.window = window
+			breaks := func(w http.ResponseWriter, r *http.Request) {
+				time.Sleep(tc.breaksAfter)
+				cut(w, r)
+			}
+			workers := []*worker{newWorker(t, "s-00000001", d.reader, read), newWorker(t, "s-00000002", d.writer, breaks),
+				newWorker(t, "s-00000003", d.writer, breaks), newWorker(t, "s-00000004", d.writer, breaks)}
+			p := d.start(t, workers...)
+			from := time.Now()
+			a := p.ask(tc.class(&d), newID(), patience)
+			require.NotEqual(t, http.StatusOK, a.status)
+			var first, last time.Time
+			n := 0
+			for _, k := range workers[1:] {
+				for _, c := range k.got(http.MethodPost) {
+					if n++; first.IsZero() || c.at.Before(first) {
+						first = c.at
+					}
+					if c.at.After(last) {
+						last = c.at
+					}
+				}
+			}
+			if !tc.again {
+				require.Equal(t, 1, n, "sent again")
+				require.Less(t, time.Since(from), patience-time.Second, "the answer is held back")
+				return
+			}
+			require.Greater(t, n, 1, "not sent again")
+			if tc.class(&d) == d.keyed {
+				require.Less(t, last.Sub(first), window)
+			}
+		})
+	}
+}
+
+// A client's retry, a request of its own, goes on while the first one is out, in every class.
+func TestARetryWhileTheFirstIsOut(t *testing.T) {
+	d := deployments[2]
+	for _, class := range []string{d.repeatable, d.keyed, d.once} {
+		t.Run(class, func(t *testing.T) {
+			t.Parallel()
+			out, goOn := make(chan struct{}, 4), make(chan struct{})
+			slow := func(w http.ResponseWriter, r *http.Request) {
+				out <- struct{}{}
+				<-goOn
+				write(w, r)
+			}
+			p := d.start(t, newWorker(t, "s-00000001", d.reader, read), newWorker(t, "s-00000002", d.writer, slow))
+			answers := make(chan answer, 2)
+			ask := func(repeat string) {
+				req := p.request(class, newID(), 10*time.Second)
+				if repeat != "" {
+					req.Header.Set("X-Repeat", repeat)
+				}
+				go func() { answers <- do(req) }()
+				<-out
+			}
+			ask("")
+			ask("1")
+			close(goOn)
+			for range 2 {
+				require.Equal(t, http.StatusOK, (<-answers).status)
+			}
+		})
+	}
+}
