A handover over half a body and an unread answer has its test

The request is answered whole, and the answer can be read to its end after the process has gone. No fault found. That it can fail was not tried by a change of the program; it fails where the answer ends without its last chunk (ReadAll's error).

--- a/test/upgrade_test.go
+++ b/test/upgrade_test.go
@@ -1,11 +1,14 @@
 package test
 
 import (
+	"bufio"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -67,3 +70,49 @@
 	require.Equal(t, 200, operator.status(http.MethodPost, "/v1/workers/s-00000003/resume"))
 	eventually(t, func() bool { next.ask("query", newID(), patience); return posts(out) > 0 }, "it is used again")
 }
+
+// SIGTERM with a body half in and an answer's last chunk unread while the listener is handed over: the request is answered whole
+// once its rest comes, and the answer can be read to its end after the process has gone.
+func TestAHandoverOverHalfABodyAndAnUnreadAnswer(t *testing.T) {
+	more := make(chan struct{})
+	goOn := sync.OnceFunc(func() { close(more) })
+	r, w := pair(t, held(more))
+	t.Cleanup(goOn)
+	d := newDiscovery(t)
+	d.list(true, "in_service", r, w)
+	addr, first, second := ownAddr(t), ownAddr(t), ownAddr(t)
+	env := []string{"ROUTER_LISTEN=" + addr, "ROUTER_NAME=n1", "TMPDIR=" + t.TempDir(), "ROUTER_DISCOVERY=" + d.Listener.Addr().String(),
+		"ROUTER_CONFIG=" + config(t, `{"generation":0,"reset":true,"instances":[]}`, connIdle)}
+	old := start(t, addr, append(env, "ROUTER_CONSOLE="+first), "serve").waitReady()
+	operator := &program{t: t, addr: first}
+
+	unread := old.raw(old.text("query", newID(), patience))
+	defer unread.Close()
+	eventually(t, func() bool { return posts(w) == 1 }, "its answer has begun")
+	text := old.text("query", newID(), patience)
+	half := old.raw(text[:len(text)-20])
+	defer half.Close()
+	next := old.beside(t, second, env)
+	old.signal(syscall.SIGTERM)
+	eventually(t, func() bool { return operator.status(http.MethodGet, "/v1/readyz") == 503 }, "the old one is told")
+	_, err := io.WriteString(half, text[len(text)-20:])
+	require.NoError(t, err)
+	eventually(t, func() bool { return posts(w) == 2 }, "the half one has become whole")
+	goOn()
+	whole := func(c io.Reader) string {
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		require.NoError(t, err)
+		require.Equal(t, 200, resp.StatusCode)
+		body, err := io.ReadAll(resp.Body)
+		require.NoError(t, err, "not to its last chunk")
+		return string(body)
+	}
+	require.NoError(t, half.SetReadDeadline(time.Now().Add(patient)))
+	require.Equal(t, events+rest, whole(half))
+	old.waitExit()
+	require.NoError(t, unread.SetReadDeadline(time.Now().Add(patient)))
+	require.Equal(t, events+rest, whole(unread))
+	a := next.ask("query", newID(), patience)
+	require.Equal(t, 200, a.status)
+	require.True(t, strings.HasSuffix(a.body, rest))
+}
