The deaf listener is one stand-in

It stood twice, in upstream's tests and in test/; both use internal/standin/deaf now, as the issue asked.

--- a/test/crossings_test.go
+++ b/test/crossings_test.go
@@ -128,7 +128,7 @@
 				}
 				p, d := platform(t, workers...)
 				for i := range tc.deaf {
-					addr, _ := deaf(t)
+					addr, _ := deafWorker(t)
 					d.listAt(fmt.Sprintf("s-000002%02x", i), "writer", addr)
 				}
 				p.told(1 + tc.deaf)
@@ -203,7 +203,7 @@
 func TestProcessesAreReadyWhateverDiscoveryDoes(t *testing.T) {
 	const processes, within = 30, 10 * time.Second
 	r, w := pair(t, nil)
-	mute, _ := deaf(t)
+	mute, _ := deafWorker(t)
 	dead := ownAddr(t)
 	slow, err := net.Listen("tcp", "127.0.0.1:0") // it takes calls, and says nothing
 	require.NoError(t, err)
--- a/test/held_test.go
+++ b/test/held_test.go
@@ -9,11 +9,12 @@
 	"net/http"
 	"slices"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"lichenshelf/internal/standin/deaf"
 )
 
 // mostTries is the settings' bounds.most-tries.
@@ -117,37 +118,19 @@
 	return b.ResponseWriter.(http.Hijacker).Hijack()
 }
 
-// deaf returns the address of a machine whose connections never come up, until hear is
+// deafWorker returns the address of a machine whose connections never come up, until hear is
 // called: then they do, and are ended.
-func deaf(t *testing.T) (addr string, hear func()) {
-	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
-	require.NoError(t, err)
-	require.NoError(t, syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
-	require.NoError(t, syscall.Listen(fd, 0))
-	name, err := syscall.Getsockname(fd)
+func deafWorker(t *testing.T) (addr string, hear func()) {
+	l, err := deaf.Listen()
 	require.NoError(t, err)
-	addr = fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
-	var filling []net.Conn
-	for { // its queue is full once one does not come up
-		c, err := net.DialTimeout("tcp", addr, 100*time.Millisecond)
-		if err != nil {
-			break
-		}
-		filling = append(filling, c)
-	}
-	t.Cleanup(func() {
-		_ = syscall.Close(fd)
-		for _, c := range filling {
-			_ = c.Close()
-		}
-	})
-	return addr, func() {
+	t.Cleanup(l.Close)
+	return l.Addr(), func() {
 		for {
-			c, _, err := syscall.Accept(fd)
+			c, err := l.Accept()
 			if err != nil {
 				return
 			}
-			_ = syscall.Close(c)
+			_ = c.Close()
 		}
 	}
 }
@@ -189,7 +172,7 @@
 			}
 			p, d := platform(t, workers...)
 			for i := range tc.deaf {
-				addr, hear := deaf(t)
+				addr, hear := deafWorker(t)
 				d.listAt(fmt.Sprintf("s-000002%02x", i), "writer", addr)
 				if tc.hears {
 					time.AfterFunc(time.Second, hear)
--- a/upstream/crossings_test.go
+++ b/upstream/crossings_test.go
@@ -18,6 +18,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 
+	"lichenshelf/internal/standin/deaf"
 	"lichenshelf/logic"
 	"lichenshelf/metrics"
 	"lichenshelf/router"
@@ -28,10 +29,12 @@
 func TestTheTimeToldIsWhatIsLeft(t *testing.T) {
 	const wait, late = 10 * time.Second, 300 * time.Millisecond
 	told := make(chan int, 1)
-	l, fill := full(t)
+	l, err := deaf.Listen()
+	require.NoError(t, err)
+	t.Cleanup(l.Close)
 	c := New(Config{ConnectTimeout: wait, ConnIdle: time.Minute, MaxConns: 8, WaitHeader: "X-Wait", Counters: &metrics.Set{},
 		Judge: func(int, *fasthttp.ResponseHeader, []byte) router.Outcome { return router.Outcome{} }})
-	w := &router.Worker{Name: "w", Addr: fmt.Sprintf("127.0.0.1:%d", l.port)}
+	w := &router.Worker{Name: "w", Addr: l.Addr()}
 	e := ends{make(chan router.Outcome, 4), make(chan router.Answer, 4)}
 	m := &Message{Method: "POST", URI: "/x", Stream: true}
 	from := time.Now()
@@ -39,7 +42,7 @@
 	time.Sleep(late) // its connection does not come up meanwhile
 	go func() {
 		for {
-			nc, err := l.accept()
+			nc, err := l.Accept()
 			if err != nil {
 				return
 			}
@@ -55,44 +58,6 @@
 	ms := <-told
 	require.LessOrEqual(t, time.Duration(ms)*time.Millisecond, wait-late)
 	require.GreaterOrEqual(t, time.Duration(ms)*time.Millisecond, wait-time.Since(from)-time.Millisecond)
-	fill()
-}
-
-// queue is a listener whose queue is full until accept is called.
-type queue struct{ fd, port int }
-
-func full(t *testing.T) (*queue, func()) {
-	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
-	require.NoError(t, err)
-	require.NoError(t, syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
-	require.NoError(t, syscall.Listen(fd, 0))
-	name, err := syscall.Getsockname(fd)
-	require.NoError(t, err)
-	q := &queue{fd, name.(*syscall.SockaddrInet4).Port}
-	var filling []net.Conn
-	for {
-		c, err := net.DialTimeout("tcp", fmt.Sprintf("127.0.0.1:%d", q.port), 100*time.Millisecond)
-		if err != nil {
-			break
-		}
-		filling = append(filling, c)
-	}
-	t.Cleanup(func() { _ = syscall.Shutdown(fd, syscall.SHUT_RDWR); _ = syscall.Close(fd) })
-	return q, func() {
-		for _, c := range filling {
-			_ = c.Close()
-		}
-	}
-}
-
-func (q *queue) accept() (net.Conn, error) {
-	fd, _, err := syscall.Accept(q.fd)
-	if err != nil {
-		return nil, err
-	}
-	f := os.NewFile(uintptr(fd), "accepted")
-	defer f.Close()
-	return net.FileConn(f)
 }
 
 // A refusal whose body does not come to its end is waited for within a bound, and then may have run; a prompt that was
