At most eight wait behind one name

Cause, on rereading: those that wait behind a request of their name hold bodies and connections, and a flood of copies could fill both for as long as the first one is read; before they failed at once. Past mostBehind they fail at once again. Test: 'fails at once where too many wait'. go test -race -count=3 ./router green.

--- a/router/admit.go
+++ b/router/admit.go
@@ -12,6 +12,10 @@
 // patience ends, on a machine that may be late itself.
 const answerMargin = 20 * time.Millisecond
 
+// mostBehind bounds those that wait behind one name: each of them holds its body and its connection, and who
+// sends a name more often than this is no client that is well.
+const mostBehind = 8
+
 // admission gives a request its number and puts it before the decisions.
 type admission struct {
 	core      *Core
@@ -30,7 +34,7 @@
 	}
 	// A name stands for one request at the workers: two at once would share their held state and each
 	// other's attempts. But anybody may use a name, and what is in hand may be rejected as nobody's.
-	if first.ran || first.answered {
+	if first.ran || first.answered || len(a.behind[ex.Name]) >= mostBehind {
 		a.core.book.duplicate(ex)
 		return
 	}
--- a/router/core_test.go
+++ b/router/core_test.go
@@ -250,6 +250,22 @@
 		require.Equal(t, "failed", <-second.answers)
 		require.Empty(t, w.sent)
 	})
+	t.Run("fails at once where too many wait", func(t *testing.T) {
+		w, counters := newWires(), &metrics.Set{}
+		c := New(Config{Decider: sendAll(make(chan logic.Event, 8)), Transport: w, Counters: counters})
+		ctx, cancel := context.WithCancel(context.Background())
+		go c.Run(ctx)
+		t.Cleanup(func() { cancel(); <-c.stopped })
+		c.Discovered([]Member{{Member: logic.Member{Server: 5}, Name: "s", Addr: "x:1"}}, true)
+		submit(c, "a")
+		<-w.sent
+		for range mostBehind {
+			submit(c, "a")
+		}
+		more, _ := submit(c, "a")
+		require.Equal(t, "failed", <-more.answers)
+		require.Equal(t, 1+mostBehind, c.Open())
+	})
 	t.Run("leaves with its client", func(t *testing.T) {
 		c, w, first, second, ticket := start(t)
 		ticket.Leave()
