An attempt that was given up is out until its worker can know: nothing follows before

Cause: sender.end (router/send.go) closed the connection of what it called off and let the refusal, or the next attempt, go in the same instant: either can overtake the close on its way, and then the attempt before it is still out at an open connection. Now giveUp tells how long the worker may take to learn of the close, as long as the connection took to come up (0.25 to 3 ms seen; 10 ms at most, half of the answer's margin), and the end is reported after that; what hangs up on a spoilt answer waits as long. TestNothingFollowsUntilTheWorkerKnows and TestAnAttemptIsOutUntilItsWorkerKnows: ten times with -race.

--- a/router/api.go
+++ b/router/api.go
@@ -77,8 +77,10 @@
 
 // Transport speaks with workers. Its methods return at once.
 type Transport interface {
-	// Send starts an attempt. The returned function gives it up, at any time.
-	Send(Attempt, Sink) (giveUp func())
+	// Send starts an attempt. The returned function gives it up, at any time, and tells how long the worker may take
+	// to learn of it: until then the attempt is out, and nothing that needs it to be over may follow. An attempt that
+	// ends by itself ends when its worker knows of it.
+	Send(Attempt, Sink) (giveUp func() time.Duration)
 	// Release asks the given workers, each a little after the one before until one
 	// took it, to let go of all that is held for the named request. It calls done, once
 	// and later, when that has ended either way.
--- a/router/core_test.go
+++ b/router/core_test.go
@@ -29,15 +29,16 @@
 	gaveUp   chan struct{}
 	released chan string
 	taken    chan struct{} // a release waits for this, where it is set
+	learns   time.Duration // that workers take to learn that an attempt was given up
 }
 
 func newWires() *wires {
 	return &wires{sent: make(chan Sink, 16), gaveUp: make(chan struct{}, 16), released: make(chan string, 16)}
 }
 
-func (w *wires) Send(_ Attempt, s Sink) func() {
+func (w *wires) Send(_ Attempt, s Sink) func() time.Duration {
 	w.sent <- s
-	return sync.OnceFunc(func() { w.gaveUp <- struct{}{} })
+	return sync.OnceValue(func() time.Duration { w.gaveUp <- struct{}{}; return w.learns })
 }
 func (w *wires) Release(name string, _ []*Worker, done func()) {
 	w.released <- name
@@ -378,3 +379,44 @@
 	f.lasts <- last
 	f.caller.Fail(last)
 }
+
+// What was given up is out until its worker knows: nothing is sent again or refused before that. Its client may leave
+// meanwhile, and the time that it took is that up to its end.
+func TestNothingFollowsUntilTheWorkerKnows(t *testing.T) {
+	const learns = 100 * time.Millisecond
+	w := newWires()
+	w.learns = learns
+	ended := make(chan logic.Event, 8)
+	tries := 0
+	c, _ := run(t, func(e logic.Event) []logic.Action {
+		switch e.Kind {
+		case logic.Arrived:
+			return []logic.Action{{Kind: logic.Send, ID: e.Request.ID, Server: 5, After: 10 * time.Millisecond}}
+		case logic.AttemptEnded:
+			ended <- e
+			if tries++; tries == 1 {
+				return []logic.Action{{Kind: logic.Send, ID: e.ID, Server: 5, After: 10 * time.Millisecond}}
+			}
+			return []logic.Action{{Kind: logic.Refuse, ID: e.ID}}
+		}
+		return nil
+	}, w)
+	who, _ := submit(c, "a")
+	<-w.sent
+	<-w.gaveUp
+	from := time.Now()
+	<-w.sent
+	require.GreaterOrEqual(t, time.Since(from), learns-time.Millisecond, "sent again")
+	<-w.gaveUp
+	from = time.Now()
+	require.Equal(t, "refused", <-who.answers)
+	require.GreaterOrEqual(t, time.Since(from), learns-time.Millisecond, "refused")
+	require.Less(t, (<-ended).Latency, learns)
+
+	_, ticket := submit(c, "b")
+	<-w.sent
+	<-w.gaveUp
+	ticket.Leave()
+	require.Eventually(t, func() bool { return c.Open() == 0 }, time.Minute, time.Millisecond)
+	require.Empty(t, w.sent)
+}
--- a/router/send.go
+++ b/router/send.go
@@ -31,9 +31,10 @@
 	timer  *time.Timer
 	to     *Worker
 	wait   time.Duration
-	reach  time.Duration // as of sentAt; 0: no bound
-	giveUp func()        // nil until it has started
+	reach  time.Duration        // as of sentAt; 0: no bound
+	giveUp func() time.Duration // nil until it has started
 	ended  bool
+	took   time.Duration // until it ended
 }
 
 func (s *sender) send(ex *exchange, act *logic.Action) {
@@ -105,11 +106,20 @@
 	if a.ended {
 		return
 	}
-	a.ended = true
+	a.ended, a.took = true, time.Since(a.sentAt)
 	a.timer.Stop()
 	if a.giveUp != nil && o.Status != logic.PromptRead && o.Status != logic.Served {
-		a.giveUp()
+		if learns := a.giveUp(); learns > 0 {
+			time.AfterFunc(learns, func() { s.core.post(func() { s.over(a, o) }) })
+			return
+		}
 	}
+	s.over(a, o)
+}
+
+// over reports an attempt that has ended and that its worker knows to have: sent again or refused before that, a request
+// could run twice.
+func (s *sender) over(a *attempt, o Outcome) {
 	a.ex.attempt = nil
 	a.ex.last = o.Status
 	switch o.Status {
@@ -142,9 +152,9 @@
 	}
 	s.core.book.log.WithFields(logrus.Fields{"request": a.ex.Name, "attempt": a.number, "worker": worker,
 		"outcome": statusNames[o.Status], "unreached": o.Unreached, "kept": o.Kept, "prompt": a.ex.PromptTokens,
-		"ms": time.Since(a.sentAt).Milliseconds()}).Debug("attempt ended")
+		"ms": a.took.Milliseconds()}).Debug("attempt ended")
 	s.core.routing.push(logic.Event{Kind: logic.AttemptEnded, ID: a.ex.ID, Attempt: a.number, Server: a.server,
-		Latency: time.Since(a.sentAt), Status: o.Status, Closed: a.ex.closed, Kept: o.Kept, Load: o.Load, Stale: o.Stale,
+		Latency: a.took, Status: o.Status, Closed: a.ex.closed, Kept: o.Kept, Load: o.Load, Stale: o.Stale,
 		Unreached: o.Unreached})
 }
 
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -5,11 +5,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"slices"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -73,7 +75,7 @@
 // New returns a transport.
 func New(cfg Config) *Client {
 	c := &Client{cfg: cfg}
-	c.pool.dialTimeout, c.pool.most = cfg.ConnectTimeout, cfg.MaxConns
+	c.pool.dialTimeout, c.pool.most, c.pool.pause = cfg.ConnectTimeout, cfg.MaxConns, time.Sleep
 	c.pool.idleFor = time.Duration(float64(cfg.ConnIdle) * idleShare)
 	c.pool.idle = map[*router.Worker][]*conn{}
 	return c
@@ -83,7 +85,7 @@
 func (c *Client) Forget(w *router.Worker) { c.pool.forget(w) }
 
 // Send implements router.Transport.
-func (c *Client) Send(a router.Attempt, sink router.Sink) func() {
+func (c *Client) Send(a router.Attempt, sink router.Sink) func() time.Duration {
 	ctx, cancel := context.WithCancel(context.Background())
 	x := &attempt{Attempt: a, client: c, sink: sink, cancel: cancel, until: time.Now().Add(a.Wait)}
 	go x.run(ctx)
@@ -103,16 +105,18 @@
 	given bool // given up
 }
 
-// giveUp closes the connection, which is how a worker learns of it.
-func (x *attempt) giveUp() {
+// giveUp closes the connection, which is how a worker learns of it, and tells how long that may take.
+func (x *attempt) giveUp() time.Duration {
 	x.mu.Lock()
 	x.given = true
 	c := x.conn
 	x.mu.Unlock()
 	x.cancel()
-	if c != nil {
-		_ = c.Close()
+	if c == nil {
+		return 0
 	}
+	learns, _ := c.end()
+	return learns
 }
 
 // own notes the connection in use, unless the attempt has been given up.
@@ -142,7 +146,7 @@
 		if errors.Is(err, errNoAnswer) && c.stale() {
 			x.stale(c)
 		} else {
-			x.broken(c)
+			x.broken(c, err)
 		}
 		return
 	}
@@ -153,10 +157,10 @@
 	case !answer:
 		x.sink.Ended(x.judge(c, head, body, err))
 	case err != nil:
-		x.broken(c)
+		x.broken(c, err)
 	case status == fasthttp.StatusOK && msg.Stream:
 		if err := body.await(); err != nil {
-			x.broken(c)
+			x.broken(c, err)
 			return
 		}
 		x.sink.Started(body)
@@ -164,10 +168,10 @@
 		whole, err := body.whole(x.client.cfg.MaxAnswer)
 		switch {
 		case errors.Is(err, errTooLarge):
-			_ = c.Close()
+			hangUp(c, err)
 			x.sink.Ended(router.Outcome{Status: logic.ServerError})
 		case err != nil:
-			x.broken(c)
+			x.broken(c, err)
 		default:
 			x.sink.Started(&buffered{whole, headOf(head, len(whole)), body.load})
 		}
@@ -186,7 +190,7 @@
 	}
 	o := x.client.cfg.Judge(head.StatusCode(), head, text)
 	if err != nil {
-		_ = c.Close()
+		hangUp(c, err)
 		if o.Status != logic.PromptRead { // the head is of an answer that is spoilt: it may be of one that ran
 			o = router.Outcome{Status: logic.ConnectionReset}
 		}
@@ -227,9 +231,18 @@
 	return nil, errInterim
 }
 
+// hangUp closes a connection whose answer ended in an error, and waits, where the worker has not ended it itself, until
+// that one has learnt of it.
+func hangUp(c *conn, err error) {
+	learns, _ := c.end()
+	if !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, syscall.ECONNRESET) {
+		c.pool.pause(learns)
+	}
+}
+
 // broken reports a connection that ended after the request's last byte.
-func (x *attempt) broken(c *conn) {
-	_ = c.Close()
+func (x *attempt) broken(c *conn, err error) {
+	hangUp(c, err)
 	x.sink.Ended(router.Outcome{Status: logic.ConnectionReset})
 }
 
--- a/upstream/crossings_test.go
+++ b/upstream/crossings_test.go
@@ -365,3 +365,63 @@
 		}
 	}
 }
+
+// An attempt that is given up, or whose answer is spoilt, is out until its worker knows of the close: as long as the connection took
+// to come up. One that its worker has ended itself is over at once.
+func TestAnAttemptIsOutUntilItsWorkerKnows(t *testing.T) {
+	const near = mostLearning
+	for name, tc := range map[string]struct {
+		answer string // to the second request of the connection; empty: none
+		ends   bool   // the worker closes the connection after it
+		waits  bool
+	}{
+		"given up": {waits: true}, "spoilt head": {answer: "noise\r\n\r\n", waits: true}, "spoilt chunk": {answer: streamHead + "zz\r\n", waits: true},
+		"ended": {answer: streamHead, ends: true}, "ended without a word": {ends: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			whole, goOn := make(chan struct{}), make(chan struct{})
+			c, w, _ := against(t, func(nc net.Conn) {
+				br := bufio.NewReader(nc)
+				for _, answer := range []string{accepted, tc.answer} {
+					req, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, req.Body)
+					if answer != accepted {
+						whole <- struct{}{}
+						<-goOn
+					}
+					_, _ = io.WriteString(nc, answer)
+				}
+				if tc.ends {
+					_ = nc.Close()
+				}
+			})
+			e, _ := send(c, w, true)
+			require.Equal(t, logic.PromptRead, (<-e.outcomes).Status)
+			c.pool.mu.Lock()
+			require.Len(t, c.pool.idle[w], 1)
+			cn := c.pool.idle[w][0]
+			cn.near = time.Hour // and no longer than mostLearning
+			c.pool.mu.Unlock()
+			paused := make(chan time.Duration, 1)
+			c.pool.pause = func(d time.Duration) { paused <- d }
+			e, giveUp := send(c, w, true)
+			<-whole
+			if name == "given up" {
+				learns := giveUp()
+				require.Positive(t, learns)
+				require.LessOrEqual(t, learns, near)
+				close(goOn)
+				return
+			}
+			close(goOn)
+			<-e.outcomes
+			require.Len(t, paused, map[bool]int{true: 1}[tc.waits])
+			if tc.waits {
+				require.LessOrEqual(t, <-paused, near)
+			}
+		})
+	}
+}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -30,19 +30,32 @@
 	kept   time.Time     // since when it is idle
 	idled  time.Duration // before its latest use
 	wrote  time.Time     // when the latest request had been written
+	near   time.Duration // that the other end is away, there and back at least
 	retire *time.Timer   // closes it while idle, well before the worker does
 	pool   *pool
+	ended  time.Time     // when it was closed
 	once   sync.Once
 }
 
 // Close closes the connection and gives its place back. It may be called again.
 func (c *conn) Close() error {
-	var err error
+	_, err := c.end()
+	return err
+}
+
+// mostLearning bounds the time that is left to a worker to learn that its connection was closed: what follows
+// must still be within a request's time (router's answerMargin).
+const mostLearning = 10 * time.Millisecond
+
+// end is Close. It tells how long the other end may still take to learn of it: since the close, the time in which the
+// connection came up, which is a way there and back.
+func (c *conn) end() (learns time.Duration, err error) {
 	c.once.Do(func() {
 		err = c.TCPConn.Close()
 		c.pool.closed()
+		c.ended = time.Now()
 	})
-	return err
+	return max(min(c.near, mostLearning)-time.Since(c.ended), 0), err
 }
 
 // alive looks, without waiting, whether the worker has closed the connection or
@@ -70,6 +83,7 @@
 	dialTimeout time.Duration
 	idleFor     time.Duration // an idle connection is closed after this
 	most        int
+	pause       func(time.Duration) // time.Sleep, but in tests
 
 	mu      sync.Mutex
 	open    int
@@ -100,6 +114,7 @@
 		return nil, errFull
 	}
 	d := net.Dialer{Timeout: p.dialTimeout, KeepAlive: -1}
+	from := time.Now()
 	nc, err := d.DialContext(ctx, "tcp", w.Addr)
 	if err != nil {
 		p.closed()
@@ -109,7 +124,7 @@
 		return nil, fmt.Errorf("connect to %s: %w", w.Name, err)
 	}
 	tc := nc.(*net.TCPConn)
-	return &conn{TCPConn: tc, br: bufio.NewReaderSize(tc, readBuffer), pool: p}, nil
+	return &conn{TCPConn: tc, br: bufio.NewReaderSize(tc, readBuffer), pool: p, near: time.Since(from)}, nil
 }
 
 const (
