A stream's events are handed on whole, each as soon as its end is there

At fault: body.Read (upstream/body.go) handed on whatever a chunk held. Now it hands on to the end of the last event that has come; half of one is dropped where the stream breaks, goes along at its end, and an event past 256 KiB goes in parts. One pass over the bytes, no copy where a chunk is whole events. TestEventsAreHandedOnWhole. One case of TestAnAnswerBeginsWithAWholeEvent wanted the half event behind the first to be handed on with it: it wants that held now. go test -race -count=3 ./upstream green.

--- a/upstream/body.go
+++ b/upstream/body.go
@@ -22,8 +22,10 @@
 	head    *fasthttp.ResponseHeader
 	stream  io.Reader // nil for a status that has no body
 	events  bool      // it is one of events, and has one at least
-	first   []byte    // read ahead, to see that the answer has begun
-	tail    []byte    // its latest bytes, which tell what was found kept
+	ready   []byte    // events that have come, to be handed on
+	half    []byte    // of an event, what has come
+	ends    eventEnds
+	tail    []byte // its latest bytes, which tell what was found kept
 	load    logic.Load
 	stall   time.Duration
 	err     error
@@ -69,13 +71,14 @@
 // the event must end within headWait. A stream that ends before, in good order, is handed on as it is.
 func (b *body) await() error {
 	buf := make([]byte, readBuffer)
-	var event firstEvent
-	for {
+	for came := 0; ; {
 		n, err := b.read(buf)
-		begun := len(b.first) > 0
-		b.first = append(b.first, buf[:n]...)
+		begun := came > 0
+		came += n
+		end, event := b.ends.last(buf[:n])
+		b.take(buf[:n], end, err)
 		switch {
-		case event.ends(buf[:n]), len(b.first) >= mostChunk, err == io.EOF && len(b.first) > 0:
+		case event, came >= mostChunk, err == io.EOF && came > 0:
 			b.err = err
 			if err == nil {
 				err = b.conn.SetReadDeadline(time.Time{})
@@ -86,7 +89,7 @@
 			return nil
 		case err != nil:
 			return fmt.Errorf("stream without an event: %w", err)
-		case !begun && len(b.first) > 0:
+		case !begun && came > 0:
 			if err := b.conn.SetReadDeadline(time.Now().Add(headWait)); err != nil {
 				return fmt.Errorf("stream given up: %w", err)
 			}
@@ -94,53 +97,77 @@
 	}
 }
 
-// firstEvent finds the end of a stream's first event: a line of data, and the blank line that ends it. Lines end
-// with LF, CR LF or CR.
-type firstEvent struct {
-	data    bool // a line of data has ended
+// take adds a part of a stream to what is to be handed on, up to the end of its last event; at the end all of it is, and
+// an event past all bounds goes in parts.
+func (b *body) take(part []byte, end int, err error) {
+	if end > 0 {
+		b.ready = append(append(b.ready, b.half...), part[:end]...)
+		b.half = b.half[:0]
+	}
+	b.half = append(b.half, part[end:]...)
+	if err == io.EOF || len(b.half) >= mostChunk {
+		b.ready, b.half = append(b.ready, b.half...), b.half[:0]
+	}
+}
+
+// eventEnds finds the ends of a stream's events: blank lines. Lines end with LF, CR LF or CR.
+type eventEnds struct {
+	data    bool // a line of data has ended since the last blank line
 	matched int  // of the field's name, at the beginning of the line
 	column  int
 	cr      bool // the byte before was one
 }
 
-// ends takes the next part of the stream. It tells whether the event is whole.
-func (e *firstEvent) ends(part []byte) bool {
+// last takes the next part of the stream. It returns how much of it there is to its last blank line, that included, and
+// whether an event with data has ended.
+func (e *eventEnds) last(part []byte) (end int, data bool) {
 	const field = "data"
-	for _, c := range part {
+	for i, c := range part {
 		half := c == '\n' && e.cr // of a line's end
 		e.cr = c == '\r'
 		switch {
+		case half && end == i: // what ended with the other half goes with it
+			end++
 		case half:
 		case c != '\n' && c != '\r':
 			if e.column < len(field) && e.matched == e.column && c == field[e.column] {
 				e.matched++
 			}
 			e.column++
-		case e.data && e.column == 0:
-			return true
+		case e.column == 0:
+			end, data, e.data = i+1, data || e.data, false
 		default:
 			e.data = e.data || e.matched == len(field)
 			e.matched, e.column = 0, 0
 		}
 	}
-	return false
+	return end, data
 }
 
-// Read implements io.Reader.
+// Read implements io.Reader: whole events, as they come. Half of one is of no use to anybody, and must not be taken for one
+// that came late.
 func (b *body) Read(p []byte) (int, error) {
-	if len(b.first) > 0 {
-		n := copy(p, b.first)
-		b.first = b.first[n:]
-		return n, nil
-	}
-	if b.err != nil {
-		return 0, b.err
+	for len(b.ready) == 0 {
+		if b.err != nil {
+			return 0, b.err
+		}
+		// A worker that has vanished says nothing, and its connection stays open.
+		if err := b.conn.SetReadDeadline(time.Now().Add(b.stall)); err != nil {
+			return 0, fmt.Errorf("stream given up: %w", err)
+		}
+		var n int
+		n, b.err = b.read(p)
+		end, _ := b.ends.last(p[:n])
+		if n > 0 && end == n && len(b.half) == 0 {
+			return n, nil
+		}
+		b.take(p[:n], end, b.err)
 	}
-	// A worker that has vanished says nothing, and its connection stays open.
-	if err := b.conn.SetReadDeadline(time.Now().Add(b.stall)); err != nil {
-		return 0, fmt.Errorf("stream given up: %w", err)
+	n := copy(p, b.ready)
+	if b.ready = b.ready[n:]; len(b.ready) == 0 {
+		b.ready = nil
 	}
-	return b.read(p)
+	return n, nil
 }
 
 // read passes on what the connection has, and at the end gives it back.
--- a/upstream/crossings_test.go
+++ b/upstream/crossings_test.go
@@ -279,7 +279,7 @@
 	}
 	for _, parts := range [][]string{
 		{"data: x\n\n"}, {"data: x\r\n\r\n"}, {"data: x\r\r"}, {"event: a\ndata: x\n", "\n"}, {"d", "ata: ", "x\r\n", "\r\n"},
-		{": a comment\n\n", "data: x\n\n"}, {"\n\ndata: x\n\nda"},
+		{": a comment\n\n", "data: x\n\n"}, {"\n\ndata: x\n\n"},
 	} {
 		t.Run(fmt.Sprintf("%q", parts), func(t *testing.T) {
 			t.Parallel()
@@ -356,10 +356,10 @@
 		"data: x\n": false, "data: x\r\n": false, "dat: x\n\n": false, " data: x\n\n": false, "\n\n\n": false, "x data: x\n\n": false, "data": false,
 	} {
 		for size := 1; size <= len(text); size++ {
-			var e firstEvent
+			var e eventEnds
 			got := false
 			for i := 0; i < len(text) && !got; i += size {
-				got = e.ends([]byte(text[i:min(i+size, len(text))]))
+				_, got = e.last([]byte(text[i:min(i+size, len(text))]))
 			}
 			require.Equal(t, want, got, "%q in parts of %d", text, size)
 		}
@@ -425,3 +425,64 @@
 		})
 	}
 }
+
+// A stream's events are handed on whole, each as soon as its end is there, however its bytes come; half of one is dropped where the
+// stream breaks, and what is left goes where it ends in good order.
+func TestEventsAreHandedOnWhole(t *testing.T) {
+	const first = "data: first\n\n"
+	chunk := func(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+	huge := "data: " + strings.Repeat("y", mostChunk)
+	for name, tc := range map[string]struct {
+		parts, want []string
+		breaks      bool
+	}{
+		"in one":              {parts: []string{"data: a\n\n"}, want: []string{"data: a\n\n"}},
+		"in halves":           {parts: []string{"data", ": a\n", "\n"}, want: []string{"data: a\n\n"}},
+		"a half behind":       {parts: []string{"data: a\n\ndata: ", "b\r\n\r\n"}, want: []string{"data: a\n\n", "data: b\r\n\r\n"}},
+		"a comment":           {parts: []string{": c\n\n"}, want: []string{": c\n\n"}},
+		"no event at the end": {parts: []string{"data: a"}, want: []string{"data: a"}},
+		"a half and a break":  {parts: []string{"data: a\n\ndata: "}, want: []string{"data: a\n\n"}, breaks: true},
+		"past all bounds":     {parts: []string{huge[:mostChunk], huge[mostChunk:], "\n\n"}, want: []string{huge[:mostChunk], huge[mostChunk:] + "\n\n"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			goOn := make(chan struct{})
+			c, w, _ := against(t, func(nc net.Conn) {
+				request(nc)
+				_, _ = io.WriteString(nc, streamHead+chunk(first))
+				for _, p := range tc.parts {
+					<-goOn // the part before has been read
+					_, _ = io.WriteString(nc, chunk(p))
+				}
+				<-goOn
+				if !tc.breaks {
+					_, _ = io.WriteString(nc, "0\r\n\r\n")
+				}
+				_ = nc.Close()
+			})
+			c.cfg.StreamStall = time.Minute
+			e, _ := send(c, w, true)
+			a := <-e.answers
+			go func() {
+				for range len(tc.parts) + 1 {
+					goOn <- struct{}{}
+				}
+			}()
+			var got []string
+			for buf := make([]byte, 2*mostChunk); ; {
+				n, err := a.Read(buf)
+				if n > 0 {
+					got = append(got, string(buf[:n]))
+				}
+				if err != nil {
+					require.Equal(t, tc.breaks, err != io.EOF, "%v", err)
+					break
+				}
+			}
+			require.Equal(t, strings.Join(append([]string{first}, tc.want...), ""), strings.Join(got, ""))
+			for _, part := range got {
+				require.True(t, strings.HasSuffix(part, "\n\n") || strings.HasSuffix(part, "\r\n\r\n") || part == "data: a" || len(part) >= mostChunk, "%.40q", part)
+			}
+		})
+	}
+}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -33,7 +33,7 @@
 	near   time.Duration // that the other end is away, there and back at least
 	retire *time.Timer   // closes it while idle, well before the worker does
 	pool   *pool
-	ended  time.Time     // when it was closed
+	ended  time.Time // when it was closed
 	once   sync.Once
 }
 
