An attempt that was given up no longer looks for a message that its request has let go of

At fault: relay.begin (router/relay.go:25) sets the request's payload to nil when an answer begins; the goroutine of an attempt that was given up before may still be between its answer's head and that line, or not have begun, and read it. A process, with all that it has in hand, could end by it. An attempt takes the message when it begins, and lets go of its body once it is written. TestAnAttemptOutlivesItsRequestsMessage panics without it. go test -race -count=3 ./upstream green.

--- a/upstream/body.go
+++ b/upstream/body.go
@@ -40,7 +40,7 @@
 func newBody(x *attempt, c *conn, head *fasthttp.ResponseHeader) (*body, error) {
 	b := &body{attempt: x, conn: c, head: head, stall: x.client.cfg.StreamStall}
 	b.load = x.client.report(b.load, head.Peek(x.client.cfg.LoadHeader))
-	b.events = head.StatusCode() == fasthttp.StatusOK && x.Request.Payload.(*Message).Stream
+	b.events = head.StatusCode() == fasthttp.StatusOK && x.msg.Stream
 	size := head.ContentLength()
 	switch {
 	case head.StatusCode() == fasthttp.StatusNoContent || head.StatusCode() == fasthttp.StatusNotModified:
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -87,7 +87,7 @@
 // Send implements router.Transport.
 func (c *Client) Send(a router.Attempt, sink router.Sink) func() time.Duration {
 	ctx, cancel := context.WithCancel(context.Background())
-	x := &attempt{Attempt: a, client: c, sink: sink, cancel: cancel, until: time.Now().Add(a.Wait)}
+	x := &attempt{Attempt: a, client: c, sink: sink, cancel: cancel, until: time.Now().Add(a.Wait), msg: *a.Request.Payload.(*Message)}
 	go x.run(ctx)
 	return x.giveUp
 }
@@ -99,6 +99,9 @@
 	sink   router.Sink
 	cancel context.CancelFunc
 	until  time.Time // its answer is waited for
+	// msg is the message as it was when the attempt began: the request lets go of it when an answer begins, which may be
+	// another attempt's than one that was given up and has not come to its end yet.
+	msg Message
 
 	mu    sync.Mutex
 	conn  *conn
@@ -151,14 +154,13 @@
 		return
 	}
 	body, err := newBody(x, c, head)
-	msg := x.Request.Payload.(*Message)
 	status := head.StatusCode()
 	switch answer := status == fasthttp.StatusOK || x.client.cfg.Final != nil && x.client.cfg.Final(status); {
 	case !answer:
 		x.sink.Ended(x.judge(c, head, body, err))
 	case err != nil:
 		x.broken(c, err)
-	case status == fasthttp.StatusOK && msg.Stream:
+	case status == fasthttp.StatusOK && x.msg.Stream:
 		if err := body.await(); err != nil {
 			x.broken(c, err)
 			return
@@ -262,7 +264,7 @@
 		ctx, done = context.WithTimeout(ctx, x.Reach)
 		defer done()
 	}
-	body := x.Request.Payload.(*Message).Body
+	body := x.msg.Body
 	for fresh := false; ; fresh = true {
 		c, err := x.client.pool.get(ctx, x.Worker, fresh)
 		if errors.Is(err, errFull) {
@@ -291,6 +293,7 @@
 		n, err := bufs.WriteTo(c.TCPConn)
 		c.wrote = time.Now()
 		if n == int64(len(head)+len(body)) {
+			x.msg.Body, x.msg.Header = nil, nil // a stream may last
 			return c, 0
 		}
 		_ = c.Close()
@@ -306,17 +309,16 @@
 // head is the request's head. Method, path, query and the client's headers go as
 // they came.
 func (x *attempt) head() []byte {
-	msg := x.Request.Payload.(*Message)
 	var h fasthttp.RequestHeader
-	h.SetMethod(msg.Method)
-	h.SetRequestURI(msg.URI)
+	h.SetMethod(x.msg.Method)
+	h.SetRequestURI(x.msg.URI)
 	h.SetHost(x.Worker.Addr)
 	h.SetNoDefaultContentType(true)
-	for _, kv := range msg.Header {
+	for _, kv := range x.msg.Header {
 		h.Set(kv[0], kv[1])
 	}
 	h.Set(x.client.cfg.WaitHeader, strconv.FormatInt(max(time.Until(x.until).Milliseconds(), 1), 10))
-	h.SetContentLength(len(msg.Body))
+	h.SetContentLength(len(x.msg.Body))
 	return slices.Clone(h.Header())
 }
 
--- a/upstream/crossings_test.go
+++ b/upstream/crossings_test.go
@@ -486,3 +486,25 @@
 		})
 	}
 }
+
+// A request lets go of its message when an answer begins, while an attempt that was given up is still on its way: it must not
+// look for it.
+func TestAnAttemptOutlivesItsRequestsMessage(t *testing.T) {
+	for _, answer := range []string{streamHead + "5\r\ndata\n\r\n", accepted, "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"} {
+		whole, goOn := make(chan struct{}), make(chan struct{})
+		c, w, _ := against(t, func(nc net.Conn) {
+			request(nc)
+			close(whole)
+			<-goOn
+			_, _ = io.WriteString(nc, answer)
+			_ = nc.Close()
+		})
+		e := ends{make(chan router.Outcome, 4), make(chan router.Answer, 4)}
+		req := &router.Request{Name: "a", Payload: &Message{Method: "POST", URI: "/x", Body: []byte("body"), Stream: true}}
+		c.Send(router.Attempt{Request: req, Worker: w, Wait: time.Minute}, e)
+		req.Payload = nil
+		<-whole
+		close(goOn)
+		<-e.outcomes
+	}
+}
