A request that no longer waits behind its name is not held by its timer

Cause, on rereading the change: admit.go armed a timer for what waits behind a request of its name and never stopped it. Once out of the line, failed or gone on, the request stayed reachable from it with its body for as long as its client said it would wait: up to 24 days by X-Time-Left-Ms, 256 KiB each, past the bound on bodies in hand. leaveLine stops the timer. Test: the cases 'fails after ...' of TestARequestWaitsForTheOneOfItsName look for the timer, and fail without the stop ('a timer holds the request still'). go test -race ./router ten times, ./downstream and ./front/platform green.

--- a/router/admit.go
+++ b/router/admit.go
@@ -39,7 +39,7 @@
 		return
 	}
 	a.behind[ex.Name] = append(a.behind[ex.Name], ex)
-	time.AfterFunc(a.left(ex), func() {
+	ex.turn = time.AfterFunc(a.left(ex), func() {
 		a.core.post(func() {
 			if a.leaveLine(ex) {
 				a.core.book.duplicate(ex)
@@ -71,6 +71,7 @@
 	if i < 0 {
 		return false
 	}
+	ex.turn.Stop() // else it would hold the request as long as its client said it would wait
 	if a.behind[ex.Name] = slices.Delete(line, i, i+1); len(line) == 1 {
 		delete(a.behind, ex.Name)
 	}
--- a/router/core.go
+++ b/router/core.go
@@ -62,7 +62,8 @@
 type exchange struct {
 	*Request
 	client    Client
-	attempt   *attempt // the one that is out
+	turn      *time.Timer // ends its wait behind another of its name; nil: it did not wait
+	attempt   *attempt    // the one that is out
 	sends     int
 	unreached int // of the sends, those that never reached a worker
 	last      logic.Status
--- a/router/core_test.go
+++ b/router/core_test.go
@@ -208,9 +208,12 @@
 	}
 	for _, s := range mayHave {
 		t.Run("fails after "+statusNames[s], func(t *testing.T) {
-			c, w, first, second, _ := start(t)
+			c, w, first, second, ticket := start(t)
 			first.Ended(Outcome{Status: s})
 			require.Equal(t, "failed", <-second.answers)
+			armed := make(chan bool)
+			c.post(func() { armed <- ticket.ex.turn.Stop() })
+			require.False(t, <-armed, "a timer holds the request still")
 			require.Eventually(t, func() bool { return c.Open() == 0 }, time.Minute, time.Millisecond)
 			require.Empty(t, w.sent)
 		})
