A read that can't be answered has 503 with Retry-After whichever time ends first

Cause: store/api.go, fail: Replica.newest says ErrBehind and wraps what it met with at the leader, ErrNotLeader, which fail looked at first: 503 without Retry-After, or, where a leader was known, 307 to it. Nearly always the time of the caller, begun just before, ended the wait first, with ErrBehind alone. Ruled out: the leader's answer itself (sameTerm, the barrier): both paths ended in 503 as they should.

Change: ErrBehind is looked at first.

TestABehindReplicaAnswersAlikeWhicheverTimeEndsFirst takes both ways on purpose, and a replica that knows the leader; with the change taken out it gets 307 for 503.

--- a/store/api.go
+++ b/store/api.go
@@ -228,15 +228,15 @@
 func (a *API) fail(ctx *fasthttp.RequestCtx, err error) {
 	status := fasthttp.StatusInternalServerError
 	switch {
+	case errors.Is(err, ErrBehind): // before what it was met with at the leader: to be sent on there is no help
+		status = fasthttp.StatusServiceUnavailable
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, "1")
 	case errors.Is(err, ErrNotLeader):
 		status = fasthttp.StatusServiceUnavailable
 		if p, ok := a.replica.Leader(); ok && p.ID != a.replica.cfg.ID {
 			status = fasthttp.StatusTemporaryRedirect
 			ctx.Response.Header.Set(fasthttp.HeaderLocation, "http://"+p.API+string(ctx.RequestURI()))
 		}
-	case errors.Is(err, ErrBehind):
-		status = fasthttp.StatusServiceUnavailable
-		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, "1")
 	case errors.Is(err, ErrUnknown):
 		status = fasthttp.StatusServiceUnavailable
 	case errors.Is(err, ErrNoNode), errors.Is(err, ErrNoSession), errors.Is(err, errNoPath), errors.Is(err, ErrNoRevision),
--- a/store/reads_test.go
+++ b/store/reads_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -15,6 +16,7 @@
 	"github.com/anishathalye/porcupine"
 	"github.com/hashicorp/raft"
 	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
 
 	"lichenshelf/lab/history"
 )
@@ -116,6 +118,36 @@
 	require.Equal(t, http.StatusOK, status, "asked for as it is")
 }
 
+// What is newest may stay unknown because the caller's time ends, or, as much later, because the leader's word did not come:
+// whichever is first, the answer is the same, also at a replica that knows who leads.
+func TestABehindReplicaAnswersAlikeWhicheverTimeEndsFirst(t *testing.T) {
+	c := newCluster(t)
+	l := c.leader()
+	follower := c.replicas[(l+1)%len(c.replicas)]
+	c.eventually(func() bool { _, known := follower.Leader(); return known })
+	refused := func(r *Replica, err error) {
+		t.Helper()
+		require.ErrorIs(t, err, ErrBehind)
+		var ctx fasthttp.RequestCtx
+		NewAPI(r, nil).fail(&ctx, err)
+		require.Equal(t, http.StatusServiceUnavailable, ctx.Response.StatusCode(), err)
+		require.Equal(t, "1", string(ctx.Response.Header.Peek("Retry-After")), err)
+	}
+	refused(follower, fmt.Errorf("%w: %w", ErrBehind, ErrNotLeader))
+	for i := range c.replicas {
+		if i != l {
+			c.close(i)
+		}
+	}
+	_, err := c.replicas[l].newest(t.Context()) // no time of the caller's
+	require.ErrorIs(t, err, ErrNotLeader)
+	refused(c.replicas[l], err)
+	over, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err = c.replicas[l].newest(over)
+	refused(c.replicas[l], err)
+}
+
 // check plays clients against all replicas while harm is done, and gives their history to the checker.
 func (c *cluster) check(read string, harm func(rng *rand.Rand), steps int) (result porcupine.CheckResult, n, missing int) {
 	require.NoError(c.t, c.create("/n", "0", ""))
