A worker that took a release is asked at once by all releases that are out

Cause, read and then shown: each release looked for a worker that runs on its own (upstream/client.go, releaseAt). Calls to silent workers keep their connections for 250 ms, so where reads were cut off together, the calls of the first releases had all places and the rest met errFull until those were over. Measured before: 60 releases at once, four in five of 100 and 400 workers silent, 64 connections (as at 256 descriptors): the last was taken after 415 and 368 ms, of the 600 that settings of 300 ms leave, 500 of 200.

Change: who took a release is told to those that are out. They ask that worker next, also where they have met errFull there: its connection is at hand. Ruled out: to tell of any answer (a worker that answers 500 to a release would be asked over and over), and drawing the first worker to be asked (no test failed without it).

TestManyReleasesAtOnceFindAWorkerThatRuns lets silent calls last as long as releases are tried, so it goes by who was taken, not by how soon. Up to 200 releases at 16, 100, 400 workers: 1 to 104 ms at most. The stand-ins of the former are shared; its assertions are as before.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -63,8 +63,10 @@
 
 // Client is the transport to workers.
 type Client struct {
-	cfg  Config
-	pool pool
+	cfg         Config
+	pool        pool
+	releaseWait time.Duration
+	took        latest
 }
 
 // idleShare of the time after which a worker closes an idle connection is how
@@ -74,7 +76,7 @@
 
 // New returns a transport.
 func New(cfg Config) *Client {
-	c := &Client{cfg: cfg}
+	c := &Client{cfg: cfg, releaseWait: releaseWait}
 	c.pool.dialTimeout, c.pool.most, c.pool.pause = cfg.ConnectTimeout, cfg.MaxConns, time.Sleep
 	c.pool.idleFor = time.Duration(float64(cfg.ConnIdle) * idleShare)
 	c.pool.idle = map[*router.Worker][]*conn{}
@@ -331,7 +333,7 @@
 	// together. With four in five out of reach, of hundreds, all of the 63 drawn within 120 ms are
 	// among them once in a million times.
 	releaseNext = 20 * time.Millisecond
-	// mostReleasing bounds the calls of one release that are out at once.
+	// mostReleasing bounds the calls of one release that are out at once, beside one to a worker that has just taken another.
 	mostReleasing = 128
 	// releaseFor bounds a release as a whole. Workers that failed are asked again after releaseAgain.
 	releaseFor   = 600 * time.Millisecond
@@ -371,20 +373,34 @@
 	defer again.Stop()
 	var failed []*router.Worker
 	out := 0
+	call := func(w *router.Worker) {
+		out++
+		go func() { ends <- releaseEnd{w, c.release(ctx, name, w)} }()
+	}
 	ask := func(n int) {
-		n = min(n, len(workers))
-		for i, w := range workers[:n] {
+		n = max(min(n, len(workers)), 0)
+		for i := range workers[:n] {
 			if i%2 == 1 {
 				drawn := i + rand.IntN(len(workers)-i)
 				workers[i], workers[drawn] = workers[drawn], workers[i]
-				w = workers[i]
 			}
-			go func() { ends <- releaseEnd{w, c.release(ctx, name, w)} }()
+			call(workers[i])
 		}
-		workers, out = workers[n:], out+n
+		workers = workers[n:]
 	}
+	// Many states may be let go of at once, as when workers fall silent together: who runs is found once for all of them.
+	_, taken := c.took.get()
 	for wave := 1; ; {
 		select {
+		case <-taken:
+			var w *router.Worker
+			w, taken = c.took.get()
+			for _, list := range []*[]*router.Worker{&workers, &failed} {
+				if i := slices.Index(*list, w); i >= 0 {
+					*list = slices.Delete(*list, i, i+1)
+					call(w)
+				}
+			}
 		case e := <-ends:
 			out--
 			if e.err == nil {
@@ -408,7 +424,7 @@
 }
 
 func (c *Client) release(ctx context.Context, name string, w *router.Worker) error {
-	ctx, cancel := context.WithTimeout(ctx, releaseWait)
+	ctx, cancel := context.WithTimeout(ctx, c.releaseWait)
 	defer cancel()
 	cn, err := c.pool.getFor(ctx, w, false, releaseSpare)
 	if err != nil {
@@ -444,5 +460,32 @@
 	if err != nil {
 		return fmt.Errorf("release %s at %s: %w", name, w.Name, err)
 	}
+	c.took.set(w)
 	return nil
 }
+
+// latest is the worker that took a release last. Its connection is at hand.
+type latest struct {
+	mu     sync.Mutex
+	worker *router.Worker
+	next   chan struct{} // nil while nobody waits for another
+}
+
+func (l *latest) set(w *router.Worker) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.worker = w; l.next != nil {
+		close(l.next)
+		l.next = nil
+	}
+}
+
+// get returns the worker, nil if none has taken one yet, and a channel that is closed when one takes the next.
+func (l *latest) get() (*router.Worker, <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.next == nil {
+		l.next = make(chan struct{})
+	}
+	return l.worker, l.next
+}
--- a/upstream/crossings_test.go
+++ b/upstream/crossings_test.go
@@ -4,12 +4,15 @@
 	"bufio"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
+	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -104,6 +107,43 @@
 	}
 }
 
+// taken is a release as a worker took it.
+type taken struct {
+	path string
+	at   time.Time
+}
+
+// fallSilent starts workers that take releases. Once quiet is set four in five of them say nothing more and take nothing.
+func fallSilent(t *testing.T, n int, took chan<- taken) (workers []*router.Worker, quiet *atomic.Bool) {
+	quiet = new(atomic.Bool)
+	for i := range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = l.Close() })
+		serve := func(nc net.Conn) {
+			for br := bufio.NewReader(nc); ; {
+				req, err := http.ReadRequest(br)
+				if err != nil {
+					_ = nc.Close()
+					return
+				}
+				if i%5 != 0 && quiet.Load() {
+					continue
+				}
+				took <- taken{req.URL.Path, time.Now()}
+				_, _ = io.WriteString(nc, "HTTP/1.1 204 No Content\r\n\r\n")
+			}
+		}
+		go func() {
+			for nc, err := l.Accept(); err == nil; nc, err = l.Accept() {
+				go serve(nc)
+			}
+		}()
+		workers = append(workers, &router.Worker{Name: fmt.Sprint(i), Addr: l.Addr().String()})
+	}
+	return workers, quiet
+}
+
 // A release finds a worker that runs in time, though four in five of them say nothing, the latest used among
 // them.
 func TestReleasesFindAWorkerThatRuns(t *testing.T) {
@@ -111,44 +151,16 @@
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
 			c := New(Config{ConnectTimeout: 250 * time.Millisecond, ConnIdle: time.Minute, MaxConns: 2 * n, MaxAnswer: 1 << 10,
 				ReleasePath: "/holds/", Counters: &metrics.Set{}})
-			var quiet atomic.Bool
-			var workers []*router.Worker
-			took := make(chan time.Time, n)
-			for i := range n {
-				l, err := net.Listen("tcp", "127.0.0.1:0")
-				require.NoError(t, err)
-				t.Cleanup(func() { _ = l.Close() })
-				mute := i%5 != 0
-				go func() {
-					for {
-						nc, err := l.Accept()
-						if err != nil {
-							return
-						}
-						go func() {
-							for br := bufio.NewReader(nc); ; {
-								if _, err := http.ReadRequest(br); err != nil {
-									_ = nc.Close()
-									return
-								}
-								if mute && quiet.Load() {
-									continue
-								}
-								took <- time.Now()
-								_, _ = io.WriteString(nc, "HTTP/1.1 204 No Content\r\n\r\n")
-							}
-						}()
-					}
-				}()
-				workers = append(workers, &router.Worker{Name: fmt.Sprint(i), Addr: l.Addr().String()})
-			}
+			took := make(chan taken, n)
+			workers, quiet := fallSilent(t, n, took)
 			release := func(order []*router.Worker) time.Duration {
 				from, done := time.Now(), make(chan struct{})
 				c.Release("a", append([]*router.Worker(nil), order...), func() { close(done) })
 				<-done
 				for last := from; ; {
 					select {
-					case last = <-took:
+					case r := <-took:
+						last = r.at
 						continue
 					default:
 					}
@@ -175,6 +187,44 @@
 	}
 }
 
+// As many states are let go of at once as reads were out at workers that fell silent together. Calls to silent workers
+// stay out until their time is over, here as long as releases are tried, and must not keep all connections from those that
+// would be answered.
+func TestManyReleasesAtOnceFindAWorkerThatRuns(t *testing.T) {
+	for _, size := range []struct{ workers, conns, releases int }{{16, 32, 40}, {100, 64, 200}, {400, 64, 200}, {400, 300, 200}} {
+		t.Run(fmt.Sprintf("%d at %d workers over %d connections", size.releases, size.workers, size.conns), func(t *testing.T) {
+			c := New(Config{ConnectTimeout: 250 * time.Millisecond, ConnIdle: time.Minute, MaxConns: size.conns, MaxAnswer: 1 << 10,
+				ReleasePath: "/holds/", Counters: &metrics.Set{}})
+			c.releaseWait = releaseFor
+			took := make(chan taken, size.workers*(size.releases+2))
+			workers, quiet := fallSilent(t, size.workers, took)
+			for range 2 { // some connections are at hand
+				for _, w := range workers {
+					done := make(chan struct{})
+					c.Release("before", []*router.Worker{w}, func() { close(done) })
+					<-done
+				}
+			}
+			quiet.Store(true)
+			from := time.Now()
+			var all sync.WaitGroup
+			for i := range size.releases {
+				all.Add(1)
+				c.Release(fmt.Sprint(i), slices.Clone(workers), all.Done)
+			}
+			all.Wait()
+			first := map[string]time.Duration{}
+			for len(took) > 0 {
+				if r := <-took; first[r.path] == 0 && r.at.After(from) {
+					first[r.path] = r.at.Sub(from)
+				}
+			}
+			require.Len(t, first, size.releases, "releases that a worker took")
+			t.Logf("%v at most", slices.Max(slices.Collect(maps.Values(first))))
+		})
+	}
+}
+
 // Nobody takes it at first: it is tried again.
 func TestAReleaseThatNobodyTookIsTriedAgain(t *testing.T) {
 	var refused atomic.Int64
