The time in which a request must reach its worker bounds its writing as well

Read: router.Attempt.Reach bounds the time until a request's last byte is out, since a state is held meanwhile, but upstream/client.go, write, held only the connecting to it. Where a worker takes a part of a request and no more, the attempt stayed out until its whole time was over, seconds, and the state held with it (a third of the settings' 300 ms is meant).

Change: the same instant is the deadline of the write. A request of which a part was written never reached its worker, as before.

TestReachBoundsARequestThatIsTakenInPart: a worker that reads one byte of a request of 64 MB; without the change the attempt is out after 10 s, with it it ends after 50 ms as never reached.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -256,9 +256,11 @@
 // write gets the request to the worker, whole. A nil connection means that it
 // never was: the worker has not run it.
 func (x *attempt) write(ctx context.Context) (*conn, logic.Status) {
+	var reach time.Time // none
 	if x.Reach > 0 {
 		var done context.CancelFunc
-		ctx, done = context.WithTimeout(ctx, x.Reach)
+		reach = time.Now().Add(x.Reach)
+		ctx, done = context.WithDeadline(ctx, reach)
 		defer done()
 	}
 	body := x.msg.Body
@@ -287,6 +289,7 @@
 		// The time told is what is left now: a connection may have taken its time to come up.
 		head := x.head()
 		bufs := net.Buffers{head, body}
+		_ = c.SetWriteDeadline(reach) // a worker that has stopped may take a part and no more
 		n, err := bufs.WriteTo(c.TCPConn)
 		c.wrote = time.Now()
 		if n == int64(len(head)+len(body)) {
--- a/upstream/crossings_test.go
+++ b/upstream/crossings_test.go
@@ -107,6 +107,25 @@
 	}
 }
 
+// A request that a worker stops taking half-way never reached it, and is not out for longer than it may take to get there.
+func TestReachBoundsARequestThatIsTakenInPart(t *testing.T) {
+	goOn := make(chan struct{})
+	defer close(goOn)
+	c, w, _ := against(t, func(nc net.Conn) {
+		_, _ = nc.Read(make([]byte, 1))
+		<-goOn
+	})
+	e := ends{make(chan router.Outcome, 1), make(chan router.Answer, 1)}
+	r := &router.Request{Payload: &Message{Method: "POST", URI: "/x", Body: make([]byte, 64<<20)}}
+	c.Send(router.Attempt{Request: r, Worker: w, Wait: time.Hour, Reach: 50 * time.Millisecond}, e)
+	select {
+	case o := <-e.outcomes:
+		require.Equal(t, router.Outcome{Status: logic.ConnectFailed, Unreached: true}, o)
+	case <-time.After(10 * time.Second):
+		require.Fail(t, "the attempt is still out")
+	}
+}
+
 // taken is a release as a worker took it.
 type taken struct {
 	path string
