The audit's process test waits for a loan, not only for three seconds

Twice more beside 18 busy loops the test passed before and after the change, so its cause is read, not shown: nothing in the run waits for a loan.

Now the test goes on once a trail tells of one; what it asks for is unchanged.

--- a/test/audit_test.go
+++ b/test/audit_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -58,6 +59,15 @@
 	for until := l.seconds() + 3; l.seconds() < until; {
 		time.Sleep(soon)
 	}
+	eventually(t, func() bool { // on a busy machine that may take longer
+		for _, r := range l.layout.Routers {
+			tr, err := trail.Read(filepath.Join(dir, r.Name))
+			if err == nil && slices.ContainsFunc(tr.Entries, func(e audit.Entry) bool { return e.Kind == audit.Borrowed }) {
+				return true
+			}
+		}
+		return false
+	}, "a loan is borrowed")
 	copied := l.collect()
 	l.end()
 	l.oneAnswer()
