All workers that were tried with a request are kept in mind, not the latest four

Read: logic kept four workers that had failed a request (state.go, tried), so a request with more attempts allowed went back to the first of them after five, although others had not been asked. The settings tell how many attempts there are; nothing tells four.

TestEachServerIsTriedBeforeOneIsTriedAgain: eight readers, one of which keeps the text, all answer 500. Before, that one was asked again after [5 3 8 7 6].

--- a/logic/guards_test.go
+++ b/logic/guards_test.go
@@ -474,6 +474,33 @@
 	}
 }
 
+// Where the settings allow many attempts, each server is tried once before one is tried again, also the one that keeps the text.
+func TestEachServerIsTriedBeforeOneIsTriedAgain(t *testing.T) {
+	const n = 8
+	var members []Member
+	for i := range n {
+		members = append(members, reader(ServerID(i+1), i))
+	}
+	r := newRig(t, members...)
+	r.g.set.MaxAttempts = 2 * n
+	long := Request{Session: 5, PromptTokens: 50000, Patience: time.Minute}
+	before, acts := r.arrive(long)
+	r.end(before, find(acts, Send).Server, PromptRead, 0)
+	id, acts := r.arrive(long)
+	var seen []ServerID
+	for range n {
+		a := find(acts, Send)
+		if a == nil || slices.Contains(seen, a.Server) {
+			t.Fatalf("after %v: %+v", seen, acts)
+		}
+		seen = append(seen, a.Server)
+		acts = r.end(id, a.Server, ServerError, 0)
+	}
+	if a := find(acts, Send); a == nil || !slices.Contains(seen, a.Server) {
+		t.Fatalf("after %v: %+v, want another send", seen, acts)
+	}
+}
+
 // A writer that has what must not run twice is waited for: nothing could be tried after it.
 func TestOnceIsNotCalledOffOnceItMayRun(t *testing.T) {
 	for _, c := range []struct {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -465,7 +465,7 @@
 		if class == never {
 			continue
 		}
-		if slices.Contains(r.tried[:], s) {
+		if slices.Contains(r.tried, s) {
 			class += 8
 		} else if few && s.fails == 0 && g.bears(s) < 1 && (class == 0 || r.reader == nil || jam) {
 			class -= 32 // a right that is not used lapses, and of many gateways each has few
@@ -838,7 +838,7 @@
 		r.mayHaveRun, r.ranAt, r.ranServer = true, r.sentAt, s
 	}
 	if e.Status != PromptRead && !noState && !e.Stale {
-		r.tried[r.failed%len(r.tried)] = s
+		r.tried = append(r.tried, s)
 		r.failed++
 	}
 	switch {
--- a/logic/state.go
+++ b/logic/state.go
@@ -34,8 +34,8 @@
 	sends, failed     int
 	unreached         int // of the sends, those that never reached their server
 	server, ranServer *server
-	tried             [4]*server
-	reader            *server // where the read state waits; nil: none
+	tried             []*server // and failed there
+	reader            *server   // where the read state waits; nil: none
 	sentAt, ranAt     Time
 	check             Time      // when a timer has something to look at
 	heldSince         Time      // since when a state may wait with no attempt that has reached a server
