A decider stopped between two maps and links that lose one way have a process test

TestMapsOutliveTheirDeciderAndLinksThatLose: six programs in three zones. The decider is stopped (SIGSTOP), a zone goes wrong, the second by name decides and nothing goes there; the first one goes on with an epoch that is over, goes by what was decided without it and decides again; then one zone's routers are not heard, who hear the others, while the zone returns; then all that is said comes 2 s late. The epoch that a router goes by never goes back, one final answer each.

--- a/test/zone_test.go
+++ b/test/zone_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"lichenshelf/fleet/agent"
+	relay "lichenshelf/internal/standin/link"
 	"lichenshelf/lab/demo"
 	"lichenshelf/lab/engine"
 )
@@ -148,3 +151,88 @@
 	t.Logf("%d requests: %v", all, fates)
 	require.Greater(t, fates[0], all/2)
 }
+
+// epochs notes the epoch of the map that each router goes by, and fails where one goes back.
+func (z *zonedRig) epochs(last []uint64) {
+	z.t.Helper()
+	for i := range z.routers {
+		if m := z.page(i).Map; m != nil {
+			require.GreaterOrEqual(z.t, m.Epoch, last[i], "the epoch that router %d goes by", i)
+			last[i] = m.Epoch
+		}
+	}
+}
+
+// Six programs in three zones. The one that makes the maps is stopped, and a zone goes wrong meanwhile: another one makes the
+// next maps, nothing goes to the zone, and what the first one says when it goes on, of an epoch that is over, changes that nowhere.
+// It goes on again while others don't hear one zone's routers, who hear them, and while all that routers say comes late. No router
+// ever goes by an older map than before; once the links are well one decides, and all zones are used.
+func TestMapsOutliveTheirDeciderAndLinksThatLose(t *testing.T) {
+	t.Parallel()
+	rules := demo.Rules
+	rules.Zoned = true
+	z := &zonedRig{newLabRigOf(t, zonedSite(), rules, 2*zones, zonedFleet, 30, 6)}
+	last := make([]uint64, 2*zones)
+	ill := func(on bool) {
+		for _, s := range zonedSite().Servers {
+			if s.Zone == 0 {
+				z.site.Set(s.Name, engine.Fault{Errors: on})
+			}
+		}
+	}
+	deciders := func(of []int) (names []int) {
+		for _, i := range of {
+			if z.page(i).Decides {
+				names = append(names, i)
+			}
+		}
+		return names
+	}
+	all, others := []int{0, 1, 2, 3, 4, 5}, []int{1, 2, 3, 4, 5}
+	z.everywhere("z0", "healthy")
+	eventually(t, func() bool { return slices.Equal(deciders(all), []int{0}) }, "the first by name decides")
+	eventually(t, func() bool { return z.arrivals(0, time.Time{}) > 20 && z.arrivals(1, time.Time{}) > 20 }, "all zones are used")
+
+	z.clients.Avoid(0, true)
+	z.routers[0].signal(syscall.SIGSTOP)
+	ill(true)
+	for _, i := range others {
+		eventually(t, func() bool { return z.state(i, "z0") == "lost" }, fmt.Sprintf("z0 is lost at router %d", i))
+	}
+	quiet := func() bool {
+		since := time.Now().Add(-500 * time.Millisecond)
+		return z.arrivals(0, since) == 0 && z.arrivals(1, since)+z.arrivals(2, since) > 5
+	}
+	eventually(t, quiet, "nothing goes there any more, the others serve")
+	eventually(t, func() bool { return slices.Equal(deciders(others), []int{1}) }, "the second by name decides")
+	epoch := z.page(1).Map.Epoch
+	z.routers[0].signal(syscall.SIGCONT)
+	eventually(t, func() bool {
+		z.epochs(last)
+		m := z.page(0).Map
+		return m != nil && m.Epoch >= epoch && z.state(0, "z0") == "lost" && slices.Equal(deciders(all), []int{0})
+	}, "it goes by what was decided without it, and decides again")
+	z.clients.Avoid(0, false)
+	eventually(t, quiet, "nothing goes there on its word")
+
+	ofZ1 := func(i int) bool { return i%zones == 1 }
+	z.layout.Between(func(from, to int) bool { return ofZ1(from) && !ofZ1(to) }, relay.Fault{Drop: [2]bool{true, false}})
+	ill(false)
+	for i := range all {
+		eventually(t, func() bool { z.epochs(last); return z.state(i, "z0") == "healthy" }, fmt.Sprintf("z0 is back at router %d", i))
+	}
+	z.layout.Between(func(int, int) bool { return true }, relay.Fault{Delay: 2 * time.Second})
+	for until := z.seconds() + 5; z.seconds() < until; {
+		z.epochs(last)
+		time.Sleep(soon)
+	}
+	z.layout.Between(func(int, int) bool { return false }, relay.Fault{})
+	z.everywhere("z0", "healthy")
+	eventually(t, func() bool { z.epochs(last); return slices.Equal(deciders(all), []int{0}) }, "one decides again")
+	well := time.Now()
+	eventually(t, func() bool { return z.arrivals(0, well) > 10 && z.arrivals(1, well) > 10 && z.arrivals(2, well) > 10 }, "all zones are used again")
+	fates, n := z.end()
+	z.oneAnswer()
+	t.Logf("%d requests: %v; epochs %v", n, fates, last)
+	require.Greater(t, fates[0], n/2)
+}
