A router that can ask no replica has the published configuration from another router

Taken as any published version; the acknowledgement waits for the store, the fence still goes by the store alone. Only later versions are taken from the store too: before, an older one of the store's would have been refused with an error in the log.

--- a/fleet/agent/agent.go
+++ b/fleet/agent/agent.go
@@ -40,6 +40,7 @@
 	node   *node.Node
 	fronts []*Front // in the node's order
 	loans  func(budget.Move)
+	texts  func(node.Text)
 }
 
 // New returns an agent; Run and Serve start it. Loans, if it is not nil, is told of what is lent and borrowed, one after
@@ -82,6 +83,22 @@
 	a.node.SetActs(v)
 }
 
+// SetText takes a version's text as the store gave it; others may have it from this router then.
+func (a *Agent) SetText(t node.Text) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.node.SetText(t)
+}
+
+// WantText has others asked for a part's text of a later version than the one that is held, until one has come. Take is told
+// of it and must return at once; the one that was handed in last is.
+func (a *Agent) WantText(part string, held uint64, take func(node.Text)) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.texts = take
+	a.node.WantText(part, held)
+}
+
 // Renew goes on under a new life: what was lent to this router before is over.
 func (a *Agent) Renew() {
 	a.mu.Lock()
@@ -178,6 +195,9 @@
 	for _, m := range a.node.Moves() {
 		a.loans(m)
 	}
+	for _, t := range a.node.Texts() {
+		a.texts(t)
+	}
 	a.mu.Unlock()
 	for _, answer := range answers {
 		a.link.Send(answer)
--- a/fleet/node/node.go
+++ b/fleet/node/node.go
@@ -42,6 +42,9 @@
 	Counts  *counts.State       `cbor:"13,keyasint,omitempty"`
 	Acts    version.Vector      `cbor:"14,keyasint,omitempty"` // what the sender acts on, with Members
 	Zones   *ZoneNews           `cbor:"15,keyasint,omitempty"` // the same
+	Sums    map[string]Sum      `cbor:"16,keyasint,omitempty"` // the same
+	Wanted  *Wanted             `cbor:"17,keyasint,omitempty"`
+	Text    *Text               `cbor:"18,keyasint,omitempty"` // the answer
 }
 
 // Spoken drops what speaks for another router than the one that sent it.
@@ -101,6 +104,7 @@
 	notices []Notice
 	acts    version.Vector // what is told to the others
 	said    map[string]said
+	texts   texts
 	zones   *zones // nil: traffic between zones is each router's own matter
 }
 
@@ -136,7 +140,7 @@
 
 // New returns a node that has heard of nobody.
 func New(cfg Config, rng *rand.Rand, now Time) (*Node, error) {
-	n := &Node{cfg: cfg, rng: rng, limits: map[string]float64{}, states: map[string]members.State{}, said: map[string]said{}}
+	n := &Node{cfg: cfg, rng: rng, limits: map[string]float64{}, states: map[string]members.State{}, said: map[string]said{}, texts: newTexts()}
 	n.names = slices.Sorted(maps.Keys(cfg.Zones))
 	var err error
 	if n.ledger, err = budget.New(budget.Config{Self: cfg.Self, Routers: n.names, Incarnation: cfg.Life, Epoch: cfg.terms(n.names),
@@ -211,7 +215,7 @@
 	}
 	for _, m := range n.members.Tick(members.Time(now)) {
 		e := to(m.To)
-		e.Members, e.Acts = &m, n.acts
+		e.Members, e.Acts, e.Sums = &m, n.acts, n.texts.sums
 		if n.zones != nil {
 			e.Zones = n.zones.tell(now)
 		}
@@ -234,6 +238,9 @@
 		e := to(m.To)
 		e.Budget = append(e.Budget, m)
 	}
+	for _, m := range n.askForTexts(now) {
+		to(m.To).Wanted = m.Wanted
+	}
 	n.notice(now)
 	n.lookAtZones(now)
 	for _, f := range n.fronts {
@@ -249,7 +256,10 @@
 	if e.Members != nil {
 		n.members.Receive(*e.Members, members.Time(now))
 		n.hear(e.From, e.Acts, now)
-		if _, known := n.cfg.Zones[e.From]; n.zones != nil && e.Zones != nil && known && e.From != n.cfg.Self {
+		if n.other(e.From) {
+			n.texts.hear(e.From, e.Sums)
+		}
+		if n.zones != nil && e.Zones != nil && n.other(e.From) {
 			n.zones.hear(e.From, *e.Zones, now)
 		}
 	}
@@ -258,10 +268,16 @@
 		n.board.Receive(*e.Counts, counts.Time(now))
 	}
 	answer := Envelope{From: n.cfg.Self, To: e.From}
+	if e.Wanted != nil && n.other(e.From) {
+		answer.Text = n.giveText(e.Wanted, now)
+	}
+	if e.Text != nil && n.other(e.From) {
+		n.takeText(e.From, *e.Text)
+	}
 	for _, m := range e.Budget {
 		answer.Budget = append(answer.Budget, n.ledger.Receive(m, budget.Time(now))...)
 	}
-	if len(answer.Budget) == 0 {
+	if len(answer.Budget) == 0 && answer.Text == nil {
 		return nil
 	}
 	return []Envelope{answer}
@@ -276,9 +292,18 @@
 // SetActs sets what the others are told that this router acts on. The vector must not be changed after.
 func (n *Node) SetActs(v version.Vector) { n.acts = v }
 
+// other tells whether a name is another router's of the fleet.
+func (n *Node) other(name string) bool {
+	_, known := n.cfg.Zones[name]
+	return known && name != n.cfg.Self
+}
+
+// observers is how many others it takes to say a thing for this router to go by it: all that have spoken, if they are fewer.
+func (n *Node) observers() int { return min(max(n.cfg.Observers, 1), len(n.said)) }
+
 // hear takes what another router says that it acts on, unless that makes no sense.
 func (n *Node) hear(from string, v version.Vector, now Time) {
-	if _, ok := n.cfg.Zones[from]; !ok || from == n.cfg.Self || len(v) > mostParts {
+	if !n.other(from) || len(v) > mostParts {
 		return
 	}
 	for part := range v {
@@ -293,7 +318,7 @@
 // said so if they are fewer: one that says anything can't make the others look old. Heard is when so many were heard last;
 // false if nobody was.
 func (n *Node) Newest() (newest version.Vector, heard Time, ok bool) {
-	need := min(max(n.cfg.Observers, 1), len(n.said))
+	need := n.observers()
 	if need == 0 {
 		return nil, 0, false
 	}
--- a/fleet/node/node_test.go
+++ b/fleet/node/node_test.go
@@ -39,6 +39,7 @@
 	lines  []Line
 	now    Time
 	cut    func(from, to string) bool
+	alter  func(*Envelope) // on its way
 	told   map[string][]Told
 	parts  map[string]map[string]float64
 	seen   []Notice
@@ -86,6 +87,9 @@
 func (f *fleet) send(out []Envelope) {
 	for _, e := range out {
 		if n := f.nodes[e.To]; n != nil && (f.cut == nil || !f.cut(e.From, e.To)) {
+			if f.alter != nil {
+				f.alter(&e)
+			}
 			f.send(n.Receive(e, f.now))
 		}
 	}
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"lichenshelf/fleet/node"
 	"lichenshelf/front/modelapi"
 	"lichenshelf/router"
 	"lichenshelf/store"
@@ -73,7 +74,8 @@
 	file  modelapi.Config // the file's, over which each version is laid
 	cfg   *modelapi.Config
 	path  string
-	kick  chan struct{} // to try again what was refused
+	kick  chan struct{}  // to try again what was refused
+	given chan node.Text // by another router
 
 	mu  sync.Mutex // held where what the goroutine that follows has said is changed
 	ack Ack
@@ -87,7 +89,7 @@
 func (d *daemon) newPublished(ctx context.Context, cfg *modelapi.Config) (*published, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeWait)
 	defer cancel()
-	p := &published{d: d, file: *cfg, cfg: cfg, path: AckPath(modelapi.ConfigName, d.records.ID()), ack: Ack{Router: d.records.ID()}, kick: make(chan struct{}, 1)}
+	p := &published{d: d, file: *cfg, cfg: cfg, path: AckPath(modelapi.ConfigName, d.records.ID()), ack: Ack{Router: d.records.ID()}, kick: make(chan struct{}, 1), given: make(chan node.Text, 1)}
 	var before Ack
 	text, err := d.read(ctx, p.path)
 	if err != nil {
@@ -149,6 +151,14 @@
 	}
 }
 
+// give hands in a text that another router gave; of two the later one is taken in its turn.
+func (p *published) give(t node.Text) {
+	select {
+	case p.given <- t:
+	default:
+	}
+}
+
 func (p *published) change(f func(*Ack)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -164,7 +174,11 @@
 			log.WithError(err).Error("published configurations can't be followed")
 			return
 		}
-		if r := p.d.records.Latest(modelapi.ConfigName); r.Version != p.ack.Version && r.Version != p.ack.Refused {
+		r := p.d.records.Latest(modelapi.ConfigName)
+		if p.d.fleet != nil && r.Version > 0 {
+			p.d.fleet.SetText(node.Text{Part: configPart, Version: r.Version, Text: r.Text})
+		}
+		if r.Version > p.ack.Version && r.Version != p.ack.Refused {
 			p.take(r)
 			told = false
 		}
@@ -179,6 +193,12 @@
 		case <-again:
 		case <-p.kick:
 			p.change(func(a *Ack) { a.Refused = 0 })
+		case t := <-p.given:
+			if t.Version > p.ack.Version && t.Version != p.ack.Refused {
+				log.WithField("version", t.Version).Warn("the store can't be asked: the published configuration comes from another router")
+				p.take(store.Revision{Version: t.Version, Text: t.Text})
+				told = false
+			}
 		case <-ctx.Done():
 		}
 		stop()
--- a/internal/daemon/straggler.go
+++ b/internal/daemon/straggler.go
@@ -67,6 +67,7 @@
 	view    straggler.View
 	slot    string // the node of the slot that is held
 	stored  uint64 // the newest configuration that the store has told of
+	sure    bool   // the store could be asked at the last look
 }
 
 // watchStraggling starts it, where the fleet's file gives a grace.
@@ -127,6 +128,7 @@
 	if s.d.follow != nil { // what the store has told stays true while it can't be asked
 		s.view.Newest[configPart] = max(s.view.Newest[configPart], s.stored)
 	}
+	s.sure = sure
 	s.d.fence.look(s.view.Held.Behind(s.view.Newest), sure, began)
 }
 
@@ -184,6 +186,9 @@
 func (s *straggling) bringUp() {
 	if s.d.follow != nil && s.view.Held[configPart] < s.view.Newest[configPart] {
 		s.d.follow.again()
+		if !s.sure { // then others that it could tell have it
+			s.d.fleet.WantText(configPart, s.view.Held[configPart], s.d.follow.give)
+		}
 	}
 	for part, v := range s.view.Newest {
 		if s.d.watch != nil && strings.HasPrefix(part, discoveryPart) && s.view.Held[part] < v {
--- a/test/straggler_test.go
+++ b/test/straggler_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -32,7 +33,8 @@
 	routers []*program
 	names   []string
 	trails  string
-	links   []*relay.Relay // from the routers to the replicas
+	links   []*relay.Relay   // from the routers to the replicas
+	own     [][]*relay.Relay // of each router alone, before those
 }
 
 // newFollowers starts n of them before a backend; straggling is the end of their fleet's file.
@@ -42,12 +44,14 @@
 	api := fmt.Sprintf("[[backend]]\nname = \"m-a\"\naddr = %q\n", backend.Listener.Addr())
 	f := &followers{published: newPublished(t, api), trails: t.TempDir()}
 	f.front.waitReady()
-	var follow []string
-	for _, addr := range f.apis {
+	between := func(addr string) *relay.Relay {
 		link, err := relay.New(addr)
 		require.NoError(t, err)
 		t.Cleanup(link.Close)
-		f.links, follow = append(f.links, link), append(follow, strconv.Quote(link.Addr()))
+		return link
+	}
+	for _, addr := range f.apis {
+		f.links = append(f.links, between(addr))
 	}
 	var members strings.Builder
 	for i := range n {
@@ -61,6 +65,13 @@
 			require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
 			return path
 		}
+		var own []*relay.Relay
+		var follow []string
+		for _, link := range f.links {
+			own = append(own, between(link.Addr()))
+			follow = append(follow, strconv.Quote(own[len(own)-1].Addr()))
+		}
+		f.own = append(f.own, own)
 		f.routers = append(f.routers, start(t, listen, nil, "serve",
 			"--modelapi", write("modelapi.toml", fmt.Sprintf("listen = %q\n%s", listen, api)),
 			"--store", write("store.toml", fmt.Sprintf("follow = [%s]\nname = %q\n", strings.Join(follow, ", "), f.names[i])),
@@ -139,6 +150,47 @@
 	}
 }
 
+// A router that can ask no replica goes over to what is published all the same: another router gives it the text, which has to be
+// the one that the store gave to others. It serves all the time, and acknowledges once it can.
+func TestARouterThatCanAskNoReplicaIsBroughtUpByAnother(t *testing.T) {
+	t.Parallel()
+	f := newFollowers(t, 4, "[straggler]\ngrace = \"4s\"\nmost_shut = 0.5\nsteady = \"200ms\"\n")
+	out, err := f.publish(1, "attempts = 2\n")
+	require.NoError(t, err, out)
+	for _, name := range f.names {
+		f.shown(1, name+" 1")
+	}
+	for _, link := range f.own[0] {
+		link.Set(relay.Fault{Refuse: true, Drop: [2]bool{true, true}})
+		link.Cut()
+	}
+	out, err = f.publish(1, "attempts = 3\n")
+	require.NoError(t, err, out)
+	for _, name := range f.names[1:] {
+		f.shown(1, name+" 2")
+	}
+	took := func(t audit.Trail) bool {
+		return slices.ContainsFunc(t.Entries, func(e audit.Entry) bool {
+			return e.Kind == audit.Taken && e.Part == "config/modelapi" && e.Version == 2
+		})
+	}
+	eventually(t, func() bool {
+		require.Equal(t, 200, f.ask(0))
+		live, err := trail.Read(filepath.Join(f.trails, f.names[0]))
+		return err == nil && took(live)
+	}, "it goes by version 2")
+	out, err = f.command(1, "show")
+	require.NoError(t, err, out)
+	require.Regexp(t, `f0 +1 `, out, "it could not tell the store yet")
+	for _, link := range f.own[0] {
+		link.Set(relay.Fault{})
+	}
+	f.shown(1, "f0 2")
+	for _, e := range f.end(0).Entries {
+		require.NotEqual(t, audit.ShutOut, e.Kind, e.Text)
+	}
+}
+
 // underTheOld counts what a router sent after a time of the wall under a number from before it took a version.
 func underTheOld(t audit.Trail, after time.Time, version uint64) (old, all uint64) {
 	began, number := time.Time{}, uint64(0)
