Zones without a share are as dear as can be, not shut; the map measured in pairs

Cause: traffic.Balance.Figures told an infinite figure for each zone without a share, as for one that may not be used.

ZoneShares is ZoneWay.

--- a/fleet/agent/zones.go
+++ b/fleet/agent/zones.go
@@ -87,7 +87,8 @@
 // spread tells the node of the zones' workers, takes those of barred zones out, and gives the figures by front; nil where no
 // zones were set. The lock is held.
 func (a *Agent) spread(parts map[string]float64) (map[string]float64, [][]float64) {
-	names, shares, barred, own, ok := a.node.ZoneShares(a.now())
+	way, ok := a.node.ZoneWay(a.now())
+	names := way.Names
 	if !ok {
 		return parts, nil
 	}
@@ -103,23 +104,23 @@
 			}
 		}
 		for worker, p := range f.zones.of {
-			if z := slices.Index(names, p.zone); z >= 0 && barred[z] {
+			if z := slices.Index(names, p.zone); z >= 0 && way.Barred[z] {
 				parts[worker] = 0
 			}
 		}
 		if len(f.cfg.Zones) == 0 {
 			continue
 		}
-		mine, home := make([]float64, len(f.cfg.Zones)), -1
+		mine, may, home := make([]float64, len(f.cfg.Zones)), make([]bool, len(f.cfg.Zones)), -1
 		for j, name := range f.cfg.Zones {
 			if z := slices.Index(names, name); z >= 0 {
-				mine[j] = shares[z]
-				if z == own {
+				mine[j], may[j] = way.Shares[z], way.May(z)
+				if z == way.Own {
 					home = j
 				}
 			}
 		}
-		figures[i] = f.zones.balance.Figures(mine, home, traffic.Time(a.now()))
+		figures[i] = f.zones.balance.Figures(mine, may, home, traffic.Time(a.now()))
 		for j, name := range f.cfg.Zones {
 			if !slices.Contains(names, name) {
 				figures[i][j] = 0 // the map says nothing of it: the usual cost of distance
--- a/fleet/node/zones.go
+++ b/fleet/node/zones.go
@@ -337,22 +337,35 @@
 	return tried < z.cfg.Judge.Least || z.news.Bad[name] < z.cfg.Judge.Lost*tried
 }
 
-// ZoneShares is the part of this router's traffic that is to be read in each zone, and which zones are barred; false where no
-// zones were set.
-func (n *Node) ZoneShares(now Time) (names []string, shares []float64, barred []bool, own int, ok bool) {
+// ZoneWay is where this router's traffic is to go, by zone.
+type ZoneWay struct {
+	Names  []string
+	Shares []float64 // parts that are to be read there
+	Barred []bool    // nothing new may go to its workers
+	Seen   []bool    // own attempts reach it
+	Own    int       // index of the router's zone
+}
+
+// ZoneWay returns it; false where no zones were set.
+func (n *Node) ZoneWay(now Time) (way ZoneWay, ok bool) {
 	z := n.zones
 	if z == nil {
-		return nil, nil, nil, 0, false
+		return way, false
 	}
 	z.fade(now)
-	names = z.cfg.Judge.Zones
-	shares = z.keep.Shares(names, z.sees, traffic.Time(now))
-	for _, name := range names {
-		barred = append(barred, z.keep.Barred(name, traffic.Time(now)))
-	}
-	return names, shares, barred, slices.Index(names, z.own), true
+	way.Names = z.cfg.Judge.Zones
+	way.Shares = z.keep.Shares(way.Names, z.sees, traffic.Time(now))
+	for _, name := range way.Names {
+		way.Barred = append(way.Barred, z.keep.Barred(name, traffic.Time(now)))
+		way.Seen = append(way.Seen, z.sees(name))
+	}
+	way.Own = slices.Index(way.Names, z.own)
+	return way, true
 }
 
+// May tells whether a zone may be used.
+func (w *ZoneWay) May(zone int) bool { return w.Seen[zone] && !w.Barred[zone] }
+
 // ZoneView is what there is to see of the zones.
 type ZoneView struct {
 	States  []zone.Verdict
@@ -371,7 +384,8 @@
 	}
 	v := ZoneView{States: z.states, Best: z.plan, Decides: n.decides(now)}
 	v.Map, v.Age = z.keep.Map(traffic.Time(now))
-	_, v.Shares, _, _, _ = n.ZoneShares(now)
+	way, _ := n.ZoneWay(now)
+	v.Shares = way.Shares
 	return v, true
 }
 
--- a/fleet/node/zones_test.go
+++ b/fleet/node/zones_test.go
@@ -67,7 +67,8 @@
 			if z.dead[name] {
 				continue
 			}
-			_, shares, barred, _, ok := node.ZoneShares(z.now)
+			way, ok := node.ZoneWay(z.now)
+			shares, barred := way.Shares, way.Barred
 			require.True(z.t, ok)
 			z.sent[name] = shares
 			// So many requests in this time, by parts of one: each is noted as often as it would be.
@@ -144,7 +145,8 @@
 			z.run(100 * time.Millisecond)
 			barred = 0
 			for _, node := range z.nodes {
-				if _, shares, out, _, _ := node.ZoneShares(z.now); out[0] {
+				if way, _ := node.ZoneWay(z.now); way.Barred[0] {
+					shares := way.Shares
 					barred++
 					require.Zero(t, shares[0], "nothing is sent there")
 				}
--- a/fleet/traffic/step.go
+++ b/fleet/traffic/step.go
@@ -174,8 +174,9 @@
 }
 
 // Balance turns shares into figures for the decisions: what a server of a zone counts for against one of the own zone, beside
-// all else. The own zone's is 1. A zone without a share gets none, which is told by an infinite figure. The others' follow what
-// was sent: more than its share makes a zone dearer, less makes it cheaper, within bounds.
+// all else. The own zone's is 1. A zone that may not be used gets an infinite one; one that may, but has no share, is as dear as
+// can be: it takes what the others, jammed for a moment, would have refused. Those of the rest follow what was sent: more than
+// its share makes a zone dearer, less makes it cheaper, within bounds.
 type Balance struct {
 	sent    []float64
 	figures []float64
@@ -213,8 +214,9 @@
 	}
 }
 
-// Figures returns one for each zone, by the shares that are to hold. It is to be called a few times a second.
-func (b *Balance) Figures(shares []float64, own int, at Time) []float64 {
+// Figures returns one for each zone, by the shares that are to hold and whether the zone may be used. It is to be called a few
+// times a second.
+func (b *Balance) Figures(shares []float64, may []bool, own int, at Time) []float64 {
 	b.size(len(shares))
 	b.age(at)
 	all := 0.0
@@ -224,8 +226,10 @@
 	out := make([]float64, len(shares))
 	for z, share := range shares {
 		switch {
-		case share <= 0:
+		case !may[z]:
 			out[z], b.figures[z] = math.Inf(1), usualFigure
+		case share <= 0:
+			out[z], b.figures[z] = dear, usualFigure
 		case z == own:
 			out[z] = 1
 		default:
--- a/fleet/traffic/traffic_test.go
+++ b/fleet/traffic/traffic_test.go
@@ -355,7 +355,8 @@
 	for _, share := range []float64{0.1, 0.3, 0.6} {
 		var b Balance
 		at, sent := Time(0), []float64{0, 0, 0}
-		figures := b.Figures([]float64{1 - share, share, 0}, 0, at)
+		shares, may := []float64{1 - share, share, 0}, []bool{true, true, false}
+		figures := b.Figures(shares, may, 0, at)
 		for i := range 6000 {
 			at += Time(10 * time.Millisecond)
 			// The server that costs least, by noise as large as the figures.
@@ -370,12 +371,13 @@
 				sent[z]++
 			}
 			if i%10 == 0 {
-				figures = b.Figures([]float64{1 - share, share, 0}, 0, at)
+				figures = b.Figures(shares, may, 0, at)
 			}
 		}
 		t.Logf("share %.2f: %.3f sent", share, sent[1]/(sent[0]+sent[1]))
 		require.InDelta(t, share, sent[1]/(sent[0]+sent[1]), 0.06)
 		require.Zero(t, sent[2])
 		require.Equal(t, 1.0, figures[0])
+		require.Equal(t, dear, b.Figures(shares, []bool{true, true, true}, 0, at)[2], "without a share, but it may be used")
 	}
 }
--- a/lab/emulator/layout.go
+++ b/lab/emulator/layout.go
@@ -106,7 +106,7 @@
 			}
 			fmt.Fprintf(&text, "[[router]]\nname = %q\naddr = %q\n", o.Name, to)
 			if rules.Zoned {
-				fmt.Fprintf(&text, "zone = %q\n", zoneName(j%e.zones()))
+				fmt.Fprintf(&text, "zone = %q\n", zoneName(j%e.cfg.Zones()))
 			}
 		}
 		path := filepath.Join(dir, r.Name+".toml")
@@ -118,15 +118,6 @@
 	return l, nil
 }
 
-// zones is how many zones the servers are in.
-func (e *Emulator) zones() int {
-	n := 1
-	for _, s := range e.cfg.Servers {
-		n = max(n, s.Zone+1)
-	}
-	return n
-}
-
 // Config is the platform's file for router i of n.
 func (e *Emulator) Config(n, i int, rules Rules) ([]byte, error) {
 	roles, kinds, memory := []string{}, []string{}, []float64{}
@@ -135,7 +126,7 @@
 		kinds, memory = append(kinds, kindName(k)), append(memory, kind.Memory)
 	}
 	var zones []string
-	for z := range e.zones() {
+	for z := range e.cfg.Zones() {
 		zones = append(zones, zoneName(z))
 	}
 	mine := 0
--- a/lab/engine/engine.go
+++ b/lab/engine/engine.go
@@ -67,6 +67,15 @@
 	Servers []Spec
 }
 
+// Zones is how many zones the servers are in.
+func (c *Config) Zones() int {
+	n := 1
+	for _, s := range c.Servers {
+		n = max(n, s.Zone+1)
+	}
+	return n
+}
+
 // Job is a prompt with the answer that it will have.
 type Job struct {
 	ID              string
--- a/lab/virtual/virtual.go
+++ b/lab/virtual/virtual.go
@@ -6,7 +6,9 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -15,6 +17,8 @@
 	"lichenshelf/fleet/counts"
 	"lichenshelf/fleet/link"
 	"lichenshelf/fleet/node"
+	"lichenshelf/fleet/traffic"
+	"lichenshelf/fleet/verdict"
 	"lichenshelf/lab/engine"
 	"lichenshelf/lab/load"
 	"lichenshelf/logic"
@@ -36,10 +40,16 @@
 	Hop      time.Duration // one way between two processes
 	Fleet    *node.Config  // its terms; nil: routers share nothing
 	Loss     float64       // part of the fleet's messages that vanish
-	Warm     time.Duration // nothing is counted before
-	For      time.Duration
-	Seed     uint64
-	Faults   []Fault
+	Zoned    bool          // router i is of zone i modulo their number; else all are of the first
+	// Zones makes the fleet judge zones and move traffic between them, where it is Zoned; nil: that is each router's own matter.
+	// The site's zones are its Judge.Zones by index.
+	Zones *node.ZoneConfig
+	// Near, without Zones, is a figure for the zones that are not a router's own in place of the usual one; 0: the usual one.
+	Near   float64
+	Warm   time.Duration // nothing is counted before
+	For    time.Duration
+	Seed   uint64
+	Faults []Fault
 }
 
 // Fault begins or ends something at a time.
@@ -58,10 +68,23 @@
 	Messages, Bytes                        int     // between routers
 	Prompt, Kept                           float64 // tokens of the prompts that were read, and of them that were found kept
 	Wasted                                 int     // reads whose answer nobody got
+	Moved                                  float64 // tokens of read states that were fetched from another zone
+	Late                                   int     // served, with the first token after its class's aim
+	Seconds                                []Second
 	Fell                                   int
 	Held                                   int // states left when all had ended
 }
 
+// Second is what became of the requests that came in one second of a run, and where their first reads went.
+type Second struct{ Asked, InTime, Near, Far int }
+
+func (w *World) second(at time.Duration) *Second {
+	for len(w.Result.Seconds) <= int(at/time.Second) {
+		w.Result.Seconds = append(w.Result.Seconds, Second{})
+	}
+	return &w.Result.Seconds[at/time.Second]
+}
+
 // Busiest is the part of all attempts at servers of a kind that went to the busiest one.
 func (r *Result) Busiest(site engine.Config, kind int) float64 {
 	all, most := 0, 0
@@ -238,6 +261,8 @@
 	front   *node.Front
 	parts   map[string]float64
 	running bool
+	zone    int
+	balance traffic.Balance
 }
 
 // exchange is one request in hand.
@@ -248,6 +273,8 @@
 	arrived  time.Duration
 	sends    int
 	reads    int
+	readIn   int // the zone of the latest read
+	class    int
 	attempt  *attempt
 	last     logic.Status
 	closed   bool
@@ -267,7 +294,17 @@
 	r := &gateway{w: w, i: i, name: fmt.Sprintf("r-%d", i), open: map[logic.RequestID]*exchange{}}
 	set := w.cfg.Settings
 	set.Gateways = w.cfg.Routers
+	zones := w.cfg.Site.Zones()
+	if w.cfg.Zoned {
+		r.zone = i % zones
+		set.Zone = r.zone
+	}
 	r.decide = logic.New(set, w.cfg.Seed*1000+uint64(i))
+	if w.cfg.Near > 0 {
+		figures := slices.Repeat([]float64{w.cfg.Near}, zones)
+		figures[r.zone] = 1
+		r.decide.SetZones(figures)
+	}
 	if w.cfg.Fleet == nil {
 		return r, nil
 	}
@@ -275,11 +312,19 @@
 	cfg.Self, cfg.Life, cfg.Zones = r.name, 1, map[string]string{}
 	for j := range w.cfg.Routers {
 		cfg.Zones[fmt.Sprintf("r-%d", j)] = ""
+		if w.cfg.Zones != nil {
+			cfg.Zones[fmt.Sprintf("r-%d", j)] = w.cfg.Zones.Judge.Zones[j%zones]
+		}
 	}
 	var err error
 	if r.node, err = node.New(cfg, rand.New(rand.NewPCG(w.cfg.Seed, uint64(i))), 0); err != nil {
 		return nil, err
 	}
+	if w.cfg.Zones != nil {
+		if err := r.node.Zones(*w.cfg.Zones, 0); err != nil {
+			return nil, err
+		}
+	}
 	r.front = r.node.Front(node.FrontConfig{Name: "lab", Settings: set}, 0)
 	w.after(time.Duration(w.rng.IntN(int(r.every()))), r.tick)
 	return r, nil
@@ -298,7 +343,7 @@
 	w := r.w
 	r.post(r.node.Tick(w.now))
 	parts, told := r.node.Confer([][]node.Line{r.lines}, w.now)
-	r.gate(parts)
+	r.gate(r.spread(parts))
 	if told != nil {
 		for _, t := range told[0] {
 			r.push(logic.Event{Kind: logic.LoadTold, Server: t.Server, Load: t.Load})
@@ -311,6 +356,45 @@
 	}
 }
 
+// spread is what the fleet's agent does with the map: it tells the node of the zones' workers, takes those of barred zones out,
+// and hands a figure for each zone to the decisions.
+func (r *gateway) spread(parts map[string]float64) map[string]float64 {
+	way, ok := r.node.ZoneWay(r.w.now)
+	if !ok {
+		return parts
+	}
+	parts = maps.Clone(parts)
+	if parts == nil {
+		parts = map[string]float64{}
+	}
+	up, all := map[string]float64{}, map[string]float64{}
+	cold := r.w.cfg.Site.Cold
+	for _, m := range r.members {
+		zone := way.Names[m.Zone]
+		all[zone]++
+		if m.Health == logic.Ready {
+			warm := 1.0
+			if age := epoch + logic.Time(r.w.now) - m.Since; m.Since > 0 && age < logic.Time(cold.WarmWithin) {
+				warm = cold.Share + (1-cold.Share)*float64(age)/float64(cold.WarmWithin)
+			}
+			up[zone] += warm
+		}
+		if way.Barred[m.Zone] {
+			parts[r.lines[m.Server].Name] = 0
+		}
+	}
+	for zone, n := range all {
+		up[zone] /= n
+	}
+	r.node.ZoneUp(up)
+	may := make([]bool, len(way.Names))
+	for z := range may {
+		may[z] = way.May(z)
+	}
+	r.decide.SetZones(r.balance.Figures(way.Shares, may, way.Own, traffic.Time(r.w.now)))
+	return parts
+}
+
 func (r *gateway) post(out []node.Envelope) {
 	w := r.w
 	for _, e := range out {
@@ -384,10 +468,14 @@
 func (r *gateway) arrive(q load.Request) {
 	w := r.w
 	r.last++
-	ex := &exchange{of: r, id: r.last, arrived: w.now, last: logic.NotSent, job: engine.Job{ID: fmt.Sprintf("%s-%d", r.name, r.last),
+	ex := &exchange{of: r, id: r.last, arrived: w.now, class: q.Class, last: logic.NotSent, job: engine.Job{ID: fmt.Sprintf("%s-%d", r.name, r.last),
 		Prefix: q.Prefix, Session: q.Session, PrefixTokens: q.PrefixTokens, PromptTokens: q.PromptTokens, AnswerTokens: q.AnswerTokens}}
 	r.open[ex.id] = ex
 	w.jobs[ex.job.ID] = ex
+	w.second(w.now).Asked++
+	if r.node != nil {
+		r.node.ZoneArrived(w.now)
+	}
 	if w.now >= w.cfg.Warm {
 		w.Result.Asked++
 	}
@@ -470,6 +558,18 @@
 			w.Result.Repeats++
 		}
 	}
+	spec := w.cfg.Site.Servers[server]
+	if reads := w.cfg.Site.Kinds[spec.Kind].Role != logic.RoleWrite; reads {
+		r.balance.Sent(spec.Zone, spec.Zone+1, traffic.Time(w.now))
+		ex.readIn = spec.Zone
+		if s := w.second(ex.arrived); ex.reads == 0 && ex.sends == 0 && spec.Zone == r.zone {
+			s.Near++
+		} else if ex.reads == 0 && ex.sends == 0 {
+			s.Far++
+		}
+	} else if ex.readIn != spec.Zone && w.now >= w.cfg.Warm {
+		w.Result.Moved += ex.job.PromptTokens
+	}
 	ex.sends++
 	ex.attempt = at
 	w.after(wait, func() { r.end(ex, at, logic.TimedOut, 0) })
@@ -525,6 +625,12 @@
 func (r *gateway) started(ex *exchange, at *attempt) {
 	w := r.w
 	ex.answered, ex.closed = true, true
+	c := w.cfg.Settings.Classes[ex.class]
+	if w.now-ex.arrived <= c.Aim+time.Duration(float64(c.AimPer1000)*ex.job.PromptTokens/1000) {
+		w.second(ex.arrived).InTime++
+	} else if ex.arrived >= w.cfg.Warm {
+		w.Result.Late++
+	}
 	if ex.arrived >= w.cfg.Warm {
 		_ = w.Result.First.RecordValue(max((w.now - ex.arrived).Microseconds(), 1))
 	}
@@ -564,6 +670,9 @@
 		}
 		if fault, says := node.FaultOf(status); says {
 			r.node.Observe(at.name, at.since, fault, w.now)
+			if w.cfg.Zones != nil {
+				r.node.ZoneTried(w.cfg.Zones.Judge.Zones[w.cfg.Site.Servers[at.server].Zone], fault != verdict.None, w.now)
+			}
 		}
 	}
 	if status == logic.TimedOut || status == logic.Cancelled {
--- a/lab/virtual/virtual_test.go
+++ b/lab/virtual/virtual_test.go
@@ -9,6 +9,9 @@
 	"github.com/stretchr/testify/require"
 
 	"lichenshelf/fleet/node"
+	"lichenshelf/fleet/shift"
+	"lichenshelf/fleet/traffic"
+	"lichenshelf/fleet/zone"
 	"lichenshelf/lab/demo"
 	"lichenshelf/lab/engine"
 	"lichenshelf/logic"
@@ -228,3 +231,96 @@
 	}
 	require.Less(t, each[200], 2*each[10])
 }
+
+// zoned is three zones alike before six routers, and a load that leaves room for one to be lost.
+func zoned(seed uint64) Config {
+	cfg := usual(6, 20, seed)
+	cfg.Site.Servers = nil
+	for z := range 3 {
+		for i, kind := range []int{0, 0, 1, 1, 1, 2} {
+			cfg.Site.Servers = append(cfg.Site.Servers, engine.Spec{Name: fmt.Sprintf("s%d-z%d", i, z), Kind: kind, Cell: z, Zone: z, Started: -time.Hour})
+		}
+	}
+	cfg.Zoned, cfg.For, cfg.Warm, cfg.Hop = true, 60*time.Second, 8*time.Second, time.Millisecond
+	return cfg
+}
+
+// mapped has the map of zones decided in common.
+func mapped(cfg Config) Config {
+	cfg.Fleet = terms()
+	cfg.Fleet.MostOut = 0 // what goes out by agreement on single workers is another matter
+	zones := node.ZoneConfig{Safe: 0.8, Capacity: map[string]shift.Zone{}, Terms: traffic.Terms{Fresh: 5 * time.Second, Fade: 20 * time.Second, Spill: 0.2},
+		Judge: zone.Config{Zones: []string{"a", "b", "c"}, Least: 3, Failing: 0.2, Lost: 0.8, Strain: 0.8, Confirm: time.Second, Hold: 5 * time.Second,
+			Return: 5 * time.Second, Trial: 0.1},
+		Pace: traffic.Pace{Every: time.Second, Up: 0.5, Back: 0.2, Band: 0.02, Burst: 12, PerMin: 20, Reserve: 4}}
+	for i, name := range zones.Judge.Zones {
+		zones.Capacity[name] = shift.Zone{Read: 37, Write: 37}
+		far, room := []float64{0.5, 0.5, 0.5}, []float64{-1, -1, -1}
+		far[i] = 0
+		zones.Far, zones.Room = append(zones.Far, far), append(zones.Room, room)
+	}
+	cfg.Zones = &zones
+	return cfg
+}
+
+// A zone's workers all answer errors for twelve seconds, then it is back. Three ways over the same requests: the usual figure
+// for far workers, plain locality, and the map. The figures are in docs/measurements/zones.md, from -seeds 10.
+func TestZonesInPairs(t *testing.T) {
+	const ill, well = 20 * time.Second, 32 * time.Second
+	type sums struct{ before, during, after, late, moved, near, back float64 }
+	of := map[string]*sums{}
+	for name, make := range map[string]func(Config) Config{
+		"usual figure": func(c Config) Config { return c },
+		"locality":     func(c Config) Config { c.Near = 20; return c },
+		"map":          mapped,
+	} {
+		s := &sums{}
+		of[name] = s
+		for seed := range uint64(*seeds) {
+			cfg := make(zoned(500 + seed))
+			harm := func(on bool) func(*World) {
+				return func(w *World) {
+					for _, l := range cfg.Site.Servers {
+						if l.Zone == 0 {
+							w.Site.Set(l.Name, engine.Fault{Errors: on})
+						}
+					}
+				}
+			}
+			cfg.Faults = []Fault{{ill, harm(true)}, {well, harm(false)}}
+			r := play(t, cfg)
+			require.Equal(t, r.Asked, r.Served+r.Broken+r.Refused+r.Failed, name)
+			share := func(from, to time.Duration, f func(Second) int) float64 {
+				part, all := 0, 0
+				for _, x := range r.Seconds[int(from/time.Second):int(to/time.Second)] {
+					part, all = part+f(x), all+x.Asked
+				}
+				return float64(part) / float64(max(all, 1))
+			}
+			inTime := func(x Second) int { return x.InTime }
+			near := func(x Second) int { return x.Near }
+			n := float64(*seeds)
+			s.before += share(cfg.Warm, ill, inTime) / n
+			s.during += share(ill, well, inTime) / n
+			s.after += share(well, cfg.For, inTime) / n
+			s.near += share(cfg.Warm, ill, near) / n
+			s.late += float64(r.Late) / float64(r.Asked) / n
+			s.moved += r.Moved / 1e3 / n
+			back := cfg.For
+			for at := well; at+3*time.Second <= cfg.For; at += time.Second {
+				if share(at, at+3*time.Second, near) >= 0.95*share(cfg.Warm, ill, near) {
+					back = at
+					break
+				}
+			}
+			s.back += (back - well).Seconds() / n
+		}
+		t.Logf("%-12s in time before %.3f, while it is lost %.3f, after %.3f; late %.3f; near before %.2f; thousand tokens moved %.0f; near again after %.1f s",
+			name, s.before, s.during, s.after, s.late, s.near, s.moved, s.back)
+	}
+	require.Greater(t, of["map"].near, 0.9)
+	for what, s := range map[string][2]float64{"before": {of["map"].before, of["usual figure"].before}, "while it is lost": {of["map"].during, of["usual figure"].during},
+		"after": {of["map"].after, of["usual figure"].after}} {
+		require.Greater(t, s[0], 0.9*s[1], what)
+	}
+}
