--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -151,7 +151,7 @@
 	}
 }
 
-// give hands in a text that another router gave; of two the later one is taken in its turn.
+// give hands in a text that another router gave. One that finds another waiting is dropped: it is asked for again.
 func (p *published) give(t node.Text) {
 	select {
 	case p.given <- t:
