A test's bound on an attempt's time is what passed, not 50 ms

TestNothingFollowsUntilTheWorkerKnows asked for a time under 50 ms, which a timer of a busy machine may pass. Now for no more than passed until the attempt was given up: the wait after that is still not in it.

--- a/router/core_test.go
+++ b/router/core_test.go
@@ -412,13 +412,15 @@
 		require.Empty(t, w.sent)
 		require.Empty(t, who.answers)
 	}
+	from := time.Now()
 	who, _ := submit(c, "a")
 	<-w.sent
 	<-w.gaveUp
+	took := time.Since(from)
 	nothing(who)
 	close(w.known)
 	<-w.sent
-	require.Less(t, (<-ended).Latency, 5*wait)
+	require.LessOrEqual(t, (<-ended).Latency, took)
 	<-w.gaveUp
 	nothing(who)
 	close(w.known)
