On rereading: texts are looked at in order, and ZoneWay tells itself what may be used

Requests for texts go into the message that is due anyway, not through envelopes made to be taken apart. Both users of ZoneWay derived the same list.

TestZonesInPairs gives the same figures to the digit; fleet/node, agent, traffic and (with -race) the process tests of zones and of bringing up: green.

--- a/fleet/agent/zones.go
+++ b/fleet/agent/zones.go
@@ -114,7 +114,7 @@
 		mine, may, home := make([]float64, len(f.cfg.Zones)), make([]bool, len(f.cfg.Zones)), -1
 		for j, name := range f.cfg.Zones {
 			if z := slices.Index(names, name); z >= 0 {
-				mine[j], may[j] = way.Shares[z], way.May(z)
+				mine[j], may[j] = way.Shares[z], way.May[z]
 				if z == way.Own {
 					home = j
 				}
--- a/fleet/node/node.go
+++ b/fleet/node/node.go
@@ -238,9 +238,7 @@
 		e := to(m.To)
 		e.Budget = append(e.Budget, m)
 	}
-	for _, m := range n.askForTexts(now) {
-		to(m.To).Wanted = m.Wanted
-	}
+	n.askForTexts(now, to)
 	n.notice(now)
 	n.lookAtZones(now)
 	for _, f := range n.fronts {
--- a/fleet/node/texts.go
+++ b/fleet/node/texts.go
@@ -92,30 +92,30 @@
 
 // vouched is the latest version of a part, above one, whose checksum so many routers say alike, and who they are.
 func (x *texts) vouched(part string, above uint64, need int) (sum Sum, by []string) {
-	for from, sums := range x.said {
-		s := sums[part]
+	names := slices.Sorted(maps.Keys(x.said))
+	for _, name := range names {
+		s := x.said[name][part]
 		if s.Version <= max(above, sum.Version) {
 			continue
 		}
 		var alike []string
-		for other, theirs := range x.said {
-			if t := theirs[part]; t.Version == s.Version && bytes.Equal(t.SHA256, s.SHA256) {
+		for _, other := range names {
+			if t := x.said[other][part]; t.Version == s.Version && bytes.Equal(t.SHA256, s.SHA256) {
 				alike = append(alike, other)
 			}
 		}
-		if len(alike) >= need && slices.Contains(alike, from) {
+		if len(alike) >= need {
 			sum, by = s, alike
 		}
 	}
-	slices.Sort(by)
 	return sum, by
 }
 
-// askForTexts asks one router that has it for each text that is wanted.
-func (n *Node) askForTexts(now Time) (out []Envelope) {
+// askForTexts asks one router that has it for each text that is wanted, in the message that goes to it.
+func (n *Node) askForTexts(now Time, to func(name string) *Envelope) {
 	x := &n.texts
 	if len(x.wanted) == 0 || x.asked != 0 && now-x.asked < textEvery {
-		return nil
+		return
 	}
 	x.asked = now
 	for _, part := range slices.Sorted(maps.Keys(x.wanted)) {
@@ -125,9 +125,8 @@
 			delete(x.wrong, part) // all were: begin anew
 			continue
 		}
-		out = append(out, Envelope{From: n.cfg.Self, To: by[n.rng.IntN(len(by))], Wanted: &Wanted{part, sum.Version}})
+		to(by[n.rng.IntN(len(by))]).Wanted = &Wanted{part, sum.Version}
 	}
-	return out
 }
 
 // giveText answers a router that wants a text, if this one has it, and has given none for a while.
--- a/fleet/node/zones.go
+++ b/fleet/node/zones.go
@@ -342,7 +342,7 @@
 	Names  []string
 	Shares []float64 // parts that are to be read there
 	Barred []bool    // nothing new may go to its workers
-	Seen   []bool    // own attempts reach it
+	May    []bool    // it may be used: it is not barred, and own attempts reach it
 	Own    int       // index of the router's zone
 }
 
@@ -356,16 +356,13 @@
 	way.Names = z.cfg.Judge.Zones
 	way.Shares = z.keep.Shares(way.Names, z.sees, traffic.Time(now))
 	for _, name := range way.Names {
-		way.Barred = append(way.Barred, z.keep.Barred(name, traffic.Time(now)))
-		way.Seen = append(way.Seen, z.sees(name))
+		barred := z.keep.Barred(name, traffic.Time(now))
+		way.Barred, way.May = append(way.Barred, barred), append(way.May, !barred && z.sees(name))
 	}
 	way.Own = slices.Index(way.Names, z.own)
 	return way, true
 }
 
-// May tells whether a zone may be used.
-func (w *ZoneWay) May(zone int) bool { return w.Seen[zone] && !w.Barred[zone] }
-
 // ZoneView is what there is to see of the zones.
 type ZoneView struct {
 	States  []zone.Verdict
--- a/lab/virtual/virtual.go
+++ b/lab/virtual/virtual.go
@@ -387,11 +387,7 @@
 		up[zone] /= n
 	}
 	r.node.ZoneUp(up)
-	may := make([]bool, len(way.Names))
-	for z := range may {
-		may[z] = way.May(z)
-	}
-	r.decide.SetZones(r.balance.Figures(way.Shares, may, way.Own, traffic.Time(r.w.now)))
+	r.decide.SetZones(r.balance.Figures(way.Shares, way.May, way.Own, traffic.Time(r.w.now)))
 	return parts
 }
 
