--- a/front/zkfront/server.go
+++ b/front/zkfront/server.go
@@ -144,9 +144,8 @@
 	go func() { defer s.wg.Done(); c.write() }()
 	go func() {
 		defer s.wg.Done()
-		if err := c.serve(); err != nil {
-			s.cfg.Log.WithError(err).WithFields(logrus.Fields{"client": raw.RemoteAddr(), "session": c.session}).Debug("ZooKeeper connection ends")
-		}
+		why := c.serve()
+		s.cfg.Log.WithError(why).WithFields(logrus.Fields{"client": raw.RemoteAddr(), "session": c.session}).Debug("ZooKeeper connection ends")
 		c.close()
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -288,7 +287,7 @@
 	}
 }
 
-// serve answers a connection's calls, one after the other.
+// serve answers a connection's calls, one after the other, and returns why it ended.
 func (c *conn) serve() error {
 	if err := c.SetReadDeadline(time.Now().Add(helloWait)); err != nil {
 		return err
--- /dev/null
+++ b/internal/standin/clock/library/shift.c
@@ -0,0 +1,87 @@
+/* Steps the wall clock of one process: loaded into it (LD_PRELOAD), it leads the clock entry of that process's own vDSO
+ * here. Wall clock readings have the number of nanoseconds added that stands in the file named by LICHENSHELF_TEST_CLOCK;
+ * the monotonic clock runs on as it does. */
+#define _GNU_SOURCE
+#include <elf.h>
+#include <fcntl.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/auxv.h>
+#include <sys/mman.h>
+#include <sys/syscall.h>
+#include <time.h>
+#include <unistd.h>
+
+static volatile int64_t *shift;
+
+static long raw_clock_gettime(long clock, struct timespec *out) {
+	long result;
+	__asm__ volatile("syscall" : "=a"(result) : "a"(SYS_clock_gettime), "D"(clock), "S"(out) : "rcx", "r11", "memory");
+	return result;
+}
+
+static int shifted(clockid_t clock, struct timespec *out) {
+	long result = raw_clock_gettime(clock, out);
+	if (result == 0 && (clock == CLOCK_REALTIME || clock == CLOCK_REALTIME_COARSE)) {
+		int64_t at = (int64_t)out->tv_sec * 1000000000 + out->tv_nsec + *shift;
+		out->tv_sec = at / 1000000000;
+		out->tv_nsec = at % 1000000000;
+	}
+	return (int)result;
+}
+
+/* entry finds a function of the vDSO. */
+static unsigned char *entry(const char *name) {
+	unsigned char *base = (unsigned char *)getauxval(AT_SYSINFO_EHDR);
+	if (!base) return NULL;
+	Elf64_Ehdr *head = (Elf64_Ehdr *)base;
+	Elf64_Phdr *part = (Elf64_Phdr *)(base + head->e_phoff);
+	Elf64_Dyn *dynamic = NULL;
+	uintptr_t load = (uintptr_t)base;
+	for (int i = 0; i < head->e_phnum; i++) {
+		if (part[i].p_type == PT_LOAD) load = (uintptr_t)base + part[i].p_offset - part[i].p_vaddr;
+		if (part[i].p_type == PT_DYNAMIC) dynamic = (Elf64_Dyn *)(base + part[i].p_offset);
+	}
+	if (!dynamic) return NULL;
+	Elf64_Sym *symbols = NULL;
+	const char *names = NULL;
+	for (Elf64_Dyn *d = dynamic; d->d_tag != DT_NULL; d++) {
+		if (d->d_tag == DT_SYMTAB) symbols = (Elf64_Sym *)(load + d->d_un.d_ptr);
+		if (d->d_tag == DT_STRTAB) names = (const char *)(load + d->d_un.d_ptr);
+	}
+	if (!symbols || !names) return NULL;
+	/* The string table follows the symbols. */
+	for (Elf64_Sym *s = symbols; (const char *)s < names; s++)
+		if (strcmp(names + s->st_name, name) == 0) return (unsigned char *)(load + s->st_value);
+	return NULL;
+}
+
+/* lead makes a function jump to another one. */
+static int lead(unsigned char *from, void *to) {
+	unsigned char jump[12] = {0x48, 0xb8, 0, 0, 0, 0, 0, 0, 0, 0, 0xff, 0xe0}; /* movabs to, %rax; jmp *%rax */
+	memcpy(jump + 2, &to, 8);
+	uintptr_t page = (uintptr_t)from & ~(uintptr_t)4095;
+	if (mprotect((void *)page, 8192, PROT_READ | PROT_WRITE | PROT_EXEC) == 0 ||
+	    mprotect((void *)page, 4096, PROT_READ | PROT_WRITE | PROT_EXEC) == 0) {
+		memcpy(from, jump, sizeof jump);
+		return 1;
+	}
+	int memory = open("/proc/self/mem", O_RDWR | O_CLOEXEC);
+	if (memory < 0) return 0;
+	ssize_t n = pwrite(memory, jump, sizeof jump, (off_t)(uintptr_t)from);
+	close(memory);
+	return n == (ssize_t)sizeof jump;
+}
+
+__attribute__((constructor)) static void begin(void) {
+	const char *path = getenv("LICHENSHELF_TEST_CLOCK");
+	if (!path) return;
+	int file = open(path, O_RDONLY | O_CLOEXEC);
+	if (file < 0) _exit(120);
+	shift = mmap(NULL, 4096, PROT_READ, MAP_SHARED, file, 0);
+	close(file);
+	if (shift == MAP_FAILED) _exit(121);
+	unsigned char *clock = entry("__vdso_clock_gettime");
+	if (!clock || !lead(clock, shifted)) _exit(122);
+}
--- /dev/null
+++ b/internal/standin/syscalls/syscalls.go
@@ -0,0 +1,291 @@
+// Package syscalls makes chosen system calls of another process fail, as Linux documents that they may. The program is the
+// real one, unchanged: a seccomp filter on that process alone hands the chosen calls to the test, which lets each one
+// through, answers it with an error instead, or holds it for a while. No rights are needed.
+//
+// The filter has to be installed by the process itself before it becomes the program under test. A test binary does that
+// for it: its TestMain calls Launch first, and Command makes a command that starts the test binary again.
+package syscalls
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"runtime"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+	"unsafe"
+
+	"golang.org/x/sys/unix"
+)
+
+// The calls that can be handed to a test, by the names of the manual's section 2.
+const (
+	Accept4   = unix.SYS_ACCEPT4
+	Connect   = unix.SYS_CONNECT
+	Fdatasync = unix.SYS_FDATASYNC
+	Fsync     = unix.SYS_FSYNC
+	Poll      = unix.SYS_POLL
+	Pwrite64  = unix.SYS_PWRITE64
+	Socket    = unix.SYS_SOCKET
+)
+
+const (
+	launchVariable = "LICHENSHELF_TEST_TRAP" // the calls to hand over, for Launch
+	listenerFile   = 3                       // the descriptor over which Launch sends the filter's listener
+	pollEvery      = 50                      // milliseconds until a listener whose process is gone is noticed
+
+	auditArchX8664   = 0xc000003e // of struct seccomp_data
+	offsetOfNumber   = 0
+	offsetOfArch     = 4
+	notifyReceive    = 0xc0502100 // SECCOMP_IOCTL_NOTIF_RECV
+	notifySend       = 0xc0182101 // SECCOMP_IOCTL_NOTIF_SEND
+	continueResponse = 1          // SECCOMP_USER_NOTIF_FLAG_CONTINUE
+)
+
+// notification is struct seccomp_notif.
+type notification struct {
+	ID                 uint64
+	PID, Flags         uint32
+	Number             int32
+	Arch               uint32
+	InstructionPointer uint64
+	Arguments          [6]uint64
+}
+
+// response is struct seccomp_notif_resp.
+type response struct {
+	ID    uint64
+	Value int64
+	Error int32
+	Flags uint32
+}
+
+// Fault says what becomes of a call: with an Errno it fails with that, after Delay.
+type Fault struct {
+	Errno syscall.Errno // 0: the call is let through
+	Delay time.Duration
+}
+
+// Decide is asked for each trapped call, by its number, one call at a time.
+type Decide func(call int) Fault
+
+// Faults answers the trapped calls of one process. It is safe for use from any goroutine.
+type Faults struct {
+	mu     sync.Mutex
+	decide Decide
+	failed map[int]int
+}
+
+// Set replaces what decides; nil lets all calls through.
+func (f *Faults) Set(decide Decide) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.decide = decide
+}
+
+// Failed is how many calls of a number have been answered with an error.
+func (f *Faults) Failed(call int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.failed[call]
+}
+
+func (f *Faults) ask(call int) Fault {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.decide == nil {
+		return Fault{}
+	}
+	fault := f.decide(call)
+	if fault.Errno != 0 {
+		f.failed[call]++
+	}
+	return fault
+}
+
+// Next returns a Decide that fails the next n calls of a number and lets all others through.
+func Next(call, n int, errno syscall.Errno) Decide {
+	return func(c int) Fault {
+		if c != call || n == 0 {
+			return Fault{}
+		}
+		n--
+		return Fault{Errno: errno}
+	}
+}
+
+// Always returns a Decide that fails all calls of the numbers.
+func Always(errno syscall.Errno, calls ...int) Decide {
+	return func(c int) Fault {
+		if slices.Contains(calls, c) {
+			return Fault{Errno: errno}
+		}
+		return Fault{}
+	}
+}
+
+// Command is exec.Command for a program whose calls of the given numbers are handed to the returned Faults. The caller's
+// TestMain must call Launch. Its environment may be added to before it is started.
+func Command(calls []int, program string, args ...string) (*exec.Cmd, *Faults, error) {
+	ours, theirs, err := socketPair()
+	if err != nil {
+		return nil, nil, err
+	}
+	numbers := make([]string, len(calls))
+	for i, c := range calls {
+		numbers[i] = strconv.Itoa(c)
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return nil, nil, fmt.Errorf("trap system calls: %w", err)
+	}
+	cmd := exec.Command(self, append([]string{program}, args...)...)
+	cmd.Env = append(os.Environ(), launchVariable+"="+strings.Join(numbers, ","))
+	cmd.ExtraFiles = []*os.File{theirs}
+	f := &Faults{failed: map[int]int{}}
+	go f.follow(ours)
+	return cmd, f, nil
+}
+
+func socketPair() (ours *net.UnixConn, theirs *os.File, err error) {
+	fds, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, nil, fmt.Errorf("trap system calls: %w", err)
+	}
+	file := os.NewFile(uintptr(fds[0]), "trap")
+	defer file.Close()
+	c, err := net.FileConn(file)
+	if err != nil {
+		return nil, nil, fmt.Errorf("trap system calls: %w", err)
+	}
+	return c.(*net.UnixConn), os.NewFile(uintptr(fds[1]), "trap"), nil
+}
+
+// follow takes the listener from the launched process and answers its calls until that process has ended.
+func (f *Faults) follow(from *net.UnixConn) {
+	defer from.Close()
+	control := make([]byte, unix.CmsgSpace(4))
+	_, n, _, _, err := from.ReadMsgUnix(make([]byte, 1), control)
+	if err != nil {
+		return
+	}
+	messages, err := unix.ParseSocketControlMessage(control[:n])
+	if err != nil || len(messages) == 0 {
+		return
+	}
+	fds, err := unix.ParseUnixRights(&messages[0])
+	if err != nil || len(fds) == 0 {
+		return
+	}
+	defer unix.Close(fds[0])
+	f.answer(fds[0])
+}
+
+func (f *Faults) answer(listener int) {
+	for {
+		ready := []unix.PollFd{{Fd: int32(listener), Events: unix.POLLIN}}
+		if n, err := unix.Poll(ready, pollEvery); n == 0 || errors.Is(err, unix.EINTR) {
+			continue
+		}
+		if ready[0].Revents&unix.POLLIN == 0 {
+			return // the process has ended
+		}
+		var call notification
+		if errno := control(listener, notifyReceive, unsafe.Pointer(&call)); errno != 0 {
+			continue // the caller has gone meanwhile
+		}
+		fault := f.ask(int(call.Number))
+		if fault.Delay == 0 {
+			respond(listener, call.ID, fault.Errno)
+			continue
+		}
+		time.AfterFunc(fault.Delay, func() { respond(listener, call.ID, fault.Errno) })
+	}
+}
+
+func respond(listener int, id uint64, errno syscall.Errno) {
+	r := response{ID: id, Flags: continueResponse}
+	if errno != 0 {
+		r = response{ID: id, Error: -int32(errno)}
+	}
+	_ = control(listener, notifySend, unsafe.Pointer(&r)) // it fails where the caller has gone meanwhile
+}
+
+func control(fd int, request uintptr, argument unsafe.Pointer) syscall.Errno {
+	_, _, errno := unix.Syscall(unix.SYS_IOCTL, uintptr(fd), request, uintptr(argument))
+	return errno
+}
+
+// Launch becomes the program that Command was given, with the filter installed, if this process was started by such a
+// command. Else it returns at once. TestMain has to call it before anything else.
+func Launch() {
+	text := os.Getenv(launchVariable)
+	if text == "" {
+		return
+	}
+	if err := launch(text); err != nil {
+		fmt.Fprintln(os.Stderr, "trap system calls:", err)
+		os.Exit(1)
+	}
+}
+
+func launch(text string) error {
+	var calls []uint32
+	for _, number := range strings.Split(text, ",") {
+		n, err := strconv.ParseUint(number, 10, 32)
+		if err != nil {
+			return fmt.Errorf("%s: %w", launchVariable, err)
+		}
+		calls = append(calls, uint32(n))
+	}
+	runtime.LockOSThread() // the filter is the thread's that becomes the program
+	listener, err := install(calls)
+	if err != nil {
+		return err
+	}
+	if err := unix.Sendmsg(listenerFile, []byte{0}, unix.UnixRights(listener), nil, 0); err != nil {
+		return fmt.Errorf("send the listener: %w", err)
+	}
+	_ = unix.Close(listener)
+	_ = unix.Close(listenerFile)
+	env := slices.DeleteFunc(os.Environ(), func(v string) bool { return strings.HasPrefix(v, launchVariable+"=") })
+	return fmt.Errorf("start %s: %w", os.Args[1], syscall.Exec(os.Args[1], os.Args[1:], env))
+}
+
+// install hands the calls of this thread, and of what it becomes, to a listener.
+func install(calls []uint32) (listener int, err error) {
+	if err := unix.Prctl(unix.PR_SET_NO_NEW_PRIVS, 1, 0, 0, 0); err != nil {
+		return 0, fmt.Errorf("no new privileges: %w", err)
+	}
+	filter := program(calls)
+	p := unix.SockFprog{Len: uint16(len(filter)), Filter: &filter[0]}
+	fd, _, errno := unix.Syscall(unix.SYS_SECCOMP, unix.SECCOMP_SET_MODE_FILTER, unix.SECCOMP_FILTER_FLAG_NEW_LISTENER, uintptr(unsafe.Pointer(&p)))
+	if errno != 0 {
+		return 0, fmt.Errorf("install the filter: %w", errno)
+	}
+	return int(fd), nil
+}
+
+// program is the filter: the calls are handed over, all else is let through.
+func program(calls []uint32) []unix.SockFilter {
+	load := func(at uint32) unix.SockFilter {
+		return unix.SockFilter{Code: unix.BPF_LD | unix.BPF_W | unix.BPF_ABS, K: at}
+	}
+	end := func(verdict uint32) unix.SockFilter {
+		return unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K, K: verdict}
+	}
+	equal := func(to uint32, yes, no uint8) unix.SockFilter {
+		return unix.SockFilter{Code: unix.BPF_JMP | unix.BPF_JEQ | unix.BPF_K, K: to, Jt: yes, Jf: no}
+	}
+	out := []unix.SockFilter{load(offsetOfArch), equal(auditArchX8664, 1, 0), end(unix.SECCOMP_RET_ALLOW), load(offsetOfNumber)}
+	for _, c := range calls {
+		out = append(out, equal(c, 0, 1), end(unix.SECCOMP_RET_USER_NOTIF))
+	}
+	return append(out, end(unix.SECCOMP_RET_ALLOW))
+}
--- /dev/null
+++ b/test/faults_test.go
@@ -0,0 +1,135 @@
+package test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lichenshelf/internal/standin/syscalls"
+)
+
+// running fails the test if the program has ended.
+func (p *program) running() {
+	p.t.Helper()
+	select {
+	case err := <-p.exit:
+		p.t.Fatalf("the program has ended: %v", err)
+	default:
+	}
+}
+
+// Linux may answer an accept with an error of the network or of the machine's resources that is over a moment later. The
+// listener goes on: none of them ends the router.
+func TestARouterOutlivesFailedAccepts(t *testing.T) {
+	r, w := pair(t, nil)
+	p, faults, _ := platformTrapped(t, []int{syscalls.Accept4}, r, w)
+	for _, errno := range []syscall.Errno{syscall.ECONNABORTED, syscall.EINTR, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM,
+		syscall.EPROTO, syscall.EPERM, syscall.ENETDOWN, syscall.ENETUNREACH, syscall.EHOSTDOWN, syscall.EHOSTUNREACH, syscall.ENONET,
+		syscall.ENOPROTOOPT, syscall.EOPNOTSUPP, syscall.ETIMEDOUT} {
+		failed := faults.Failed(syscalls.Accept4)
+		faults.Set(syscalls.Next(syscalls.Accept4, 3, errno))
+		req := p.request("query", newID(), 3*time.Second)
+		req.Close = true
+		a := do(req)
+		require.NoError(t, a.err, errno.Error())
+		require.Equal(t, http.StatusOK, a.status, errno.Error())
+		require.Greater(t, faults.Failed(syscalls.Accept4), failed, errno.Error())
+		p.running()
+	}
+}
+
+// A disk that takes no write for some seconds ends no router: the replica takes no write meanwhile and comes back by itself,
+// with all that was acknowledged. The rest of the router goes on all the while.
+func TestARouterOutlivesTheDiskOfItsStore(t *testing.T) {
+	for name, down := range map[string]syscalls.Decide{
+		"no sync":  syscalls.Always(syscall.EIO, syscalls.Fdatasync, syscalls.Fsync),
+		"no space": syscalls.Always(syscall.ENOSPC, syscalls.Pwrite64),
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newWorker(t, "m-a", "model", model)
+			var disks []*syscalls.Faults
+			programs, apis, front, _ := replicasStarted(t, backendFile(b), false, func(addr string, args ...string) *program {
+				p, faults := startTrapped(t, []int{syscalls.Fdatasync, syscalls.Fsync, syscalls.Pwrite64}, addr, nil, args...)
+				disks = append(disks, faults)
+				return p
+			})
+			front.waitReady()
+			a := &api{program: front}
+			status, _ := storeCall(t, http.MethodPost, "http://"+apis[0]+"/v1/nodes/n", "0")
+			require.Equal(t, http.StatusCreated, status)
+			for i := range 10 {
+				status, _ = storeCall(t, http.MethodPut, "http://"+apis[0]+"/v1/nodes/n", fmt.Sprint(i))
+				require.Equal(t, http.StatusNoContent, status)
+			}
+			for _, d := range disks {
+				d.Set(down)
+			}
+			var asked sync.WaitGroup
+			for i := range 3 {
+				asked.Go(func() {
+					req, err := http.NewRequest(http.MethodPut, "http://"+apis[i]+"/v1/nodes/n", strings.NewReader("lost or not"))
+					require.NoError(t, err)
+					resp, err := hasty.Do(req)
+					if err == nil {
+						_, _ = io.Copy(io.Discard, resp.Body)
+						_ = resp.Body.Close()
+						require.NotEqual(t, http.StatusNoContent, resp.StatusCode, "acknowledged, and on no disk")
+					}
+				})
+			}
+			for end := time.Now().Add(4 * time.Second); time.Now().Before(end); {
+				require.Equal(t, http.StatusOK, a.post(embedPath, "", embedBody).status)
+				for _, p := range programs {
+					p.running()
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+			asked.Wait()
+			for _, d := range disks {
+				d.Set(nil)
+			}
+			status, _ = storeCall(t, http.MethodPut, "http://"+apis[0]+"/v1/nodes/n", "after")
+			require.Equal(t, http.StatusNoContent, status)
+			for i := range 3 {
+				eventually(t, func() bool {
+					_, n := storeCall(t, http.MethodGet, "http://"+apis[i]+"/v1/nodes/n", "")
+					return n["data"] == "after"
+				}, "each replica has come back")
+				programs[i].running()
+			}
+		})
+	}
+}
+
+// backendFile is what a model API's file says of a backend.
+func backendFile(b *worker) string {
+	return fmt.Sprintf("[[backend]]\nname = %q\naddr = %q\n", b.name, b.Listener.Addr())
+}
+
+// What the router's own machine lacks for a moment is no fault of the worker to which a connection was being opened.
+func TestAFailedDialForLackOfItsOwnIsNoFaultOfAWorker(t *testing.T) {
+	r, w := pair(t, nil)
+	p, faults, _ := platformTrapped(t, []int{syscalls.Connect, syscalls.Socket}, r, w)
+	for call, errnos := range map[int][]syscall.Errno{
+		syscalls.Connect: {syscall.EADDRNOTAVAIL, syscall.ENOBUFS, syscall.ENETUNREACH, syscall.EAGAIN, syscall.EPERM},
+		syscalls.Socket:  {syscall.ENOBUFS, syscall.ENOMEM, syscall.ENFILE, syscall.EMFILE},
+	} {
+		for _, errno := range errnos {
+			r.CloseClientConnections()
+			w.CloseClientConnections()
+			time.Sleep(20 * time.Millisecond) // the router has seen them end
+			failed := faults.Failed(call)
+			faults.Set(syscalls.Next(call, 2, errno))
+			require.Equal(t, http.StatusOK, p.ask("query", newID(), 3*time.Second).status, errno.Error())
+			require.Equal(t, failed+2, faults.Failed(call), errno.Error())
+		}
+	}
+	require.False(t, p.logged("outcome=connect_failed"), "a worker was blamed")
+}
