A passing error of accept ends no listener, and with it no router

Cause: downstream/listener.go Accept spared EMFILE and ENFILE alone; fleet/link Serve and the store's API ended at any error, zkfront at all that Go doesn't call temporary. Daemon.Serve ends with the first of them: 'lichenshelf ends error="serve clients: accept tcp 127.77.0.2:34849: accept4: no buffer space available"', and all requests in hand were lost with it. Counter accepts_failed. Ruled out: ECONNABORTED and EINTR, which Go's own loop takes.

--- a/downstream/listener.go
+++ b/downstream/listener.go
@@ -5,7 +5,6 @@
 package downstream
 
 import (
-	"errors"
 	"io"
 	"net"
 	"os"
@@ -16,6 +15,7 @@
 
 	"golang.org/x/sys/unix"
 
+	accepting "lichenshelf/internal/listener"
 	"lichenshelf/router"
 )
 
@@ -47,9 +47,6 @@
 // freshFor is how long a new connection is left open at the end, for its request to come.
 const freshFor = time.Second
 
-// noDescriptor is how long to wait for one where the system has none left.
-const noDescriptor = 5 * time.Millisecond
-
 // One of endingPart connections may be ending beside those in use: what gives way is shut first, and
 // closed when its client has seen that.
 const endingPart = 16
@@ -60,17 +57,13 @@
 func (l *listener) Accept() (net.Conn, error) {
 	for {
 		nc, err := l.Listener.Accept()
-		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
-			// The server would end on this error.
-			l.count.Add("connections_without_a_descriptor", 1)
-			l.mu.Lock()
-			l.evict(true)
-			l.mu.Unlock()
-			time.Sleep(noDescriptor)
-			continue
-		}
 		if err != nil {
-			return nil, err
+			if !accepting.Passes(err) {
+				return nil, err
+			}
+			l.failed(err) // the server would end on the error
+			time.Sleep(accepting.RetryAfter)
+			continue
 		}
 		c := &conn{Conn: nc, home: l, phase: waiting, since: time.Now()}
 		if l.take(c) {
@@ -81,6 +74,18 @@
 	}
 }
 
+// failed takes an error of accept that passes by itself, or, where a descriptor lacks, as one of ours is closed.
+func (l *listener) failed(err error) {
+	if !accepting.LacksDescriptor(err) {
+		l.count.Add("accepts_failed", 1)
+		return
+	}
+	l.count.Add("connections_without_a_descriptor", 1)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.evict(true)
+}
+
 // take adds a connection, if need be in place of another.
 func (l *listener) take(c *conn) bool {
 	l.mu.Lock()
--- a/fleet/link/link.go
+++ b/fleet/link/link.go
@@ -32,6 +32,7 @@
 	"github.com/sirupsen/logrus"
 
 	"lichenshelf/fleet/node"
+	accepting "lichenshelf/internal/listener"
 )
 
 // Version is what this program writes.
@@ -307,8 +308,9 @@
 // Serve takes others' connections until the listener is closed.
 func (l *Link) Serve(listener net.Listener) error {
 	most := 2*len(l.peers) + 8
+	open := accepting.Resilient(listener, func(error) { l.cfg.Counters.Add("accepts_failed", 1) })
 	for {
-		c, err := listener.Accept()
+		c, err := open.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
--- a/front/zkfront/server.go
+++ b/front/zkfront/server.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"lichenshelf/discovery/zkwire"
+	"lichenshelf/internal/listener"
 	"lichenshelf/store"
 )
 
@@ -106,8 +107,9 @@
 // Serve serves a listener until Close.
 func (s *Server) Serve(l net.Listener) error {
 	defer context.AfterFunc(s.ctx, func() { _ = l.Close() })()
+	open := listener.Resilient(l, nil)
 	for {
-		c, err := l.Accept()
+		c, err := open.Accept()
 		if s.ctx.Err() != nil {
 			if err == nil {
 				_ = c.Close()
@@ -115,11 +117,6 @@
 			return nil
 		}
 		if err != nil {
-			var passing interface{ Temporary() bool }
-			if errors.As(err, &passing) && passing.Temporary() { // out of descriptors, say
-				time.Sleep(touchPace)
-				continue
-			}
 			return fmt.Errorf("accept ZooKeeper clients: %w", err)
 		}
 		s.take(c)
--- a/store/api.go
+++ b/store/api.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"lichenshelf/internal/listener"
 )
 
 // The paths of the API.
@@ -55,7 +57,7 @@
 
 // Serve serves until Close.
 func (a *API) Serve(l net.Listener) error {
-	if err := a.server.Serve(l); err != nil {
+	if err := a.server.Serve(listener.Resilient(l, nil)); err != nil {
 		return fmt.Errorf("serve the store: %w", err)
 	}
 	return nil
