What the router's own machine lacks at a dial is not held against the worker

Cause: upstream/pool.go getFor spared the worker for EMFILE and ENFILE alone; EADDRNOTAVAIL, ENOBUFS, ENOMEM, ENETUNREACH, ENETDOWN, EAGAIN, EPERM came out as 'outcome=connect_failed', for which logic.judge forgets what the worker keeps, suspects it, and at the second one in a row sends to it as to a cold one. Change: they end an attempt as one without a connection (turned away, unreached), as the lack of a descriptor does.

--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -161,8 +161,8 @@
 	nc, err := d.DialContext(ctx, "tcp", w.Addr)
 	if err != nil {
 		p.closed()
-		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
-			return nil, fmt.Errorf("%w: %w", errFull, err) // that is not the worker's fault
+		if lacking(err) {
+			return nil, fmt.Errorf("%w: %w", errFull, err)
 		}
 		return nil, fmt.Errorf("connect to %s: %w", w.Name, err)
 	}
@@ -170,6 +170,16 @@
 	return &conn{TCPConn: tc, br: bufio.NewReaderSize(tc, readBuffer), pool: p, ended: make(chan struct{})}, nil
 }
 
+// ownFaults are the errors of socket and connect by which the router's own machine says that it lacks something now
+// (socket(2), connect(2)). They tell nothing of the worker.
+var ownFaults = []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL, syscall.EAGAIN,
+	syscall.ENETUNREACH, syscall.ENETDOWN, syscall.EPERM, syscall.EACCES}
+
+// lacking tells whether a connection could not be opened for want of something on the router's own machine.
+func lacking(err error) bool {
+	return slices.ContainsFunc(ownFaults, func(fault error) bool { return errors.Is(err, fault) })
+}
+
 const (
 	// staleWithin is how soon a request breaks off that met a connection which its
 	// worker had dropped.
