A router outlives its store's disk, and the replica comes back by itself

Cause: raft ends the process where its term can't be saved (raft.go:2144, setCurrentTerm in electSelf): 'panic: failed to save current term: input/output error', in two of three replicas within two seconds of failing syncs; ENOSPC from pwrite the same. Change: store/disk.go stands before raft's file. Terms, votes and deletions are written until the disk takes them, meanwhile the replica votes for nobody; entries that failed are told as failed, by which a leader steps down, and are deleted before others are written. What is relied on after a failed fsync stands there: the file is copy-on-write, and each try is a new transaction that writes all its pages anew. Ruled out: returning the errors (panics), waiting in StoreLogs too (a leader would go on with its heartbeats and keep the others from electing one).

--- /dev/null
+++ b/store/disk.go
@@ -0,0 +1,158 @@
+package store
+
+import (
+	"io"
+	"runtime"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/hashicorp/go-hclog"
+	"github.com/hashicorp/raft"
+)
+
+// diskRetryLeast and diskRetryMost bound the pause before a write that failed is tried again.
+const (
+	diskRetryLeast = 20 * time.Millisecond
+	diskRetryMost  = 500 * time.Millisecond
+)
+
+// logFile is where raft's log and its term are kept.
+type logFile interface {
+	raft.LogStore
+	raft.StableStore
+	io.Closer
+}
+
+// disk is a log file whose writes may fail for a while (ENOSPC, EIO). Raft ends the process where its term can't be saved,
+// and is stuck where a deletion fails, so those writes are tried again until they succeed: until then this replica votes for
+// nobody and acknowledges nothing, and the other replicas go on without it. A failed write of log entries is returned, by
+// which a leader steps down.
+//
+// After a failed fsync the kernel may take pages for clean that never reached the disk, so that syncing them again proves
+// nothing. Nothing here relies on that: the file below (bbolt) is copy-on-write, and a write that is tried again is a new
+// transaction, which writes every page that it refers to and that was not in a transaction synced before, and then its own
+// meta page. What failed may still be found in the file, as after a crash; entries of which that is so are deleted before
+// others are written, or they would stand behind the next leader's.
+type disk struct {
+	file    logFile
+	log     hclog.Logger
+	closing chan struct{}
+
+	mu       sync.Mutex
+	doubtful indexes // entries that may be in the file though writing them failed
+	failing  bool    // told in the log, and nothing has been written since
+}
+
+// indexes are those of log entries, first and last; the zero value is none.
+type indexes struct{ first, last uint64 }
+
+// with returns a range that covers another one too.
+func (i indexes) with(other indexes) indexes {
+	if i == (indexes{}) {
+		return other
+	}
+	return indexes{min(i.first, other.first), max(i.last, other.last)}
+}
+
+func newDisk(file logFile, log hclog.Logger) *disk {
+	return &disk{file: file, log: log, closing: make(chan struct{})}
+}
+
+// shut ends the waits for the disk. It is to be called once, before raft is shut down.
+func (d *disk) shut() { close(d.closing) }
+
+// FirstIndex implements raft.LogStore.
+func (d *disk) FirstIndex() (uint64, error) { return d.file.FirstIndex() }
+
+// LastIndex implements raft.LogStore.
+func (d *disk) LastIndex() (uint64, error) { return d.file.LastIndex() }
+
+// GetLog implements raft.LogStore.
+func (d *disk) GetLog(index uint64, log *raft.Log) error { return d.file.GetLog(index, log) }
+
+// StoreLog implements raft.LogStore.
+func (d *disk) StoreLog(log *raft.Log) error { return d.StoreLogs([]*raft.Log{log}) }
+
+// StoreLogs implements raft.LogStore.
+func (d *disk) StoreLogs(logs []*raft.Log) error {
+	if len(logs) == 0 {
+		return nil
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.doubtful != (indexes{}) {
+		if err := d.file.DeleteRange(d.doubtful.first, d.doubtful.last); err != nil {
+			d.failed(err)
+			return err
+		}
+		d.doubtful = indexes{}
+	}
+	err := d.file.StoreLogs(logs)
+	if err != nil {
+		d.doubtful = d.doubtful.with(indexes{logs[0].Index, logs[len(logs)-1].Index})
+		d.failed(err)
+		return err
+	}
+	d.succeeded()
+	return nil
+}
+
+// DeleteRange implements raft.LogStore.
+func (d *disk) DeleteRange(first, last uint64) error {
+	return d.untilWritten(func() error { return d.file.DeleteRange(first, last) })
+}
+
+// Set implements raft.StableStore.
+func (d *disk) Set(key, value []byte) error {
+	return d.untilWritten(func() error { return d.file.Set(key, value) })
+}
+
+// SetUint64 implements raft.StableStore.
+func (d *disk) SetUint64(key []byte, value uint64) error {
+	return d.untilWritten(func() error { return d.file.SetUint64(key, value) })
+}
+
+// Get implements raft.StableStore.
+func (d *disk) Get(key []byte) ([]byte, error) { return d.file.Get(key) }
+
+// GetUint64 implements raft.StableStore.
+func (d *disk) GetUint64(key []byte) (uint64, error) { return d.file.GetUint64(key) }
+
+// untilWritten writes until it succeeds. Where the replica is closed before that, the calling goroutine, one of raft's own,
+// ends here: raft takes an error for a reason to end the process.
+func (d *disk) untilWritten(write func() error) error {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval, pause.MaxInterval = diskRetryLeast, diskRetryMost
+	for {
+		err := write()
+		d.mu.Lock()
+		if err == nil {
+			d.succeeded()
+			d.mu.Unlock()
+			return nil
+		}
+		d.failed(err)
+		d.mu.Unlock()
+		select {
+		case <-time.After(pause.NextBackOff()):
+		case <-d.closing:
+			runtime.Goexit()
+		}
+	}
+}
+
+// failed and succeeded tell people of a disk that takes no writes, once, and of its end. The lock is held.
+func (d *disk) failed(err error) {
+	if !d.failing {
+		d.log.Error("the disk takes no writes, the replica waits for it", "error", err)
+	}
+	d.failing = true
+}
+
+func (d *disk) succeeded() {
+	if d.failing {
+		d.log.Warn("the disk takes writes again")
+	}
+	d.failing = false
+}
--- a/store/replica.go
+++ b/store/replica.go
@@ -59,7 +59,7 @@
 	machine  *machine
 	raft     *raft.Raft
 	network  *raft.NetworkTransport
-	logs     *raftboltdb.BoltStore
+	disk     *disk
 	peers    fasthttp.Client // to the leader's API
 	sessions sessions
 	reads    gate
@@ -86,7 +86,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("open log: %w", err)
 	}
-	r := &Replica{cfg: cfg, machine: newMachine(), logs: logs, stopped: make(chan struct{}), caught: make(chan struct{}), peers: onceClient()}
+	r := &Replica{cfg: cfg, machine: newMachine(), disk: newDisk(logs, cfg.logger()), stopped: make(chan struct{}), caught: make(chan struct{}), peers: onceClient()}
 	if err := r.start(self); err != nil {
 		_ = logs.Close()
 		return nil, err
@@ -135,14 +135,22 @@
 	return Peer{}, fmt.Errorf("replica %q is not among the peers", c.ID)
 }
 
-func (r *Replica) start(self Peer) error {
-	out := r.cfg.Log
-	if out == nil {
-		out = io.Discard
+// output is where raft's log goes.
+func (c *Config) output() io.Writer {
+	if c.Log == nil {
+		return io.Discard
 	}
+	return c.Log
+}
+
+func (c *Config) logger() hclog.Logger {
+	return hclog.New(&hclog.LoggerOptions{Name: "raft", Output: c.output(), Level: hclog.Warn})
+}
+
+func (r *Replica) start(self Peer) error {
 	rc := raft.DefaultConfig()
 	rc.LocalID = raft.ServerID(self.ID)
-	rc.Logger = hclog.New(&hclog.LoggerOptions{Name: "raft", Output: out, Level: hclog.Warn})
+	rc.Logger = r.cfg.logger()
 	if p := r.cfg.Pace; p > 0 {
 		rc.HeartbeatTimeout, rc.ElectionTimeout, rc.LeaderLeaseTimeout, rc.CommitTimeout = p, p, p/2, p/20
 	}
@@ -150,7 +158,7 @@
 	if err != nil {
 		return fmt.Errorf("open snapshots: %w", err)
 	}
-	known, err := raft.HasExistingState(r.logs, r.logs, snapshots)
+	known, err := raft.HasExistingState(r.disk, r.disk, snapshots)
 	if err != nil {
 		return fmt.Errorf("read state: %w", err)
 	}
@@ -158,7 +166,7 @@
 	if err != nil {
 		return fmt.Errorf("raft address: %w", err)
 	}
-	if r.network, err = raft.NewTCPTransport(self.Raft, advertised, raftConns, raftWait, out); err != nil {
+	if r.network, err = raft.NewTCPTransport(self.Raft, advertised, raftConns, raftWait, r.cfg.output()); err != nil {
 		return fmt.Errorf("listen for replicas: %w", err)
 	}
 	if !known {
@@ -166,12 +174,12 @@
 		for _, p := range r.cfg.Peers {
 			first.Servers = append(first.Servers, raft.Server{ID: raft.ServerID(p.ID), Address: raft.ServerAddress(p.Raft)})
 		}
-		if err := raft.BootstrapCluster(rc, r.logs, r.logs, snapshots, r.network, first); err != nil {
+		if err := raft.BootstrapCluster(rc, r.disk, r.disk, snapshots, r.network, first); err != nil {
 			_ = r.network.Close()
 			return fmt.Errorf("first configuration: %w", err)
 		}
 	}
-	if r.raft, err = raft.NewRaft(rc, r.machine, r.logs, r.logs, snapshots, r.network); err != nil {
+	if r.raft, err = raft.NewRaft(rc, r.machine, r.disk, r.disk, snapshots, r.network); err != nil {
 		_ = r.network.Close()
 		return fmt.Errorf("start raft: %w", err)
 	}
@@ -182,8 +190,9 @@
 func (r *Replica) Close() error {
 	r.stop()
 	<-r.stopped
+	r.disk.shut()
 	err := r.raft.Shutdown().Error()
-	return errors.Join(err, r.network.Close(), r.logs.Close())
+	return errors.Join(err, r.network.Close(), r.disk.file.Close())
 }
 
 // ID is this replica's name among the peers.
--- a/test/faults_test.go
+++ b/test/faults_test.go
@@ -92,9 +92,13 @@
 				time.Sleep(50 * time.Millisecond)
 			}
 			asked.Wait()
+			last := programs[2]
+			last.signal(syscall.SIGTERM) // a replica that waits for its disk can be stopped
+			last.waitExit()
 			for _, d := range disks {
 				d.Set(nil)
 			}
+			programs[2] = start(t, last.addr, nil, last.cmd.Args[2:]...)
 			status, _ = storeCall(t, http.MethodPut, "http://"+apis[0]+"/v1/nodes/n", "after")
 			require.Equal(t, http.StatusNoContent, status)
 			for i := range 3 {
