The time of a request that is sent ahead runs from its arrival, by the monotonic clock

Cause: downstream/listener.go arrived() noted when the server took bytes, also of what the watch had read ahead seconds before; body.go made a wall clock time of it (time.Unix), which a step of the clock moves. A worker was told 979 ms of a client with 298 ms left, and the answer could come after the client's time by as long as the answer before it took: lost, by the rule on final answers. Change: what is read ahead keeps its times of arrival (downstream/arrivals.go), each read hands out what came together, and times are counted on the monotonic clock from the process's start. Ruled out: one Read over several requests, which counts as its first byte's time. Left: bytes past what is read ahead (272 KiB a connection) count as come when they are read; nobody can tell otherwise.

--- a/downstream/body.go
+++ b/downstream/body.go
@@ -51,7 +51,7 @@
 		return nil, nil, false
 	}
 	c.read = true
-	c.Received = time.Unix(0, c.conn.lastRead.Load())
+	c.Received = started.Add(time.Duration(c.conn.lastRead.Load()))
 	return body, func() { in.used.Add(-int64(cap(body))) }, true
 }
 
--- a/downstream/listener.go
+++ b/downstream/listener.go
@@ -229,14 +229,15 @@
 	ending  bool      // it is one of these, or its last answer is out
 	used    bool      // something has come on it
 
-	lastRead atomic.Int64 // when the latest bytes came, in Unix nanoseconds
+	lastRead atomic.Int64 // when the bytes came that the server got last, by sinceStart
 	deadline time.Time    // the server's own
 	watching chan struct{}
-	left     func() // what the watch calls
-	ahead    []byte // read by the watch, for the server
-	err      error  // met by the watch, for the server
-	given    int64  // bytes that the server has got
-	asked    int64  // of them, those of the requests that it has handled, as far as can be told
+	left     func()   // what the watch calls
+	ahead    []byte   // read by the watch, for the server
+	came     arrivals // of what was read ahead
+	err      error    // met by the watch, for the server
+	given    int64    // bytes that the server has got
+	asked    int64    // of them, those of the requests that it has handled, as far as can be told
 }
 
 // enter begins a phase. It tells whether the connection is still there.
@@ -305,7 +306,9 @@
 			}
 			b := make([]byte, step)
 			n, err := c.Conn.Read(b)
-			c.ahead = append(c.ahead, b[:n]...)
+			if n > 0 {
+				c.ahead, c.came = append(c.ahead, b[:n]...), c.came.add(n, sinceStart())
+			}
 			c.home.ahead.used.Add(int64(n - step))
 			if err != nil {
 				c.ended(err)
@@ -374,14 +377,17 @@
 		return 0, net.ErrClosed
 	}
 	if len(c.ahead) > 0 {
-		n := copy(p, c.ahead)
+		rest, n, at := c.came.take(len(p))
+		copy(p, c.ahead[:n])
 		c.home.ahead.used.Add(-int64(n))
+		c.came = rest
 		if c.ahead = c.ahead[n:]; len(c.ahead) == 0 {
-			c.ahead = nil
+			c.ahead, c.came = nil, nil
 		}
-		return c.arrived(n, nil)
+		return c.arrived(n, nil, at)
 	}
-	return c.arrived(c.Conn.Read(p))
+	n, err := c.Conn.Read(p)
+	return c.arrived(n, err, sinceStart())
 }
 
 // between begins the wait for the next request where an answer is out. It tells whether the
@@ -395,15 +401,15 @@
 	return !c.dropped
 }
 
-// arrived takes what was read, unless the connection has been shut meanwhile: its client knows by
+// arrived takes what was read and when it came, unless the connection has been shut meanwhile: its client knows by
 // then that nothing was served.
-func (c *conn) arrived(n int, err error) (int, error) {
+func (c *conn) arrived(n int, err error, at time.Duration) (int, error) {
 	if n > 0 {
 		if !c.enter(reading) {
 			return 0, net.ErrClosed
 		}
 		c.given += int64(n)
-		c.lastRead.Store(time.Now().UnixNano())
+		c.lastRead.Store(int64(at))
 	}
 	if err != nil && !c.between() {
 		return 0, net.ErrClosed
@@ -467,7 +473,7 @@
 func (c *conn) Close() error {
 	c.endWatch()
 	c.home.ahead.used.Add(-int64(len(c.ahead)))
-	c.ahead = nil
+	c.ahead, c.came = nil, nil
 	tcp, ok := c.Conn.(*net.TCPConn)
 	c.home.mu.Lock()
 	defer c.home.mu.Unlock()
