A start that is news counts from when it was heard of, whatever the clocks say

Cause: logic's warmth took the age of a worker for core time, which is the wall clock at the router's start run on, less the list's startedAtMs: another machine's wall clock. Slow start's budget was not applied. fleet/agent/zones.go did the same with the wall clock of each moment. Change: router.Starts, asked as lists come. Only what is found listed at a process's start goes by the wall clock of that moment; what is said once of an incarnation stays. fleet/attempts had this rule already. Ruled out: steps forward (a start in the future was 'now' before). Left: discovery/membership meansToo compares a list's start with the wall clock at which another source spoke.

--- a/discovery/sources/feed.go
+++ b/discovery/sources/feed.go
@@ -102,7 +102,7 @@
 	if err != nil {
 		return fmt.Errorf("sources of %s: %w", f.front, err)
 	}
-	f.tell(changes)
+	f.tell(changes, false)
 	old := f.ports
 	f.ports = map[string]*Port{}
 	for _, p := range plans {
@@ -224,7 +224,10 @@
 }
 
 // Report takes what the source says. The core knows of it when it returns.
-func (p *Port) Report(r membership.Report) {
+func (p *Port) Report(r membership.Report) { p.report(r, nil) }
+
+// report is Report; news tells that the source's list was up to date before, where that is known.
+func (p *Port) report(r membership.Report, news *bool) {
 	f := p.feed
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -233,7 +236,11 @@
 	}
 	r.Source = p.name
 	changes, problems, err := f.set.Report(time.Now(), r)
-	f.tell(changes)
+	if news == nil {
+		before := p.taken > 0
+		news = &before
+	}
+	f.tell(changes, *news)
 	for _, problem := range problems {
 		p.warn(problem)
 	}
@@ -264,7 +271,7 @@
 	}
 	p.failed = true
 	f.log.WithField("source", p.name).WithError(fault).Log(level, "source failed, its workers stay")
-	f.tell(f.set.Fail(time.Now(), p.name, fault.Error()))
+	f.tell(f.set.Fail(time.Now(), p.name, fault.Error()), false)
 }
 
 // Warn notes what is odd in what the source says.
@@ -291,8 +298,9 @@
 
 // Discovered takes a list in the form that a core does, where no start means long ago.
 func (p *Port) Discovered(members []router.Member, whole bool) {
-	r := membership.Report{Whole: whole}
+	r, news := membership.Report{Whole: whole}, false
 	for _, m := range members {
+		news = news || m.News
 		e := membership.Entry{Name: m.Name, Addr: m.Addr, Weight: m.Weight, Cell: m.Cell, Zone: m.Zone, Kind: m.Kind, Since: max(int64(m.Since), membership.LongAgo)}
 		switch m.Health {
 		case logic.Draining:
@@ -302,15 +310,16 @@
 		}
 		r.Entries = append(r.Entries, e)
 	}
-	p.Report(r)
+	p.report(r, &news)
 }
 
-// tell hands changes to the core, and sets the timer for what comes due next.
-func (f *Feed) tell(changes []membership.Change) {
+// tell hands changes to the core, and sets the timer for what comes due next. News tells that who told of the changes had
+// told a list before.
+func (f *Feed) tell(changes []membership.Change, news bool) {
 	if len(changes) > 0 {
 		members := make([]router.Member, 0, len(changes))
 		for _, c := range changes {
-			members = append(members, f.member(c))
+			members = append(members, f.member(c, news))
 		}
 		f.core.Discovered(members, false)
 		f.serving.Store(int64(f.set.Serving()))
@@ -340,12 +349,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.due = time.Time{}
-	f.tell(f.set.Advance(time.Now()))
+	f.tell(f.set.Advance(time.Now()), false)
 }
 
-func (f *Feed) member(c membership.Change) router.Member {
+func (f *Feed) member(c membership.Change, news bool) router.Member {
 	m := c.Member
-	out := router.Member{Name: m.Name, Addr: m.Addr, Member: logic.Member{Server: f.ids.ID(m.Name), Weight: m.Weight,
+	out := router.Member{Name: m.Name, Addr: m.Addr, News: news, Member: logic.Member{Server: f.ids.ID(m.Name), Weight: m.Weight,
 		Cell: m.Cell, Zone: m.Zone, Kind: m.Kind, Since: logic.Time(m.Since)}}
 	if m.Since == membership.LongAgo {
 		out.Since = 0
--- a/fleet/agent/witness.go
+++ b/fleet/agent/witness.go
@@ -129,7 +129,7 @@
 	a := f.agent
 	a.mu.Lock()
 	f.part.Listed(lines(members), whole, time.Now().UnixNano(), a.now())
-	f.zones.listed(f.cfg.Zones, members, whole)
+	f.zones.listed(f.cfg.Zones, members, whole, time.Now())
 	a.mu.Unlock()
 	f.gate.Discovered(members, whole)
 }
--- a/fleet/agent/zones.go
+++ b/fleet/agent/zones.go
@@ -19,7 +19,8 @@
 // behind the agent's lock.
 type spread struct {
 	of      map[string]place // by worker
-	usual   map[string]int   // the most workers that each zone ever had
+	starts  router.Starts
+	usual   map[string]int // the most workers that each zone ever had
 	balance traffic.Balance
 }
 
@@ -27,11 +28,11 @@
 	zone  string
 	index int // as the front numbers zones
 	kind  int
-	since int64
+	began time.Time // zero: long ago
 	ready bool
 }
 
-func (s *spread) listed(names []string, members []router.Member, whole bool) {
+func (s *spread) listed(names []string, members []router.Member, whole bool, now time.Time) {
 	if s.of == nil || whole {
 		s.of = map[string]place{}
 	}
@@ -40,7 +41,7 @@
 			delete(s.of, m.Name)
 			continue
 		}
-		s.of[m.Name] = place{names[m.Zone], m.Zone, m.Kind, int64(m.Since), m.Health == logic.Ready}
+		s.of[m.Name] = place{names[m.Zone], m.Zone, m.Kind, s.starts.Began(m.Name, m.Since, m.News, now), m.Health == logic.Ready}
 	}
 	if s.usual == nil {
 		s.usual = map[string]int{}
@@ -66,7 +67,7 @@
 }
 
 // up is the part of each zone's workers that serve, as warm as they are by the settings.
-func (s *spread) up(set logic.Settings, wall time.Time) map[string]float64 {
+func (s *spread) up(set logic.Settings, now time.Time) map[string]float64 {
 	out := map[string]float64{}
 	for zone := range s.usual {
 		out[zone] = 0
@@ -76,7 +77,7 @@
 			continue
 		}
 		warm := 1.0
-		if age := wall.UnixNano() - p.since; p.since > 0 && set.WarmWithin > 0 && age < int64(set.WarmWithin) {
+		if age := now.Sub(p.began); !p.began.IsZero() && set.WarmWithin > 0 && age < set.WarmWithin {
 			warm = set.ColdShare + (1-set.ColdShare)*math.Max(float64(age), 0)/float64(set.WarmWithin)
 		}
 		out[p.zone] += warm / float64(s.usual[p.zone])
--- a/front/platform/config_test.go
+++ b/front/platform/config_test.go
@@ -28,7 +28,7 @@
 func TestMembersTakesAListWholeOrNotAtAll(t *testing.T) {
 	var ids router.ServerIDs
 	good := Instance{ID: "s-5be2a07c", Addr: "127.0.0.1:3000", Zone: "b", Kind: "m1", Cell: 3, Lifecycle: "terminating", StartedAtMs: 5}
-	members, err := testConfig().members(&ids, List{Instances: []Instance{good}})
+	members, err := testConfig().members(&ids, List{Instances: []Instance{good}}, false)
 	require.NoError(t, err)
 	require.Equal(t, logic.ServerID(0x5be2a07c), members[0].Server)
 	require.Equal(t, logic.Draining, members[0].Health)
@@ -42,19 +42,19 @@
 		spoil(&bad)
 		ready := good
 		ready.ID, ready.Lifecycle = "s-01", "in_service"
-		left, err := testConfig().members(&ids, List{Instances: []Instance{good, bad, ready}})
+		left, err := testConfig().members(&ids, List{Instances: []Instance{good, bad, ready}}, false)
 		require.Error(t, err)
 		require.NotEmpty(t, left)
 		for _, m := range left {
 			require.Equal(t, logic.Draining, m.Health, "but what leaves is told")
 		}
 	}
-	twice, err := testConfig().members(&ids, List{Instances: []Instance{good, good}})
+	twice, err := testConfig().members(&ids, List{Instances: []Instance{good, good}}, false)
 	require.NoError(t, err)
 	require.Len(t, twice, 1)
 	other := good
 	other.Lifecycle = "in_service"
-	left, err := testConfig().members(&ids, List{Instances: []Instance{other, good}})
+	left, err := testConfig().members(&ids, List{Instances: []Instance{other, good}}, false)
 	require.ErrorContains(t, err, "s-5be2a07c is listed twice")
 	require.Len(t, left, 1)
 }
--- a/front/platform/members.go
+++ b/front/platform/members.go
@@ -14,7 +14,8 @@
 // members translates a list. A line that makes no sense spoils the whole list: half a
 // list would drop workers that are there. What the other lines say of workers that leave
 // is returned all the same: nothing new may go to them, whatever else is wrong.
-func (c *Config) members(ids *router.ServerIDs, l List) ([]router.Member, error) {
+// News tells that a list had been told before this one.
+func (c *Config) members(ids *router.ServerIDs, l List, news bool) ([]router.Member, error) {
 	out := make([]router.Member, 0, len(l.Instances))
 	seen := make(map[string]Instance, len(l.Instances))
 	var bad error
@@ -36,7 +37,7 @@
 				continue
 			}
 		}
-		m.Server = ids.ID(in.ID)
+		m.Server, m.News = ids.ID(in.ID), news
 		out = append(out, m)
 	}
 	if bad != nil {
--- a/front/platform/members_fuzz_test.go
+++ b/front/platform/members_fuzz_test.go
@@ -28,7 +28,7 @@
 			return
 		}
 		var ids router.ServerIDs
-		members, err := (&Config{names: map[string]map[string]int{}}).members(&ids, l)
+		members, err := (&Config{names: map[string]map[string]int{}}).members(&ids, l, false)
 		leaving := map[string]bool{}
 		for _, in := range l.Instances {
 			leaving[in.ID] = leaving[in.ID] || in.Lifecycle == "terminating" || in.Lifecycle == "terminated"
--- a/front/platform/watch.go
+++ b/front/platform/watch.go
@@ -366,7 +366,7 @@
 	if l.Instances == nil && !l.Reset && l.Generation == 0 {
 		return errors.New("what discovery says holds no list")
 	}
-	members, err := w.cfg.members(&w.ids, l)
+	members, err := w.cfg.members(&w.ids, l, w.told.Load())
 	if err != nil {
 		if len(members) > 0 {
 			w.core.Discovered(members, false)
--- a/logic/api.go
+++ b/logic/api.go
@@ -111,7 +111,8 @@
 	Zone   int
 	Kind   int
 	Health Health
-	Since  Time // its latest start; 0 means long ago
+	Since  Time // its latest start, by the list's clock; 0 means long ago
+	Began  Time // the same by the caller's clock; 0: that is the list's
 }
 
 // Status is how an attempt ended.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -166,13 +166,13 @@
 			if m.Health == Gone {
 				continue
 			}
-			s = &server{Member: m, kept: map[Key]entry{}, began: min(m.Since, g.now), coldAt: g.now}
+			s = &server{Member: m, kept: map[Key]entry{}, began: g.began(m), coldAt: g.now}
 			g.byID[m.Server] = s
 			g.servers = append(g.servers, s)
 		} else if m.Since != s.Since && m.Health != Gone {
 			// A restarted process keeps nothing, and what was held against the old one is void.
 			s.kept, s.ghost, s.fails, s.shunned = map[Key]entry{}, fading{}, 0, 0
-			s.slow, s.load, s.began, s.coldAt, s.coldLeft = fading{}, Load{}, min(m.Since, g.now), g.now, 0
+			s.slow, s.load, s.began, s.coldAt, s.coldLeft = fading{}, Load{}, g.began(m), g.now, 0
 		}
 		m.Kind = min(m.Kind, len(g.set.Kinds)-1)
 		kind := g.set.Kinds[m.Kind]
--- a/logic/state.go
+++ b/logic/state.go
@@ -350,6 +350,9 @@
 	})
 }
 
+// began is when a listed server has started, now at the latest.
+func (g *Gateway) began(m Member) Time { return min(cmp.Or(m.Began, m.Since), g.now) }
+
 // warmth is the least part of its capacity that a fresh server may have by now.
 func (g *Gateway) warmth(s *server) float64 {
 	age := after(s.began, g.now)
--- a/router/core.go
+++ b/router/core.go
@@ -121,10 +121,7 @@
 // marked before it returns.
 func (c *Core) Discovered(members []Member, whole bool) {
 	void := c.roster.apply(members, whole)
-	list := make([]logic.Member, len(members))
-	for i, m := range members {
-		list[i] = m.Member
-	}
+	list := c.roster.dated(members, time.Now(), c.routing.at)
 	c.post(func() {
 		c.routing.push(logic.Event{Kind: logic.ServersChanged, Members: list, Whole: whole})
 		for _, w := range void {
--- a/router/roster.go
+++ b/router/roster.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"lichenshelf/logic"
 )
@@ -13,6 +14,8 @@
 	logic.Member
 	Name string
 	Addr string
+	// News says that the list in hand was up to date when this line came: a start that the line tells has just happened.
+	News bool
 }
 
 // Worker is a member as senders see it.
@@ -39,6 +42,21 @@
 	mu      sync.RWMutex
 	workers map[logic.ServerID]*Worker
 	fence   func() bool // nil: none
+	starts  Starts
+}
+
+// dated returns the lines as the decisions take them, with starts on the core's clock. The clock tells the time there.
+func (r *roster) dated(members []Member, now time.Time, clock func(time.Time) logic.Time) []logic.Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]logic.Member, len(members))
+	for i, m := range members {
+		out[i] = m.Member
+		if began := r.starts.Began(m.Name, m.Since, m.News, now); !began.IsZero() {
+			out[i].Began = clock(began)
+		}
+	}
+	return out
 }
 
 // apply takes a list and returns the workers whose connections are void.
--- a/router/route.go
+++ b/router/route.go
@@ -19,10 +19,12 @@
 	log     logrus.FieldLogger
 }
 
-// now is the wall clock at the start plus monotonic time since: the times that
-// discovery gives are on the same scale, and it never goes back.
-func (r *routing) now() logic.Time {
-	return logic.Time(r.start.UnixNano() + int64(time.Since(r.start)))
+// now is monotonic time, counted on from the wall clock at the start.
+func (r *routing) now() logic.Time { return r.at(time.Now()) }
+
+// at is a moment of this process's monotonic clock on the clock of the decisions.
+func (r *routing) at(t time.Time) logic.Time {
+	return logic.Time(r.start.UnixNano() + int64(t.Sub(r.start)))
 }
 
 func (r *routing) push(e logic.Event) { r.events = append(r.events, e) }
--- /dev/null
+++ b/router/starts_test.go
@@ -0,0 +1,40 @@
+package router
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lichenshelf/logic"
+)
+
+func TestStartsGoByTheWallClockOnlyWhereTheyAreFound(t *testing.T) {
+	now := time.Now()
+	at := func(ago time.Duration) logic.Time { return logic.Time(now.Add(-ago).UnixNano()) }
+	for name, c := range map[string]struct {
+		ago  time.Duration // by the list
+		news bool
+		want time.Duration // ago
+	}{
+		"found, a minute old":            {time.Minute, false, time.Minute},
+		"found, in the future":           {-time.Hour, false, 0},
+		"heard of":                       {time.Second, true, 0},
+		"heard of, by a clock behind":    {time.Hour, true, 0},
+		"heard of, by a clock ahead":     {-time.Hour, true, 0},
+		"found, since the epoch's start": {now.Sub(time.Unix(0, 1)), false, now.Sub(time.Unix(0, 1))},
+	} {
+		var s Starts
+		began := s.Began("w", at(c.ago), c.news, now)
+		require.InDelta(t, c.want, now.Sub(began), float64(time.Microsecond), name)
+		require.Equal(t, began, s.Began("w", at(c.ago), !c.news, now.Add(time.Hour)), "%s: it stays", name)
+		require.Equal(t, now.Add(2*time.Hour), s.Began("w", at(c.ago)+1, true, now.Add(2*time.Hour)), "%s: another incarnation", name)
+	}
+	var s Starts
+	require.Zero(t, s.Began("w", 0, true, now))
+	for i := range 2 * mostStarts {
+		s.Began(fmt.Sprint(i), 1, true, now)
+	}
+	require.LessOrEqual(t, len(s.known), mostStarts)
+}
