A test that is red: a reload with shorter deadlines leaves the end of a process where it was

Cause: internal/daemon took LeaveAfter and TakeFor at the start. With deadlines shortened by SIGHUP from 3 s to 0.8 s, a request in hand at SIGTERM has its answer after 3.0 s, 1.5 s after the platform may kill the process: lost.

--- a/test/signals_test.go
+++ b/test/signals_test.go
@@ -1,8 +1,11 @@
 package test
 
 import (
+	"fmt"
 	"net/http"
 	"os"
+	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -31,3 +34,33 @@
 
 // leaveWithin is how long after SIGTERM the platform kills a process: the longest deadline, 3 s at most, and 0.7 s.
 const leaveWithin = 3700 * time.Millisecond
+
+// A new configuration with shorter deadlines brings the platform's kill forward: what is in hand has its answer by then.
+func TestAReloadMovesTheEndOfAProcess(t *testing.T) {
+	k := newWorker(t, "s-00000001", "mixed", silent)
+	d := newDiscovery(t)
+	d.list(true, "in_service", k)
+	limited := func(limit time.Duration) string {
+		set := fmt.Sprintf(settings, connIdle.Nanoseconds())
+		return strings.ReplaceAll(set, `"target-ns":1500000000`, fmt.Sprintf(`"target-ns":500000000,"hard-limit-ns":%d`, limit.Nanoseconds()))
+	}
+	file := configOf(t, `{"generation":0,"reset":true,"instances":[]}`, limited(3*time.Second))
+	text, err := os.ReadFile(file)
+	require.NoError(t, err)
+	text = []byte(strings.Replace(string(text), `"name":`, fmt.Sprintf(`"discovery":%q,"name":`, d.Listener.Addr()), 1))
+	require.NoError(t, os.WriteFile(file, text, 0o600))
+	p := platformOf(t, d, file).waitReady()
+	p.reconfigure(strings.ReplaceAll(string(text), `"hard-limit-ns":3000000000`, `"hard-limit-ns":800000000`))
+	eventually(t, func() bool { return p.logged("settings read again") }, "the configuration is taken")
+	var a answer
+	var asked sync.WaitGroup
+	asked.Go(func() { a = p.ask("file", newID(), 3*time.Second) })
+	eventually(t, func() bool { return len(k.got(http.MethodPost)) > 0 }, "it is in hand")
+	from := time.Now()
+	p.signal(syscall.SIGTERM)
+	asked.Wait()
+	require.NoError(t, a.err)
+	require.Equal(t, http.StatusBadGateway, a.status, "it may have run")
+	require.Less(t, time.Since(from), 800*time.Millisecond+700*time.Millisecond, "the platform kills the process then")
+	p.waitExit()
+}
