Reloads run beside the loop that hears signals, and move the end of a process

Cause: Serve's loop read the files of a reload itself, so that a file that hangs kept SIGTERM from being heard: until the kill, with all in hand lost. Its channel had room for four signals of all kinds; a SIGTERM behind four others was dropped (signal.Notify does not wait). And when to give up after SIGTERM came from the file at the start alone.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -73,9 +73,11 @@
 	zk       *zkfront.Server // nil: off
 	cordon   *cordon.Cordon  // nil without the platform's front
 	platform *platform.Front
-	platCore *router.Core // the platform's
-	fleet    *agent.Agent // nil: this router shares nothing with others
-	fleetOf  int          // how many routers share, with a fleet
+	platCore *router.Core           // the platform's
+	atStart  ending                 // the platform's, by its file at the start
+	ending   atomic.Pointer[ending] // the platform's, by its file as read last and at the start
+	fleet    *agent.Agent           // nil: this router shares nothing with others
+	fleetOf  int                    // how many routers share, with a fleet
 	fleetCfg *agent.Config
 	fence    *fence // nil: this router may always send
 	follow   *published
@@ -92,8 +94,21 @@
 type front struct {
 	core   *router.Core
 	server *downstream.Server
-	take   time.Duration // after SIGTERM, how long it takes clients that still come
-	leave  time.Duration // after SIGTERM, when it gives up what is in hand; 0: it finishes all
+	ending func() ending // asked at the end
+}
+
+// ending is how a front ends, in time after SIGTERM.
+type ending struct {
+	take  time.Duration // how long it takes clients that still come
+	leave time.Duration // when it gives up what is in hand; 0: it finishes all
+}
+
+// platformEnding is how the platform's front ends by its configuration.
+func platformEnding(cfg *platform.Config) ending { return ending{cfg.TakeFor(), cfg.LeaveAfter()} }
+
+// sooner is the ending that is safe where either of two may hold.
+func (e ending) sooner(than ending) ending {
+	return ending{min(e.take, than.take), min(e.leave, than.leave)}
 }
 
 // Serve runs until a SIGTERM has been seen through.
@@ -102,9 +117,8 @@
 		acts: acts{versions: version.New(nil), log: log}}
 	defer d.printCounters()
 	defer d.acts.close()
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
-	defer signal.Stop(signals)
+	signals := listenForSignals()
+	defer signals.stop()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer d.closeStore()
@@ -119,20 +133,14 @@
 	if err != nil {
 		return err
 	}
-	for {
-		select {
-		case err := <-d.failed:
-			return err
-		case s := <-signals:
-			switch s {
-			case syscall.SIGUSR1:
-				d.printCounters()
-			case syscall.SIGHUP:
-				d.reload()
-			default:
-				return d.stop(ctx)
-			}
-		}
+	// Files may hang, and so may who reads the counters: neither keeps the end of the process waiting.
+	go onEach(ctx, signals.reload, d.reload)
+	go onEach(ctx, signals.counters, d.printCounters)
+	select {
+	case err := <-d.failed:
+		return err
+	case <-signals.end:
+		return d.stop(ctx)
 	}
 }
 
@@ -256,7 +264,10 @@
 	}
 	d.platform, d.platCore = platform.NewFront(cfg, ready), core
 	d.shutters = append(d.shutters, d.platform)
-	if err := d.listen(cfg.Listen, front{core: core, take: cfg.TakeFor(), leave: cfg.LeaveAfter()}, downstream.Config{Handler: d.counted(d.platform.Handle),
+	end := platformEnding(cfg)
+	d.atStart = end
+	d.ending.Store(&end)
+	if err := d.listen(cfg.Listen, front{core: core, ending: func() ending { return *d.ending.Load() }}, downstream.Config{Handler: d.counted(d.platform.Handle),
 		Problem: downstream.TextProblem, MaxBody: platform.MaxBody,
 		MaxBytes: int64(float64(memory) * bodiesPart), MaxConns: clients}); err != nil {
 		return err
@@ -326,7 +337,7 @@
 		d.follow = follow
 		go follow.follow(ctx)
 	}
-	return d.listen(cfg.Listen, front{core: core, take: takeModelAPI}, downstream.Config{Handler: models.Handle,
+	return d.listen(cfg.Listen, front{core: core, ending: func() ending { return ending{take: takeModelAPI} }}, downstream.Config{Handler: models.Handle,
 		Problem: modelapi.Problem, MaxBody: cfg.MaxBody,
 		MaxBytes: cfg.MaxBytes, MaxConns: clients})
 }
@@ -455,13 +466,14 @@
 	for _, f := range d.fronts {
 		d.log.WithField("open", f.core.Open()).Info("stopping: finishing what is in hand")
 		go func() {
-			if f.leave > 0 {
-				moves := f.leave / movesPart
-				defer time.AfterFunc(f.leave-moves, func() { f.core.Close(moves) }).Stop()
-				defer time.AfterFunc(f.leave, func() { f.core.Close(0) }).Stop()
-				defer time.AfterFunc(f.leave+dropAfter, f.server.DropUnread).Stop()
+			end := f.ending()
+			if end.leave > 0 {
+				moves := end.leave / movesPart
+				defer time.AfterFunc(end.leave-moves, func() { f.core.Close(moves) }).Stop()
+				defer time.AfterFunc(end.leave, func() { f.core.Close(0) }).Stop()
+				defer time.AfterFunc(end.leave+dropAfter, f.server.DropUnread).Stop()
 			}
-			err := f.server.Stop(ctx, f.take)
+			err := f.server.Stop(ctx, end.take)
 			f.core.Settle(ctx)
 			ends <- err
 		}()
--- a/internal/daemon/sources.go
+++ b/internal/daemon/sources.go
@@ -1,14 +1,11 @@
 package daemon
 
 import (
-	"fmt"
-
 	"lichenshelf/discovery/membership"
 	"lichenshelf/discovery/sources"
 	"lichenshelf/discovery/storesource"
 	"lichenshelf/fleet/version"
 	"lichenshelf/front/modelapi"
-	"lichenshelf/front/platform"
 	"lichenshelf/router"
 )
 
@@ -65,61 +62,3 @@
 		own.Fail(err)
 	}
 }
-
-// reload reads the files again that may change while the router runs. What can't
-// be read leaves things as they are.
-func (d *daemon) reload() {
-	if d.watch != nil {
-		// Checked whole before anything is taken: a file that fails changes nothing.
-		cfg, err := platform.ReadConfig(d.files.Platform)
-		if err == nil {
-			err = d.watch.Move(cfg)
-		}
-		if err != nil {
-			d.log.WithError(err).Error("configuration not read again, discovery stays as it is, and so do the settings")
-		} else {
-			d.platCore.Retune(d.platform.Retune(cfg), cfg.Settings.MaxAttempts)
-			d.log.WithField("classes", len(cfg.Settings.Classes)).Info("settings read again")
-		}
-	}
-	if d.files.Sources != "" {
-		if err := d.reloadSources(); err != nil {
-			d.log.WithError(err).Error("sources not read again, the old ones stay")
-		}
-	}
-	if feed := d.feeds[sources.ModelAPI]; feed != nil {
-		cfg, err := modelapi.LoadConfig(d.files.ModelAPI)
-		if err == nil {
-			err = tellBackends(feed, cfg)
-		}
-		if err != nil {
-			d.log.WithError(err).Error("backends not read again, the old list stays")
-			return
-		}
-		d.log.WithField("backends", len(cfg.Backends)).Info("backends read again")
-	}
-}
-
-// reloadSources goes over to what the file says now, at all fronts or at none.
-func (d *daemon) reloadSources() error {
-	c, err := sources.LoadConfig(d.files.Sources)
-	if err != nil {
-		return err
-	}
-	if c.Takes(sources.Platform) && d.watch != nil && d.feeds[sources.Platform] == nil {
-		return fmt.Errorf("%s: the platform's front has started without sources and takes them from its next start on", d.files.Sources)
-	}
-	for front, f := range d.feeds {
-		if err := f.Check(c, d.sourcesOf(front, c)); err != nil {
-			return err
-		}
-	}
-	for front, f := range d.feeds {
-		if err := f.Apply(d.ctx, c, d.sourcesOf(front, c)); err != nil {
-			return err
-		}
-	}
-	d.sources = c
-	d.log.WithField("sources", len(c.Sources)).Info("sources read again")
-	return nil
-}
