--- a/internal/standin/syscalls/syscalls.go
+++ b/internal/standin/syscalls/syscalls.go
@@ -30,7 +30,7 @@
 	Connect   = unix.SYS_CONNECT
 	Fdatasync = unix.SYS_FDATASYNC
 	Fsync     = unix.SYS_FSYNC
-	Poll      = unix.SYS_POLL
+	Ppoll     = unix.SYS_PPOLL
 	Pwrite64  = unix.SYS_PWRITE64
 	Socket    = unix.SYS_SOCKET
 )
--- a/test/faults_test.go
+++ b/test/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -137,3 +138,28 @@
 	}
 	require.False(t, p.logged("outcome=connect_failed"), "a worker was blamed")
 }
+
+// A client that leaves behind more than is read ahead is seen to leave, also where the look at its connection is interrupted.
+func TestAnInterruptedLookMissesNoLeaving(t *testing.T) {
+	ended := make(chan struct{})
+	k := newWorker(t, "s-00000001", "mixed", func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		close(ended)
+	})
+	p, faults, _ := platformTrapped(t, []int{syscalls.Ppoll}, k)
+	c, err := net.Dial("tcp", p.addr)
+	require.NoError(t, err)
+	require.NoError(t, p.request("file", newID(), 30*time.Second).Write(c))
+	eventually(t, func() bool { return len(k.got(http.MethodPost)) == 1 }, "it is in hand")
+	_, err = c.Write(make([]byte, 300<<10))
+	require.NoError(t, err)
+	time.Sleep(100 * time.Millisecond) // it is read ahead, and looked at from then on
+	faults.Set(syscalls.Next(syscalls.Ppoll, 1, syscall.EINTR))
+	require.NoError(t, c.Close())
+	select {
+	case <-ended:
+	case <-time.After(loaded):
+		t.Fatal("the attempt goes on for a client that has gone")
+	}
+	require.Equal(t, 1, faults.Failed(syscalls.Ppoll))
+}
