One rule for what may be closed, and looks at connections that EINTR does not blind

Causes: (1) downstream/listener.go and upstream/pool.go each took any error of poll for 'not hung up'; the event that woke the wait does not come again, so a client's leaving was missed to the end of its attempt. queued() and pending() took EINTR for 'nothing there', and could close a listener, or shut a connection, over what had come. (2) evict ended whoever waited longest, a request that had begun a moment ago as well, also for ENFILE. (3) Found on the way: what a client sends past the 272 KiB that are read ahead fills the receive buffer by the size of whole segments (skmem r129856 of rb131072 with 12,288 bytes unread), and the FIN waits behind it: 290 KiB were enough for a close that nobody saw. Change: internal/socket looks for both sides and asks again after EINTR; downstream/closing.go holds the one rule by which eviction, a stop and the process's exit end connections; past what is read ahead the system is asked to take 1 MiB (it grants net.core.rmem_max).

--- a/downstream/crossings_test.go
+++ b/downstream/crossings_test.go
@@ -185,7 +185,7 @@
 func TestARequestThatCrossesTheEndOfARestingConnection(t *testing.T) {
 	for name, end := range map[string]func(*Server){
 		"stopping":   func(s *Server) { s.listener.closeIdle() },
-		"giving way": func(s *Server) { s.listener.mu.Lock(); s.listener.evict(false); s.listener.mu.Unlock() },
+		"giving way": func(s *Server) { s.listener.mu.Lock(); s.listener.evict(forRoom); s.listener.mu.Unlock() },
 		"leaving":    func(s *Server) { s.DropUnread() },
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/downstream/handover.go
+++ b/downstream/handover.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"lichenshelf/internal/socket"
 )
 
 // Listen opens a client address with SO_REUSEPORT: in an upgrade both processes
@@ -26,11 +28,7 @@
 // the order in which they began; the program names the second, and where there is
 // none the kernel goes by its hash, as without a program. It goes when the group does.
 func handOver(l net.Listener) error {
-	sc, ok := l.(syscall.Conn)
-	if !ok {
-		return syscall.ENOTSUP
-	}
-	raw, err := sc.SyscallConn()
+	raw, err := socket.Raw(l)
 	if err != nil {
 		return err
 	}
@@ -48,26 +46,14 @@
 // connection waits in its queue: one that does would be reset unread. While the
 // queue does not empty within emptyWait, it is closed all the same.
 func closeEmpty(l net.Listener) error {
-	if sc, ok := l.(syscall.Conn); ok {
-		if raw, err := sc.SyscallConn(); err == nil {
-			for until := time.Now().Add(emptyWait); queued(raw) && time.Now().Before(until); {
-				time.Sleep(time.Millisecond)
-			}
+	if raw, err := socket.Raw(l); err == nil {
+		for until := time.Now().Add(emptyWait); socket.Queued(raw) && time.Now().Before(until); {
+			time.Sleep(time.Millisecond)
 		}
 	}
 	return l.Close()
 }
 
-// queued tells whether connections wait to be accepted.
-func queued(raw syscall.RawConn) bool {
-	n := 0
-	err := onSocket(raw, func(fd int) (err error) {
-		n, err = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
-		return err
-	})
-	return err == nil && n > 0
-}
-
 // onSocket runs f on the descriptor and returns its error.
 func onSocket(raw syscall.RawConn, f func(fd int) error) error {
 	var err error
--- a/downstream/handover_test.go
+++ b/downstream/handover_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"lichenshelf/internal/socket"
 	"lichenshelf/metrics"
 )
 
@@ -104,7 +105,7 @@
 	defer client.Close()
 	raw, err := l.(*net.TCPListener).SyscallConn()
 	require.NoError(t, err)
-	require.True(t, queued(raw))
+	require.True(t, socket.Queued(raw))
 	accepted := make(chan net.Conn, 1)
 	closed := make(chan error, 1)
 	go func() { closed <- closeEmpty(l) }()
--- a/downstream/listener.go
+++ b/downstream/listener.go
@@ -10,25 +10,13 @@
 	"os"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	accepting "lichenshelf/internal/listener"
+	"lichenshelf/internal/socket"
 	"lichenshelf/router"
 )
 
-// phase is what a client's connection is at.
-type phase int
-
-const (
-	lingering phase = iota // answered for good; what still comes is dropped
-	waiting                // no request has begun to come
-	reading                // a request has begun to come
-	serving                // it is whole, and its answer not yet out
-)
-
 // listener hands out connections that can be watched, and bounds their number.
 type listener struct {
 	net.Listener
@@ -44,9 +32,6 @@
 	linger   time.Duration // how long what is shut may take to be closed
 }
 
-// freshFor is how long a new connection is left open at the end, for its request to come.
-const freshFor = time.Second
-
 // One of endingPart connections may be ending beside those in use: what gives way is shut first, and
 // closed when its client has seen that.
 const endingPart = 16
@@ -83,7 +68,7 @@
 	l.count.Add("connections_without_a_descriptor", 1)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.evict(true)
+	l.evict(forDescriptor)
 }
 
 // take adds a connection, if need be in place of another.
@@ -91,7 +76,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for l.most > 0 && (len(l.conns) >= l.most || len(l.conns)-l.ending >= l.most-l.most/endingPart) {
-		if !l.evict(len(l.conns) >= l.most) {
+		why := forRoom
+		if len(l.conns) >= l.most {
+			why = forRoomNow
+		}
+		if !l.evict(why) {
 			return false
 		}
 	}
@@ -100,30 +89,30 @@
 	return true
 }
 
-// evict ends the connection that is missed least. One that is ending already is closed where one must be
-// closed at once; else the one that has waited longest is shut, or the one whose request comes slowest
-// answered. The lock is held.
-func (l *listener) evict(now bool) bool {
+// evict ends the connection that is missed least, as far as the reason goes. The lock is held.
+func (l *listener) evict(why reason) bool {
 	for {
 		var victim *conn
 		for c := range l.conns {
-			if c.phase != serving && (now || !c.ending) && (victim == nil || c.missedLess(victim)) {
+			if c.end(why) != keep && (victim == nil || c.missedLess(victim)) {
 				victim = c
 			}
 		}
-		switch {
-		case victim == nil:
+		if victim == nil {
 			return false
-		case victim.ending:
+		}
+		if victim.phase == waiting && victim.pending() {
+			victim.phase, victim.since = reading, time.Now() // its server has not got to it yet
+			continue
+		}
+		switch victim.end(why) {
+		case closeNow:
 			l.remove(victim)
 			_ = victim.Conn.Close()
 			return true
-		case victim.phase == waiting && victim.pending():
-			victim.phase, victim.since = reading, time.Now() // its server has not got to it yet
-			continue
-		case victim.phase == waiting:
+		case shutIdle:
 			l.shut(victim)
-		default:
+		case answerNow:
 			l.hurry(victim)
 		}
 		l.count.Add("connections_evicted", 1)
@@ -131,6 +120,11 @@
 	}
 }
 
+// end tells how the connection may be ended for a reason; the lock is held.
+func (c *conn) end(why reason) ending {
+	return endingOf(connState{phase: c.phase, ending: c.ending, used: c.used, age: time.Since(c.since)}, why)
+}
+
 // missedLess tells which of two connections gives way; the lock is held.
 func (c *conn) missedLess(than *conn) bool {
 	switch {
@@ -210,7 +204,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.conns {
-		if c.phase == waiting && !c.pending() && (c.used || time.Since(c.since) >= freshFor) {
+		if c.end(forStop) == shutIdle && !c.pending() {
 			l.shut(c)
 		}
 	}
@@ -256,20 +250,12 @@
 
 // pending tells whether bytes have come that nobody has read.
 func (c *conn) pending() bool {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
+	raw, err := socket.Raw(c.Conn)
 	if err != nil {
 		return false
 	}
-	n := 0
-	err = raw.Control(func(fd uintptr) { // not Read, which would wait for the server's
-		var b [1]byte
-		n, _, _ = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
-	return err == nil && n > 0
+	n, _ := socket.Pending(raw)
+	return n > 0
 }
 
 // mostAhead bounds what is read ahead of a connection's server: a request of the largest size. What is
@@ -279,6 +265,9 @@
 	mostAhead = 256<<10 + headBuffer
 	aheadStep = 512
 	aheadMost = 16 << 10
+	// behindAhead is what the system is asked to take of a connection that is not read ahead any further; it grants less,
+	// by net.core.rmem_max.
+	behindAhead = 1 << 20
 )
 
 // watch calls left once if the client closes the connection, also behind requests that it has sent
@@ -315,6 +304,10 @@
 				return
 			}
 		}
+		// Its client's close comes behind what it has sent: the system must take that for the close to be seen.
+		if tcp, ok := c.Conn.(*net.TCPConn); ok && most == mostAhead {
+			_ = tcp.SetReadBuffer(behindAhead)
+		}
 		c.ended(c.hungUp())
 	}()
 }
@@ -330,19 +323,11 @@
 
 // hungUp waits, without reading, until the client has closed its side.
 func (c *conn) hungUp() error {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return os.ErrDeadlineExceeded
-	}
-	raw, err := sc.SyscallConn()
+	raw, err := socket.Raw(c.Conn)
 	if err != nil {
-		return err
+		return os.ErrDeadlineExceeded
 	}
-	if err := raw.Read(func(fd uintptr) bool {
-		look := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		n, err := unix.Poll(look, 0)
-		return err == nil && n > 0 && look[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
-	}); err != nil {
+	if err := socket.WaitHungUp(raw); err != nil {
 		return err
 	}
 	return io.EOF
--- a/downstream/server.go
+++ b/downstream/server.go
@@ -135,9 +135,9 @@
 	defer s.listener.mu.Unlock()
 	s.listener.linger = discardLast
 	for c := range s.listener.conns {
-		switch {
-		case c.ending || c.phase == serving:
-		case c.phase == waiting && !c.pending():
+		switch end := c.end(forExit); {
+		case end == keep:
+		case end == shutIdle && !c.pending():
 			s.listener.shut(c)
 		default:
 			s.listener.hurry(c)
--- a/test/faults_test.go
+++ b/test/faults_test.go
@@ -141,6 +141,12 @@
 
 // A client that leaves behind more than is read ahead is seen to leave, also where the look at its connection is interrupted.
 func TestAnInterruptedLookMissesNoLeaving(t *testing.T) {
+	for _, ahead := range []int{280 << 10, 400 << 10} { // just more than is read ahead, and much more
+		t.Run(fmt.Sprint(ahead), func(t *testing.T) { leaveBehind(t, ahead) })
+	}
+}
+
+func leaveBehind(t *testing.T, ahead int) {
 	ended := make(chan struct{})
 	k := newWorker(t, "s-00000001", "mixed", func(_ http.ResponseWriter, r *http.Request) {
 		<-r.Context().Done()
@@ -151,7 +157,7 @@
 	require.NoError(t, err)
 	require.NoError(t, p.request("file", newID(), 30*time.Second).Write(c))
 	eventually(t, func() bool { return len(k.got(http.MethodPost)) == 1 }, "it is in hand")
-	_, err = c.Write(make([]byte, 300<<10))
+	_, err = c.Write(make([]byte, ahead))
 	require.NoError(t, err)
 	time.Sleep(100 * time.Millisecond) // it is read ahead, and looked at from then on
 	faults.Set(syscalls.Next(syscalls.Ppoll, 1, syscall.EINTR))
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -18,8 +18,7 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
+	"lichenshelf/internal/socket"
 	"lichenshelf/router"
 )
 
@@ -95,11 +94,7 @@
 	if err != nil {
 		return err
 	}
-	return raw.Read(func(fd uintptr) bool {
-		look := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		n, err := unix.Poll(look, 0)
-		return err == nil && n > 0 && look[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
-	})
+	return socket.WaitHungUp(raw)
 }
 
 // alive looks, without waiting, whether the worker has closed the connection or
@@ -112,14 +107,8 @@
 	if err != nil {
 		return false
 	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = err == syscall.EAGAIN
-		return true
-	})
-	return err == nil && quiet
+	_, err = socket.Pending(raw)
+	return errors.Is(err, syscall.EAGAIN)
 }
 
 // pool keeps idle connections, the latest used first: the rest then age and go.
