--- a/logic/api.go
+++ b/logic/api.go
@@ -199,14 +199,35 @@
 const (
 	Send     ActionKind = iota // ID, Server, After as time-out, Reach
 	CallOff                    // ID, Attempt
-	Refuse                     // ID, After as come-back advice
-	Fail                       // ID
+	Refuse                     // ID, After as come-back advice, Why
+	Fail                       // ID, Why
 	Release                    // ID
 	Move                       // ID
 	SetTimer                   // After, Token
 	Log                        // Text
 )
 
+// Why says for what reason a request is refused or failed.
+type Why uint8
+
+// The reasons.
+const (
+	WhyNone       Why = iota
+	WhyNotSent        // the caller would not send it
+	WhyRejected       // a server found fault with it
+	WhyTriesSpent     // all its attempts have been made
+	WhyTimeOver       // its client's time is
+	WhyMayHaveRun     // and it must not run twice, or not any more
+	WhyQueue          // it would wait too long at the best server
+	WhyNoServer       // none may take it now, and its time or that of its state is over
+	WhyClosing        // the instance ends
+)
+
+var whys = [...]string{"none", "not_sent", "rejected", "tries_spent", "time_over", "may_have_run", "queue", "no_server", "closing"}
+
+// String is the reason's name in logs and counters.
+func (w Why) String() string { return whys[w] }
+
 // Action is something the gateway must do, in the order given.
 type Action struct {
 	Kind    ActionKind
@@ -217,6 +238,7 @@
 	Reach   time.Duration // the request's last byte must have gone out within this; 0: no bound
 	Token   uint64
 	Text    string
+	Why     Why
 }
 
 // Decider is one gateway's decisions. It is not safe for concurrent use;
--- /dev/null
+++ b/logic/health.go
@@ -0,0 +1,37 @@
+package logic
+
+// This file: how slow or suspect a server is.
+
+import (
+	"math"
+)
+
+// scale makes a token at s dearer by all that makes s slow: its observed pace, a bad sign, distance, cold.
+func (g *Gateway) scale(s *server) float64 {
+	v := g.slowness(s) / math.Pow(math.Max(g.warmth(s), 0.05), 1-g.unseen)
+	if g.now < s.shunned { // one bad sign may be chance: dearer, but not out
+		v *= suspectScale
+	}
+	v *= g.distance(s)
+	if g.set.Weights && s.Weight > 0 {
+		v /= s.Weight
+	}
+	return v
+}
+
+func (g *Gateway) slowness(s *server) float64 {
+	return math.Max(1+s.slow.value(g.now, forgetSlow), 0.3)
+}
+
+func (g *Gateway) sample(s *server, ratio float64) {
+	s.slow.average(g.now, forgetSlow, finite(ratio, 0.2, maxRatio)-1, fastLearn)
+}
+
+// suspect takes a server out of the ordinary path; single trials, ever later, bring it back. Where this
+// gateway seldom sends to any one server, a trial costs as much and tells as little: they are later.
+func (g *Gateway) suspect(s *server) {
+	unit := min(max(firstBackoff, seconds(g.gap*float64(g.pools[s.role].n))), maxBackoff)
+	wait := min(unit<<min(s.fails, 6), max(maxBackoff, 2*unit))
+	s.fails++
+	s.shunned = g.now + Time(float64(wait)*(0.8+0.4*g.rng.Float64()))
+}
--- /dev/null
+++ b/logic/load.go
@@ -0,0 +1,53 @@
+package logic
+
+// This file: the load of a server: what was sent to it, and what it reports.
+
+import (
+	"math"
+	"time"
+)
+
+// pending is the read load that this gateway put on s: what is out, and what time-outs left behind, or a
+// server that times out would look idle just when it is not.
+func (g *Gateway) pending(s *server) float64 { return s.unread + s.ghost.value(g.now, ghostFade) }
+
+// trust in a server's own report falls with its age; none is as old as can be.
+func (g *Gateway) trust(s *server, over time.Duration) float64 {
+	if !s.load.HasMemory && !s.load.HasUnread {
+		return 0
+	}
+	return math.Exp(-float64(after(s.loadAt, g.now)) / float64(over))
+}
+
+// reported is the peers' part of the read load that s reports, or of the mean as the report ages.
+func (g *Gateway) reported(s *server) float64 {
+	mean := g.pools[s.role].unread.value(g.now, g.waitSpan())
+	return g.blind * (mean + g.trust(s, unreadFade)*(s.load.UnreadToken-mean))
+}
+
+// tell takes a server's report into its model and into the means of its role.
+func (g *Gateway) tell(s *server, l Load) {
+	if s == nil || !l.HasMemory && !l.HasUnread {
+		return
+	}
+	l.MemoryShare, l.UnreadToken = finite(l.MemoryShare, 0, 1), finite(l.UnreadToken, 0, 1e7)
+	s.load, s.loadAt, s.since = l, g.now, 0
+	p := &g.pools[s.role]
+	p.reports++
+	a := math.Max(fastLearn, 1/float64(p.reports))
+	if l.HasMemory {
+		g.reports, p.share = true, p.share+a*(l.MemoryShare-p.share)
+	}
+	p.unread.average(g.now, g.waitSpan(), l.UnreadToken, fastLearn)
+}
+
+// share is the part of a server's memory that is held: its last report plus own tokens sent since, and
+// the mean of the reports as it ages. Without reports own tokens speak for the peers' as far as there
+// are enough of them, and their mean for the rest.
+func (g *Gateway) share(s *server) float64 {
+	mean := g.pools[s.role].share
+	if !g.reports {
+		return s.turnedAway(g.now) + s.tokens/s.memory*(1+g.peers*(1-g.unseen)) + g.blind*mean*g.unseen
+	}
+	return s.turnedAway(g.now) + mean + g.trust(s, shareFade)*(s.load.MemoryShare-mean) + s.since/s.memory
+}
--- /dev/null
+++ b/logic/slowstart.go
@@ -0,0 +1,88 @@
+package logic
+
+// This file: slow start: what may be sent to servers that are not warm yet.
+
+import (
+	"cmp"
+	"math"
+)
+
+// bears is the warmth that sends go by. A server that could not be reached twice may have started anew: it is
+// sent as to a cold one since, until discovery would have told of a start. Trials go on where much is seen.
+func (g *Gateway) bears(s *server) float64 {
+	w, gone := g.warmth(s), after(s.lost, g.now)
+	trial := g.unseen <= mostUnseen && s.shunned != 0 && g.now >= s.shunned && s.waiting == 0
+	if s.lost == 0 || gone >= toldWithin || trial || g.set.FallMultiple <= 0 || g.set.FallAfter <= 0 {
+		return w
+	}
+	return math.Min(w, g.set.ColdShare+(1-g.set.ColdShare)*gone.Seconds()/toldWithin.Seconds())
+}
+
+// coldRoom tells whether this gateway may send to s now. To a fresh server it has rights to single sends,
+// that come with time: its part of what the settings let all send, by the rate that a unit of warmth bears.
+// Its part of that rate is what its own requests had there, so the parts of all make up the fleet's rate,
+// however uneven. Parts of a right are drawn for. Rights lapse: from a lull, they would be used at once.
+func (g *Gateway) coldRoom(s *server) bool {
+	w := g.bears(s)
+	if w >= 1 {
+		return true
+	}
+	least := 1 / float64(g.set.Gateways) / g.set.FallAfter.Seconds() // one a window of all: warming has to begin
+	part := coldCaution
+	if g.unseen > mostUnseen {
+		part = rightsPart // where requests meet, cold servers have another
+	}
+	rate := math.Max(part*g.set.FallMultiple*w*g.stages[s.role.stage()].borne(g.now, g.born), least)
+	if g.now >= s.coldUntil {
+		s.coldLeft = 0
+	}
+	if n := int(rate*min(after(s.coldAt, g.now), lull*g.set.FallAfter).Seconds() + g.rng.Float64()); n > 0 {
+		s.coldLeft, s.coldUntil = s.coldLeft+n, g.now+Time(g.set.FallAfter)
+	}
+	s.coldAt = g.now
+	return s.coldLeft > 0
+}
+
+// ask counts a request at the stage that it comes to. Until it ends it stands for what servers bear however
+// warm; done, for what their warmth did; failed, for nothing.
+func (g *Gateway) ask(r *request) {
+	st := &g.stages[r.stage()]
+	if r.asked == st || st.n == 0 {
+		return
+	}
+	g.told(r, false)
+	r.asked, r.part = st, (1-g.unseen/2)/st.n
+	st.did.add(g.now, rateMemory, r.part)
+	st.asks.add(g.now, rateMemory, 1)
+	if r.guest = nil; g.unseen > mostUnseen {
+		g.invite(r, st)
+	}
+}
+
+// invite lets a part of the requests go without a right to the cold server at which a request meets others of
+// its kind, by its beginning or near its reader: the less, the more of this gateway's last ones met there. It
+// bounds the mean of what all let go to one server, however requests fall on servers: where k of m met there,
+// each with the chance h, E[h(m+1)/(k+1)] < 1, and that k = 0 counts twice adds 1/e at most.
+func (g *Gateway) invite(r *request, st *stage) {
+	key := cmp.Or(r.meets, Key(r.ID))
+	if r.reader != nil {
+		key = Key(r.reader.Cell + 1)
+	}
+	at, k, m := st.coldest(key), 0.0, 1.0
+	for _, p := range st.past {
+		if p.key != 0 && after(p.at, g.now) < keepFor {
+			m++
+			if at != nil && (p.key == key || st.coldest(p.key) == at) {
+				k++
+			}
+		}
+	}
+	st.past[st.last%len(st.past)] = meeting{key, g.now}
+	st.last++
+	if k == 0 {
+		m *= 2
+	}
+	if at != nil && g.rng.Float64()*(k+1)/m < homePart*g.set.FallMultiple*g.bears(at)*st.did.v/st.asks.v {
+		r.guest = at
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -9,7 +9,7 @@
 )
 
 // This file holds what the module remembers, and plain arithmetic. It decides nothing and holds no
-// tuned value; the decisions are in logic.go.
+// tuned value; the decisions are in the files beside it.
 
 type phase uint8
 
