--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -234,7 +234,7 @@
 	}
 	part := d.shares(sources.Platform, cfg.Settings, cfg.Reports.Understands(), cfg.Names("zone"))
 	core := d.core(ctx, logic.New(cfg.Settings, cfg.Seed), part.watch(platform.NewTransport(cfg, workers, d.counters)), part,
-		cfg.Settings.MaxAttempts, open)
+		cfg.Settings, open)
 	taker := part.before(core)
 	var failed func(error)
 	if d.sources.Takes(sources.Platform) {
@@ -321,7 +321,7 @@
 	}
 	part := d.shares(sources.ModelAPI, settings, false, nil)
 	core := d.core(ctx, logic.New(settings, uint64(time.Now().UnixNano())), part.watch(modelapi.NewTransport(cfg, workers, d.counters)), part,
-		settings.MaxAttempts, cfg.MaxOpen)
+		settings, cfg.MaxOpen)
 	feed, err := d.feed(sources.ModelAPI, part.before(core), nil)
 	if err != nil {
 		return err
@@ -373,9 +373,9 @@
 	}
 }
 
-func (d *daemon) core(ctx context.Context, decider logic.Decider, t router.Transport, p share, attempts, open int) *router.Core {
+func (d *daemon) core(ctx context.Context, decider logic.Decider, t router.Transport, p share, settings logic.Settings, open int) *router.Core {
 	core := router.New(router.Config{Decider: decider, Transport: t, Permit: p.permit(), Fence: d.fence.check(), Counters: d.counters,
-		MaxAttempts: attempts, MaxOpen: open, Log: d.log})
+		Settings: settings, MaxOpen: open, Log: d.log})
 	go core.Run(ctx)
 	return core
 }
--- a/router/admit.go
+++ b/router/admit.go
@@ -27,6 +27,7 @@
 }
 
 func (a *admission) admit(ex *exchange) {
+	ex.rules = a.core.guard.rules(ex.Request)
 	first := a.names[ex.Name]
 	if first == nil {
 		a.enter(ex)
@@ -116,3 +117,13 @@
 	}
 	a.over = a.over[:0]
 }
+
+// lookForOverdue notes requests that should have had their final answer, once each.
+func (a *admission) lookForOverdue() {
+	now := time.Now()
+	for _, ex := range a.exchanges {
+		if !ex.overdue && !a.core.guard.note(ex, "wait", ex.rules.Overdue(now)) {
+			ex.overdue = true
+		}
+	}
+}
--- a/router/core.go
+++ b/router/core.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"lichenshelf/logic"
+	"lichenshelf/router/rules"
 )
 
 // mailboxSize bounds what waits for the core; who posts to a full one waits.
@@ -31,8 +32,8 @@
 	// may be called from any goroutine and must return at once; nil: all may go.
 	Fence    func() bool
 	Counters Counters
-	// MaxAttempts bounds the attempts of one request; 0 means no bound.
-	MaxAttempts int
+	// Settings are those that the decider goes by: each act is held against their rules (package rules).
+	Settings logic.Settings
 	// MaxOpen bounds the requests in hand; more are refused at the door.
 	MaxOpen int
 	// Log takes what the decisions have to say, and at the debug level how each
@@ -55,23 +56,25 @@
 	sender    sender
 	relay     relay
 	book      book
+	guard     guard
 }
 
 // exchange is one request in hand and all that the core keeps of it. Only the
 // core's goroutine touches it.
 type exchange struct {
 	*Request
-	client    Client
-	turn      *time.Timer // ends its wait behind another of its name; nil: it did not wait
-	attempt   *attempt    // the one that is out
-	sends     int
-	unreached int // of the sends, those that never reached a worker
-	last      logic.Status
-	closed    bool // it has its final answer, or the client has gone
-	answered  bool // an answer has begun
-	ran       bool // an attempt may have run, as far as its outcome tells
-	unsure    bool // a read was cut off: the worker may hold its state all the same
-	releases  int  // that are out; what is sent meanwhile waits for them
+	rules    *rules.Request // what may be done for it; nil until it is admitted
+	client   Client
+	turn     *time.Timer // ends its wait behind another of its name; nil: it did not wait
+	attempt  *attempt    // the one that is out
+	sends    int
+	last     logic.Status
+	closed   bool // it has its final answer, or the client has gone
+	answered bool // an answer has begun
+	ran      bool // an attempt may have run, as far as its outcome tells
+	unsure   bool // a read was cut off: the worker may hold its state all the same
+	releases int  // that are out; what is sent meanwhile waits for them
+	overdue  bool // it was noted that it has no answer yet
 }
 
 // New returns a core; Run starts it.
@@ -86,17 +89,25 @@
 	c.intake = intake{core: c, limit: int64(cfg.MaxOpen), count: cfg.Counters}
 	c.admission = admission{core: c, exchanges: map[logic.RequestID]*exchange{}, names: map[string]*exchange{}, behind: map[string][]*exchange{}}
 	c.routing = routing{core: c, decider: cfg.Decider, start: time.Now(), log: cfg.Log}
-	c.sender = sender{core: c, transport: cfg.Transport, permit: cfg.Permit, most: cfg.MaxAttempts, count: cfg.Counters}
+	c.sender = sender{core: c, transport: cfg.Transport, permit: cfg.Permit, count: cfg.Counters}
+	c.guard = guard{settings: cfg.Settings, count: cfg.Counters, log: cfg.Log}
 	c.relay = relay{core: c}
 	c.book = book{core: c, transport: cfg.Transport, count: cfg.Counters, log: cfg.Log}
+	if l, ok := cfg.Log.(*logrus.Logger); ok {
+		c.book.verbose = l.IsLevelEnabled(logrus.DebugLevel)
+	}
 	return c
 }
 
 // Run owns all state until ctx ends.
 func (c *Core) Run(ctx context.Context) {
 	defer close(c.stopped)
+	look := time.NewTicker(overdueEvery)
+	defer look.Stop()
 	for {
 		select {
+		case <-look.C:
+			c.admission.lookForOverdue()
 		case f := <-c.mail:
 			f()
 			c.routing.decide()
@@ -156,9 +167,7 @@
 		if r, ok := c.routing.decider.(Retuner); ok {
 			r.Retune(classes, maxAttempts)
 		}
-		if c.sender.most > 0 {
-			c.sender.most = max(c.sender.most, maxAttempts)
-		}
+		c.guard.settings.Classes, c.guard.settings.MaxAttempts = classes, maxAttempts
 	})
 }
 
--- a/router/core_test.go
+++ b/router/core_test.go
@@ -67,7 +67,7 @@
 
 func run(t *testing.T, d decide, w *wires) (*Core, *metrics.Set) {
 	counters := &metrics.Set{}
-	c := New(Config{Decider: d, Transport: w, Counters: counters, MaxAttempts: 3, MaxOpen: 2})
+	c := New(Config{Decider: d, Transport: w, Counters: counters, Settings: logic.Settings{MaxAttempts: 3}, MaxOpen: 2})
 	ctx, cancel := context.WithCancel(context.Background())
 	go c.Run(ctx)
 	t.Cleanup(func() { cancel(); <-c.stopped })
--- a/router/intake.go
+++ b/router/intake.go
@@ -40,4 +40,7 @@
 }
 
 // Leave says that the client has gone away. Nothing more is sent for it.
-func (t Ticket) Leave() { t.core.post(func() { t.core.book.left(t.ex) }) }
+func (t Ticket) Leave() {
+	at := time.Now()
+	t.core.post(func() { t.core.book.left(t.ex, at) })
+}
--- a/router/relay.go
+++ b/router/relay.go
@@ -21,7 +21,8 @@
 	r.core.admission.next(ex)
 	r.core.routing.push(logic.Event{Kind: logic.AnswerStarted, ID: ex.ID, Attempt: a.number, Server: a.server,
 		Latency: time.Since(a.sentAt), Load: answer.Load()})
-	r.core.book.note(ex, "answering")
+	r.core.guard.note(ex, "answer", ex.rules.Answer(time.Now()))
+	r.core.book.note(ex, "answering", logic.WhyNone)
 	ex.Payload = nil // a stream may last, and its request's message has been sent
 	ex.client.Stream(&relayed{Answer: answer, attempt: a})
 }
--- a/router/roster.go
+++ b/router/roster.go
@@ -24,6 +24,9 @@
 	Name    string
 	Addr    string
 	since   logic.Time
+	zone    int
+	cell    int
+	kind    int
 	leaving atomic.Bool
 	fence   func() bool // nil: none
 }
@@ -75,7 +78,7 @@
 			if m.Health == logic.Gone {
 				continue
 			}
-			w = &Worker{ID: m.Server, Name: m.Name, Addr: m.Addr, since: m.Since, fence: r.fence}
+			w = &Worker{ID: m.Server, Name: m.Name, Addr: m.Addr, since: m.Since, zone: m.Zone, cell: m.Cell, kind: m.Kind, fence: r.fence}
 			r.workers[m.Server] = w
 		}
 		w.leaving.Store(m.Health != logic.Ready)
--- a/router/route.go
+++ b/router/route.go
@@ -64,9 +64,9 @@
 		case logic.CallOff:
 			r.core.sender.callOff(ex, a.Attempt)
 		case logic.Refuse:
-			r.core.book.refuse(ex, a.After)
+			r.core.book.refuse(ex, a.After, a.Why)
 		case logic.Fail:
-			r.core.book.fail(ex)
+			r.core.book.fail(ex, a.Why)
 		case logic.Release:
 			r.core.book.release(ex)
 		case logic.Move:
--- a/router/send.go
+++ b/router/send.go
@@ -3,21 +3,15 @@
 import (
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"lichenshelf/logic"
+	"lichenshelf/router/rules"
 )
 
-// mostSends times the bound on attempts is that on all that are begun, those that never
-// reach a worker included.
-const mostSends = 3
-
 // sender starts attempts, waits for them and reports their ends.
 type sender struct {
 	core      *Core
 	transport Transport
 	permit    Permit // nil: all may go
-	most      int
 	count     Counters
 }
 
@@ -40,26 +34,25 @@
 func (s *sender) send(ex *exchange, act *logic.Action) {
 	w := s.core.roster.worker(act.Server)
 	a := &attempt{core: s.core, ex: ex, number: ex.sends, server: act.Server, sentAt: time.Now(), to: w, wait: act.After, reach: act.Reach}
-	switch {
-	case ex.closed || ex.attempt != nil || s.most > 0 && (ex.sends-ex.unreached >= s.most || ex.sends >= mostSends*s.most):
-		s.report(a, Outcome{Status: logic.NotSent})
+	switch v := s.may(ex, w, a.sentAt); v {
+	case rules.Allowed:
+	case rules.WorkerLeaving: // told between the decision and now: nothing was sent
+		s.skip(a)
 		return
-	case s.core.roster.fence != nil && !s.core.roster.fence():
-		s.count.Add("attempts_fenced", 1)
+	default:
+		if v == rules.Fenced {
+			s.count.Add("attempts_fenced", 1)
+		}
+		s.core.guard.note(ex, "send", v)
 		s.report(a, Outcome{Status: logic.NotSent})
 		return
-	case w == nil || !w.MaySend():
-		// Told to leave between the decision and now: nothing was sent.
-		ex.sends++
-		s.report(a, Outcome{Status: logic.Full, Unreached: true})
-		return
 	}
+	repeat := ex.sends > 0 && ex.last != logic.PromptRead
 	if s.permit != nil {
-		switch s.permit.Allow(w, ex.sends > 0 && ex.last != logic.PromptRead) {
+		switch s.permit.Allow(w, repeat) {
 		case NotThere:
-			ex.sends++
 			s.count.Add("attempts_not_there", 1)
-			s.report(a, Outcome{Status: logic.Full, Unreached: true})
+			s.skip(a)
 			return
 		case NotAgain:
 			s.count.Add("attempts_not_again", 1)
@@ -67,9 +60,13 @@
 			return
 		}
 	}
+	ex.rules.Sent(a.sentAt, s.core.guard.place(w))
 	ex.sends++
 	ex.attempt = a
 	s.count.Add("attempts_sent", 1)
+	if repeat {
+		s.count.Add("attempts_repeated_after_"+statusNames[ex.last], 1)
+	}
 	a.timer = time.AfterFunc(a.wait, func() {
 		s.core.post(func() { s.end(a, Outcome{Status: logic.TimedOut}) })
 	})
@@ -78,12 +75,32 @@
 	}
 }
 
+// may is asked for each attempt that was decided.
+func (s *sender) may(ex *exchange, w *Worker, now time.Time) rules.Verdict {
+	if s.core.roster.fence != nil && !s.core.roster.fence() {
+		return rules.Fenced
+	}
+	if w == nil || !w.MaySend() {
+		return rules.WorkerLeaving
+	}
+	return ex.rules.MaySend(now, s.core.guard.place(w))
+}
+
+// skip ends an attempt whose worker must not get it now: another may.
+func (s *sender) skip(a *attempt) {
+	a.ex.sends++
+	a.ex.rules.Skipped()
+	s.report(a, Outcome{Status: logic.Full, Unreached: true})
+}
+
 // start hands an attempt to the transport, once.
 func (s *sender) start(a *attempt) {
 	if a.giveUp != nil {
 		return
 	}
+	s.core.guard.note(a.ex, "send", a.ex.rules.Taking(time.Now()))
 	waited := time.Since(a.sentAt) // for a release
+	s.core.book.begun(a, waited)
 	out := Attempt{Request: a.ex.Request, Worker: a.to, Wait: a.wait - waited}
 	if a.reach > 0 {
 		out.Reach = max(a.reach-waited, time.Nanosecond)
@@ -125,6 +142,7 @@
 func (s *sender) over(a *attempt, o Outcome) {
 	a.ex.attempt = nil
 	a.ex.last = o.Status
+	a.ex.rules.Ended(time.Now(), o.Status, o.Unreached)
 	switch o.Status {
 	case logic.TimedOut, logic.Cancelled, logic.ConnectionReset:
 		// A read may have ended well just as it was cut off.
@@ -145,17 +163,8 @@
 
 // report tells the decisions and the counters.
 func (s *sender) report(a *attempt, o Outcome) {
-	if o.Unreached {
-		a.ex.unreached++
-	}
 	s.count.Add("attempts_"+statusNames[o.Status], 1)
-	worker := ""
-	if a.to != nil {
-		worker = a.to.Name
-	}
-	s.core.book.log.WithFields(logrus.Fields{"request": a.ex.Name, "attempt": a.number, "worker": worker,
-		"outcome": statusNames[o.Status], "unreached": o.Unreached, "kept": o.Kept, "prompt": a.ex.PromptTokens,
-		"ms": a.took.Milliseconds()}).Debug("attempt ended")
+	s.core.book.ended(a, o)
 	s.core.routing.push(logic.Event{Kind: logic.AttemptEnded, ID: a.ex.ID, Attempt: a.number, Server: a.server,
 		Latency: a.took, Status: o.Status, Closed: a.ex.closed, Kept: o.Kept, Load: o.Load, Stale: o.Stale,
 		Unreached: o.Unreached})
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -16,6 +16,7 @@
 
 	"lichenshelf/logic"
 	"lichenshelf/router"
+	"lichenshelf/router/rules"
 )
 
 // errNoAnswer says that not a byte of one came.
@@ -317,7 +318,11 @@
 	for _, kv := range x.msg.Header {
 		h.Set(kv[0], kv[1])
 	}
-	h.Set(x.client.cfg.WaitHeader, strconv.FormatInt(max(time.Until(x.until).Milliseconds(), 1), 10))
+	told, v := rules.TimeToTell(time.Now(), x.until, x.Request.Received.Add(x.Request.Patience))
+	if v != rules.Allowed {
+		router.CountViolation(x.client.cfg.Counters, v)
+	}
+	h.Set(x.client.cfg.WaitHeader, strconv.FormatInt(told.Milliseconds(), 10))
 	h.SetContentLength(len(x.msg.Body))
 	return slices.Clone(h.Header())
 }
--- a/upstream/crossings_test.go
+++ b/upstream/crossings_test.go
@@ -41,7 +41,7 @@
 	e := ends{make(chan router.Outcome, 4), make(chan router.Answer, 4)}
 	m := &Message{Method: "POST", URI: "/x", Stream: true}
 	from := time.Now()
-	c.Send(router.Attempt{Request: &router.Request{Name: "a", Payload: m}, Worker: w, Wait: wait}, e)
+	c.Send(router.Attempt{Request: &router.Request{Name: "a", Payload: m, Received: from, Request: logic.Request{Patience: wait}}, Worker: w, Wait: wait}, e)
 	time.Sleep(late) // its connection does not come up meanwhile
 	go func() {
 		for {
