A soak of overlapping troubles over real programs, its judge, and what it found first

What is new: lab/judge, pure, holds what clients and workers saw against six rules and is shown to fail at each; TestOverlappingTroubles (test/overlap_*.go) starts routers as processes, each with an agent of discovery of its own, a clock that is stepped and system calls that fail, before twelve workers behind relays, and overlaps stops, kills, upgrades, reloads, stalls, silent agents, leaving, hanging and vanishing workers, clients that leave, send ahead or stop half-way; a relay can vanish now, by a socket filter that keeps the system from acknowledging.

--- a/internal/standin/link/relay.go
+++ b/internal/standin/link/relay.go
@@ -7,7 +7,10 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Fault is what happens to what passes. The zero value passes all on.
@@ -15,6 +18,9 @@
 	Refuse bool          // new connections are closed at once
 	Drop   [2]bool       // bytes vanish on their way there, back; connections stay open
 	Delay  time.Duration // bytes are late by so much, either way
+	// Vanish makes the far end a machine that is gone: what is sent to it is not even acknowledged by its system, its
+	// connections stay open and silent, and new ones don't come up.
+	Vanish bool
 }
 
 // Relay passes connections on to one address.
@@ -25,6 +31,7 @@
 	mu    sync.Mutex
 	fault Fault
 	conns map[net.Conn]bool
+	near  map[net.Conn]bool // of them, those that were accepted
 }
 
 // New starts a relay at an address of its own; Close ends it.
@@ -33,7 +40,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Relay{listener: l, to: to, conns: map[net.Conn]bool{}}
+	r := &Relay{listener: l, to: to, conns: map[net.Conn]bool{}, near: map[net.Conn]bool{}}
 	go r.serve()
 	return r, nil
 }
@@ -44,8 +51,33 @@
 // Set makes a fault begin, or with its zero value end.
 func (r *Relay) Set(f Fault) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
+	if f.Vanish {
+		f.Drop = [2]bool{true, true}
+	}
+	if f.Vanish != r.fault.Vanish {
+		deafen(r.listener, f.Vanish)
+		for c := range r.near {
+			deafen(c, f.Vanish)
+		}
+	}
 	r.fault = f
-	r.mu.Unlock()
+}
+
+// deafen makes the system drop all that comes for a socket before it is looked at, or no more. It needs no rights.
+func deafen(socket any, deaf bool) {
+	raw, err := socket.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return
+	}
+	nothing := []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K, K: 0}}
+	_ = raw.Control(func(fd uintptr) {
+		if deaf {
+			_ = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &nothing[0]})
+		} else {
+			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0)
+		}
+	})
 }
 
 // Cut closes all connections that pass now.
@@ -69,16 +101,6 @@
 	return r.fault
 }
 
-func (r *Relay) keep(c net.Conn, on bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if on {
-		r.conns[c] = true
-	} else {
-		delete(r.conns, c)
-	}
-}
-
 func (r *Relay) serve() {
 	for {
 		c, err := r.listener.Accept()
@@ -101,14 +123,19 @@
 		_ = from.Close()
 		return
 	}
-	r.keep(from, true)
-	r.keep(to, true)
+	r.mu.Lock()
+	r.conns[from], r.conns[to], r.near[from] = true, true, true
+	deafen(from, r.fault.Vanish)
+	r.mu.Unlock()
 	var both sync.WaitGroup
 	both.Go(func() { r.copy(to, from, 0) })
 	both.Go(func() { r.copy(from, to, 1) })
 	both.Wait()
-	r.keep(from, false)
-	r.keep(to, false)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.conns, from)
+	delete(r.conns, to)
+	delete(r.near, from)
 }
 
 // copy passes one direction on. What is late waits in a queue of its own, so that
--- /dev/null
+++ b/lab/judge/judge_test.go
@@ -0,0 +1,144 @@
+package judge
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lichenshelf/logic"
+)
+
+var limits = Limits{Answer: 500 * time.Millisecond, Grace: 300 * time.Millisecond, Held: 600 * time.Millisecond, Told: 150 * time.Millisecond,
+	Gone: 100 * time.Millisecond, Copies: 50 * time.Millisecond, Window: 2 * time.Second, Slack: 10 * time.Millisecond}
+
+const patience = time.Second
+
+// Each rule is broken by what breaks it, and by nothing that does not.
+func TestEachRuleCanBeBroken(t *testing.T) {
+	start := time.Now()
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	const over = 11 * time.Millisecond
+	for name, c := range map[string]struct {
+		effect logic.Effect
+		play   func(j *Judge)
+		want   []Rule
+	}{
+		"served by a reader and a writer": {play: func(j *Judge) {
+			j.Arrived("a", "r", true, start, patience).Ended(Read, at(100*time.Millisecond))
+			j.Arrived("a", "w", false, at(200*time.Millisecond), patience-200*time.Millisecond).Ended(Began, at(time.Hour))
+			j.Began("a", at(patience))
+			j.Final("a", Served, at(time.Hour))
+		}},
+		"turned away, and refused": {effect: logic.EffectOnce, play: func(j *Judge) {
+			j.Arrived("a", "w", false, start, patience).Ended(NeverRan, start)
+			j.Released("a", start)
+			j.Final("a", Refused, at(patience))
+		}},
+		"no answer":           {play: func(*Judge) {}, want: []Rule{Lost}},
+		"gone, no answer":     {play: func(j *Judge) { j.Left("a", start) }},
+		"two answers":         {play: func(j *Judge) { j.Final("a", Failed, start); j.Final("a", Refused, start) }, want: []Rule{Lost}},
+		"a closed connection": {play: func(j *Judge) { j.Final("a", Unanswered, start) }, want: []Rule{Lost}},
+		"an answer too late":  {play: func(j *Judge) { j.Final("a", Failed, at(patience+limits.Answer+over)) }, want: []Rule{Lost}},
+		"a beginning too late": {play: func(j *Judge) {
+			j.Began("a", at(patience+limits.Answer+over))
+			j.Final("a", Served, at(time.Hour))
+		}, want: []Rule{Lost}},
+		"once, run twice": {effect: logic.EffectOnce, play: func(j *Judge) {
+			j.Arrived("a", "w", false, start, patience).Ended(MayHaveRun, start)
+			j.Arrived("a", "v", false, start, patience).Ended(Began, start)
+			j.Final("a", Served, start)
+		}, want: []Rule{Duplicate}},
+		"once, run and refused": {effect: logic.EffectOnce, play: func(j *Judge) {
+			j.Arrived("a", "w", false, start, patience).Ended(MayHaveRun, start)
+			j.Released("a", start)
+			j.Final("a", Refused, start)
+		}, want: []Rule{Duplicate}},
+		"by key, past its window": {effect: logic.EffectByKey, play: func(j *Judge) {
+			j.Arrived("a", "w", false, start, patience).Ended(MayHaveRun, start)
+			j.Released("a", start)
+			j.Arrived("a", "v", false, at(limits.Window+over), 0).Ended(Began, at(limits.Window+over))
+			j.Final("a", Broken, start)
+		}, want: []Rule{Duplicate, Told}}, // and it is long past its client's time
+		"two copies": {play: func(j *Judge) {
+			first := j.Arrived("a", "w", false, start, patience)
+			second := j.Arrived("a", "v", false, start, patience)
+			first.Ended(MayHaveRun, at(limits.Copies+over))
+			second.Ended(Began, at(limits.Copies+over))
+			j.Released("a", at(limits.Copies+over))
+			j.Final("a", Served, start)
+		}, want: []Rule{Duplicate}},
+		"one follows the other": {play: func(j *Judge) {
+			first := j.Arrived("a", "w", false, start, patience)
+			second := j.Arrived("a", "v", false, start, patience)
+			first.Ended(MayHaveRun, at(limits.Copies))
+			second.Ended(Began, at(time.Hour))
+			j.Released("a", at(limits.Copies))
+			j.Final("a", Served, start)
+		}},
+		"sent to who leaves": {play: func(j *Judge) {
+			j.Leaving("n", "w", start)
+			j.Leaving("other", "v", start)
+			j.Arrived("a", "v", false, at(limits.Grace+over), 0).Ended(Began, start)
+			j.Arrived("a", "w", false, at(limits.Grace+over), 0).Ended(Began, start)
+			j.Final("a", Served, start)
+		}, want: []Rule{Drain}},
+		"sent to who came back": {play: func(j *Judge) {
+			j.Leaving("n", "w", start)
+			j.Returned("n", "w")
+			j.Arrived("a", "w", false, at(limits.Grace+over), 0).Ended(Began, start)
+			j.Final("a", Served, start)
+		}},
+		"held too long": {play: func(j *Judge) {
+			j.Arrived("a", "r", true, start, patience).Ended(Read, start)
+			j.Released("a", at(limits.Held+over))
+			j.Final("a", Refused, start)
+		}, want: []Rule{Pinned}},
+		"nothing was held before a mixed worker failed": {play: func(j *Judge) {
+			j.Arrived("a", "m", false, start, patience).Ended(MayHaveRun, start)
+			j.Final("a", Refused, start)
+		}},
+		"held for ever, after a writer that failed": {play: func(j *Judge) {
+			j.Arrived("a", "r", true, start, patience).Ended(Read, start)
+			j.Arrived("a", "w", false, start, patience).Ended(MayHaveRun, start)
+			j.Final("a", Refused, start)
+		}, want: []Rule{Pinned}},
+		"told too much": {play: func(j *Judge) {
+			j.Arrived("a", "w", false, at(patience/2), patience/2+limits.Told+over).Ended(Began, start)
+			j.Final("a", Served, start)
+		}, want: []Rule{Told}},
+		"begun after its end": {play: func(j *Judge) {
+			j.Final("a", Failed, start)
+			j.Arrived("a", "w", false, at(limits.Gone+over), 0).Ended(Began, start)
+		}, want: []Rule{Gone}},
+		"begun for nobody": {play: func(j *Judge) {
+			j.Left("a", start)
+			j.Arrived("a", "w", false, at(limits.Gone+over), 0).Ended(Began, start)
+		}, want: []Rule{Gone}},
+		"cut off by the router": {play: func(j *Judge) {
+			a := j.Arrived("a", "w", false, start, patience)
+			a.Ended(Began, start)
+			a.Whole()
+			j.Final("a", Broken, start)
+		}, want: []Rule{Lost}},
+		"its router was killed": {play: func(j *Judge) {
+			j.Arrived("a", "r", true, start, patience).Ended(Read, start)
+			j.Excuse("a")
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			j := New(limits)
+			j.Sent("a", c.effect, "n", start, patience)
+			c.play(j)
+			var got []Rule
+			for _, v := range j.Verdict(at(2 * time.Hour)) {
+				got = append(got, v.Rule)
+			}
+			require.Equal(t, c.want, got)
+		})
+	}
+	j := New(limits)
+	require.Nil(t, j.Arrived("unknown", "w", false, start, 0))
+	j.Arrived("unknown", "w", false, start, 0).Ended(Began, start)
+	require.Empty(t, j.Verdict(start))
+}
--- a/test/held_test.go
+++ b/test/held_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"lichenshelf/internal/standin/deaf"
+	"lichenshelf/internal/standin/link"
 )
 
 // mostTries is the settings' bounds.most-tries.
@@ -246,3 +247,33 @@
 	h.taken("in time")
 	require.Len(t, h.judge(), 2)
 }
+
+// A send that has not arrived is not out: it does not stop the clock for what a reader holds. A writer's machine that has
+// vanished says nothing, and its open connections take what is sent all the same.
+func TestASendThatNeverArrivesStopsNoClock(t *testing.T) {
+	for _, class := range []string{"file", "query"} {
+		t.Run(class, func(t *testing.T) {
+			t.Parallel()
+			h := newHolds()
+			r, w := pair(t, nil)
+			h.watched(r)
+			h.watched(w)
+			relay, err := link.New(w.Listener.Addr().String())
+			require.NoError(t, err)
+			t.Cleanup(relay.Close)
+			p, d := platform(t, r)
+			p.told(d.listAt(w.name, w.kind, relay.Addr()))
+			for range 8 { // connections are kept
+				require.Equal(t, http.StatusOK, p.ask(class, newID(), 3*time.Second).status)
+			}
+			relay.Set(link.Fault{Vanish: true})
+			var all sync.WaitGroup
+			for range 8 {
+				all.Go(func() { p.ask(class, newID(), 3*time.Second) })
+			}
+			all.Wait()
+			time.Sleep(heldWithin)
+			require.Empty(t, h.judge())
+		})
+	}
+}
--- /dev/null
+++ b/test/overlap_troubles_test.go
@@ -0,0 +1,244 @@
+package test
+
+import (
+	"maps"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"lichenshelf/internal/standin/link"
+	"lichenshelf/internal/standin/syscalls"
+)
+
+// trouble makes one trouble, drawn, to somebody who has none of this kind, and takes it away.
+func (r *overlapRig) trouble(rng *rand.Rand) {
+	names := slices.Sorted(maps.Keys(overlapTroubles))
+	name := names[rng.IntN(len(names))]
+	done := overlapTroubles[name](r, rng)
+	if done {
+		r.mu.Lock()
+		r.played[name]++
+		r.mu.Unlock()
+	}
+	time.Sleep(time.Duration(rng.IntN(150)) * time.Millisecond)
+}
+
+// overlapTroubles tell whether they found somebody to trouble.
+var overlapTroubles = map[string]func(*overlapRig, *rand.Rand) bool{
+	"restart":  onRouter((*overlapRouter).restart),
+	"kill":     onRouter((*overlapRouter).kill),
+	"upgrade":  onRouter((*overlapRouter).upgrade),
+	"reload":   onRouter((*overlapRouter).reload),
+	"stall":    onRouter((*overlapRouter).stall),
+	"clock":    onRouter((*overlapRouter).stepClock),
+	"syscalls": onRouter((*overlapRouter).failCalls),
+	"agent silent": onRouter(func(o *overlapRouter, rng *rand.Rand) {
+		o.outOfHearing(time.Now()) // it is told 6 s later at the latest
+		o.agent.silence()
+		time.Sleep(some(rng, time.Second))
+	}),
+	"agent down": onRouter(func(o *overlapRouter, rng *rand.Rand) {
+		d := some(rng, 3*time.Second)
+		o.outOfHearing(time.Now().Add(d + loaded))
+		up := o.agent.stop()
+		time.Sleep(d)
+		up()
+		o.outOfHearing(time.Now())
+	}),
+	"agent refuses": onRouter(func(o *overlapRouter, rng *rand.Rand) {
+		d := some(rng, 2*time.Second)
+		o.outOfHearing(time.Now().Add(d + loaded))
+		o.agent.refuse(true)
+		o.agent.CloseClientConnections()
+		time.Sleep(d)
+		o.agent.refuse(false)
+		o.outOfHearing(time.Now())
+	}),
+	"agent resets": onRouter(func(o *overlapRouter, _ *rand.Rand) { o.agent.CloseClientConnections() }),
+	"leave":        onWorker((*overlapWorker).leave),
+	"hang":         withManner(hangs),
+	"fail":         withManner(fails),
+	"turn away":    withManner(turnsAway),
+	"reset":        withManner(resets),
+	"break off":    withManner(breaksOff),
+	"half answer":  withManner(halfAnswer),
+	"refuse":       withLink(link.Fault{Refuse: true}),
+	"vanish":       withLink(link.Fault{Drop: [2]bool{true, true}}),
+	"answers lost": withLink(link.Fault{Drop: [2]bool{false, true}}),
+	"half of all writers hang": func(r *overlapRig, rng *rand.Rand) bool {
+		for _, k := range r.workers[overlapReaders : overlapReaders+overlapWriters/2] {
+			if k.busy.TryLock() {
+				defer k.busy.Unlock()
+				k.manner.Store(int32(hangs))
+				defer k.manner.Store(int32(well))
+			}
+		}
+		time.Sleep(some(rng, 1500*time.Millisecond))
+		return true
+	},
+}
+
+// some is a time up to so much, an eighth of it at least.
+func some(rng *rand.Rand, most time.Duration) time.Duration {
+	return most/8 + time.Duration(rng.Int64N(int64(most-most/8)))
+}
+
+func onRouter(do func(*overlapRouter, *rand.Rand)) func(*overlapRig, *rand.Rand) bool {
+	return func(r *overlapRig, rng *rand.Rand) bool {
+		o := r.routers[rng.IntN(len(r.routers))]
+		if !o.busy.TryLock() {
+			return false
+		}
+		defer o.busy.Unlock()
+		do(o, rng)
+		return true
+	}
+}
+
+func onWorker(do func(*overlapWorker, *overlapRig, *rand.Rand)) func(*overlapRig, *rand.Rand) bool {
+	return func(r *overlapRig, rng *rand.Rand) bool {
+		k := r.workers[rng.IntN(len(r.workers))]
+		if !k.busy.TryLock() {
+			return false
+		}
+		defer k.busy.Unlock()
+		do(k, r, rng)
+		return true
+	}
+}
+
+func withManner(m manner) func(*overlapRig, *rand.Rand) bool {
+	return onWorker(func(k *overlapWorker, _ *overlapRig, rng *rand.Rand) {
+		k.manner.Store(int32(m))
+		time.Sleep(some(rng, 2*time.Second))
+		k.manner.Store(int32(well))
+	})
+}
+
+func withLink(f link.Fault) func(*overlapRig, *rand.Rand) bool {
+	return onWorker(func(k *overlapWorker, _ *overlapRig, rng *rand.Rand) {
+		k.linkFaults.Add(1)
+		defer k.linkFaults.Add(1)
+		k.relay.Set(f)
+		if f.Refuse {
+			k.relay.Cut()
+		}
+		time.Sleep(some(rng, 2*time.Second))
+		k.relay.Set(link.Fault{})
+		k.relay.Cut() // what was silent is reset once it is back
+	})
+}
+
+// leave has a worker drain, go and come back as another process.
+func (k *overlapWorker) leave(r *overlapRig, rng *rand.Rand) {
+	r.tell(k, "terminating")
+	time.Sleep(some(rng, 3*time.Second))
+	r.tell(k, "terminated")
+	time.Sleep(some(rng, time.Second))
+	r.tell(k, "in_service")
+}
+
+func (o *overlapRouter) terminate(p *program) {
+	o.termAt.Store(time.Now().UnixNano())
+	p.signal(syscall.SIGTERM)
+	o.ended(p)
+}
+
+func (o *overlapRouter) restart(*rand.Rand) {
+	p, _, _ := o.process()
+	o.terminate(p)
+	o.start()
+}
+
+// upgrade starts the next process beside the one that runs, and ends that one.
+func (o *overlapRouter) upgrade(*rand.Rand) {
+	p, _, _ := o.process()
+	o.start()
+	p.signal(syscall.SIGTERM) // new connections are dealt to the next one
+	o.ended(p)
+}
+
+func (o *overlapRouter) kill(rng *rand.Rand) {
+	p, _, _ := o.process()
+	o.termAt.Store(1) // long ago: nobody comes any more
+	o.kills.Add(1)
+	for _, id := range o.rig.judge.Open(o.name) {
+		o.rig.judge.Excuse(id)
+	}
+	p.signal(syscall.SIGKILL)
+	<-p.exit
+	for _, id := range o.rig.judge.Open(o.name) {
+		o.rig.judge.Excuse(id)
+	}
+	time.Sleep(some(rng, 500*time.Millisecond))
+	o.start()
+}
+
+// reload has configurations read again in a row, some of which make no sense.
+func (o *overlapRouter) reload(rng *rand.Rand) {
+	for range 1 + rng.IntN(4) {
+		text := o.rig.config(o, time.Duration(1+rng.IntN(3))*time.Second)
+		if rng.IntN(3) == 0 {
+			text = strings.Replace(text, `"settings"`, `"settings":[`, 1)
+		}
+		if err := os.WriteFile(o.file+".new", []byte(text), 0o600); err != nil {
+			o.rig.fault("%v", err)
+		}
+		if err := os.Rename(o.file+".new", o.file); err != nil {
+			o.rig.fault("%v", err)
+		}
+		p, _, _ := o.process()
+		p.signal(syscall.SIGHUP)
+		time.Sleep(some(rng, 300*time.Millisecond))
+	}
+	if err := os.WriteFile(o.file, []byte(o.text), 0o600); err != nil {
+		o.rig.fault("%v", err)
+	}
+	p, _, _ := o.process()
+	p.signal(syscall.SIGHUP)
+	time.Sleep(50 * time.Millisecond)
+}
+
+// stall holds the router up for up to 0.15 s, a few times.
+func (o *overlapRouter) stall(rng *rand.Rand) {
+	p, _, _ := o.process()
+	for range 1 + rng.IntN(5) {
+		p.signal(syscall.SIGSTOP)
+		time.Sleep(some(rng, 140*time.Millisecond))
+		p.signal(syscall.SIGCONT)
+		time.Sleep(some(rng, 200*time.Millisecond))
+	}
+}
+
+func (o *overlapRouter) stepClock(rng *rand.Rand) {
+	_, _, wall := o.process()
+	steps := []time.Duration{-hour, hour, -5 * time.Second, 5 * time.Second}
+	if err := wall.Set(steps[rng.IntN(len(steps))]); err != nil {
+		o.rig.fault("%v", err)
+	}
+	time.Sleep(some(rng, time.Second))
+}
+
+// failCalls makes a part of some system calls fail.
+func (o *overlapRouter) failCalls(rng *rand.Rand) {
+	_, calls, _ := o.process()
+	errnos := map[int][]syscall.Errno{
+		syscalls.Accept4: {syscall.ECONNABORTED, syscall.ENOBUFS, syscall.ENFILE, syscall.EMFILE, syscall.EINTR, syscall.EPROTO},
+		syscalls.Connect: {syscall.EADDRNOTAVAIL, syscall.ENOBUFS, syscall.ENETUNREACH, syscall.EHOSTUNREACH, syscall.ETIMEDOUT},
+		syscalls.Socket:  {syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS},
+		syscalls.Ppoll:   {syscall.EINTR},
+	}
+	draw := rand.New(rand.NewPCG(rng.Uint64(), 0)) // for the calls, which come in any order
+	calls.Set(func(call int) syscalls.Fault {
+		if draw.IntN(4) > 0 {
+			return syscalls.Fault{}
+		}
+		list := errnos[call]
+		return syscalls.Fault{Errno: list[draw.IntN(len(list))]}
+	})
+	time.Sleep(some(rng, 2*time.Second))
+	calls.Set(nil)
+}
--- /dev/null
+++ b/test/overlap_workers_test.go
@@ -0,0 +1,163 @@
+package test
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lichenshelf/internal/standin/link"
+	"lichenshelf/lab/judge"
+)
+
+// manner is what a worker of the overlap test does with requests.
+type manner int
+
+const (
+	well       manner = iota
+	hangs             // takes requests and says nothing
+	fails             // answers 500
+	turnsAway         // answers 503 and has not run
+	resets            // ends the connection before its answer
+	breaksOff         // ends the connection within its answer
+	halfAnswer        // writes half a head and stays
+)
+
+// overlapWorker is a worker behind a relay. What it sees it tells the judge.
+type overlapWorker struct {
+	name, kind string
+	server     *httptest.Server
+	relay      *link.Relay
+	judge      *judge.Judge
+	manner     atomic.Int32
+	linkFaults atomic.Int64 // one more as each fault of its relay begins, and as it ends
+	busy       sync.Mutex   // held by the trouble that has it
+}
+
+func newOverlapWorker(t *testing.T, j *judge.Judge, name, kind string) *overlapWorker {
+	k := &overlapWorker{name: name, kind: kind, judge: j}
+	k.server = httptest.NewServer(http.HandlerFunc(k.handle))
+	relay, err := link.New(k.server.Listener.Addr().String())
+	require.NoError(t, err)
+	k.relay = relay
+	t.Cleanup(func() { relay.Close(); k.server.CloseClientConnections(); k.server.Close() })
+	return k
+}
+
+func (k *overlapWorker) handle(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodDelete {
+		k.judge.Released(strings.TrimPrefix(r.URL.Path, "/v1/holds/"), time.Now())
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
+	ms, err := strconv.Atoi(r.Header.Get("X-Time-Left-Ms"))
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	id := r.Header.Get("X-Correlation-Id")
+	a := k.judge.Arrived(id, k.name, k.kind == "reader", time.Now(), time.Duration(ms)*time.Millisecond)
+	k.answer(w, r, id, a)
+	a.Ended(judge.MayHaveRun, time.Now()) // if it has not ended otherwise
+}
+
+func (k *overlapWorker) answer(w http.ResponseWriter, r *http.Request, id string, a *judge.Attempt) {
+	now := manner(k.manner.Load())
+	switch now {
+	case hangs:
+		<-r.Context().Done()
+		return
+	case fails:
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	case turnsAway:
+		a.Ended(judge.NeverRan, time.Now())
+		w.Header().Set("X-Unprocessed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case resets:
+		cut(w, r)
+		return
+	case halfAnswer:
+		c, _, err := w.(http.Hijacker).Hijack()
+		if err == nil {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Ty")
+			_, _ = io.Copy(io.Discard, c)
+			_ = c.Close()
+		}
+		return
+	}
+	if !pause(r, time.Duration(5+rand.IntN(40))*time.Millisecond) {
+		return
+	}
+	if k.kind == "reader" {
+		a.Ended(judge.Read, time.Now())
+		read(w, r)
+		return
+	}
+	k.stream(w, r, id, a, now == breaksOff)
+}
+
+// stream answers with events that name the request.
+func (k *overlapWorker) stream(w http.ResponseWriter, r *http.Request, id string, a *judge.Attempt, breaks bool) {
+	a.Ended(judge.Began, time.Now())
+	w.Header().Set("Content-Type", "text/event-stream")
+	n, faults := 2+rand.IntN(12), k.linkFaults.Load()
+	for i := range n {
+		if breaks && i == n/2 {
+			cut(w, r)
+			return
+		}
+		if _, err := fmt.Fprintf(w, "data: {\"id\":%q,\"event\":%d}\n\n", id, i); err != nil {
+			return
+		}
+		w.(http.Flusher).Flush()
+		if !pause(r, time.Duration(rand.IntN(30))*time.Millisecond) {
+			return
+		}
+	}
+	if _, err := fmt.Fprintf(w, "data: {\"id\":%q,\"events\":%d}\n\ndata: [DONE]\n\n", id, n); err == nil && r.Context().Err() == nil {
+		time.AfterFunc(overlapSlack, func() { // what the relay has may still be lost
+			if faults%2 == 0 && k.linkFaults.Load() == faults {
+				a.Whole()
+			}
+		})
+	}
+}
+
+// pause waits, and tells whether the router still wants the answer.
+func pause(r *http.Request, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+// wholeStream tells whether a body is all of a request's stream, and nothing of another's.
+func wholeStream(body, id string) bool {
+	events := strings.Split(strings.TrimSuffix(body, "\n\n"), "\n\n")
+	n := len(events) - 2
+	if n < 0 || events[n+1] != "data: [DONE]" || events[n] != fmt.Sprintf("data: {\"id\":%q,\"events\":%d}", id, n) {
+		return false
+	}
+	for i, e := range events[:n] {
+		if e != fmt.Sprintf("data: {\"id\":%q,\"event\":%d}", id, i) {
+			return false
+		}
+	}
+	return true
+}
