A read state does not wait for a send that never arrives

Cause: upstream took a request for sent once the system had taken its bytes (client.go write), and logic took a read state for carried from then on. A kept connection whose worker has vanished takes them all the same, with no error: the state stayed at its reader until the attempt was called off (0.45 s, then the next silent writer) or the client's time was over: 2.99 s where 0.6 s are allowed. Change: where an attempt carries a read state (Attempt.Reach, a third of the settings' time), the system is asked at the end of that time whether the other end has confirmed all bytes (SIOCOUTQ). If not, the attempt ends as a reset that never reached its worker: its state counts as held all the while, and it may have run, so nothing is repeated that must not be. The connection is ended with what was not confirmed dropped, else the system would send it again when the worker is back. Counter attempts_unconfirmed. Ruled out: a longer look at the relay's own doing: it acknowledged what it dropped, which no vanished machine does; its listener was one of MPTCP, whose sockets take no filter, so new connections came up.

--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -36,6 +36,14 @@
 	return n, err
 }
 
+// Unacknowledged tells how many of the bytes that were written to a connection the other end's system has not confirmed.
+func Unacknowledged(raw syscall.RawConn) (n int, err error) {
+	if cerr := raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) }); cerr != nil {
+		return 0, cerr
+	}
+	return n, err
+}
+
 // Queued tells whether connections wait at a listener to be accepted.
 func Queued(raw syscall.RawConn) bool {
 	var events int16
--- a/internal/standin/link/relay.go
+++ b/internal/standin/link/relay.go
@@ -3,6 +3,7 @@
 package link
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -36,7 +37,9 @@
 
 // New starts a relay at an address of its own; Close ends it.
 func New(to string) (*Relay, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	var plain net.ListenConfig
+	plain.SetMultipathTCP(false) // Go's default, whose sockets take no filter
+	l, err := plain.Listen(context.Background(), "tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/standin/link/relay_test.go
@@ -0,0 +1,54 @@
+package link
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+)
+
+// A machine that has vanished confirms nothing, and no connection to it comes up; once it is back what was sent arrives.
+func TestVanishedMachinesConfirmNothing(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	came := make(chan string, 4)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			b := make([]byte, 16)
+			for n, err := c.Read(b); err == nil; n, err = c.Read(b) {
+				came <- string(b[:n])
+			}
+		}
+	}()
+	r, err := New(l.Addr().String())
+	require.NoError(t, err)
+	defer r.Close()
+	c, err := net.Dial("tcp4", r.Addr())
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = c.Write([]byte("here"))
+	require.NoError(t, err)
+	require.Equal(t, "here", <-came)
+	r.Set(Fault{Vanish: true})
+	_, err = c.Write([]byte("gone"))
+	require.NoError(t, err, "nothing is known of it")
+	_, err = net.DialTimeout("tcp4", r.Addr(), 100*time.Millisecond)
+	require.Error(t, err)
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	require.NoError(t, err)
+	require.NoError(t, raw.Control(func(fd uintptr) {
+		n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+		require.NoError(t, err)
+		require.Equal(t, len("gone"), n)
+	}))
+	require.Empty(t, came)
+	r.Set(Fault{})
+	require.Equal(t, "gone", <-came)
+}
--- a/router/rules/rules.go
+++ b/router/rules/rules.go
@@ -165,7 +165,7 @@
 		r.heldSince = now
 	case logic.Full, logic.ConnectFailed, logic.NotSent, logic.Rejected:
 	default:
-		if !r.ran && !r.to.ReadsOnly && !unreached {
+		if !r.ran && !r.to.ReadsOnly {
 			r.ran, r.ranAt, r.ranIn = true, r.sentAt, r.to
 		}
 	}
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"lichenshelf/internal/socket"
 	"lichenshelf/logic"
 	"lichenshelf/router"
 	"lichenshelf/router/rules"
@@ -100,13 +101,48 @@
 	sink   router.Sink
 	cancel context.CancelFunc
 	until  time.Time // its answer is waited for
+	reach  time.Time // by which its worker must have it whole; zero: not stated
 	// msg is the message as it was when the attempt began: the request lets go of it when an answer begins, which may be
 	// another attempt's than one that was given up and has not come to its end yet.
 	msg Message
 
-	mu    sync.Mutex
-	conn  *conn
-	given bool // given up
+	mu       sync.Mutex
+	conn     *conn
+	given    bool // given up
+	heard    bool // its worker has begun to answer
+	vanished bool // it was given up since its worker's system had not confirmed it
+}
+
+// watchArrival gives the attempt up unless its worker's system has confirmed all of it by a time, where it has one: a send
+// that has not arrived takes no read state, and a connection whose other end has vanished takes what is written all the same.
+func (x *attempt) watchArrival(c *conn) (stop func()) {
+	if x.reach.IsZero() {
+		return func() {}
+	}
+	look := time.AfterFunc(time.Until(x.reach), func() {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		if !x.heard && unconfirmed(c) {
+			x.vanished = true
+			c.cutOff()
+		}
+	})
+	return func() {
+		look.Stop()
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		x.heard = true
+	}
+}
+
+// unconfirmed tells whether the other end's system has not confirmed all that was written; false where that can't be told.
+func unconfirmed(c *conn) bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n, err := socket.Unacknowledged(raw)
+	return err == nil && n > 0
 }
 
 // giveUp ends the attempt's connection. The channel is closed when its worker knows; nil: nothing has been sent.
@@ -144,8 +180,15 @@
 		x.sink.Ended(router.Outcome{Status: never, Unreached: true})
 		return
 	}
+	stop := x.watchArrival(c)
 	head, err := readHead(c)
+	stop()
 	if err != nil {
+		if x.vanished {
+			x.client.cfg.Counters.Add("attempts_unconfirmed", 1)
+			x.sink.Ended(router.Outcome{Status: logic.ConnectionReset, Unreached: true})
+			return
+		}
 		if errors.Is(err, errNoAnswer) && c.stale() {
 			x.stale(c)
 		} else {
@@ -257,11 +300,10 @@
 // write gets the request to the worker, whole. A nil connection means that it
 // never was: the worker has not run it.
 func (x *attempt) write(ctx context.Context) (*conn, logic.Status) {
-	var reach time.Time // none
 	if x.Reach > 0 {
 		var done context.CancelFunc
-		reach = time.Now().Add(x.Reach)
-		ctx, done = context.WithDeadline(ctx, reach)
+		x.reach = time.Now().Add(x.Reach)
+		ctx, done = context.WithDeadline(ctx, x.reach)
 		defer done()
 	}
 	body := x.msg.Body
@@ -290,7 +332,7 @@
 		// The time told is what is left now: a connection may have taken its time to come up.
 		head := x.head()
 		bufs := net.Buffers{head, body}
-		_ = c.SetWriteDeadline(reach) // a worker that has stopped may take a part and no more
+		_ = c.SetWriteDeadline(x.reach) // a worker that has stopped may take a part and no more
 		n, err := bufs.WriteTo(c.TCPConn)
 		c.wrote = time.Now()
 		if n == int64(len(head)+len(body)) {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -79,6 +79,15 @@
 	return c.ended
 }
 
+// cutOff ends a connection whose other end confirms nothing. What it has not confirmed is dropped: sent again by the system,
+// it would arrive when the other end is back, long after others have taken the request on.
+func (c *conn) cutOff() {
+	c.once.Do(func() {
+		_ = c.TCPConn.SetLinger(0)
+		_ = c.close()
+	})
+}
+
 // abandon ends a connection on which reading an answer failed, at once where the other end has ended it.
 func (c *conn) abandon(err error) {
 	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) {
