--- a/downstream/closing.go
+++ b/downstream/closing.go
@@ -33,8 +33,8 @@
 	closeNow         // it is ending already, and its client has had its time
 )
 
-// freshFor is how long a new connection is left open at the end, for its request to come; slowAfter how long a request may
-// take to come before it may be refused for want of a descriptor.
+// freshFor is how long a new connection is left open at the end, for its request to come; slowAfter how long that, or a
+// request that has begun, may take before it gives way for want of a descriptor.
 const (
 	freshFor  = time.Second
 	slowAfter = 500 * time.Millisecond
@@ -61,7 +61,8 @@
 		}
 		return keep
 	case c.phase == waiting:
-		if why == forStop && !c.used && c.age < freshFor {
+		expected := !c.used && (why == forStop && c.age < freshFor || why == forDescriptor && c.age < slowAfter)
+		if expected { // its first request may be on its way
 			return keep
 		}
 		return shutIdle
--- a/lab/judge/judge_test.go
+++ b/lab/judge/judge_test.go
@@ -98,6 +98,20 @@
 			j.Arrived("a", "m", false, start, patience).Ended(MayHaveRun, start)
 			j.Final("a", Refused, start)
 		}},
+		"cut off from its router": {play: func(j *Judge) {
+			a := j.Arrived("a", "r", true, start, patience)
+			j.Arrived("a", "w", false, start, patience).Ended(Began, start)
+			j.Final("a", Served, start)
+			a.CutOff()
+			a.Ended(Read, at(time.Minute))
+		}},
+		"let go of while a writer that has vanished is at it": {play: func(j *Judge) {
+			j.Arrived("a", "r", true, start, patience).Ended(Read, start)
+			a := j.Arrived("a", "w", false, start, patience)
+			j.Released("a", start)
+			j.Final("a", Failed, start)
+			a.Ended(MayHaveRun, at(time.Minute))
+		}},
 		"held for ever, after a writer that failed": {play: func(j *Judge) {
 			j.Arrived("a", "r", true, start, patience).Ended(Read, start)
 			j.Arrived("a", "w", false, start, patience).Ended(MayHaveRun, start)
