--- a/test/faults_test.go
+++ b/test/faults_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -169,3 +171,22 @@
 	}
 	require.Equal(t, 1, faults.Failed(syscalls.Ppoll))
 }
+
+// A replica whose disk takes no writes as its router starts is waited for: the start does not end, and goes on with the disk.
+func TestAStartOutlivesTheDiskOfItsStore(t *testing.T) {
+	own := filepath.Join(t.TempDir(), "store.toml")
+	api := ownAddr(t)
+	text := fmt.Sprintf("id = \"r0\"\ndata_dir = %q\n[[peer]]\nid = \"r0\"\nraft = %q\napi = %q\n", filepath.Join(t.TempDir(), "data"), ownAddr(t), api)
+	require.NoError(t, os.WriteFile(own, []byte(text), 0o600))
+	cmd, disk, err := syscalls.Command([]int{syscalls.Pwrite64}, binary, "serve", "--store", own)
+	require.NoError(t, err)
+	disk.Set(syscalls.Always(syscall.ENOSPC, syscalls.Pwrite64))
+	p := startCommand(t, cmd, api, nil)
+	eventually(t, func() bool { return disk.Failed(syscalls.Pwrite64) > 1 }, "it has tried more than once")
+	p.running()
+	disk.Set(nil)
+	status, _ := storeCall(t, http.MethodPost, "http://"+api+"/v1/nodes/n", "0")
+	require.Equal(t, http.StatusCreated, status)
+	p.signal(syscall.SIGTERM)
+	p.waitExit()
+}
