A replica's first start is taken up where it ended, and a start waits for the store's disk

Cause: Replica.start took any saved state for a replica that is known (raft.HasExistingState looks at the term too); raft's bootstrap saves the term first. And Daemon.startStore ended the program at the first error of Open. Left: an address that can't be listened on for a moment ends the start.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -155,7 +155,7 @@
 		}
 	}
 	if d.files.Store != "" {
-		if err := d.startStore(); err != nil {
+		if err := d.startStore(starting); err != nil {
 			return fmt.Errorf("start the store: %w", err)
 		}
 	}
@@ -398,7 +398,8 @@
 	return nil
 }
 
-func (d *daemon) startStore() error {
+// startStore starts this router's replica, or follows others'; starting ends when the program is told to stop meanwhile.
+func (d *daemon) startStore(starting context.Context) error {
 	cfg, err := store.LoadConfig(d.files.Store)
 	if err == nil && len(cfg.Follow) > 0 {
 		f := store.NewFollower(cfg.Name, followPace, cfg.Follow...)
@@ -414,7 +415,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for the store's clients: %w", err)
 	}
-	if d.replica, err = store.Open(*cfg); err != nil {
+	if d.replica, err = d.openReplica(starting, *cfg); err != nil {
 		return errors.Join(err, l.Close())
 	}
 	d.records = ownReplica{d.replica}
@@ -442,6 +443,30 @@
 	return nil
 }
 
+// openReplica opens the replica. A disk that takes no writes for a while does not end the start: it is tried again, for
+// storeWait in all.
+func (d *daemon) openReplica(starting context.Context, cfg store.Config) (*store.Replica, error) {
+	ctx, cancel := context.WithTimeout(starting, storeWait)
+	defer cancel()
+	for {
+		r, err := store.Open(cfg)
+		if err == nil || errors.Is(err, store.ErrForeign) || !diskFault(err) {
+			return r, err
+		}
+		d.log.WithError(err).Error("the store's folder can't be written, tried again")
+		select {
+		case <-time.After(settleAgain):
+		case <-ctx.Done():
+			return nil, err
+		}
+	}
+}
+
+// diskFault tells whether an error is the disk's, and may pass.
+func diskFault(err error) bool {
+	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EIO) || errors.Is(err, syscall.EDQUOT)
+}
+
 func (d *daemon) closeStore() {
 	if d.replica == nil {
 		return
--- a/store/replica.go
+++ b/store/replica.go
@@ -158,10 +158,6 @@
 	if err != nil {
 		return fmt.Errorf("open snapshots: %w", err)
 	}
-	known, err := raft.HasExistingState(r.disk, r.disk, snapshots)
-	if err != nil {
-		return fmt.Errorf("read state: %w", err)
-	}
 	advertised, err := net.ResolveTCPAddr("tcp", self.Raft)
 	if err != nil {
 		return fmt.Errorf("raft address: %w", err)
@@ -169,15 +165,13 @@
 	if r.network, err = raft.NewTCPTransport(self.Raft, advertised, raftConns, raftWait, r.cfg.output()); err != nil {
 		return fmt.Errorf("listen for replicas: %w", err)
 	}
-	if !known {
-		var first raft.Configuration
-		for _, p := range r.cfg.Peers {
-			first.Servers = append(first.Servers, raft.Server{ID: raft.ServerID(p.ID), Address: raft.ServerAddress(p.Raft)})
-		}
-		if err := raft.BootstrapCluster(rc, r.disk, r.disk, snapshots, r.network, first); err != nil {
-			_ = r.network.Close()
-			return fmt.Errorf("first configuration: %w", err)
-		}
+	var first raft.Configuration
+	for _, p := range r.cfg.Peers {
+		first.Servers = append(first.Servers, raft.Server{ID: raft.ServerID(p.ID), Address: raft.ServerAddress(p.Raft)})
+	}
+	if err := r.bootstrap(rc, snapshots, first); err != nil {
+		_ = r.network.Close()
+		return err
 	}
 	if r.raft, err = raft.NewRaft(rc, r.machine, r.disk, r.disk, snapshots, r.network); err != nil {
 		_ = r.network.Close()
