Starts that lists state a little differently each time are one start

Change: a start within 1 s of the one that is known is the same: lists that count back from an uptime in whole seconds differ by that. Ruled out: the load of the machine (plays alone), slow start itself. A restart whose start, by a clock stepped back just so far, lies within that second of the one before would pass for no restart: the one case that is given up.

--- a/router/starts.go
+++ b/router/starts.go
@@ -9,6 +9,10 @@
 // mostStarts bounds the starts that are remembered: of as many workers as a fleet may have, twice.
 const mostStarts = 2 * 4096
 
+// startJitter is by how much two statements of one start may differ: lists that count back from an uptime in whole seconds state
+// another one each time. Taken for restarts, they would make all workers cold with each list.
+const startJitter = time.Second
+
 // Starts tells when workers have started, on the monotonic clock of this process. Lists tell it by a wall clock, which is
 // another machine's and may be stepped, as may this one's: an age that is the difference of the two may be wrong by any
 // amount, and a worker that has just started pass for a warm one. So a start that is news to this process counts from when
@@ -28,7 +32,8 @@
 	if since == 0 {
 		return time.Time{}
 	}
-	if k, ok := s.known[worker]; ok && k.since == since {
+	if k, ok := s.known[worker]; ok && time.Duration(max(since-k.since, k.since-since)) <= startJitter {
+		s.known[worker] = started{since, k.began}
 		return k.began
 	}
 	began := now
