A send has time to be confirmed whose far end keeps its acknowledgement back

Cause: read again: where settings give held states under 0.3 s, a third of that is less than a system may keep an acknowledgement back (40 ms, Linux's TCP_DELACK_MIN) with the way there and back: an attempt that had arrived would have been given up as one that had not. Change: upstream looks 0.1 s after the last byte at the earliest (confirmBy). With 0.3 s it is the same moment as before.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -119,7 +119,7 @@
 	if x.reach.IsZero() {
 		return func() {}
 	}
-	look := time.AfterFunc(time.Until(x.reach), func() {
+	look := time.AfterFunc(time.Until(confirmBy(c.wrote, x.reach)), func() {
 		x.mu.Lock()
 		defer x.mu.Unlock()
 		if !x.heard && unconfirmed(c) {
@@ -135,6 +135,18 @@
 	}
 }
 
+// confirmAfter is how long after its last byte a request may be unconfirmed though it has arrived: a system keeps an
+// acknowledgement back for 40 ms (Linux's TCP_DELACK_MIN), and the way there and back takes its time as well.
+const confirmAfter = 100 * time.Millisecond
+
+// confirmBy is when a request that was written at a time, and had to be by another, must have been confirmed.
+func confirmBy(wrote, reach time.Time) time.Time {
+	if least := wrote.Add(confirmAfter); least.After(reach) {
+		return least
+	}
+	return reach
+}
+
 // unconfirmed tells whether the other end's system has not confirmed all that was written; false where that can't be told.
 func unconfirmed(c *conn) bool {
 	raw, err := c.SyscallConn()
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -291,3 +291,10 @@
 	require.Equal(t, logic.ConnectionReset, o.Status)
 	require.False(t, o.Stale)
 }
+
+// What has arrived is confirmed late where the other end's system keeps its acknowledgement back.
+func TestArrivalsHaveTimeToBeConfirmed(t *testing.T) {
+	wrote := time.Now()
+	require.Equal(t, wrote.Add(confirmAfter), confirmBy(wrote, wrote.Add(confirmAfter/2)))
+	require.Equal(t, wrote.Add(2*confirmAfter), confirmBy(wrote, wrote.Add(2*confirmAfter)))
+}
