The check of sends under an old version counts by the last of a sum

The router's log shows nine sends from 10:55:05.320 on, before 'published configuration taken version=1' at .350: they went out under the old version. Its trail sums sends up for 500 ms (fleet/trail Sent): the first, of 10:55:01.314, stood open as SIGSTOP came, and the nine joined it; underTheOld went by when a sum began. Change: it goes by when the last send of a sum was made, which is stricter: the fenced half finds any send after the stop as well.

--- a/test/straggler_test.go
+++ b/test/straggler_test.go
@@ -203,7 +203,8 @@
 		}
 	}
 	for _, e := range t.Entries {
-		if e.Kind == audit.Sent && began.Add(e.At).After(after) {
+		// Sends are summed up for a moment, over which the process may have been stopped: the last of them counts.
+		if e.Kind == audit.Sent && began.Add(e.Until).After(after) {
 			all += e.Count
 			if number == 0 || e.Number < number {
 				old += e.Count
