The soak takes a kill and a silent agent for what they are, also when they come at once

Traced in the logs: the client read how often its router had been killed only after it had connected, so a kill in between passed for the router's own close; and the stand-in for an agent was silenced within milliseconds of being told, before it had written the line (n22's log has the next list 2.5 s later, on the second watch). Ruled out: n4's stop at 11:05:33.940, which lingered as it has to. Change: the count of kills is read before the connection; what an agent was told in the 0.2 s before it can't be heard counts as known 6 s after. No product code has changed.

--- a/test/overlap_clients_test.go
+++ b/test/overlap_clients_test.go
@@ -92,6 +92,7 @@
 // ask sends requests on one connection, one right behind the other, and reads their answers. It leaves after a time, if that
 // is not 0.
 func (c *overlapClient) ask(to *overlapRouter, n int, leave time.Duration) {
+	kills := to.kills.Load() // before the connection: its process may be killed from then on
 	conn := c.connect(to, false)
 	if conn == nil {
 		return
@@ -102,7 +103,7 @@
 	for range n {
 		c.last++
 		class := overlapClasses[c.rng.IntN(len(overlapClasses))]
-		q := asked{id: fmt.Sprintf("%04x%012x", c.id, c.last), effect: class.effect, kills: to.kills.Load()}
+		q := asked{id: fmt.Sprintf("%04x%012x", c.id, c.last), effect: class.effect, kills: kills}
 		q.wire = fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: %s\r\nX-Service-Class: %s\r\nX-Account: acme\r\n"+
 			"X-Session-Key: %x\r\nX-Time-Left-Ms: %d\r\nX-Facts: prompt_len=%d,prefix_len=0,max_out=100\r\nContent-Length: %d\r\n\r\n%s",
 			q.id, class.name, c.rng.IntN(20)+1, patience.Milliseconds(), 100+c.rng.IntN(2000), len(prompt), prompt)
@@ -215,12 +216,12 @@
 
 // half sends a part of a request and stays.
 func (c *overlapClient) half(ctx context.Context, to *overlapRouter) {
+	kills := to.kills.Load()
 	conn := c.connect(to, true)
 	if conn == nil {
 		return
 	}
 	defer conn.Close()
-	kills := to.kills.Load()
 	text := "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\nhalf"
 	if c.rng.IntN(2) == 0 {
 		text = "POST /v1/chat"
--- a/test/overlap_test.go
+++ b/test/overlap_test.go
@@ -51,7 +51,8 @@
 	library clock.Library
 
 	mu      sync.Mutex
-	leaving map[*overlapWorker]string // by what was told of it last
+	leaving map[*overlapWorker]string    // by what was told of it last
+	toldAt  map[*overlapWorker]time.Time // when its leaving was
 	faults  []string
 	played  map[string]int
 }
@@ -148,13 +149,27 @@
 	return time.Now()
 }
 
-// outOfHearing notes that the router's agent can't be heard until a time.
-func (o *overlapRouter) outOfHearing(until time.Time) { o.heard.Store(until.Add(told6).UnixNano()) }
+// outOfHearing notes that the router's agent can't be heard until a time. What it was told a moment ago it may not have
+// passed on.
+func (o *overlapRouter) outOfHearing(until time.Time) {
+	o.heard.Store(until.Add(told6).UnixNano())
+	r := o.rig
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for k, at := range r.toldAt {
+		if _, leaves := r.leaving[k]; leaves && time.Since(at) < passedOnWithin {
+			r.judge.Leaving(o.name, k.name, o.known())
+		}
+	}
+}
+
+// passedOnWithin is how long the stand-in for an agent may take to write a line that it was told.
+const passedOnWithin = 200 * time.Millisecond
 
 func newOverlapRig(t *testing.T, seed uint64) *overlapRig {
 	library, err := clockLibrary()
 	require.NoError(t, err)
-	r := &overlapRig{t: t, rng: rand.New(rand.NewPCG(seed, 0)), library: library, leaving: map[*overlapWorker]string{}, played: map[string]int{},
+	r := &overlapRig{t: t, rng: rand.New(rand.NewPCG(seed, 0)), library: library, leaving: map[*overlapWorker]string{}, toldAt: map[*overlapWorker]time.Time{}, played: map[string]int{},
 		judge: judge.New(judge.Limits{Answer: 500 * time.Millisecond, Grace: 300 * time.Millisecond, Held: 600 * time.Millisecond, Told: toldSlack,
 			Gone: 100 * time.Millisecond, Copies: 50 * time.Millisecond, Window: 2 * time.Second, Slack: overlapSlack})}
 	for i := range overlapReaders + overlapWriters + overlapMixed {
@@ -211,6 +226,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.leaving[k] = lifecycle
+	if lifecycle == "terminating" {
+		r.toldAt[k] = time.Now()
+	}
 	since := int64(0)
 	if lifecycle == "in_service" {
 		delete(r.leaving, k)
