A test that is red: a look that fails makes a client look gone

Result on this commit: ENOMEM from poll, and a client that is there has an empty 200 instead of its worker's answer.

--- a/test/faults_test.go
+++ b/test/faults_test.go
@@ -1,6 +1,7 @@
 package test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -190,3 +191,31 @@
 	p.signal(syscall.SIGTERM)
 	p.waitExit()
 }
+
+// A look at a connection that fails for want of memory does not make a client look gone that is still there: it has its answer.
+func TestAFailedLookEndsNobodysRequest(t *testing.T) {
+	more := make(chan struct{})
+	k := newWorker(t, "s-00000001", "mixed", func(w http.ResponseWriter, r *http.Request) {
+		<-more
+		write(w, r)
+	})
+	p, faults, _ := platformTrapped(t, []int{syscalls.Ppoll}, k)
+	c, err := net.Dial("tcp", p.addr)
+	require.NoError(t, err)
+	defer c.Close()
+	require.NoError(t, p.request("file", newID(), 10*time.Second).Write(c))
+	eventually(t, func() bool { return len(k.got(http.MethodPost)) == 1 }, "it is in hand")
+	faults.Set(syscalls.Next(syscalls.Ppoll, 3, syscall.ENOMEM))
+	_, err = c.Write(make([]byte, 280<<10)) // more than is read ahead: the connection is looked at from then on
+	require.NoError(t, err)
+	eventually(t, func() bool { return faults.Failed(syscalls.Ppoll) > 0 }, "a look has failed")
+	time.Sleep(50 * time.Millisecond)
+	close(more)
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(patient)))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.Equal(t, events+rest, string(body))
+}
