A look at a connection that fails is no hang-up

Cause: found on rereading: socket.WaitHungUp returned true for any error of poll, where the code before took it for 'not yet'. ENOMEM, which poll(2) documents, ended the request of a client that was there, with an empty 200: served with what no worker made. Change: an error is no hang-up; ENOMEM and EAGAIN are asked again after 1 ms, as EINTR is at once. A comment on Pending that was wrong is out.

--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -1,10 +1,11 @@
-// Package socket looks at open connections beside whoever reads them. A look that a signal interrupts (EINTR) is made again:
-// taken for an answer, it would lose an event that does not come twice.
+// Package socket looks at open connections beside whoever reads them. A look that a signal interrupts (EINTR), or that finds no
+// memory (ENOMEM), is made again: taken for an answer, it would lose an event that does not come twice, or find one that is none.
 package socket
 
 import (
 	"errors"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -23,12 +24,12 @@
 func WaitHungUp(raw syscall.RawConn) error {
 	return raw.Read(func(fd uintptr) bool {
 		events, err := poll(fd, unix.POLLRDHUP)
-		return err != nil || events&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+		return err == nil && events&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 	})
 }
 
 // Pending tells, without waiting or reading, how many of the first bytes have come that nobody has read, 1 at most. At the end
-// of what the other end sends it is 0 and no error; where nothing has come, EAGAIN. It must not be called by who reads.
+// of what the other end sends it is 0 and no error; where nothing has come, EAGAIN.
 func Pending(raw syscall.RawConn) (n int, err error) {
 	if cerr := raw.Control(func(fd uintptr) { n, err = peek(fd) }); cerr != nil {
 		return 0, cerr
@@ -54,6 +55,9 @@
 	return err == nil && events != 0
 }
 
+// memoryAfter is the pause after a look that found no memory.
+const memoryAfter = time.Millisecond
+
 // poll asks, without waiting, which of the events there are.
 func poll(fd uintptr, events int16) (int16, error) {
 	look := []unix.PollFd{{Fd: int32(fd), Events: events}}
@@ -61,6 +65,8 @@
 		n, err := unix.Poll(look, 0)
 		switch {
 		case errors.Is(err, unix.EINTR):
+		case errors.Is(err, unix.ENOMEM), errors.Is(err, unix.EAGAIN):
+			time.Sleep(memoryAfter)
 		case err != nil || n == 0:
 			return 0, err
 		default:
