--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -450,7 +450,7 @@
 	defer cancel()
 	for {
 		r, err := store.Open(cfg)
-		if err == nil || errors.Is(err, store.ErrForeign) || !diskFault(err) {
+		if err == nil || !diskFault(err) {
 			return r, err
 		}
 		d.log.WithError(err).Error("the store's folder can't be written, tried again")
--- a/router/rules/rules.go
+++ b/router/rules/rules.go
@@ -65,6 +65,13 @@
 	ReadsOnly  bool // a reader: an attempt there has no effect
 }
 
+// Target is the worker that an attempt is meant for, as it is now.
+type Target struct {
+	Place
+	Fenced  bool // this router may not act on what it knows
+	Leaving bool // the worker is leaving, or no longer listed
+}
+
 // Request is the history of one request as far as the rules look at it. It is not safe for concurrent use.
 type Request struct {
 	class     logic.Class
@@ -99,7 +106,7 @@
 }
 
 // MaySend tells whether an attempt may begin there now.
-func (r *Request) MaySend(now time.Time, to Place) Verdict {
+func (r *Request) MaySend(now time.Time, to Target) Verdict {
 	switch {
 	case r.answered:
 		return Answered
@@ -107,6 +114,10 @@
 		return StillOut
 	case r.mostTries > 0 && (r.begun-r.unreached >= r.mostTries || r.begun >= startsPerTry*r.mostTries):
 		return TriesSpent
+	case to.Fenced:
+		return Fenced
+	case to.Leaving:
+		return WorkerLeaving
 	case now.Sub(r.deadline) > ToldSlack:
 		return TimeOver
 	case !r.ran || r.class.Effect == logic.EffectRepeatable:
--- a/router/rules/rules_test.go
+++ b/router/rules/rules_test.go
@@ -43,11 +43,11 @@
 		"what a worker rejects is no run": {class: logic.Class{Effect: logic.EffectOnce}, status: logic.Rejected},
 	} {
 		r := New(Config{Class: c.class, Deadline: at(time.Minute), MostTries: 3})
-		require.Equal(t, Allowed, r.MaySend(start, c.first), name)
+		require.Equal(t, Allowed, r.MaySend(start, Target{Place: c.first}), name)
 		r.Sent(start, c.first)
-		require.Equal(t, StillOut, r.MaySend(start, c.first), name)
+		require.Equal(t, StillOut, r.MaySend(start, Target{Place: c.first}), name)
 		r.Ended(at(time.Second), c.status, c.lost)
-		require.Equal(t, c.want, r.MaySend(at(c.then), c.to), name)
+		require.Equal(t, c.want, r.MaySend(at(c.then), Target{Place: c.to}), name)
 		require.Equal(t, c.refuse, r.MayRefuse(), name)
 	}
 }
@@ -67,15 +67,18 @@
 	r.Ended(start, logic.ConnectFailed, true)
 	require.Equal(t, HeldTooLong, r.Taking(start.Add(time.Hour)), "what never reached its worker took nothing")
 	require.Equal(t, Allowed, r.Taking(start.Add(time.Hour)), "nothing is held any more")
-	require.Equal(t, Allowed, r.MaySend(start, Place{}))
+	require.Equal(t, Allowed, r.MaySend(start, Target{}))
 	r.Sent(start, Place{})
 	r.Ended(start, logic.Full, false)
-	require.Equal(t, TriesSpent, r.MaySend(start, Place{}))
+	require.Equal(t, TriesSpent, r.MaySend(start, Target{}))
+	require.Equal(t, TriesSpent, r.MaySend(start, Target{Fenced: true, Leaving: true}), "the bound goes before what may pass")
 	require.Equal(t, AnsweredLate, r.Answer(late))
 	require.Equal(t, Allowed, r.Overdue(late))
-	require.Equal(t, Answered, r.MaySend(start, Place{}))
+	require.Equal(t, Answered, r.MaySend(start, Target{}))
 
 	gone := New(Config{Deadline: deadline})
+	require.Equal(t, Fenced, gone.MaySend(start, Target{Fenced: true, Leaving: true}))
+	require.Equal(t, WorkerLeaving, gone.MaySend(late, Target{Leaving: true}))
 	gone.Sent(start.Add(GoneWithin+1), Place{})
 	require.Equal(t, GoneTooLong, gone.Left(start))
 
@@ -106,7 +109,7 @@
 		for range 12 {
 			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
 			to := Place{Zone: rapid.IntRange(0, 1).Draw(t, "zone"), ReadsOnly: rapid.Bool().Draw(t, "reader")}
-			if r.MaySend(now, to) != Allowed {
+			if r.MaySend(now, Target{Place: to}) != Allowed {
 				continue
 			}
 			r.Sent(now, to)
--- a/router/send.go
+++ b/router/send.go
@@ -34,7 +34,8 @@
 func (s *sender) send(ex *exchange, act *logic.Action) {
 	w := s.core.roster.worker(act.Server)
 	a := &attempt{core: s.core, ex: ex, number: ex.sends, server: act.Server, sentAt: time.Now(), to: w, wait: act.After, reach: act.Reach}
-	switch v := s.may(ex, w, a.sentAt); v {
+	to := s.target(w)
+	switch v := ex.rules.MaySend(a.sentAt, to); v {
 	case rules.Allowed:
 	case rules.WorkerLeaving: // told between the decision and now: nothing was sent
 		s.skip(a)
@@ -60,7 +61,7 @@
 			return
 		}
 	}
-	ex.rules.Sent(a.sentAt, s.core.guard.place(w))
+	ex.rules.Sent(a.sentAt, to.Place)
 	ex.sends++
 	ex.attempt = a
 	s.count.Add("attempts_sent", 1)
@@ -75,15 +76,14 @@
 	}
 }
 
-// may is asked for each attempt that was decided.
-func (s *sender) may(ex *exchange, w *Worker, now time.Time) rules.Verdict {
-	if s.core.roster.fence != nil && !s.core.roster.fence() {
-		return rules.Fenced
+// target is what the rules look at of a worker; nil is one that is not listed any more.
+func (s *sender) target(w *Worker) rules.Target {
+	fence := s.core.roster.fence
+	to := rules.Target{Fenced: fence != nil && !fence(), Leaving: w == nil || !w.MaySend()}
+	if w != nil {
+		to.Place = s.core.guard.place(w)
 	}
-	if w == nil || !w.MaySend() {
-		return rules.WorkerLeaving
-	}
-	return ex.rules.MaySend(now, s.core.guard.place(w))
+	return to
 }
 
 // skip ends an attempt whose worker must not get it now: another may.
