What earlier processes of a borrower hold counts as lent, and grants given up are told

A process that was replaced and may only be stopped (SIGSTOP, a standstill) keeps what it holds until its lease is over; for that time its heir got the same part once more, so a limit could be passed by up to a share of the owner less its floor, for a lease. own() hid it: it cuts a negative rest to 0.

Now outTo counts one process's largest grant, and lend counts all others, the asker's earlier ones among them. An ask that gives up grants tells so also where it gets nothing (Returned, with what is used at most), since 'audit check' took them for out and told a breach that was none.

--- a/fleet/budget/budget.go
+++ b/fleet/budget/budget.go
@@ -263,25 +263,28 @@
 // unsure tells whether an earlier process under this name may still have lent.
 func (l *Ledger) unsure(now Time) bool { return now-l.began < Time(l.cfg.Lease) }
 
-// out is what is lent to one router: its largest grant, since it uses one at a time.
-// Those to an earlier process under its name come on top: it may only be stopped.
+// out is what is lent to one router: the largest grant to each of its processes, since a process uses one at a time.
 func (n *lent) out(now Time) float64 {
 	sum := 0.0
 	for i, g := range n.grants {
-		if now >= g.until || slices.ContainsFunc(n.grants[:i], func(o grant) bool { return o.life == g.life && now < o.until }) {
-			continue
-		}
-		most := 0.0
-		for _, o := range n.grants[i:] {
-			if o.life == g.life && now < o.until {
-				most = math.Max(most, o.amount)
-			}
+		if !slices.ContainsFunc(n.grants[:i], func(earlier grant) bool { return earlier.life == g.life }) {
+			sum += n.outTo(g.life, now)
 		}
-		sum += most
 	}
 	return sum
 }
 
+// outTo is what is lent to one process: its largest grant.
+func (n *lent) outTo(life uint64, now Time) float64 {
+	largest := 0.0
+	for _, g := range n.grants {
+		if g.life == life && now < g.until {
+			largest = math.Max(largest, g.amount)
+		}
+	}
+	return largest
+}
+
 // own is what is left of the own share.
 func (l *Ledger) own(a *account, now Time) float64 {
 	rate := l.share(a)
@@ -461,9 +464,21 @@
 	return nil
 }
 
-// drop forgets the grants of a life before one that it uses: it never goes back to them.
-func (n *lent) drop(life, before uint64) {
+// drop forgets the grants of a life before one that it uses, to which it never goes back, and tells whether there were any.
+func (n *lent) drop(life, before uint64) bool {
+	count := len(n.grants)
 	n.grants = slices.DeleteFunc(n.grants, func(g grant) bool { return g.life == life && g.seq < before })
+	return len(n.grants) < count
+}
+
+// amount is that of a grant; 0 once its lease is over.
+func (n *lent) amount(life, seq uint64) float64 {
+	for _, g := range n.grants {
+		if g.life == life && g.seq == seq {
+			return g.amount
+		}
+	}
+	return 0
 }
 
 // back takes a borrower's word that it uses less, which stays true however late it comes.
@@ -490,8 +505,11 @@
 		return nil // late or doubled
 	}
 	n.life, n.seq = m.Life, m.Seq
-	n.drop(m.Life, m.Using)
-	share, others := l.share(a), 0.0
+	if n.drop(m.Life, m.Using) {
+		l.tell(Move{Kind: Returned, Key: m.Key, Router: m.From, Life: m.Life, Seq: m.Using, Amount: n.amount(m.Life, m.Using)})
+	}
+	share := l.share(a)
+	others := n.out(now) - n.outTo(m.Life, now) // with processes before the one that asks, which may only be stopped
 	for name, other := range a.lent {
 		if name != m.From {
 			others += other.out(now)
