--- a/cordon/cordon_test.go
+++ b/cordon/cordon_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"testing"
 
 	"github.com/sirupsen/logrus"
@@ -120,6 +121,55 @@
 	require.Equal(t, logic.Draining, next.last("w1"))
 }
 
+// withoutDescriptors runs f while this process can open no file.
+func withoutDescriptors(t *testing.T, f func()) {
+	var was syscall.Rlimit
+	require.NoError(t, syscall.Getrlimit(syscall.RLIMIT_NOFILE, &was))
+	require.NoError(t, syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: 0, Max: was.Max}))
+	defer func() { require.NoError(t, syscall.Setrlimit(syscall.RLIMIT_NOFILE, &was)) }()
+	f()
+}
+
+// No change of the file is missed, and none is written over, whatever the system says of the file for a moment.
+func TestNoChangeOfTheFileIsMissed(t *testing.T) {
+	both := func(t *testing.T) (path string, next *taken, c, other *Cordon) {
+		path, next = filepath.Join(t.TempDir(), "set.json"), &taken{}
+		c, other = New(next, path, quiet()), New(&taken{}, path, quiet())
+		for _, each := range []*Cordon{c, other} {
+			each.Discovered([]router.Member{member("w1", logic.Ready, 0), member("w2", logic.Ready, 0)}, true)
+		}
+		return path, next, c, other
+	}
+	// As where clients have all descriptors: what another process took out is out here too.
+	t.Run("it can't be opened, and is read at the next look", func(t *testing.T) {
+		_, next, c, other := both(t)
+		require.NoError(t, other.Suspend("w1"))
+		withoutDescriptors(t, c.follow)
+		require.Equal(t, logic.Ready, next.last("w1"))
+		c.follow()
+		require.Equal(t, logic.Draining, next.last("w1"))
+	})
+	t.Run("it can't be opened, and is not written over", func(t *testing.T) {
+		path, _, c, other := both(t)
+		require.NoError(t, other.Suspend("w1"))
+		withoutDescriptors(t, c.follow)
+		require.NoError(t, c.Suspend("w2"))
+		after := New(&taken{}, path, quiet())
+		require.True(t, after.out["w1"] && after.out["w2"], "both processes' yes is kept")
+	})
+	// Two changes within one tick of the file system's clock, the second in the first one's inode.
+	t.Run("it looks as before", func(t *testing.T) {
+		path, next, c, _ := both(t)
+		require.NoError(t, c.Suspend("w1"))
+		at, err := os.Stat(path)
+		require.NoError(t, err)
+		require.NoError(t, writeFile(path, `{"suspended":["w2"],"version":9}`))
+		require.NoError(t, os.Chtimes(path, at.ModTime(), at.ModTime()))
+		c.follow()
+		require.Equal(t, logic.Draining, next.last("w2"))
+	})
+}
+
 func writeFile(path, text string) error { return os.WriteFile(path, []byte(text), 0o600) }
 
 // A worker that a whole list no longer names has gone: a change of who is out must not bring it back.
--- a/internal/standin/syscalls/syscalls.go
+++ b/internal/standin/syscalls/syscalls.go
@@ -27,9 +27,12 @@
 // The calls that can be handed to a test, by the names of the manual's section 2.
 const (
 	Accept4   = unix.SYS_ACCEPT4
+	Bind      = unix.SYS_BIND
 	Connect   = unix.SYS_CONNECT
 	Fdatasync = unix.SYS_FDATASYNC
 	Fsync     = unix.SYS_FSYNC
+	Listen    = unix.SYS_LISTEN
+	Openat    = unix.SYS_OPENAT
 	Ppoll     = unix.SYS_PPOLL
 	Pwrite64  = unix.SYS_PWRITE64
 	Socket    = unix.SYS_SOCKET
