The soak takes workers out by hand, fills descriptors, answers twice; a test that is red

New troubles of TestOverlappingTroubles: an operator's suspend and resume across stops, kills, upgrades and failing opens (the judge holds 'out by hand' against each attempt; answers are owed in 1 s), idle clients with all descriptors of 400, workers that write a second answer up to 20 ms late or forget a connection untold (FIN or reset), links that reset or pass bytes a few at a time, sockets and opens that fail at starts and while running, events that are held back (one stream in 20). The relay can cut in pieces and reset; the judge tells a request that no worker saw.

--- a/internal/standin/link/relay.go
+++ b/internal/standin/link/relay.go
@@ -22,8 +22,15 @@
 	// Vanish makes the far end a machine that is gone: what is sent to it is not even acknowledged by its system, its
 	// connections stay open and silent, and new ones don't come up.
 	Vanish bool
+	// Pieces passes bytes on a few at a time, either way, as small writes over a slow link come.
+	Pieces bool
 }
 
+const (
+	mostPiece  = 64 // bytes
+	pieceEvery = 200 * time.Microsecond
+)
+
 // Relay passes connections on to one address.
 type Relay struct {
 	listener net.Listener
@@ -92,6 +99,18 @@
 	}
 }
 
+// Reset resets all connections that pass now; what is under way in them is lost.
+func (r *Relay) Reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.conns {
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+}
+
 // Close ends the relay.
 func (r *Relay) Close() {
 	_ = r.listener.Close()
@@ -141,6 +160,18 @@
 	delete(r.near, from)
 }
 
+func (r *Relay) write(to net.Conn, data []byte) (n int, err error) {
+	for r.now().Pieces && len(data) > mostPiece && err == nil {
+		n, err = to.Write(data[:mostPiece])
+		data = data[n:]
+		time.Sleep(pieceEvery)
+	}
+	if err != nil {
+		return n, err
+	}
+	return to.Write(data)
+}
+
 // copy passes one direction on. What is late waits in a queue of its own, so that
 // the reading goes on.
 func (r *Relay) copy(to, from net.Conn, way int) {
@@ -156,7 +187,7 @@
 			if r.now().Drop[way] {
 				continue
 			}
-			if _, err := to.Write(p.data); err != nil {
+			if _, err := r.write(to, p.data); err != nil {
 				_ = from.Close()
 			}
 		}
--- a/lab/judge/judge.go
+++ b/lab/judge/judge.go
@@ -87,6 +87,7 @@
 	ended    time.Time // when the first of them came
 	left     time.Time
 	excused  bool
+	seen     bool      // an attempt has come at a worker
 	whole    bool      // its worker has written a stream to its end
 	held     time.Time // since when a read state waits; zero: none does
 	runs     []time.Time
@@ -112,14 +113,20 @@
 
 	mu       sync.Mutex
 	requests map[string]*request
-	leaving  map[[2]string]time.Time // by router and worker, from when on it counts as known
+	leaving  map[ban]time.Time // from when on it counts as known
 	broken   []Violation
 	attempts int
 }
 
+// ban is a reason for a router to send nothing new to a worker.
+type ban struct {
+	router, worker string
+	byHand         bool // an operator took it out; else discovery told that it leaves
+}
+
 // New returns a judge that has seen nothing.
 func New(l Limits) *Judge {
-	return &Judge{limits: l, requests: map[string]*request{}, leaving: map[[2]string]time.Time{}}
+	return &Judge{limits: l, requests: map[string]*request{}, leaving: map[ban]time.Time{}}
 }
 
 func (j *Judge) violate(r *request, rule Rule, format string, args ...any) {
@@ -193,14 +200,37 @@
 func (j *Judge) Leaving(router, worker string, from time.Time) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.leaving[[2]string{router, worker}] = from
+	j.leaving[ban{router, worker, false}] = from
+}
+
+// Suspended notes that an operator has a router's yes, given at a time, to sending a worker nothing.
+func (j *Judge) Suspended(router, worker string, at time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.leaving[ban{router, worker, true}] = at
+}
+
+// Resumed notes that an operator calls the worker back.
+func (j *Judge) Resumed(router, worker string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	delete(j.leaving, ban{router, worker, true})
+}
+
+// ExcuseUnread frees a request of all rules if no worker has seen it: its connection could be shut before it was read.
+func (j *Judge) ExcuseUnread(id string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if r := j.requests[id]; r != nil && !r.seen {
+		r.excused = true
+	}
 }
 
 // Returned notes that a worker may be sent to again by a router.
 func (j *Judge) Returned(router, worker string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	delete(j.leaving, [2]string{router, worker})
+	delete(j.leaving, ban{router, worker, false})
 }
 
 // Arrived notes an attempt whose last byte has come at a worker. It is nil for a request that no client sent.
@@ -212,9 +242,13 @@
 		return nil
 	}
 	j.attempts++
-	if from, ok := j.leaving[[2]string{r.router, worker}]; ok && at.Sub(from) > j.limits.Grace+j.limits.Slack {
+	r.seen = true
+	if from, ok := j.leaving[ban{r.router, worker, false}]; ok && at.Sub(from) > j.limits.Grace+j.limits.Slack {
 		j.violate(r, Drain, "%s sent to %s %v after its leaving counted as known", r.router, worker, at.Sub(from))
 	}
+	if from, ok := j.leaving[ban{r.router, worker, true}]; ok && at.Sub(from) > j.limits.Grace+j.limits.Slack {
+		j.violate(r, Drain, "%s sent to %s %v after it said that it is out by hand", r.router, worker, at.Sub(from))
+	}
 	if !r.left.IsZero() && at.Sub(r.left) > j.limits.Gone+j.limits.Slack {
 		j.violate(r, Gone, "at %s %v after its client had gone", worker, at.Sub(r.left))
 	}
--- a/test/overlap_clients_test.go
+++ b/test/overlap_clients_test.go
@@ -20,6 +20,9 @@
 // endsHalves is how soon a client that stops within its request and stays has its error or its close.
 const endsHalves = 3 * time.Second
 
+// eventWithin is how soon an event has to be passed on.
+const eventWithin = 300 * time.Millisecond
+
 // overlapClient sends requests to all routers, over connections that it keeps.
 type overlapClient struct {
 	rig   *overlapRig
@@ -146,7 +149,7 @@
 		case to.kills.Load() != q.kills:
 			c.rig.judge.Excuse(q.id)
 		case !crossed:
-			c.rig.judge.Final(q.id, judge.Unanswered, time.Now())
+			c.end(to, q, judge.Unanswered)
 		case conn == nil: // no other router is asked: a front would
 			c.rig.judge.Excuse(q.id)
 		default:
@@ -161,8 +164,12 @@
 	}
 }
 
-// end notes the end of a request, unless its router was killed meanwhile.
+// end notes the end of a request, unless its router was killed meanwhile. While idle clients have its descriptors, a router may
+// shut a new connection that it has not read.
 func (c *overlapClient) end(to *overlapRouter, q asked, end judge.Final) {
+	if end == judge.Unanswered && to.crowds.Load() != 0 {
+		c.rig.judge.ExcuseUnread(q.id)
+	}
 	if to.kills.Load() != q.kills {
 		c.rig.judge.Excuse(q.id)
 	}
@@ -190,9 +197,9 @@
 	if resp.StatusCode == http.StatusOK {
 		c.rig.judge.Began(q.id, time.Now())
 	}
-	body, err := io.ReadAll(resp.Body)
+	body, err := c.stream(resp.Body)
 	switch {
-	case resp.StatusCode == http.StatusOK && err == nil && !wholeStream(string(body), q.id):
+	case resp.StatusCode == http.StatusOK && err == nil && !wholeStream(body, q.id):
 		c.rig.fault("request %s: what no worker made for it: %.200q", q.id, body)
 	case resp.StatusCode == http.StatusOK && err == nil:
 		c.end(to, q, judge.Served)
@@ -209,6 +216,29 @@
 	return false
 }
 
+// stream reads a body, and counts it if one of its events was held back.
+func (c *overlapClient) stream(from io.Reader) (body string, err error) {
+	var all strings.Builder
+	heldBack := false
+	lines := bufio.NewReader(from)
+	for err == nil {
+		var line string
+		line, err = lines.ReadString('\n')
+		all.WriteString(line)
+		if at, ok := writtenAt(line); ok && time.Since(at) > eventWithin+overlapSlack {
+			heldBack = true
+		}
+	}
+	c.rig.streams.Add(1)
+	if heldBack {
+		c.rig.heldBack.Add(1)
+	}
+	if errors.Is(err, io.EOF) {
+		err = nil
+	}
+	return all.String(), err
+}
+
 func (c *overlapClient) drop(conn *clientConn) {
 	_ = conn.Close()
 	conn.Conn = nil
--- a/test/overlap_test.go
+++ b/test/overlap_test.go
@@ -33,6 +33,7 @@
 
 const (
 	overlapSlack   = 500 * time.Millisecond // stalls of up to 0.15 s, and a machine with other work
+	overlapSockets = 400                    // descriptors that a router may have
 	overlapReaders = 4
 	overlapWriters = 6
 	overlapMixed   = 2
@@ -55,6 +56,9 @@
 	toldAt  map[*overlapWorker]time.Time // when its leaving was
 	faults  []string
 	played  map[string]int
+
+	streams  atomic.Int64 // that clients have read to their end
+	heldBack atomic.Int64 // of them, those with an event that came too late
 }
 
 // overlapRouter is a router under its name, through all its processes.
@@ -68,12 +72,16 @@
 	heard  atomic.Int64 // from when on, in Unix nanoseconds, the agent's word counts as known
 	kills  atomic.Int64
 	termAt atomic.Int64 // in Unix nanoseconds; 0: it is not told to end
-	busy   sync.Mutex   // held by the trouble that has it
+	crowds atomic.Int64 // idle clients have its descriptors, or had them a moment ago
+	folder string       // for temporary files, of all its processes
+	starts atomic.Int64
+	busy   sync.Mutex // held by the trouble that has it
 
 	mu     sync.Mutex
 	proc   *program
 	calls  *syscalls.Faults
 	wall   *clock.Clock
+	hand   string // the console's address
 	former []*program
 }
 
@@ -101,19 +109,21 @@
 	t := o.rig.t
 	wall, err := o.rig.library.New(t.TempDir())
 	require.NoError(t, err)
-	cmd, calls, err := syscalls.Command([]int{syscalls.Accept4, syscalls.Connect, syscalls.Socket, syscalls.Ppoll}, binary, "serve")
+	cmd, calls, err := syscalls.Command([]int{syscalls.Accept4, syscalls.Bind, syscalls.Connect, syscalls.Openat, syscalls.Ppoll, syscalls.Socket}, binary, "serve")
 	require.NoError(t, err)
+	o.failStart(calls)
+	hand := ownAddr(t)
 	level := "info"
 	if *overlapLogs != "" {
 		level = "debug"
 	}
-	p := startCommand(t, cmd, o.addr, append(wall.Env(), "LICHENSHELF_LOG_LEVEL="+level, "ROUTER_LISTEN="+o.addr, "ROUTER_NAME="+o.name,
+	p := startCommand(t, cmd, o.addr, append(wall.Env(), "LICHENSHELF_LOG_LEVEL="+level, "ROUTER_LISTEN="+o.addr, "ROUTER_NAME="+o.name, "ROUTER_CONSOLE="+hand, "TMPDIR="+o.folder,
 		"ROUTER_DISCOVERY="+o.agent.Listener.Addr().String(), "ROUTER_CONFIG="+o.file))
 	o.mu.Lock()
 	if o.proc != nil {
 		o.former = append(o.former, o.proc)
 	}
-	o.proc, o.calls, o.wall = p, calls, wall
+	o.proc, o.calls, o.wall, o.hand = p, calls, wall, hand
 	o.mu.Unlock()
 	o.rig.knowsAtStart(o)
 	from := time.Now()
@@ -183,7 +193,7 @@
 		r.workers = append(r.workers, newOverlapWorker(t, r.judge, fmt.Sprintf("s-%08d", i+1), kind))
 	}
 	for i := range *overlapRouters {
-		o := &overlapRouter{rig: r, name: fmt.Sprintf("n%d", i), addr: ownAddr(t), agent: newDiscovery(t)}
+		o := &overlapRouter{rig: r, name: fmt.Sprintf("n%d", i), addr: ownAddr(t), agent: newDiscovery(t), folder: t.TempDir()}
 		o.agent.say(r.line(1, true, "in_service", 0, r.workers...))
 		o.text = r.config(o, 3*time.Second)
 		o.file = filepath.Join(t.TempDir(), "config.json")
@@ -207,8 +217,8 @@
 	set = strings.ReplaceAll(set, `"target-ns":1500000000`, fmt.Sprintf(`"target-ns":1500000000,"hard-limit-ns":%d`, longest.Nanoseconds()))
 	set = strings.ReplaceAll(set, `[40000.0,40000.0]`, `[40000.0,40000.0,40000.0]`)
 	set = strings.ReplaceAll(set, `[60000000,60000000]`, `[60000000,60000000,60000000]`)
-	return fmt.Sprintf(`{"name":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"discovery":%q,
-		"known":%s,"settings":%s}`, o.name, o.agent.Listener.Addr(), r.line(0, true, "in_service", 0, r.workers...), set)
+	return fmt.Sprintf(`{"name":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":%d},"discovery":%q,
+		"known":%s,"settings":%s}`, o.name, overlapSockets, o.agent.Listener.Addr(), r.line(0, true, "in_service", 0, r.workers...), set)
 }
 
 // line is one of discovery's.
@@ -295,6 +305,7 @@
 	for _, f := range r.faults {
 		t.Error(f)
 	}
+	require.LessOrEqual(t, r.heldBack.Load()*20, r.streams.Load(), "streams with an event that was held back")
 	for i, v := range broken {
 		if i == 20 {
 			t.Errorf("and %d more", len(broken)-i)
--- a/test/overlap_troubles_test.go
+++ b/test/overlap_troubles_test.go
@@ -59,6 +59,16 @@
 	}),
 	"agent resets": onRouter(func(o *overlapRouter, _ *rand.Rand) { o.agent.CloseClientConnections() }),
 	"leave":        onWorker((*overlapWorker).leave),
+	"by hand":      (*overlapRig).byHand,
+	"crowd":        (*overlapRig).crowd,
+	"twice":        withManner(twice),
+	"forget":       withManner(forgets),
+	"pieces":       withLink(link.Fault{Pieces: true}),
+	"reset link": onWorker(func(k *overlapWorker, _ *overlapRig, _ *rand.Rand) {
+		k.linkFaults.Add(1)
+		defer k.linkFaults.Add(1)
+		k.relay.Reset()
+	}),
 	"hang":         withManner(hangs),
 	"fail":         withManner(fails),
 	"turn away":    withManner(turnsAway),
@@ -230,6 +240,8 @@
 		syscalls.Connect: {syscall.EADDRNOTAVAIL, syscall.ENOBUFS, syscall.ENETUNREACH, syscall.EHOSTUNREACH, syscall.ETIMEDOUT},
 		syscalls.Socket:  {syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS},
 		syscalls.Ppoll:   {syscall.EINTR},
+		syscalls.Openat:  {syscall.EMFILE, syscall.ENFILE, syscall.EIO},
+		syscalls.Bind:    {syscall.ENOBUFS},
 	}
 	draw := rand.New(rand.NewPCG(rng.Uint64(), 0)) // for the calls, which come in any order
 	calls.Set(func(call int) syscalls.Fault {
--- a/test/overlap_workers_test.go
+++ b/test/overlap_workers_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -30,8 +31,13 @@
 	resets            // ends the connection before its answer
 	breaksOff         // ends the connection within its answer
 	halfAnswer        // writes half a head and stays
+	twice             // writes a second answer some milliseconds after the first
+	forgets           // closes or resets its connection some milliseconds after an answer, untold
 )
 
+// afterAnswer bounds how long after an answer the last two of them act.
+const afterAnswer = 20 * time.Millisecond
+
 // overlapWorker is a worker behind a relay. What it sees it tells the judge.
 type overlapWorker struct {
 	name, kind string
@@ -41,6 +47,7 @@
 	manner     atomic.Int32
 	linkFaults atomic.Int64 // one more as each fault of its relay begins, and as it ends
 	busy       sync.Mutex   // held by the trouble that has it
+	hand       sync.Mutex   // held by the operator who has taken it out
 }
 
 func newOverlapWorker(t *testing.T, j *judge.Judge, name, kind string) *overlapWorker {
@@ -109,6 +116,10 @@
 	if !pause(r, time.Duration(5+rand.IntN(40))*time.Millisecond) {
 		return
 	}
+	if now == twice || now == forgets {
+		k.unclean(w, id, a, now)
+		return
+	}
 	if k.kind == "reader" {
 		if k.linkFaults.Load() != faults {
 			a.CutOff()
@@ -130,7 +141,7 @@
 			cut(w, r)
 			return
 		}
-		if _, err := fmt.Fprintf(w, "data: {\"id\":%q,\"event\":%d}\n\n", id, i); err != nil {
+		if _, err := fmt.Fprintf(w, "data: {\"id\":%q,\"event\":%d,\"at\":%d}\n\n", id, i, time.Now().UnixNano()); err != nil {
 			return
 		}
 		w.(http.Flusher).Flush()
@@ -147,6 +158,33 @@
 	}
 }
 
+// unclean answers whole, and then writes what nobody asked for or ends the connection as it pleases.
+func (k *overlapWorker) unclean(w http.ResponseWriter, id string, a *judge.Attempt, how manner) {
+	c, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	head, body := "HTTP/1.1 202 Accepted\r\n", `{"cached_tokens":64}`
+	fate := judge.Read
+	if k.kind != "reader" {
+		head, fate = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n", judge.Began
+		body = fmt.Sprintf("data: {\"id\":%q,\"events\":0}\n\ndata: [DONE]\n\n", id)
+	}
+	a.Ended(fate, time.Now())
+	answer := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+	if _, err := io.WriteString(c, answer); err != nil {
+		return
+	}
+	time.Sleep(rand.N(afterAnswer))
+	if how == twice {
+		_, _ = io.WriteString(c, strings.ReplaceAll(answer, id, strings.Repeat("f", len(id))))
+		time.Sleep(afterAnswer)
+	} else if t, ok := c.(*net.TCPConn); ok && rand.IntN(2) == 0 {
+		_ = t.SetLinger(0)
+	}
+}
+
 // pause waits, and tells whether the router still wants the answer.
 func pause(r *http.Request, d time.Duration) bool {
 	select {
@@ -165,9 +203,19 @@
 		return false
 	}
 	for i, e := range events[:n] {
-		if e != fmt.Sprintf("data: {\"id\":%q,\"event\":%d}", id, i) {
+		if !strings.HasPrefix(e, fmt.Sprintf("data: {\"id\":%q,\"event\":%d,\"at\":", id, i)) {
 			return false
 		}
 	}
 	return true
 }
+
+// writtenAt is when a worker wrote the event of a line, if it says so.
+func writtenAt(line string) (time.Time, bool) {
+	_, text, ok := strings.Cut(line, `"at":`)
+	if !ok {
+		return time.Time{}, false
+	}
+	ns, err := strconv.ParseInt(strings.TrimSuffix(strings.TrimSpace(text), "}"), 10, 64)
+	return time.Unix(0, ns), err == nil
+}
--- a/upstream/crossings_test.go
+++ b/upstream/crossings_test.go
@@ -582,3 +582,29 @@
 		<-e.outcomes
 	}
 }
+
+// A worker that writes a second answer some milliseconds after the first has not answered the next request by it, however soon
+// that comes.
+func TestALateSecondAnswerIsNobodys(t *testing.T) {
+	const late = 5 * time.Millisecond
+	c, w, _ := against(t, func(nc net.Conn) {
+		defer nc.Close()
+		for request(nc) {
+			_, _ = io.WriteString(nc, streamHead+"b\r\ndata: own\n\n\r\n0\r\n\r\n")
+			time.Sleep(late)
+			_, _ = io.WriteString(nc, streamHead+"f\r\ndata: another\n\n\r\n0\r\n\r\n")
+		}
+	})
+	for range 3 {
+		e, _ := send(c, w, true)
+		select {
+		case answer := <-e.answers:
+			body, err := io.ReadAll(answer)
+			require.NoError(t, err)
+			require.Equal(t, "data: own\n\n", string(body))
+			require.NoError(t, answer.Close())
+		case o := <-e.outcomes:
+			t.Fatal("no answer: ", o.Status)
+		}
+	}
+}
