A connection to a worker rests before its next request, so that late second answers show

Releases take any: an answer that is not theirs does them no harm, and a call counts when it has arrived. Not taken: suspicion after a first late answer (that one has been served by then), a new connection for each request (workers bear only so many).

Tests of what happens on a reused connection set the rest to 0: they are about its reuse.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -77,7 +77,7 @@
 // New returns a transport.
 func New(cfg Config) *Client {
 	c := &Client{cfg: cfg, releaseWait: releaseWait}
-	c.pool.dialTimeout, c.pool.most, c.pool.learning = cfg.ConnectTimeout, cfg.MaxConns, mostLearning
+	c.pool.dialTimeout, c.pool.most, c.pool.learning, c.pool.rest = cfg.ConnectTimeout, cfg.MaxConns, mostLearning, restFor
 	c.pool.idleFor = time.Duration(float64(cfg.ConnIdle) * idleShare)
 	c.pool.idle = map[*router.Worker][]*conn{}
 	return c
@@ -320,7 +320,7 @@
 	}
 	body := x.msg.Body
 	for fresh := false; ; fresh = true {
-		c, err := x.client.pool.get(ctx, x.Worker, fresh)
+		c, err := x.client.pool.get(ctx, x.Worker, need{fresh: fresh, rest: x.client.pool.rest})
 		if errors.Is(err, errFull) {
 			x.client.cfg.Counters.Add("attempts_without_a_connection", 1)
 			return nil, logic.Full
@@ -483,7 +483,7 @@
 func (c *Client) release(ctx context.Context, name string, w *router.Worker) error {
 	ctx, cancel := context.WithTimeout(ctx, c.releaseWait)
 	defer cancel()
-	cn, err := c.pool.getFor(ctx, w, false, releaseSpare)
+	cn, err := c.pool.get(ctx, w, need{spare: releaseSpare}) // an answer that is not its own does it no harm
 	if err != nil {
 		return err
 	}
--- a/upstream/crossings_test.go
+++ b/upstream/crossings_test.go
@@ -595,6 +595,7 @@
 			_, _ = io.WriteString(nc, streamHead+"f\r\ndata: another\n\n\r\n0\r\n\r\n")
 		}
 	})
+	c.pool.rest = restFor
 	for range 3 {
 		e, _ := send(c, w, true)
 		select {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -126,6 +126,7 @@
 	idleFor     time.Duration // an idle connection is closed after this
 	most        int
 	learning    time.Duration // mostLearning, but in tests
+	rest        time.Duration // restFor, but in tests
 
 	mu      sync.Mutex
 	open    int
@@ -140,19 +141,26 @@
 // be let go of also while attempts have them all.
 const releaseSpare = 16
 
-// get takes an idle connection to the worker, or opens one.
-func (p *pool) get(ctx context.Context, w *router.Worker, fresh bool) (*conn, error) {
-	return p.getFor(ctx, w, fresh, 0)
+// restFor is how long a connection rests after an answer before another request may go out on it. A worker may write a
+// second answer some milliseconds after the first: on a connection that rests it shows, and the connection is of no further
+// use; behind the next request it could not be told from that one's answer.
+const restFor = 20 * time.Millisecond
+
+// need says which connections will do.
+type need struct {
+	fresh bool          // a new one alone
+	rest  time.Duration // it has rested for so long
+	spare int           // so many past the bound may be opened
 }
 
-// getFor is get with so many connections past the bound.
-func (p *pool) getFor(ctx context.Context, w *router.Worker, fresh bool, spare int) (*conn, error) {
-	if !fresh {
-		if c := p.take(w); c != nil {
+// get takes an idle connection to the worker, or opens one.
+func (p *pool) get(ctx context.Context, w *router.Worker, n need) (*conn, error) {
+	if !n.fresh {
+		if c := p.take(w, n.rest); c != nil {
 			return c, nil
 		}
 	}
-	if !p.reserve(spare) {
+	if !p.reserve(n.spare) {
 		return nil, errFull
 	}
 	d := net.Dialer{Timeout: p.dialTimeout, KeepAlive: -1}
@@ -210,18 +218,16 @@
 	return min(p.trust<<doublings, p.idleFor)
 }
 
-func (p *pool) take(w *router.Worker) *conn {
+// take takes the connection to a worker that was used last, of those that have rested and that nobody has ended or written to.
+func (p *pool) take(w *router.Worker, rest time.Duration) *conn {
 	for {
 		p.mu.Lock()
-		list := p.idle[w]
-		if len(list) == 0 {
-			p.mu.Unlock()
-			return nil
-		}
-		c := list[len(list)-1]
-		p.idle[w] = list[:len(list)-1]
+		c := p.lastRested(w, rest)
 		trusted := p.trusted()
 		p.mu.Unlock()
+		if c == nil {
+			return nil
+		}
 		c.idled = time.Since(c.kept)
 		if c.retire.Stop() && c.idled <= trusted && c.alive() {
 			c.reused = true
@@ -231,6 +237,18 @@
 	}
 }
 
+// lastRested takes the latest connection out of the idle ones that has rested for so long; the lock is held.
+func (p *pool) lastRested(w *router.Worker, rest time.Duration) *conn {
+	list := p.idle[w]
+	for i := len(list) - 1; i >= 0; i-- {
+		if c := list[i]; time.Since(c.kept) >= rest {
+			p.idle[w] = slices.Delete(list, i, i+1)
+			return c
+		}
+	}
+	return nil
+}
+
 // put keeps a connection whose last answer was read to its end.
 func (p *pool) put(w *router.Worker, c *conn) {
 	// What is behind the answer belongs to nobody, and would be taken for the next.
