A test that is red: a client's connection that breaks with ETIMEDOUT

downstream/listener.go ended asks an error for Timeout(), which is true of syscall.ETIMEDOUT as of a deadline. The watch ends with no word: the client does not count as gone, and its attempts go on and begin anew. Of six errors of a broken connection that one alone is red. Found by reading.

--- a/downstream/faults_test.go
+++ b/downstream/faults_test.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -72,3 +73,63 @@
 	}
 	return n
 }
+
+// breaking is a connection whose reads fail by an error once it is told so.
+type breaking struct {
+	*net.TCPConn
+	errno *atomic.Int64
+}
+
+func (b breaking) Read(p []byte) (int, error) {
+	n, err := b.TCPConn.Read(p)
+	if errno := syscall.Errno(b.errno.Load()); errno != 0 && n > 0 {
+		return 0, &net.OpError{Op: "read", Err: os.NewSyscallError("read", errno)}
+	}
+	return n, err
+}
+
+// brittle is a listener of such connections.
+type brittle struct {
+	net.Listener
+	errno atomic.Int64
+}
+
+func (b *brittle) Accept() (net.Conn, error) {
+	c, err := b.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return breaking{c.(*net.TCPConn), &b.errno}, nil
+}
+
+// A client's connection may break by any of the errors that Linux documents for it: its request has nobody who waits then.
+func TestAConnectionThatBreaksIsAClientThatHasGone(t *testing.T) {
+	for _, errno := range []syscall.Errno{syscall.ECONNRESET, syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ENETUNREACH, syscall.ENETDOWN, syscall.EPIPE} {
+		t.Run(errno.Error(), func(t *testing.T) {
+			inner, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			l := &brittle{Listener: inner}
+			began, left, goOn := make(chan struct{}), make(chan struct{}), make(chan struct{})
+			s := NewServer(l, Config{MaxConns: most, MaxBytes: 1 << 20, Counters: &metrics.Set{}, Problem: TextProblem, Handler: func(c *Call) {
+				c.conn.watch(func() { close(left) })
+				close(began)
+				<-goOn
+			}})
+			go func() { _ = s.Serve() }()
+			c, err := net.Dial("tcp", inner.Addr().String())
+			require.NoError(t, err)
+			defer func() { close(goOn); _, _ = c.Close(), inner.Close() }()
+			_, err = io.WriteString(c, get)
+			require.NoError(t, err)
+			<-began
+			l.errno.Store(int64(errno))
+			_, err = io.WriteString(c, "G") // the read returns
+			require.NoError(t, err)
+			select {
+			case <-left:
+			case <-time.After(goneFor + time.Second):
+				t.Fatal("the client was not seen to leave")
+			}
+		})
+	}
+}
