A client's connection that breaks with ETIMEDOUT is a client that has gone

Cause: downstream/listener.go ended took every net.Error with Timeout() for the read deadline by which its server takes the connection back; syscall.Errno's Timeout is true for ETIMEDOUT. It asks for os.ErrDeadlineExceeded now, which no error of the system is.

Related paths: upstream end() asks for os.ErrDeadlineExceeded already; body.go and server.go choose between 408 and 400 by Timeout(), for a client that is not there then.

--- a/downstream/listener.go
+++ b/downstream/listener.go
@@ -5,6 +5,7 @@
 package downstream
 
 import (
+	"errors"
 	"io"
 	"net"
 	"os"
@@ -314,7 +315,7 @@
 
 // ended takes the error that a watch met.
 func (c *conn) ended(err error) {
-	if ne, ok := err.(net.Error); ok && ne.Timeout() {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return // the server wants to read
 	}
 	c.err = err
