--- a/front/platform/front.go
+++ b/front/platform/front.go
@@ -71,8 +71,9 @@
 
 // Retune takes the classes of a configuration read again and returns the rules
 // by index, for the decisions. A class whose name and rules are as before keeps
-// its index; one that is new or changed gets a new one.
-func (f *Front) Retune(next *Config) []logic.Class {
+// its index; one that is new or changed gets a new one. Requests are read by the new names from publish on, which is to be
+// called once the core has the rules: it would take a class that it does not know for one that may be repeated freely.
+func (f *Front) Retune(next *Config) (rules []logic.Class, publish func()) {
 	was := f.classes.Load()
 	now := &classTable{Rules: slices.Clone(was.Rules), Index: map[string]int{}}
 	names := make([]string, len(next.Settings.Classes))
@@ -90,8 +91,7 @@
 		now.Index[name] = len(now.Rules)
 		now.Rules = append(now.Rules, rules)
 	}
-	f.classes.Store(now)
-	return now.Rules
+	return now.Rules, func() { f.classes.Store(now) }
 }
 
 // Shut makes the front take nothing new, or take it again. What it has in hand ends as usual.
--- a/front/platform/retune_test.go
+++ b/front/platform/retune_test.go
@@ -25,7 +25,8 @@
 	f := NewFront(classes(map[string]logic.Class{"chat": chat, "file": file}, "chat", "file"), func() bool { return true })
 
 	changed := logic.Class{Aim: 2 * time.Second}
-	rules := f.Retune(classes(map[string]logic.Class{"check": changed, "chat": chat, "file": changed}, "check", "chat", "file"))
+	rules, publish := f.Retune(classes(map[string]logic.Class{"check": changed, "chat": chat, "file": changed}, "check", "chat", "file"))
+	publish()
 	now := f.classes.Load()
 	require.Equal(t, 0, now.Index["chat"], "the same rules keep their index")
 	require.Equal(t, file, rules[1], "the old rules of file stay for its open requests")
@@ -33,7 +34,8 @@
 	require.Equal(t, changed, rules[now.Index["check"]])
 	require.Len(t, rules, 4)
 
-	f.Retune(classes(map[string]logic.Class{"chat": chat}, "chat"))
+	_, publish = f.Retune(classes(map[string]logic.Class{"chat": chat}, "chat"))
+	publish()
 	_, ok := f.classes.Load().Index["file"]
 	require.False(t, ok, "a dropped class takes no new request")
 }
@@ -57,8 +59,12 @@
 	chat := logic.Class{Aim: time.Second}
 	f := NewFront(classes(map[string]logic.Class{"chat": chat}, "chat"), func() bool { return true })
 	once := logic.Class{Aim: time.Second, Effect: logic.EffectOnce}
-	f.Retune(classes(map[string]logic.Class{"chat": once, "new": once}, "chat", "new"))
+	rules, publish := f.Retune(classes(map[string]logic.Class{"chat": once, "new": once}, "chat", "new"))
 	index := f.classes.Load().Index
 	require.Equal(t, 0, index["chat"])
 	require.NotContains(t, index, "new")
+	publish()
+	index = f.classes.Load().Index
+	require.Equal(t, once, rules[index["chat"]])
+	require.Equal(t, once, rules[index["new"]])
 }
--- a/internal/daemon/signals.go
+++ b/internal/daemon/signals.go
@@ -58,7 +58,9 @@
 		if err != nil {
 			d.log.WithError(err).Error("configuration not read again, discovery stays as it is, and so do the settings")
 		} else {
-			d.platCore.Retune(d.platform.Retune(cfg), cfg.Settings.MaxAttempts)
+			rules, publish := d.platform.Retune(cfg)
+			d.platCore.Retune(rules, cfg.Settings.MaxAttempts)
+			publish()
 			// The kill after a SIGTERM goes by the longest deadline, which may be another one now.
 			end := d.atStart.sooner(platformEnding(cfg))
 			d.ending.Store(&end)
