A test that is red: classes pile up over reloads

front/platform Retune gives each changed class a new index and never one that was there with the same rules; logic/admission.go looks at all classes for each request. 100 reloads that go back and forth between two files leave 101 classes.

--- a/front/platform/retune_test.go
+++ b/front/platform/retune_test.go
@@ -68,3 +68,17 @@
 	require.Equal(t, once, rules[index["chat"]])
 	require.Equal(t, once, rules[index["new"]])
 }
+
+// Configurations that go back and forth bring no class anew each time: each request looks at all of them.
+func TestReloadsThatGoBackAndForthTakeNoMoreRoom(t *testing.T) {
+	one, other := logic.Class{Aim: time.Second}, logic.Class{Aim: 2 * time.Second}
+	f := NewFront(classes(map[string]logic.Class{"chat": one}, "chat"), func() bool { return true })
+	var rules []logic.Class
+	for i := range 100 {
+		var publish func()
+		rules, publish = f.Retune(classes(map[string]logic.Class{"chat": []logic.Class{other, one}[i%2]}, "chat"))
+		publish()
+		require.Equal(t, []logic.Class{other, one}[i%2], rules[f.classes.Load().Index["chat"]])
+	}
+	require.Len(t, rules, 2)
+}
