A class that comes back with a reload has the index that it had

Front.Retune looks among all rules that were ever there under the name, not just the latest; the table grows with the number of different rules and no more with that of reloads.

--- a/front/platform/front.go
+++ b/front/platform/front.go
@@ -59,37 +59,53 @@
 // changed keeps its index for the requests that are open in it.
 type classTable struct {
 	Rules []logic.Class
+	Names []string // by index, as Rules
 	Index map[string]int
 }
 
+// find returns the index under which a class was once there with these rules, -1 if it was not.
+func (t *classTable) find(name string, rules logic.Class) int {
+	for i := range t.Rules {
+		if t.Names[i] == name && t.Rules[i] == rules {
+			return i
+		}
+	}
+	return -1
+}
+
+// classNames are the names of a configuration's classes, by index.
+func classNames(cfg *Config) []string {
+	names := make([]string, len(cfg.Settings.Classes))
+	for name, i := range cfg.names["class"] {
+		if i < len(names) {
+			names[i] = name
+		}
+	}
+	return names
+}
+
 // NewFront returns a front; ready tells whether the router can serve.
 func NewFront(cfg *Config, ready func() bool) *Front {
 	f := &Front{cfg: cfg, ready: ready}
-	f.classes.Store(&classTable{Rules: cfg.Settings.Classes, Index: cfg.names["class"]})
+	f.classes.Store(&classTable{Rules: cfg.Settings.Classes, Names: classNames(cfg), Index: cfg.names["class"]})
 	return f
 }
 
 // Retune takes the classes of a configuration read again and returns the rules
-// by index, for the decisions. A class whose name and rules are as before keeps
-// its index; one that is new or changed gets a new one. Requests are read by the new names from publish on, which is to be
+// by index, for the decisions. A class whose name and rules are as they once were has
+// the index that it had; one that is new or changed gets a new one. Requests are read by the new names from publish on, which is to be
 // called once the core has the rules: it would take a class that it does not know for one that may be repeated freely.
 func (f *Front) Retune(next *Config) (rules []logic.Class, publish func()) {
 	was := f.classes.Load()
-	now := &classTable{Rules: slices.Clone(was.Rules), Index: map[string]int{}}
-	names := make([]string, len(next.Settings.Classes))
-	for name, i := range next.names["class"] {
-		if i < len(names) {
-			names[i] = name
-		}
-	}
-	for i, name := range names {
+	now := &classTable{Rules: slices.Clone(was.Rules), Names: slices.Clone(was.Names), Index: map[string]int{}}
+	for i, name := range classNames(next) {
 		rules := next.Settings.Classes[i]
-		if j, ok := was.Index[name]; ok && was.Rules[j] == rules {
-			now.Index[name] = j
-			continue
+		index := now.find(name, rules)
+		if index < 0 {
+			index = len(now.Rules)
+			now.Rules, now.Names = append(now.Rules, rules), append(now.Names, name)
 		}
-		now.Index[name] = len(now.Rules)
-		now.Rules = append(now.Rules, rules)
+		now.Index[name] = index
 	}
 	return now.Rules, func() { f.classes.Store(now) }
 }
