--- a/upstream/client.go
+++ b/upstream/client.go
@@ -483,7 +483,7 @@
 func (c *Client) release(ctx context.Context, name string, w *router.Worker) error {
 	ctx, cancel := context.WithTimeout(ctx, c.releaseWait)
 	defer cancel()
-	cn, err := c.pool.get(ctx, w, need{spare: releaseSpare}) // an answer that is not its own does it no harm
+	cn, err := c.pool.get(ctx, w, need{rest: c.pool.rest, spare: releaseSpare})
 	if err != nil {
 		return err
 	}
