A test that is red: a reload whose file can't be opened for a moment

'configuration not read again, discovery stays as it is, and so do the settings' error='read configuration: open .../config.json: too many open files in system': the new discovery is never followed, so what only it tells (leavings, above all) is never heard. front/platform/config.go ReadConfig and conffile.Read take any error of open for the file's own. Events that meet: SIGHUP, and no descriptor for a moment.

--- a/test/signals_test.go
+++ b/test/signals_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"lichenshelf/internal/standin/syscalls"
 )
 
 // A SIGTERM is heard also while a reload waits for a file that can't be read now, and however many signals came before.
@@ -64,3 +66,32 @@
 	require.Less(t, time.Since(from), 800*time.Millisecond+700*time.Millisecond, "the platform kills the process then")
 	p.waitExit()
 }
+
+// A new configuration is taken also where its file can't be opened for a moment, as where clients have all descriptors: with it
+// would go all that only the new discovery tells.
+func TestAReloadOutlivesAFileThatCantBeOpenedForAMoment(t *testing.T) {
+	r, w := pair(t, nil)
+	old, next := newDiscovery(t), newDiscovery(t)
+	for _, d := range []*discovery{old, next} {
+		d.list(true, "in_service", r, w)
+	}
+	addr, file := ownAddr(t), config(t, `{"generation":0,"reset":true,"instances":[]}`, connIdle)
+	text, err := os.ReadFile(file)
+	require.NoError(t, err)
+	follow := func(d *discovery) string {
+		return strings.Replace(string(text), `"name":`, fmt.Sprintf(`"discovery":%q,"name":`, d.Listener.Addr()), 1)
+	}
+	require.NoError(t, os.WriteFile(file, []byte(follow(old)), 0o600))
+	p, faults := startTrapped(t, []int{syscalls.Openat}, addr, []string{"ROUTER_LISTEN=" + addr, "ROUTER_CONFIG=" + file}, "serve")
+	p.waitReady()
+	require.NoError(t, os.WriteFile(file, []byte(follow(next)), 0o600))
+	faults.Set(syscalls.Always(syscall.ENFILE, syscalls.Openat))
+	p.signal(syscall.SIGHUP)
+	time.Sleep(time.Second)
+	faults.Set(nil)
+	eventually(t, func() bool {
+		next.mu.Lock()
+		defer next.mu.Unlock()
+		return len(next.from) > 0
+	}, "the new discovery is followed")
+}
