The test of kept connections lets them rest before they are used again

It was wrong in that one thing. Now it asks three times, with time to rest between, and wants one connection, closed before its worker closes it; that a connection is not used before it has rested, TestAConnectionRestsBeforeItsNextRequest shows without a clock. No code of the product changed.

--- a/test/platform_test.go
+++ b/test/platform_test.go
@@ -257,16 +257,24 @@
 	require.Equal(t, 200, old.ask("query", newID(), patience).status)
 }
 
-// A worker closes idle connections; a request written to one just then is lost.
+// hasRested is longer than a connection to a worker rests after an answer (upstream).
+const hasRested = 100 * time.Millisecond
+
+// A worker closes idle connections; a request written to one just then is lost. Until then a connection is used again, once it has
+// rested after its answer; that it is not before, upstream's tests show.
 func TestIdleConnectionsAreClosedBeforeWorkersDo(t *testing.T) {
 	r, w := pair(t, nil)
 	d := newDiscovery(t)
 	d.list(true, "in_service", r, w)
 	p := platformAt(t, d, 3*time.Second).waitReady()
-	require.Equal(t, 200, p.ask("query", newID(), patience).status)
-	require.Equal(t, 200, p.ask("query", newID(), patience).status)
+	made := func() int { w.mu.Lock(); defer w.mu.Unlock(); return w.conns }
+	for range 3 {
+		require.Equal(t, 200, p.ask("query", newID(), patience).status)
+		time.Sleep(hasRested)
+	}
+	require.Equal(t, 1, made(), "it is used again")
 	eventually(t, func() bool { w.mu.Lock(); defer w.mu.Unlock(); return w.open == 0 }, "the router closes it")
-	require.Equal(t, 1, w.conns, "until then it is used again")
+	require.Equal(t, 1, made())
 }
 
 func TestTermFinishesWhatIsInHandAndServesWhatStillComes(t *testing.T) {
--- a/upstream/crossings_test.go
+++ b/upstream/crossings_test.go
@@ -641,3 +641,23 @@
 		t.Fatal("no worker has read the release")
 	}
 }
+
+// A connection goes to the next request once it has rested, and not before.
+func TestAConnectionRestsBeforeItsNextRequest(t *testing.T) {
+	for _, c := range []struct {
+		rest time.Duration
+		made int64
+	}{{0, 1}, {time.Hour, 3}} {
+		client, w, counters := against(t, func(nc net.Conn) {
+			for request(nc) {
+				_, _ = io.WriteString(nc, accepted)
+			}
+		})
+		client.pool.rest, client.pool.most = c.rest, 8
+		for range 3 {
+			e, _ := send(client, w, true)
+			require.Equal(t, logic.PromptRead, (<-e.outcomes).Status)
+		}
+		require.EqualValues(t, c.made, counters.Get("connections_opened"))
+	}
+}
