--- a/test/held_test.go
+++ b/test/held_test.go
@@ -248,10 +248,30 @@
 	require.Len(t, h.judge(), 2)
 }
 
-// A send that has not arrived is not out: it does not stop the clock for what a reader holds. A writer's machine that has
-// vanished says nothing, and its open connections take what is sent all the same.
+// A send that has not arrived is not out: it does not stop the clock for what a reader holds. Whether something on the way
+// acknowledges the bytes (the system of a worker that is stopped or cut off, a proxy) makes no difference.
 func TestASendThatNeverArrivesStopsNoClock(t *testing.T) {
 	require.NoError(t, link.CanVanish(), "this system makes the test one for privileged users")
+	sendsThatNeverArrive(t, link.Fault{Vanish: true})
+}
+
+func TestASendThatNobodyReadsStopsNoClock(t *testing.T) {
+	for name, fault := range map[string]link.Fault{
+		"lost on the way there":    {Drop: [2]bool{true, false}},
+		"lost both ways":           {Drop: [2]bool{true, true}},
+		"lost, and the link slow":  {Drop: [2]bool{true, true}, Delay: 20 * time.Millisecond},
+		"lost, and passed in bits": {Drop: [2]bool{true, true}, Pieces: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			sendsThatNeverArrive(t, fault)
+		})
+	}
+}
+
+// sendsThatNeverArrive plays a writer that is lost behind connections which stay open, and looks at how long its reader holds
+// what was read for it.
+func sendsThatNeverArrive(t *testing.T, fault link.Fault) {
 	for _, class := range []string{"file", "query"} {
 		t.Run(class, func(t *testing.T) {
 			t.Parallel()
@@ -267,7 +287,7 @@
 			for range 8 { // connections are kept
 				require.Equal(t, http.StatusOK, p.ask(class, newID(), 3*time.Second).status)
 			}
-			relay.Set(link.Fault{Vanish: true})
+			relay.Set(fault)
 			var all sync.WaitGroup
 			for range 8 {
 				all.Go(func() { p.ask(class, newID(), 3*time.Second) })
@@ -275,6 +295,26 @@
 			all.Wait()
 			time.Sleep(heldWithin)
 			require.Empty(t, h.judge())
+			require.Greater(t, h.read, 8, "nothing was read while the writer was lost")
 		})
 	}
 }
+
+// What is let go of beside an attempt does not disturb it: a writer that takes its time before it answers is waited for.
+func TestASlowWriterIsWaitedForBesideTheRelease(t *testing.T) {
+	h := newHolds()
+	r, w := pair(t, func(w http.ResponseWriter, r *http.Request) {
+		if pause(r, heldWithin) {
+			write(w, r)
+		}
+	})
+	h.watched(r)
+	h.watched(w)
+	p, _ := platform(t, r, w)
+	for _, class := range []string{"file", "query"} {
+		require.Equal(t, http.StatusOK, p.ask(class, newID(), 3*time.Second).status, class)
+	}
+	require.Empty(t, h.judge())
+	require.Len(t, w.got(http.MethodPost), 2, "each was sent to its writer once")
+	require.Len(t, r.got(http.MethodPost), 2, "and read once")
+}
