A request that went wrong is logged with all its steps, within bounds

Cause: at the default level a router logged one line in 50 s, so the incident's timeline could not be rebuilt from it. Outcomes tell whether the worker has answered (Answered), and why they failed (Cause); a release tells who took it. router/book.go is split by job (completion, release, history).

--- a/router/admit.go
+++ b/router/admit.go
@@ -36,14 +36,14 @@
 	// A name stands for one request at the workers: two at once would share their held state and each
 	// other's attempts. But anybody may use a name, and what is in hand may be rejected as nobody's.
 	if first.ran || first.answered || len(a.behind[ex.Name]) >= mostBehind {
-		a.core.book.duplicate(ex)
+		a.core.completion.duplicate(ex)
 		return
 	}
 	a.behind[ex.Name] = append(a.behind[ex.Name], ex)
 	ex.turn = time.AfterFunc(a.left(ex), func() {
 		a.core.post(func() {
 			if a.leaveLine(ex) {
-				a.core.book.duplicate(ex)
+				a.core.completion.duplicate(ex)
 			}
 		})
 	})
@@ -87,7 +87,7 @@
 		switch {
 		case first.ran || first.answered:
 			a.leaveLine(ex)
-			a.core.book.duplicate(ex)
+			a.core.completion.duplicate(ex)
 		case first.releases > 0 || a.names[first.Name] != nil:
 			return
 		default:
@@ -113,11 +113,20 @@
 			delete(a.names, ex.Name)
 			a.core.open.Add(-1)
 			a.next(ex)
+			a.report(ex)
 		}
 	}
 	a.over = a.over[:0]
 }
 
+// report logs a request that went wrong, once it is forgotten and what was let go of for it has been taken or not.
+func (a *admission) report(ex *exchange) {
+	if a.exchanges[ex.ID] != ex && ex.releases == 0 && !ex.reported {
+		ex.reported = true
+		a.core.histories.write(ex)
+	}
+}
+
 // lookForOverdue notes requests that should have had their final answer, once each.
 func (a *admission) lookForOverdue() {
 	now := time.Now()
--- a/router/api.go
+++ b/router/api.go
@@ -65,11 +65,25 @@
 	Stale  bool       // a reset of a connection that had been kept: it says nothing of the worker
 	// Unreached says that the request's last byte never went out.
 	Unreached bool
+	// Answered says that the worker has begun an answer to this very attempt. Nothing less proves that the worker has the
+	// request: bytes that went out may have been taken by something on the way.
+	Answered bool
+	Cause    error // what went wrong, for the log; nil: the status says all
+}
+
+// Written says how the last byte of an attempt went out.
+type Written struct {
+	At     time.Time
+	Port   int // of the connection, at this end
+	Reused bool
+	Bytes  int
 }
 
 // Sink takes what becomes of an attempt: Started or Ended, once. Any goroutine
 // may call it.
 type Sink interface {
+	// Written says that the last byte of the attempt went out, before what becomes of it. It must not block.
+	Written(Written)
 	// Started hands over an answer whose first bytes are there.
 	Started(Answer)
 	Ended(Outcome)
@@ -83,8 +97,9 @@
 	Send(Attempt, Sink) (giveUp func() (known <-chan struct{}))
 	// Release asks the given workers, each a little after the one before until one
 	// took it, to let go of all that is held for the named request. It calls done, once
-	// and later, when that has ended either way.
-	Release(name string, workers []*Worker, done func())
+	// and later, when that has ended either way: with the worker that took it, or the reason why none did. With neither there is
+	// nothing to let go of at such workers.
+	Release(name string, workers []*Worker, done func(by *Worker, err error))
 	// Forget drops what is kept of a worker that has left or restarted.
 	Forget(*Worker)
 }
--- a/router/core.go
+++ b/router/core.go
@@ -42,7 +42,7 @@
 }
 
 // Core is the router proper. Its chain is: intake, admission, routing, sender,
-// relay, book.
+// relay, completion; releaser beside it.
 type Core struct {
 	mail    chan func()
 	stopped chan struct{}
@@ -50,13 +50,15 @@
 	letting atomic.Int64 // releases that are out
 	roster  roster
 
-	intake    intake
-	admission admission
-	routing   routing
-	sender    sender
-	relay     relay
-	book      book
-	guard     guard
+	intake     intake
+	admission  admission
+	routing    routing
+	sender     sender
+	relay      relay
+	completion completion
+	releaser   releaser
+	guard      guard
+	histories  historyLog
 }
 
 // exchange is one request in hand and all that the core keeps of it. Only the
@@ -75,6 +77,8 @@
 	unsure   bool // a read was cut off: the worker may hold its state all the same
 	releases int  // that are out; what is sent meanwhile waits for them
 	overdue  bool // it was noted that it has no answer yet
+	history  history
+	reported bool // its history has been looked at for the log
 }
 
 // New returns a core; Run starts it.
@@ -90,12 +94,11 @@
 	c.admission = admission{core: c, exchanges: map[logic.RequestID]*exchange{}, names: map[string]*exchange{}, behind: map[string][]*exchange{}}
 	c.routing = routing{core: c, decider: cfg.Decider, start: time.Now(), log: cfg.Log}
 	c.sender = sender{core: c, transport: cfg.Transport, permit: cfg.Permit, count: cfg.Counters}
-	c.guard = guard{settings: cfg.Settings, count: cfg.Counters, log: cfg.Log}
+	c.guard = guard{core: c, settings: cfg.Settings, count: cfg.Counters}
 	c.relay = relay{core: c}
-	c.book = book{core: c, transport: cfg.Transport, count: cfg.Counters, log: cfg.Log}
-	if l, ok := cfg.Log.(*logrus.Logger); ok {
-		c.book.verbose = l.IsLevelEnabled(logrus.DebugLevel)
-	}
+	c.completion = completion{core: c, count: cfg.Counters}
+	c.releaser = releaser{core: c, transport: cfg.Transport, count: cfg.Counters}
+	c.histories = newHistoryLog(cfg.Log)
 	return c
 }
 
--- a/router/core_test.go
+++ b/router/core_test.go
@@ -40,13 +40,13 @@
 	w.sent <- s
 	return sync.OnceValue(func() <-chan struct{} { w.gaveUp <- struct{}{}; return w.known })
 }
-func (w *wires) Release(name string, _ []*Worker, done func()) {
+func (w *wires) Release(name string, _ []*Worker, done func(*Worker, error)) {
 	w.released <- name
 	go func() {
 		if w.taken != nil {
 			<-w.taken
 		}
-		done()
+		done(nil, nil)
 	}()
 }
 func (w *wires) Forget(*Worker) {}
--- a/router/guard.go
+++ b/router/guard.go
@@ -15,9 +15,9 @@
 // guard holds all acts for a request against the rules (package rules), and counts those that would break one. It belongs to
 // the core's goroutine.
 type guard struct {
+	core     *Core
 	settings logic.Settings
 	count    Counters
-	log      logrus.FieldLogger
 }
 
 // rules begins the history of a request. One of a class that is not stated may be repeated freely, as in the decisions.
@@ -44,8 +44,8 @@
 		return false
 	}
 	CountViolation(g.count, v)
-	g.log.WithFields(logrus.Fields{"request": ex.Name, "class": ex.Class, "attempts": ex.sends, "last": statusNames[ex.last],
-		"ms": time.Since(ex.Received).Milliseconds(), "act": act, "rule": v.String()}).Error("a rule would be broken, or was")
+	ex.history.add(step{kind: stepViolation, text: "violation " + v.String() + " at " + act})
+	g.core.histories.entry(ex).WithFields(logrus.Fields{"act": act, "rule": v.String()}).Error("a rule would be broken, or was")
 	return false
 }
 
--- a/router/guard_test.go
+++ b/router/guard_test.go
@@ -76,6 +76,6 @@
 	(<-w.sent).Ended(Outcome{Status: logic.PromptRead})
 	<-w.sent
 	require.Equal(t, int64(1), counters.Get("rule_violations_held_too_long"))
-	c.post(func() { c.book.left(ticket.ex, time.Now().Add(-time.Second)) })
+	c.post(func() { c.completion.left(ticket.ex, time.Now().Add(-time.Second)) })
 	require.Eventually(t, func() bool { return counters.Get("rule_violations_gone_too_long") == 1 }, 10*time.Second, time.Millisecond)
 }
--- a/router/intake.go
+++ b/router/intake.go
@@ -42,5 +42,5 @@
 // Leave says that the client has gone away. Nothing more is sent for it.
 func (t Ticket) Leave() {
 	at := time.Now()
-	t.core.post(func() { t.core.book.left(t.ex, at) })
+	t.core.post(func() { t.core.completion.left(t.ex, at) })
 }
--- a/router/route.go
+++ b/router/route.go
@@ -64,11 +64,11 @@
 		case logic.CallOff:
 			r.core.sender.callOff(ex, a.Attempt)
 		case logic.Refuse:
-			r.core.book.refuse(ex, a.After, a.Why)
+			r.core.completion.refuse(ex, a.After, a.Why)
 		case logic.Fail:
-			r.core.book.fail(ex, a.Why)
+			r.core.completion.fail(ex, a.Why)
 		case logic.Release:
-			r.core.book.release(ex)
+			r.core.releaser.release(ex)
 		case logic.Move:
 			r.core.sender.move(ex)
 		}
--- a/router/send.go
+++ b/router/send.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"sync/atomic"
 	"time"
 
 	"lichenshelf/logic"
@@ -17,18 +18,19 @@
 
 // attempt is one attempt that is out. It is the Sink of the transport.
 type attempt struct {
-	core   *Core
-	ex     *exchange
-	number int
-	server logic.ServerID
-	sentAt time.Time
-	timer  *time.Timer
-	to     *Worker
-	wait   time.Duration
-	reach  time.Duration          // as of sentAt; 0: no bound
-	giveUp func() <-chan struct{} // nil until it has started
-	ended  bool
-	took   time.Duration // until it ended
+	core    *Core
+	ex      *exchange
+	number  int
+	server  logic.ServerID
+	sentAt  time.Time
+	timer   *time.Timer
+	to      *Worker
+	wait    time.Duration
+	reach   time.Duration           // as of sentAt; 0: no bound
+	giveUp  func() <-chan struct{}  // nil until it has started
+	written atomic.Pointer[Written] // nil until its last byte has gone out
+	ended   bool
+	took    time.Duration // until it ended
 }
 
 func (s *sender) send(ex *exchange, act *logic.Action) {
@@ -100,7 +102,7 @@
 	}
 	s.core.guard.note(a.ex, "send", a.ex.rules.Taking(time.Now()))
 	waited := time.Since(a.sentAt) // for a release
-	s.core.book.begun(a, waited)
+	a.ex.history.add(step{kind: stepSend, attempt: a.number, worker: a.to, wait: a.wait - waited})
 	out := Attempt{Request: a.ex.Request, Worker: a.to, Wait: a.wait - waited}
 	if a.reach > 0 {
 		out.Reach = max(a.reach-waited, time.Nanosecond)
@@ -108,6 +110,9 @@
 	a.giveUp = s.transport.Send(out, a)
 }
 
+// Written implements Sink.
+func (a *attempt) Written(w Written) { a.written.Store(&w) }
+
 // Started implements Sink.
 func (a *attempt) Started(answer Answer) {
 	a.core.post(func() { a.core.relay.begin(a, answer) })
@@ -155,7 +160,7 @@
 		s.core.admission.next(a.ex)
 	}
 	if a.ex.answered {
-		s.core.book.answered(o.Status)
+		s.core.completion.answerEnded(o.Status)
 	}
 	s.report(a, o)
 	s.core.admission.forget(a.ex)
@@ -164,15 +169,24 @@
 // report tells the decisions and the counters.
 func (s *sender) report(a *attempt, o Outcome) {
 	s.count.Add("attempts_"+statusNames[o.Status], 1)
-	s.core.book.ended(a, o)
+	a.note(o)
 	s.core.routing.push(logic.Event{Kind: logic.AttemptEnded, ID: a.ex.ID, Attempt: a.number, Server: a.server,
 		Latency: a.took, Status: o.Status, Closed: a.ex.closed, Kept: o.Kept, Load: o.Load, Stale: o.Stale,
 		Unreached: o.Unreached})
 }
 
+// note adds how the attempt went to its request's history.
+func (a *attempt) note(o Outcome) {
+	if w := a.written.Load(); w != nil {
+		a.ex.history.add(step{at: w.At, kind: stepWritten, attempt: a.number, worker: a.to, written: w})
+	}
+	a.ex.history.add(step{kind: stepEnded, attempt: a.number, worker: a.to, outcome: &o})
+}
+
 // callOff gives up an attempt whose answer has not begun.
 func (s *sender) callOff(ex *exchange, number int) {
 	if a := ex.attempt; a != nil && a.number == number && !ex.answered {
+		ex.history.add(step{kind: stepCalledOff, attempt: number, worker: a.to})
 		s.end(a, Outcome{Status: logic.Cancelled})
 	}
 }
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -23,6 +23,13 @@
 // errNoAnswer says that not a byte of one came.
 var errNoAnswer = errors.New("no answer")
 
+// The reasons of this package's own for an attempt's end.
+var (
+	errUnconfirmed = errors.New("not acknowledged by the worker's system in time")
+	errNotReleased = errors.New("no worker took the release in time")
+	errLeaving     = errors.New("told to leave as the connection came up")
+)
+
 var errInterim = errors.New("nothing but heads that announce an answer")
 
 // Message is a request as it goes to a worker; the payload of a router.Request.
@@ -187,9 +194,9 @@
 }
 
 func (x *attempt) run(ctx context.Context) {
-	c, never := x.write(ctx)
+	c, never, err := x.write(ctx)
 	if c == nil {
-		x.sink.Ended(router.Outcome{Status: never, Unreached: true})
+		x.sink.Ended(router.Outcome{Status: never, Unreached: true, Cause: err})
 		return
 	}
 	stop := x.watchArrival(c)
@@ -198,11 +205,11 @@
 	if err != nil {
 		if x.vanished {
 			x.client.cfg.Counters.Add("attempts_unconfirmed", 1)
-			x.sink.Ended(router.Outcome{Status: logic.ConnectionReset, Unreached: true})
+			x.sink.Ended(router.Outcome{Status: logic.ConnectionReset, Unreached: true, Cause: errUnconfirmed})
 			return
 		}
 		if errors.Is(err, errNoAnswer) && c.stale() {
-			x.stale(c)
+			x.stale(c, err)
 		} else {
 			x.broken(c, err)
 		}
@@ -226,7 +233,7 @@
 		switch {
 		case errors.Is(err, errTooLarge):
 			hangUp(c, err)
-			x.sink.Ended(router.Outcome{Status: logic.ServerError})
+			x.sink.Ended(router.Outcome{Status: logic.ServerError, Answered: true, Cause: err})
 		case err != nil:
 			x.broken(c, err)
 		default:
@@ -251,7 +258,9 @@
 		if o.Status != logic.PromptRead { // the head is of an answer that is spoilt: it may be of one that ran
 			o = router.Outcome{Status: logic.ConnectionReset}
 		}
+		o.Cause = err
 	}
+	o.Answered = true
 	if body != nil {
 		o.Load = body.load
 	}
@@ -298,20 +307,20 @@
 // broken reports a connection that ended after the request's last byte.
 func (x *attempt) broken(c *conn, err error) {
 	hangUp(c, err)
-	x.sink.Ended(router.Outcome{Status: logic.ConnectionReset})
+	x.sink.Ended(router.Outcome{Status: logic.ConnectionReset, Answered: !errors.Is(err, errNoAnswer), Cause: err})
 }
 
 // stale reports a request that met a connection which its worker had dropped.
-func (x *attempt) stale(c *conn) {
+func (x *attempt) stale(c *conn, err error) {
 	_ = c.Close()
 	x.client.pool.doubt(c)
 	x.client.cfg.Counters.Add("connections_stale", 1)
-	x.sink.Ended(router.Outcome{Status: logic.ConnectionReset, Stale: true})
+	x.sink.Ended(router.Outcome{Status: logic.ConnectionReset, Stale: true, Cause: err})
 }
 
 // write gets the request to the worker, whole. A nil connection means that it
 // never was: the worker has not run it.
-func (x *attempt) write(ctx context.Context) (*conn, logic.Status) {
+func (x *attempt) write(ctx context.Context) (*conn, logic.Status, error) {
 	if x.Reach > 0 {
 		var done context.CancelFunc
 		x.reach = time.Now().Add(x.Reach)
@@ -323,20 +332,20 @@
 		c, err := x.client.pool.get(ctx, x.Worker, need{fresh: fresh, rest: x.client.pool.rest})
 		if errors.Is(err, errFull) {
 			x.client.cfg.Counters.Add("attempts_without_a_connection", 1)
-			return nil, logic.Full
+			return nil, logic.Full, err
 		}
 		if err != nil {
-			return nil, logic.ConnectFailed
+			return nil, logic.ConnectFailed, err
 		}
 		if !x.own(c) {
 			_ = c.Close()
-			return nil, logic.Cancelled
+			return nil, logic.Cancelled, nil
 		}
 		// The drain window is short and connecting takes its time: what was decided
 		// before a drain must not go out after it.
 		if !x.Worker.MaySend() {
 			_ = c.Close()
-			return nil, logic.Full
+			return nil, logic.Full, errLeaving
 		}
 		if !c.reused {
 			x.client.cfg.Counters.Add("connections_opened", 1)
@@ -349,7 +358,8 @@
 		c.wrote = time.Now()
 		if n == int64(len(head)+len(body)) {
 			x.msg.Body, x.msg.Header = nil, nil // a stream may last
-			return c, 0
+			x.sink.Written(router.Written{At: c.wrote, Port: c.port(), Reused: c.reused, Bytes: int(n)})
+			return c, 0, nil
 		}
 		_ = c.Close()
 		// The worker had closed a kept connection. Nothing of the request counts
@@ -357,7 +367,7 @@
 		if err != nil && c.reused && !fresh {
 			continue
 		}
-		return nil, logic.ConnectFailed
+		return nil, logic.ConnectFailed, err
 	}
 }
 
@@ -400,17 +410,20 @@
 // Release implements router.Transport. Workers that answered latest on a connection
 // that is at hand are asked first: what is held must be let go of within a few
 // hundred milliseconds.
-func (c *Client) Release(name string, workers []*router.Worker, done func()) {
+func (c *Client) Release(name string, workers []*router.Worker, done func(by *router.Worker, err error)) {
 	if c.cfg.ReleasePath == "" {
-		go done()
+		go done(nil, nil)
 		return
 	}
 	c.pool.order(workers)
 	go func() {
-		defer done()
-		if !c.releaseAt(name, workers) {
+		by := c.releaseAt(name, workers)
+		if by == nil {
 			c.cfg.Counters.Add("releases_nobody_took", 1)
+			done(nil, errNotReleased)
+			return
 		}
+		done(by, nil)
 	}()
 }
 
@@ -420,8 +433,8 @@
 	err error
 }
 
-// releaseAt asks the workers in their order until one took the release.
-func (c *Client) releaseAt(name string, workers []*router.Worker) bool {
+// releaseAt asks the workers in their order until one took the release; nil if none did.
+func (c *Client) releaseAt(name string, workers []*router.Worker) (by *router.Worker) {
 	ctx, cancel := context.WithTimeout(context.Background(), releaseFor)
 	defer cancel()
 	ends := make(chan releaseEnd, len(workers)) // as many as can be out
@@ -461,7 +474,7 @@
 		case e := <-ends:
 			out--
 			if e.err == nil {
-				return true
+				return e.at
 			}
 			c.cfg.Counters.Add("releases_tried_again", 1)
 			failed = append(failed, e.at)
@@ -475,7 +488,7 @@
 		case <-again.C:
 			workers, failed = append(workers, failed...), nil
 		case <-ctx.Done():
-			return false
+			return nil
 		}
 	}
 }
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -23,6 +23,7 @@
 	answers  chan router.Answer
 }
 
+func (e ends) Written(router.Written)  {}
 func (e ends) Started(a router.Answer) { e.answers <- a }
 func (e ends) Ended(o router.Outcome)  { e.outcomes <- o }
 
--- a/upstream/crossings_test.go
+++ b/upstream/crossings_test.go
@@ -120,6 +120,8 @@
 	c.Send(router.Attempt{Request: r, Worker: w, Wait: time.Hour, Reach: 50 * time.Millisecond}, e)
 	select {
 	case o := <-e.outcomes:
+		require.ErrorIs(t, o.Cause, os.ErrDeadlineExceeded)
+		o.Cause = nil
 		require.Equal(t, router.Outcome{Status: logic.ConnectFailed, Unreached: true}, o)
 	case <-time.After(10 * time.Second):
 		require.Fail(t, "the attempt is still out")
@@ -174,7 +176,7 @@
 			workers, quiet := fallSilent(t, n, took)
 			release := func(order []*router.Worker) time.Duration {
 				from, done := time.Now(), make(chan struct{})
-				c.Release("a", append([]*router.Worker(nil), order...), func() { close(done) })
+				c.Release("a", append([]*router.Worker(nil), order...), func(*router.Worker, error) { close(done) })
 				<-done
 				for last := from; ; {
 					select {
@@ -220,7 +222,7 @@
 			for range 2 { // some connections are at hand
 				for _, w := range workers {
 					done := make(chan struct{})
-					c.Release("before", []*router.Worker{w}, func() { close(done) })
+					c.Release("before", []*router.Worker{w}, func(*router.Worker, error) { close(done) })
 					<-done
 				}
 			}
@@ -229,7 +231,7 @@
 			var all sync.WaitGroup
 			for i := range size.releases {
 				all.Add(1)
-				c.Release(fmt.Sprint(i), slices.Clone(workers), all.Done)
+				c.Release(fmt.Sprint(i), slices.Clone(workers), func(*router.Worker, error) { all.Done() })
 			}
 			all.Wait()
 			first := map[string]time.Duration{}
@@ -260,7 +262,7 @@
 		}
 	})
 	done := make(chan struct{})
-	c.Release("a", []*router.Worker{w}, func() { close(done) })
+	c.Release("a", []*router.Worker{w}, func(*router.Worker, error) { close(done) })
 	<-done
 	require.EqualValues(t, 4, refused.Load())
 }
@@ -285,7 +287,7 @@
 	require.Eventually(t, func() bool { c.pool.mu.Lock(); defer c.pool.mu.Unlock(); return c.pool.open == 2 },
 		time.Minute, time.Millisecond)
 	done := make(chan struct{})
-	c.Release("a", []*router.Worker{w}, func() { close(done) })
+	c.Release("a", []*router.Worker{w}, func(*router.Worker, error) { close(done) })
 	<-done
 	require.Len(t, taken, 1)
 }
@@ -633,7 +635,7 @@
 	e, _ := send(c, w, true)
 	require.Equal(t, logic.PromptRead, (<-e.outcomes).Status)
 	done := make(chan struct{})
-	c.Release("a", []*router.Worker{w}, func() { close(done) })
+	c.Release("a", []*router.Worker{w}, func(*router.Worker, error) { close(done) })
 	<-done
 	select {
 	case <-released:
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -39,6 +39,14 @@
 	once   sync.Once
 }
 
+// port is the connection's at this end, by which records of both ends can be matched.
+func (c *conn) port() int {
+	if a, ok := c.LocalAddr().(*net.TCPAddr); ok {
+		return a.Port
+	}
+	return 0
+}
+
 // Close closes the connection and gives its place back. It may be called again.
 func (c *conn) Close() (err error) {
 	c.once.Do(func() { err = c.close() })
