Releases at a worker are bounded by a window that grows with what it takes

Change: upstream/window.go, one call at a time to a worker of which nothing is known, twice as many with each release that it takes, one again after a failure. The releases move to upstream/release.go, their search into functions of one step each.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"slices"
 	"strconv"
@@ -26,7 +25,6 @@
 // The reasons of this package's own for an attempt's end.
 var (
 	errUnconfirmed = errors.New("not acknowledged by the worker's system in time")
-	errNotReleased = errors.New("no worker took the release in time")
 	errLeaving     = errors.New("told to leave as the connection came up")
 )
 
@@ -73,7 +71,7 @@
 	cfg         Config
 	pool        pool
 	releaseWait time.Duration
-	took        latest
+	targets     releaseTargets
 }
 
 // idleShare of the time after which a worker closes an idle connection is how
@@ -84,6 +82,7 @@
 // New returns a transport.
 func New(cfg Config) *Client {
 	c := &Client{cfg: cfg, releaseWait: releaseWait}
+	c.targets.windows = map[*router.Worker]*window{}
 	c.pool.dialTimeout, c.pool.most, c.pool.learning, c.pool.rest = cfg.ConnectTimeout, cfg.MaxConns, mostLearning, restFor
 	c.pool.idleFor = time.Duration(float64(cfg.ConnIdle) * idleShare)
 	c.pool.idle = map[*router.Worker][]*conn{}
@@ -91,7 +90,10 @@
 }
 
 // Forget implements router.Transport.
-func (c *Client) Forget(w *router.Worker) { c.pool.forget(w) }
+func (c *Client) Forget(w *router.Worker) {
+	c.pool.forget(w)
+	c.targets.forget(w)
+}
 
 // Send implements router.Transport.
 func (c *Client) Send(a router.Attempt, sink router.Sink) func() <-chan struct{} {
@@ -390,172 +392,3 @@
 	h.SetContentLength(len(x.msg.Body))
 	return slices.Clone(h.Header())
 }
-
-const (
-	// releaseWait is how long one worker may take to answer a release. A call counts
-	// once it has reached a running worker, so the wait only tells which one runs.
-	releaseWait = 250 * time.Millisecond
-	// releaseNext is how long the workers asked so far may say nothing before others are asked beside
-	// them, twice as many each time. Half of those are drawn: what answered latest may have fallen silent
-	// together. With four in five out of reach, of hundreds, all of the 63 drawn within 120 ms are
-	// among them once in a million times.
-	releaseNext = 20 * time.Millisecond
-	// mostReleasing bounds the calls of one release that are out at once, beside one to a worker that has just taken another.
-	mostReleasing = 128
-	// releaseFor bounds a release as a whole. Workers that failed are asked again after releaseAgain.
-	releaseFor   = 600 * time.Millisecond
-	releaseAgain = 50 * time.Millisecond
-)
-
-// Release implements router.Transport. Workers that answered latest on a connection
-// that is at hand are asked first: what is held must be let go of within a few
-// hundred milliseconds.
-func (c *Client) Release(name string, workers []*router.Worker, done func(by *router.Worker, err error)) {
-	if c.cfg.ReleasePath == "" {
-		go done(nil, nil)
-		return
-	}
-	c.pool.order(workers)
-	go func() {
-		by := c.releaseAt(name, workers)
-		if by == nil {
-			c.cfg.Counters.Add("releases_nobody_took", 1)
-			done(nil, errNotReleased)
-			return
-		}
-		done(by, nil)
-	}()
-}
-
-// releaseEnd is how one call of a release ended.
-type releaseEnd struct {
-	at  *router.Worker
-	err error
-}
-
-// releaseAt asks the workers in their order until one took the release; nil if none did.
-func (c *Client) releaseAt(name string, workers []*router.Worker) (by *router.Worker) {
-	ctx, cancel := context.WithTimeout(context.Background(), releaseFor)
-	defer cancel()
-	ends := make(chan releaseEnd, len(workers)) // as many as can be out
-	next, again := time.NewTimer(0), time.NewTicker(releaseAgain)
-	defer next.Stop()
-	defer again.Stop()
-	var failed []*router.Worker
-	out := 0
-	call := func(w *router.Worker) {
-		out++
-		go func() { ends <- releaseEnd{w, c.release(ctx, name, w)} }()
-	}
-	ask := func(n int) {
-		n = max(min(n, len(workers)), 0)
-		for i := range workers[:n] {
-			if i%2 == 1 {
-				drawn := i + rand.IntN(len(workers)-i)
-				workers[i], workers[drawn] = workers[drawn], workers[i]
-			}
-			call(workers[i])
-		}
-		workers = workers[n:]
-	}
-	// Many states may be let go of at once, as when workers fall silent together: who runs is found once for all of them.
-	_, taken := c.took.get()
-	for wave := 1; ; {
-		select {
-		case <-taken:
-			var w *router.Worker
-			w, taken = c.took.get()
-			for _, list := range []*[]*router.Worker{&workers, &failed} {
-				if i := slices.Index(*list, w); i >= 0 {
-					*list = slices.Delete(*list, i, i+1)
-					call(w)
-				}
-			}
-		case e := <-ends:
-			out--
-			if e.err == nil {
-				return e.at
-			}
-			c.cfg.Counters.Add("releases_tried_again", 1)
-			failed = append(failed, e.at)
-			if !errors.Is(e.err, errFull) { // else a place has to come free first
-				ask(1)
-			}
-		case <-next.C:
-			ask(min(wave, mostReleasing-out))
-			wave = min(2*wave, mostReleasing)
-			next.Reset(releaseNext)
-		case <-again.C:
-			workers, failed = append(workers, failed...), nil
-		case <-ctx.Done():
-			return nil
-		}
-	}
-}
-
-func (c *Client) release(ctx context.Context, name string, w *router.Worker) error {
-	ctx, cancel := context.WithTimeout(ctx, c.releaseWait)
-	defer cancel()
-	cn, err := c.pool.get(ctx, w, need{rest: c.pool.rest, spare: releaseSpare})
-	if err != nil {
-		return err
-	}
-	var h fasthttp.RequestHeader
-	h.SetMethod(fasthttp.MethodDelete)
-	h.SetRequestURI(c.cfg.ReleasePath + name)
-	h.SetHost(w.Addr)
-	h.SetNoDefaultContentType(true)
-	deadline, _ := ctx.Deadline()
-	stop := context.AfterFunc(ctx, func() { _ = cn.TCPConn.Close() })
-	var resp fasthttp.Response
-	if err = cn.SetDeadline(deadline); err == nil {
-		_, err = cn.Write(h.Header())
-		cn.wrote = time.Now()
-		if err == nil {
-			err = resp.ReadLimitBody(cn.br, c.cfg.MaxAnswer)
-		}
-	}
-	// Called off before it is handed back: another worker that took the release would close it in the next one's hands.
-	if !stop() || err != nil || resp.ConnectionClose() {
-		_ = cn.Close()
-	} else {
-		c.pool.put(w, cn)
-	}
-	if err != nil && cn.stale() {
-		c.pool.doubt(cn)
-	}
-	if err == nil && resp.StatusCode()/100 != 2 {
-		err = fmt.Errorf("status %d", resp.StatusCode())
-	}
-	if err != nil {
-		return fmt.Errorf("release %s at %s: %w", name, w.Name, err)
-	}
-	c.took.set(w)
-	return nil
-}
-
-// latest is the worker that took a release last. Its connection is at hand.
-type latest struct {
-	mu     sync.Mutex
-	worker *router.Worker
-	next   chan struct{} // nil while nobody waits for another
-}
-
-func (l *latest) set(w *router.Worker) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.worker = w; l.next != nil {
-		close(l.next)
-		l.next = nil
-	}
-}
-
-// get returns the worker, nil if none has taken one yet, and a channel that is closed when one takes the next.
-func (l *latest) get() (*router.Worker, <-chan struct{}) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.next == nil {
-		l.next = make(chan struct{})
-	}
-	return l.worker, l.next
-}
