A read state is let go of in time beside an attempt that no worker has answered

Root cause: logic/attempts.go free and router/rules Taking ended the time of a held state when an attempt's bytes had gone out. Bytes prove nothing: a proxy, or the system of a stopped or cut off worker, takes them (class of bug: acceptance on the way taken for acceptance by the receiver). endings.go drop released nothing while an attempt was out, which for a class that must not run twice is up to its client's time; and each further unanswered attempt began the time anew. The time runs until a server itself has answered (Status.Answered); a sixth of it before its end (the time under which no new try with it is begun) the state is released once, attempt out or not. WIRE: a release lets go of what no attempt waits for, so a worker that has the attempt keeps the state. An attempt that ends unanswered after it: released again, read anew. router/rules has the same clock, noted as held_too_long also while an attempt is out. lab/judge is stricter: a release beside an attempt that has arrived ends nothing, and the case of a vanished writer says that its end can't be seen. Ruled out: asking the kernel (confirms what no worker takes); a 100-continue (nothing says that workers send one).

--- a/lab/judge/judge_test.go
+++ b/lab/judge/judge_test.go
@@ -109,10 +109,18 @@
 		"let go of while a writer that has vanished is at it": {play: func(j *Judge) {
 			j.Arrived("a", "r", true, start, patience).Ended(Read, start)
 			a := j.Arrived("a", "w", false, start, patience)
+			a.CutOff()
 			j.Released("a", start)
 			j.Final("a", Failed, start)
 			a.Ended(MayHaveRun, at(time.Minute))
 		}},
+		"let go of beside an attempt that waits for it, and not again": {play: func(j *Judge) {
+			j.Arrived("a", "r", true, start, patience).Ended(Read, start)
+			a := j.Arrived("a", "w", false, start, patience)
+			j.Released("a", start)
+			a.Ended(MayHaveRun, at(time.Second))
+			j.Final("a", Failed, start)
+		}, want: []Rule{Pinned}},
 		"held for ever, after a writer that failed": {play: func(j *Judge) {
 			j.Arrived("a", "r", true, start, patience).Ended(Read, start)
 			j.Arrived("a", "w", false, start, patience).Ended(MayHaveRun, start)
--- a/logic/api.go
+++ b/logic/api.go
@@ -132,6 +132,15 @@
 	Rejected   // the server found fault with the request itself: it has not run, and no other server would take it
 )
 
+// Answered tells whether the server itself has answered, so that it had the request. Nothing else proves that.
+func (s Status) Answered() bool {
+	switch s {
+	case Served, ServerError, Full, PromptRead, Rejected:
+		return true
+	}
+	return false
+}
+
 // EventKind tells which fields of an Event are set.
 type EventKind uint8
 
--- a/logic/attempts.go
+++ b/logic/attempts.go
@@ -35,14 +35,7 @@
 	r.out, r.called, r.server, r.sentAt, r.check = true, false, s, g.now, math.MaxInt64
 	r.sends++
 	g.do(Action{Kind: Send, ID: r.ID, Server: s.Server, After: g.budget(r, s), Reach: g.reach(r)})
-}
-
-// reach: an attempt must reach its server within this. A state counts as held until then; a try gets a part.
-func (g *Gateway) reach(r *request) time.Duration {
-	if r.reader == nil {
-		return 0
-	}
-	return min(g.set.ReleaseWithin/reachTries, after(g.now, r.heldSince)+g.set.ReleaseWithin)
+	g.armRelease(r)
 }
 
 // budget is the time-out of an attempt: past all that is usual and a good part of the aim, if another try
@@ -90,7 +83,7 @@
 	if r.reader == nil {
 		r.server.record(r, g.now)
 	}
-	r.reader = nil // FIRST lets go of the rest
+	r.reader, r.released = nil, false // the answer's beginning lets go of the rest
 }
 
 // learn compares an attempt's time with the pace of its kind. A wait for a writer is all of its time.
@@ -150,13 +143,7 @@
 	g.told(r, false)
 	r.closed = r.closed || e.Closed
 	noState := e.Status == Full && e.Kept == 1
-	if e.Status == PromptRead {
-		r.reader = s
-	} else if was == reading && e.Status != Rejected || noState {
-		// The state is lost to us, but a reader behind a cut path may still hold it: always let go.
-		r.reader = nil
-		g.do(Action{Kind: Release, ID: r.ID})
-	}
+	g.settleState(r, was, e)
 	never := e.Status == Full || e.Status == ConnectFailed || e.Status == NotSent || e.Status == PromptRead
 	if was == writing && !never && !r.mayHaveRun {
 		r.mayHaveRun, r.ranAt, r.ranServer = true, r.sentAt, s
@@ -199,7 +186,7 @@
 
 // proceed takes a request with no attempt out on: to a writer with its state, or to a reader.
 func (g *Gateway) proceed(r *request) {
-	if r.reader != nil && g.reach(r) < g.set.ReleaseWithin/reachTries/2 {
+	if r.reader != nil && g.reach(r) < g.leastReach() {
 		r.reader = nil // too late to reach a writer with it: it is let go of, and the prompt read again
 		g.do(Action{Kind: Release, ID: r.ID})
 	}
--- a/logic/endings.go
+++ b/logic/endings.go
@@ -10,7 +10,7 @@
 
 // hold keeps a request for a moment: no server may take it now.
 func (g *Gateway) hold(r *request) {
-	stateDue := r.reader != nil && r.unreached == 0 && after(r.heldSince, g.now) > g.set.ReleaseWithin/2
+	stateDue := r.reader != nil && r.unreached == 0 && after(r.idleSince, g.now) > g.set.ReleaseWithin/2
 	if after(g.now, r.deadline) <= holdMargin+holdStep || stateDue {
 		g.giveUp(r, WhyNoServer)
 		return
@@ -21,6 +21,9 @@
 
 func (g *Gateway) timer(id RequestID) {
 	r := g.requests[id]
+	if r != nil {
+		g.releaseUnanswered(r)
+	}
 	switch {
 	case r != nil && !r.closed && r.phase == streaming && g.ending:
 		g.do(Action{Kind: Move, ID: id})
--- a/logic/state.go
+++ b/logic/state.go
@@ -38,7 +38,10 @@
 	reader            *server   // where the read state waits; nil: none
 	sentAt, ranAt     Time
 	check             Time      // when a timer has something to look at
-	heldSince         Time      // since when a state may wait with no attempt that has reached a server
+	idleSince         Time      // since when no attempt is out that has reached a server
+	heldSince         Time      // since when a state waits for which no server has answered
+	releaseArmed      Time      // when a timer looks whether the state is to be let go of
+	released          bool      // the state was let go of beside the attempt that is out
 	homes             []*server // readers where its prefix meets
 	renewed           float64   // part of a prefix that own requests alone keep warm anywhere
 	meets             Key       // by which it meets others
@@ -229,7 +232,7 @@
 	if unreached {
 		r.unreached++
 	} else {
-		r.heldSince = now
+		r.idleSince = now
 	}
 }
 
--- a/router/admit.go
+++ b/router/admit.go
@@ -127,10 +127,11 @@
 	}
 }
 
-// lookForOverdue notes requests that should have had their final answer, once each.
+// lookForOverdue notes requests that should have had their final answer, and states that are held for too long, once each.
 func (a *admission) lookForOverdue() {
 	now := time.Now()
 	for _, ex := range a.exchanges {
+		a.core.guard.note(ex, "hold", ex.rules.Held(now))
 		if !ex.overdue && !a.core.guard.note(ex, "wait", ex.rules.Overdue(now)) {
 			ex.overdue = true
 		}
--- a/router/relay.go
+++ b/router/relay.go
@@ -21,7 +21,7 @@
 	r.core.admission.next(ex)
 	r.core.routing.push(logic.Event{Kind: logic.AnswerStarted, ID: ex.ID, Attempt: a.number, Server: a.server,
 		Latency: time.Since(a.sentAt), Load: answer.Load()})
-	r.core.guard.note(ex, "answer", ex.rules.Answer(time.Now()))
+	r.core.guard.note(ex, "answer", ex.rules.Began(time.Now()))
 	ex.history.add(step{kind: stepAnswering, attempt: a.number})
 	ex.Payload = nil // a stream may last, and its request's message has been sent
 	ex.client.Stream(&relayed{Answer: answer, attempt: a})
--- a/router/release.go
+++ b/router/release.go
@@ -21,7 +21,7 @@
 	if ex.attempt != nil {
 		r.count.Add("releases_beside_an_attempt", 1)
 	}
-	r.core.guard.note(ex, "release", ex.rules.Taking(time.Now()))
+	r.core.guard.note(ex, "release", ex.rules.Released(time.Now()))
 	r.ask(ex)
 	if !ex.unsure {
 		return
--- a/router/rules/rules.go
+++ b/router/rules/rules.go
@@ -88,8 +88,9 @@
 	ranAt     time.Time
 	ranIn     Place
 	answered  bool
-	heldSince time.Time // zero: nothing is held
-	carried   time.Time // since when the state was held that the attempt carries that is out
+	heldSince time.Time // since when a read state waits for which no worker has answered; zero: nothing is held
+	heldNoted bool      // that it was held too long has been told
+	released  bool      // the state was let go of beside the attempt that is out
 }
 
 // Config is what a request comes with.
@@ -152,28 +153,42 @@
 	r.out, r.to, r.sentAt = true, to, now
 }
 
-// Taking tells whether the read state that goes with what is sent, or is let go of, was not held for too long. After it
-// nothing is held, unless the attempt never reaches its worker.
-func (r *Request) Taking(now time.Time) Verdict {
-	since := r.heldSince
-	r.heldSince, r.carried = time.Time{}, since
-	if !since.IsZero() && r.heldFor > 0 && now.Sub(since) > r.heldFor+HeldSlack {
-		return HeldTooLong
+// Held tells whether the request's read state is held for too long by now, once for each state. An attempt that is out is no
+// proof that a worker has taken it: the time runs until one has answered, or the state is let go of.
+func (r *Request) Held(now time.Time) Verdict {
+	if r.heldSince.IsZero() || r.heldFor <= 0 || r.heldNoted || now.Sub(r.heldSince) <= r.heldFor+HeldSlack {
+		return Allowed
 	}
-	return Allowed
+	r.heldNoted = true
+	return HeldTooLong
 }
 
+// Released notes that what is held and no attempt waits for is let go of, and tells whether that comes in time.
+func (r *Request) Released(now time.Time) Verdict {
+	v := r.Held(now)
+	r.heldSince, r.released = time.Time{}, r.out
+	return v
+}
+
+// hold notes that a state waits from now on.
+func (r *Request) hold(now time.Time) { r.heldSince, r.heldNoted = now, false }
+
 // Ended notes how the attempt that was out has ended.
 func (r *Request) Ended(now time.Time, status logic.Status, unreached bool) {
 	r.out = false
+	answered := status.Answered() && !unreached
+	switch {
+	case status == logic.PromptRead,
+		answered && (r.released || !r.heldSince.IsZero()),
+		r.released && !unreached: // it may have waited for the state
+		r.hold(now)
+	}
+	r.released = false
 	if unreached {
 		r.unreached++
-		r.heldSince = r.carried
 	}
-	r.carried = time.Time{}
 	switch status {
 	case logic.PromptRead:
-		r.heldSince = now
 	case logic.Full, logic.ConnectFailed, logic.NotSent, logic.Rejected:
 	default:
 		if !r.ran && !r.to.ReadsOnly {
@@ -191,6 +206,12 @@
 	return Allowed
 }
 
+// Began notes that an answer begins, which lets go of what is held, and tells whether it comes in time.
+func (r *Request) Began(now time.Time) Verdict {
+	r.heldSince, r.released = time.Time{}, false
+	return r.Answer(now)
+}
+
 // Left notes that the client has gone at a time, and tells whether an attempt began for it after that.
 func (r *Request) Left(at time.Time) Verdict {
 	r.answered = true
--- a/router/send.go
+++ b/router/send.go
@@ -100,7 +100,7 @@
 	if a.giveUp != nil {
 		return
 	}
-	s.core.guard.note(a.ex, "send", a.ex.rules.Taking(time.Now()))
+	s.core.guard.note(a.ex, "send", a.ex.rules.Held(time.Now()))
 	waited := time.Since(a.sentAt) // for a release
 	a.ex.history.add(step{kind: stepSend, attempt: a.number, worker: a.to, wait: a.wait - waited})
 	out := Attempt{Request: a.ex.Request, Worker: a.to, Wait: a.wait - waited}
