A test that is red: a reload that is still reading as SIGTERM comes

Cause: internal/daemon stop asks how long the platform leaves it once, as it begins. A reload that ends later (its file could not be opened for 0.3 s) shortens the deadlines, and with them the time to the kill, to nobody's notice: the request in hand has its answer after 3.03 s where the kill comes after 1.5 s. The test was one case; it is a table of them now, with all that it asked for.

--- a/test/signals_test.go
+++ b/test/signals_test.go
@@ -37,34 +37,63 @@
 // leaveWithin is how long after SIGTERM the platform kills a process: the longest deadline, 3 s at most, and 0.7 s.
 const leaveWithin = 3700 * time.Millisecond
 
-// A new configuration with shorter deadlines brings the platform's kill forward: what is in hand has its answer by then.
+// A new configuration with shorter deadlines brings the platform's kill forward: what is in hand has its answer by then, also
+// where the reload and the end come in one moment, and more than once.
 func TestAReloadMovesTheEndOfAProcess(t *testing.T) {
-	k := newWorker(t, "s-00000001", "mixed", silent)
-	d := newDiscovery(t)
-	d.list(true, "in_service", k)
-	limited := func(limit time.Duration) string {
-		set := fmt.Sprintf(settings, connIdle.Nanoseconds())
-		return strings.ReplaceAll(set, `"target-ns":1500000000`, fmt.Sprintf(`"target-ns":500000000,"hard-limit-ns":%d`, limit.Nanoseconds()))
+	const limit = 800 * time.Millisecond
+	for name, c := range map[string]struct {
+		taken   bool // the reload is over before the end is told
+		signals []syscall.Signal
+		away    time.Duration // the file can't be opened for so long from then on
+	}{
+		"read before":         {taken: true, signals: []syscall.Signal{syscall.SIGTERM}},
+		"in one moment":       {signals: []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM}},
+		"more than once":      {signals: []syscall.Signal{syscall.SIGHUP, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGTERM}},
+		"the end comes first": {signals: []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP}},
+		"the file is away":    {signals: []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM}, away: 300 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			k := newWorker(t, "s-00000001", "mixed", silent)
+			d := newDiscovery(t)
+			d.list(true, "in_service", k)
+			set := strings.ReplaceAll(fmt.Sprintf(settings, connIdle.Nanoseconds()), `"target-ns":1500000000`, `"target-ns":500000000,"hard-limit-ns":3000000000`)
+			file := configOf(t, `{"generation":0,"reset":true,"instances":[]}`, set)
+			text, err := os.ReadFile(file)
+			require.NoError(t, err)
+			text = []byte(strings.Replace(string(text), `"name":`, fmt.Sprintf(`"discovery":%q,"name":`, d.Listener.Addr()), 1))
+			require.NoError(t, os.WriteFile(file, text, 0o600))
+			addr := ownAddr(t)
+			p, faults := startTrapped(t, []int{syscalls.Openat}, addr, []string{"ROUTER_LISTEN=" + addr, "ROUTER_CONFIG=" + file}, "serve")
+			p.file = file
+			p.waitReady()
+			shorter := strings.ReplaceAll(string(text), `"hard-limit-ns":3000000000`, fmt.Sprintf(`"hard-limit-ns":%d`, limit.Nanoseconds()))
+			var a answer
+			var asked sync.WaitGroup
+			asked.Go(func() { a = p.ask("file", newID(), 3*time.Second) })
+			eventually(t, func() bool { return len(k.got(http.MethodPost)) > 0 }, "it is in hand")
+			if c.taken {
+				p.reconfigure(shorter)
+				eventually(t, func() bool { return p.logged("settings read again") }, "the configuration is taken")
+			} else {
+				require.NoError(t, os.WriteFile(file+".new", []byte(shorter), 0o600))
+				require.NoError(t, os.Rename(file+".new", file))
+			}
+			if c.away > 0 {
+				faults.Set(syscalls.Always(syscall.ENFILE, syscalls.Openat))
+				time.AfterFunc(c.away, func() { faults.Set(nil) })
+			}
+			from := time.Now()
+			for _, s := range c.signals {
+				p.signal(s)
+			}
+			asked.Wait()
+			require.NoError(t, a.err)
+			require.Equal(t, http.StatusBadGateway, a.status, "it may have run")
+			require.Less(t, time.Since(from), limit+700*time.Millisecond, "the platform kills the process then")
+			p.waitExit()
+		})
 	}
-	file := configOf(t, `{"generation":0,"reset":true,"instances":[]}`, limited(3*time.Second))
-	text, err := os.ReadFile(file)
-	require.NoError(t, err)
-	text = []byte(strings.Replace(string(text), `"name":`, fmt.Sprintf(`"discovery":%q,"name":`, d.Listener.Addr()), 1))
-	require.NoError(t, os.WriteFile(file, text, 0o600))
-	p := platformOf(t, d, file).waitReady()
-	p.reconfigure(strings.ReplaceAll(string(text), `"hard-limit-ns":3000000000`, `"hard-limit-ns":800000000`))
-	eventually(t, func() bool { return p.logged("settings read again") }, "the configuration is taken")
-	var a answer
-	var asked sync.WaitGroup
-	asked.Go(func() { a = p.ask("file", newID(), 3*time.Second) })
-	eventually(t, func() bool { return len(k.got(http.MethodPost)) > 0 }, "it is in hand")
-	from := time.Now()
-	p.signal(syscall.SIGTERM)
-	asked.Wait()
-	require.NoError(t, a.err)
-	require.Equal(t, http.StatusBadGateway, a.status, "it may have run")
-	require.Less(t, time.Since(from), 800*time.Millisecond+700*time.Millisecond, "the platform kills the process then")
-	p.waitExit()
 }
 
 // A new configuration is taken also where its file can't be opened for a moment, as where clients have all descriptors: with it
