The end of a process follows a reload that ends after SIGTERM

Cause: internal/daemon stop read the ending once, as it began; signals.go reload stored a shorter one that nobody looked at. Change: internal/daemon/ending.go, one owner of how a front ends; the steps of giving up are due by the ending as it is at each moment, and downstream.Server.Stop asks anew how long clients are taken. Ruled out: reading the file at SIGTERM (it may hang).

--- a/downstream/handover_test.go
+++ b/downstream/handover_test.go
@@ -52,7 +52,7 @@
 	beside(t, l.Addr().String(), func(http.ResponseWriter, *http.Request) { taken.Add(1) })
 
 	ended := make(chan error, 1)
-	go func() { ended <- old.Stop(context.Background(), time.Minute) }()
+	go func() { ended <- old.Stop(context.Background(), takes(time.Minute)) }()
 	for closed := false; !closed; { // until the old one takes nothing more
 		require.Equal(t, http.StatusOK, post(t, url, 0).StatusCode)
 		raw, err := l.(*net.TCPListener).SyscallConn()
@@ -134,7 +134,7 @@
 		return false
 	}, 10*time.Second, time.Millisecond)
 	ended := make(chan error, 1)
-	go func() { ended <- s.Stop(context.Background(), 0) }()
+	go func() { ended <- s.Stop(context.Background(), takes(0)) }()
 	_, err = l.Accept() // until the listener is closed
 	for err == nil {
 		_, err = l.Accept()
--- a/downstream/server.go
+++ b/downstream/server.go
@@ -93,11 +93,11 @@
 // Stop ends the server in good order. New connections go to another process at the
 // same address from now on, if there is one. Otherwise, since connections are still
 // on their way and other routers may be stopping as well, it goes on accepting for a
-// moment and then until none has come for quietFor, takeMost at most. Then it closes
+// moment and then until none has come for quietFor, takeMost at most, which is asked for again and again. Then it closes
 // the listener, while nothing waits there, and returns once no connection is left.
 // Requests that come after takeMost, on connections that are open still, are refused:
 // their answers might not end before the process has to.
-func (s *Server) Stop(ctx context.Context, takeMost time.Duration) error {
+func (s *Server) Stop(ctx context.Context, takeMost func() time.Duration) error {
 	began := time.Now()
 	s.stopping.Store(true)
 	_ = handOver(s.listener.Listener) // without it the kernel deals to both until the close
@@ -105,13 +105,15 @@
 	case <-time.After(lingerAfter):
 	case <-ctx.Done():
 	}
-	over := time.AfterFunc(time.Until(began.Add(takeMost)), func() { s.over.Store(true) })
-	defer over.Stop()
 	tick := time.NewTicker(lookEvery)
 	defer tick.Stop()
 	for closed := false; ; {
 		s.listener.closeIdle()
-		if !closed && (s.listener.quietSince(began) >= quietFor || time.Since(began) >= takeMost) {
+		over := time.Since(began) >= takeMost()
+		if over {
+			s.over.Store(true)
+		}
+		if !closed && (over || s.listener.quietSince(began) >= quietFor) {
 			if err := closeEmpty(s.listener.Listener); err != nil {
 				return fmt.Errorf("close listener: %w", err)
 			}
--- a/downstream/server_test.go
+++ b/downstream/server_test.go
@@ -37,7 +37,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 		defer cancel()
 		http.DefaultClient.CloseIdleConnections()
-		require.NoError(t, s.Stop(ctx, 0))
+		require.NoError(t, s.Stop(ctx, takes(0)))
 		require.NoError(t, <-done)
 	})
 	return s, "http://" + l.Addr().String()
@@ -236,3 +236,6 @@
 		require.Equal(t, tc.want, string(body))
 	}
 }
+
+// takes is how long a server that stops takes clients that still come.
+func takes(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -48,8 +48,6 @@
 	storeWait      = 30 * time.Second
 	settleAgain    = 200 * time.Millisecond
 	followPace     = 500 * time.Millisecond // of looks at a store without a replica here
-	movesPart      = 6                      // of the time until all is given up, the last, in which streams move
-	dropAfter      = 300 * time.Millisecond // all was given up, connections with half a request are closed
 	takeModelAPI   = 30 * time.Second       // after SIGTERM, while clients come
 )
 
@@ -74,11 +72,11 @@
 	zk       *zkfront.Server // nil: off
 	cordon   *cordon.Cordon  // nil without the platform's front
 	platform *platform.Front
-	platCore *router.Core           // the platform's
-	atStart  ending                 // the platform's, by its file at the start
-	ending   atomic.Pointer[ending] // the platform's, by its file as read last and at the start
-	fleet    *agent.Agent           // nil: this router shares nothing with others
-	fleetOf  int                    // how many routers share, with a fleet
+	platCore *router.Core // the platform's
+	atStart  ending       // the platform's, by its file at the start
+	endings  *endings     // the platform's, by its file as read last and at the start
+	fleet    *agent.Agent // nil: this router shares nothing with others
+	fleetOf  int          // how many routers share, with a fleet
 	fleetCfg *agent.Config
 	fence    *fence // nil: this router may always send
 	follow   *published
@@ -93,23 +91,9 @@
 type shutter interface{ Shut(bool) }
 
 type front struct {
-	core   *router.Core
-	server *downstream.Server
-	ending func() ending // asked at the end
-}
-
-// ending is how a front ends, in time after SIGTERM.
-type ending struct {
-	take  time.Duration // how long it takes clients that still come
-	leave time.Duration // when it gives up what is in hand; 0: it finishes all
-}
-
-// platformEnding is how the platform's front ends by its configuration.
-func platformEnding(cfg *platform.Config) ending { return ending{cfg.TakeFor(), cfg.LeaveAfter()} }
-
-// sooner is the ending that is safe where either of two may hold.
-func (e ending) sooner(than ending) ending {
-	return ending{min(e.take, than.take), min(e.leave, than.leave)}
+	core    *router.Core
+	server  *downstream.Server
+	endings *endings
 }
 
 // Serve runs until a SIGTERM has been seen through.
@@ -265,10 +249,9 @@
 	}
 	d.platform, d.platCore = platform.NewFront(cfg, ready), core
 	d.shutters = append(d.shutters, d.platform)
-	end := platformEnding(cfg)
-	d.atStart = end
-	d.ending.Store(&end)
-	if err := d.listen(starting, cfg.Listen, front{core: core, ending: func() ending { return *d.ending.Load() }}, downstream.Config{Handler: d.counted(d.platform.Handle),
+	d.atStart = platformEnding(cfg)
+	d.endings = newEndings(d.atStart)
+	if err := d.listen(starting, cfg.Listen, front{core: core, endings: d.endings}, downstream.Config{Handler: d.counted(d.platform.Handle),
 		Problem: downstream.TextProblem, MaxBody: platform.MaxBody,
 		MaxBytes: int64(float64(memory) * bodiesPart), MaxConns: clients}); err != nil {
 		return err
@@ -338,7 +321,7 @@
 		d.follow = follow
 		go follow.follow(ctx)
 	}
-	return d.listen(starting, cfg.Listen, front{core: core, ending: func() ending { return ending{take: takeModelAPI} }}, downstream.Config{Handler: models.Handle,
+	return d.listen(starting, cfg.Listen, front{core: core, endings: newEndings(ending{take: takeModelAPI})}, downstream.Config{Handler: models.Handle,
 		Problem: modelapi.Problem, MaxBody: cfg.MaxBody,
 		MaxBytes: cfg.MaxBytes, MaxConns: clients})
 }
@@ -494,6 +477,7 @@
 
 // stop finishes what is in hand, at all fronts at once.
 func (d *daemon) stop(ctx context.Context) error {
+	began := time.Now()
 	d.stopping.Store(true)
 	if d.fleet != nil {
 		d.fleet.Leave()
@@ -502,14 +486,10 @@
 	for _, f := range d.fronts {
 		d.log.WithField("open", f.core.Open()).Info("stopping: finishing what is in hand")
 		go func() {
-			end := f.ending()
-			if end.leave > 0 {
-				moves := end.leave / movesPart
-				defer time.AfterFunc(end.leave-moves, func() { f.core.Close(moves) }).Stop()
-				defer time.AfterFunc(end.leave, func() { f.core.Close(0) }).Stop()
-				defer time.AfterFunc(end.leave+dropAfter, f.server.DropUnread).Stop()
-			}
-			err := f.server.Stop(ctx, end.take)
+			stopped := make(chan struct{})
+			go f.giveUp(began, stopped)
+			err := f.server.Stop(ctx, f.endings.take)
+			close(stopped)
 			f.core.Settle(ctx)
 			ends <- err
 		}()
--- a/internal/daemon/signals.go
+++ b/internal/daemon/signals.go
@@ -62,8 +62,7 @@
 			d.platCore.Retune(rules, cfg.Settings.MaxAttempts)
 			publish()
 			// The kill after a SIGTERM goes by the longest deadline, which may be another one now.
-			end := d.atStart.sooner(platformEnding(cfg))
-			d.ending.Store(&end)
+			d.endings.set(d.atStart.sooner(platformEnding(cfg)))
 			d.log.WithField("classes", len(cfg.Settings.Classes)).Info("settings read again")
 		}
 	}
