The soak has swallowed sends, short deadlines, signals in series, and the kill at its earliest

Cause: the soak never dropped what goes to a worker, its longest deadline was 3 s, the kill came 0.5 s late, and signals one by one. Change: sends lost, all lost, open connections that fall silent while new ones work (link.Silence), half of all workers lost; deadlines of 0.5 to 3 s, drawn anew by reloads and right before an end; the kill at the longest deadline plus 0.7 s, with 0.1 s for a machine that is late itself; HUP, TERM and USR1 in series, an end within a start; one client for each router that never lets its connections rest; every fourth seed has a crowd throughout.

--- a/internal/standin/link/relay.go
+++ b/internal/standin/link/relay.go
@@ -41,6 +41,7 @@
 	fault Fault
 	conns map[net.Conn]bool
 	near  map[net.Conn]bool // of them, those that were accepted
+	mute  map[net.Conn]bool // of conns, those that pass nothing any more
 }
 
 // New starts a relay at an address of its own; Close ends it.
@@ -51,7 +52,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Relay{listener: l, to: to, conns: map[net.Conn]bool{}, near: map[net.Conn]bool{}}
+	r := &Relay{listener: l, to: to, conns: map[net.Conn]bool{}, near: map[net.Conn]bool{}, mute: map[net.Conn]bool{}}
 	go r.serve()
 	return r, nil
 }
@@ -121,6 +122,23 @@
 	}
 }
 
+// Silence makes all connections that pass now fall silent: they stay open, and nothing passes on them any more, either way. New ones
+// pass all on.
+func (r *Relay) Silence() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.conns {
+		r.mute[c] = true
+	}
+}
+
+// drops tells whether what comes from a connection is dropped.
+func (r *Relay) drops(from net.Conn, way int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fault.Drop[way] || r.mute[from]
+}
+
 // Reset resets all connections that pass now; what is under way in them is lost.
 func (r *Relay) Reset() {
 	r.mu.Lock()
@@ -182,6 +200,8 @@
 	delete(r.conns, from)
 	delete(r.conns, to)
 	delete(r.near, from)
+	delete(r.mute, from)
+	delete(r.mute, to)
 }
 
 func (r *Relay) write(to net.Conn, data []byte) (n int, err error) {
@@ -208,7 +228,7 @@
 		defer to.Close()
 		for p := range queue {
 			time.Sleep(time.Until(p.at))
-			if r.now().Drop[way] {
+			if r.drops(from, way) {
 				continue
 			}
 			if _, err := r.write(to, p.data); err != nil {
--- a/test/overlap_clients_test.go
+++ b/test/overlap_clients_test.go
@@ -23,13 +23,17 @@
 // eventWithin is how soon an event has to be passed on.
 const eventWithin = 300 * time.Millisecond
 
+// leastPatience is how long clients wait at least.
+const leastPatience = 300 * time.Millisecond
+
 // overlapClient sends requests to all routers, over connections that it keeps.
 type overlapClient struct {
-	rig   *overlapRig
-	rng   *rand.Rand
-	conns map[*overlapRouter]*clientConn
-	last  int
-	id    int
+	rig    *overlapRig
+	rng    *rand.Rand
+	conns  map[*overlapRouter]*clientConn
+	last   int
+	id     int
+	steady *overlapRouter // nil: it asks all of them
 }
 
 // clientConn is a client's connection to a router.
@@ -52,7 +56,10 @@
 		}
 	}()
 	for ctx.Err() == nil {
-		to := c.rig.routers[c.rng.IntN(len(c.rig.routers))]
+		to, pause := c.rig.routers[c.rng.IntN(len(c.rig.routers))], 60
+		if c.steady != nil {
+			to, pause = c.steady, 10
+		}
 		switch n := c.rng.IntN(40); {
 		case n == 0:
 			c.half(ctx, to)
@@ -63,7 +70,7 @@
 		default:
 			c.ask(to, 1, 0)
 		}
-		time.Sleep(time.Duration(c.rng.IntN(60)) * time.Millisecond)
+		time.Sleep(time.Duration(c.rng.IntN(pause)) * time.Millisecond)
 	}
 }
 
@@ -100,7 +107,7 @@
 	if conn == nil {
 		return
 	}
-	patience := time.Duration(400+c.rng.IntN(2200)) * time.Millisecond
+	patience := leastPatience + time.Duration(c.rng.Int64N(max(to.longest.Load()-int64(leastPatience), 1)))
 	var sent []asked
 	var wire strings.Builder
 	for range n {
--- a/test/overlap_test.go
+++ b/test/overlap_test.go
@@ -24,9 +24,9 @@
 )
 
 var (
-	overlapFor     = flag.Duration("overlap", 6*time.Second, "how long TestOverlappingTroubles makes trouble, for each seed")
+	overlapFor     = flag.Duration("overlap", 15*time.Second, "how long TestOverlappingTroubles makes trouble, for each seed")
 	overlapSeed    = flag.Uint64("overlap-seed", 1, "the first seed of TestOverlappingTroubles")
-	overlapSeeds   = flag.Int("overlap-seeds", 1, "how many seeds it plays, one after the other")
+	overlapSeeds   = flag.Int("overlap-seeds", 3, "how many seeds it plays, one after the other")
 	overlapRouters = flag.Int("overlap-routers", 6, "how many routers it starts, each a process")
 	overlapAtOnce  = flag.Int("overlap-at-once", 3, "how many troubles overlap")
 	overlapLogs    = flag.String("overlap-logs", "", "a folder for the routers' logs at the debug level")
@@ -40,7 +40,10 @@
 	overlapMixed   = 2
 	overlapClients = 3                      // for each router
 	newFor         = 300 * time.Millisecond // after SIGTERM, in which new connections come
-	killAfter      = 3*time.Second + 700*time.Millisecond
+	mostLongest    = 3 * time.Second        // the longest deadline counts as so much at most for the kill after SIGTERM
+	killBeyond     = 700 * time.Millisecond // that deadline, the kill comes
+	crowdEvery     = 4                      // each such seed has idle clients crowd the routers one after the other, all the time
+	killSlack      = 100 * time.Millisecond // for a machine that is late itself
 )
 
 // overlapRig is routers, each with an agent of discovery of its own, before workers, with clients that never stop asking.
@@ -66,19 +69,20 @@
 
 // overlapRouter is a router under its name, through all its processes.
 type overlapRouter struct {
-	rig    *overlapRig
-	name   string
-	addr   string
-	file   string
-	text   string // of the configuration
-	agent  *discovery
-	heard  atomic.Int64 // from when on, in Unix nanoseconds, the agent's word counts as known
-	kills  atomic.Int64
-	termAt atomic.Int64 // in Unix nanoseconds; 0: it is not told to end
-	crowds atomic.Int64 // idle clients have its descriptors, or had them a moment ago
-	folder string       // for temporary files, of all its processes
-	starts atomic.Int64
-	busy   sync.Mutex // held by the trouble that has it
+	rig     *overlapRig
+	name    string
+	addr    string
+	file    string
+	text    string       // of the configuration
+	longest atomic.Int64 // deadline of all classes, in nanoseconds, by the configuration that was told last
+	agent   *discovery
+	heard   atomic.Int64 // from when on, in Unix nanoseconds, the agent's word counts as known
+	kills   atomic.Int64
+	termAt  atomic.Int64 // in Unix nanoseconds; 0: it is not told to end
+	crowds  atomic.Int64 // idle clients have its descriptors, or had them a moment ago
+	folder  string       // for temporary files, of all its processes
+	starts  atomic.Int64
+	busy    sync.Mutex // held by the trouble that has it
 
 	mu     sync.Mutex
 	proc   *program
@@ -109,6 +113,20 @@
 
 // start starts a process of the router and waits until it is ready.
 func (o *overlapRouter) start() {
+	p := o.launch()
+	from := time.Now()
+	for p.status(http.MethodGet, "/healthz") != http.StatusOK {
+		if time.Since(from) > 10*time.Second {
+			o.rig.fault("%s: not ready in 10 s", o.name)
+			break
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	o.termAt.Store(0)
+}
+
+// launch starts a process of the router.
+func (o *overlapRouter) launch() *program {
 	t := o.rig.t
 	wall, err := o.rig.library.New(t.TempDir())
 	require.NoError(t, err)
@@ -129,31 +147,43 @@
 	o.proc, o.calls, o.wall, o.hand = p, calls, wall, hand
 	o.mu.Unlock()
 	o.rig.knowsAtStart(o)
-	from := time.Now()
-	for p.status(http.MethodGet, "/healthz") != http.StatusOK {
-		if time.Since(from) > 10*time.Second {
-			o.rig.fault("%s: not ready in 10 s", o.name)
-			break
-		}
-		time.Sleep(5 * time.Millisecond)
-	}
-	o.termAt.Store(0)
+	return p
+}
+
+// killAfter is how long after SIGTERM the platform kills a process.
+func (o *overlapRouter) killAfter() time.Duration {
+	return min(time.Duration(o.longest.Load()), mostLongest) + killBeyond
 }
 
-// ended waits for the end of a process that was told to end, which is killed when its time is over.
+// ended waits for the end of a process that was told to end just now, which is killed when its time is over.
 func (o *overlapRouter) ended(p *program) {
+	most := o.killAfter() + killSlack
 	select {
 	case err := <-p.exit:
 		if err != nil {
 			o.rig.fault("%s: ended with %v", o.name, err)
 		}
-	case <-time.After(killAfter + overlapSlack):
-		o.rig.fault("%s: still there %v after SIGTERM", o.name, killAfter+overlapSlack)
+	case <-time.After(most):
+		o.rig.fault("%s: still there %v after SIGTERM", o.name, most)
 		_ = p.cmd.Process.Kill()
 		<-p.exit
 	}
 }
 
+// deadlines are what a configuration may state as the longest one.
+var deadlines = []time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second, 3 * time.Second}
+
+// draw gives the router a configuration with another longest deadline, by the next start or reload.
+func (o *overlapRouter) draw(rng *rand.Rand) error {
+	longest := deadlines[rng.IntN(len(deadlines))]
+	o.text = o.rig.config(o, longest)
+	if err := os.WriteFile(o.file+".new", []byte(o.text), 0o600); err != nil {
+		return err
+	}
+	o.longest.Store(int64(longest))
+	return os.Rename(o.file+".new", o.file)
+}
+
 // known is when what the agent has counts as known to the router.
 func (o *overlapRouter) known() time.Time {
 	if at := time.Unix(0, o.heard.Load()); at.After(time.Now()) {
@@ -202,9 +232,8 @@
 	for i := range *overlapRouters {
 		o := &overlapRouter{rig: r, name: fmt.Sprintf("n%d", i), addr: ownAddr(t), agent: newDiscovery(t), folder: t.TempDir()}
 		o.agent.say(r.line(1, true, "in_service", 0, r.workers...))
-		o.text = r.config(o, 3*time.Second)
 		o.file = filepath.Join(t.TempDir(), "config.json")
-		require.NoError(t, os.WriteFile(o.file, []byte(o.text), 0o600))
+		require.NoError(t, o.draw(r.rng))
 		r.routers = append(r.routers, o)
 	}
 	var all sync.WaitGroup
@@ -297,6 +326,10 @@
 		c := &overlapClient{rig: r, rng: rand.New(rand.NewPCG(seed, uint64(i)+1)), conns: map[*overlapRouter]*clientConn{}, id: i}
 		clients.Go(func() { c.run(asking) })
 	}
+	for i, o := range r.routers { // these never let their connections rest for long, up to the end of each process
+		c := &overlapClient{rig: r, rng: rand.New(rand.NewPCG(seed, 1<<16+uint64(i))), conns: map[*overlapRouter]*clientConn{}, id: 1<<12 + i, steady: o}
+		clients.Go(func() { c.run(asking) })
+	}
 	until := time.Now().Add(*overlapFor)
 	for i := range *overlapAtOnce {
 		rng := rand.New(rand.NewPCG(seed, 1<<32+uint64(i)))
@@ -306,6 +339,14 @@
 			}
 		})
 	}
+	if seed%crowdEvery == 0 {
+		rng := rand.New(rand.NewPCG(seed, 1<<33))
+		troubles.Go(func() {
+			for time.Now().Before(until) {
+				r.crowd(rng)
+			}
+		})
+	}
 	troubles.Wait()
 	stopAsking()
 	clients.Wait()
--- a/test/overlap_troubles_test.go
+++ b/test/overlap_troubles_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"slices"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -78,6 +79,26 @@
 	"refuse":       withLink(link.Fault{Refuse: true}),
 	"vanish":       withLink(link.Fault{Vanish: true}),
 	"answers lost": withLink(link.Fault{Drop: [2]bool{false, true}}),
+	"sends lost":   withLink(link.Fault{Drop: [2]bool{true, false}}),
+	"all lost":     withLink(link.Fault{Drop: [2]bool{true, true}}),
+	"open connections silent": onWorker(func(k *overlapWorker, _ *overlapRig, _ *rand.Rand) {
+		k.linkFaults.Add(1)
+		k.relay.Silence()
+		k.linkFaults.Add(1)
+	}),
+	"half of all workers lost": func(r *overlapRig, rng *rand.Rand) bool {
+		var all sync.WaitGroup
+		lose := withLinkOf(link.Fault{Drop: [2]bool{true, true}}, some(rng, 2*time.Second))
+		for i, k := range r.workers {
+			if i%2 == 0 && k.busy.TryLock() {
+				all.Go(func() { defer k.busy.Unlock(); lose(k) })
+			}
+		}
+		all.Wait()
+		return true
+	},
+	"signals":        onRouter((*overlapRouter).signalsInSeries),
+	"end of a start": onRouter((*overlapRouter).endOfAStart),
 	"half of all writers hang": func(r *overlapRig, rng *rand.Rand) bool {
 		for _, k := range r.workers[overlapReaders : overlapReaders+overlapWriters/2] {
 			if k.busy.TryLock() {
@@ -130,16 +151,23 @@
 
 func withLink(f link.Fault) func(*overlapRig, *rand.Rand) bool {
 	return onWorker(func(k *overlapWorker, _ *overlapRig, rng *rand.Rand) {
+		withLinkOf(f, some(rng, 2*time.Second))(k)
+	})
+}
+
+// withLinkOf gives the way to a worker a fault for so long.
+func withLinkOf(f link.Fault, lasts time.Duration) func(*overlapWorker) {
+	return func(k *overlapWorker) {
 		k.linkFaults.Add(1)
 		defer k.linkFaults.Add(1)
 		k.relay.Set(f)
 		if f.Refuse {
 			k.relay.Cut()
 		}
-		time.Sleep(some(rng, 2*time.Second))
+		time.Sleep(lasts)
 		k.relay.Set(link.Fault{})
 		k.relay.Cut() // what was silent is reset once it is back
-	})
+	}
 }
 
 // leave has a worker drain, go and come back as another process.
@@ -187,18 +215,55 @@
 	o.start()
 }
 
+// signalsInSeries ends the process by several signals of each kind, close together, with other deadlines told by them.
+func (o *overlapRouter) signalsInSeries(rng *rand.Rand) {
+	if err := o.draw(rng); err != nil {
+		o.rig.fault("%v", err)
+	}
+	p, _, _ := o.process()
+	pause := func() { time.Sleep(time.Duration(rng.IntN(3)) * 10 * time.Millisecond) }
+	for range 1 + rng.IntN(2) {
+		p.signal(syscall.SIGHUP)
+		pause()
+	}
+	o.termAt.Store(time.Now().UnixNano())
+	p.signal(syscall.SIGTERM)
+	for range rng.IntN(3) {
+		pause()
+		_ = p.cmd.Process.Signal([]syscall.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGUSR1}[rng.IntN(3)]) // it may have ended
+	}
+	o.ended(p)
+	o.start()
+}
+
+// endOfAStart ends a process that has just been started, ready or not.
+func (o *overlapRouter) endOfAStart(rng *rand.Rand) {
+	p, _, _ := o.process()
+	o.terminate(p)
+	p = o.launch()
+	time.Sleep(time.Duration(rng.IntN(300)) * time.Millisecond)
+	o.termAt.Store(time.Now().UnixNano())
+	p.signal(syscall.SIGTERM)
+	select {
+	case <-p.exit: // also by the signal itself, before the program hears any
+	case <-time.After(o.killAfter() + killSlack):
+		o.rig.fault("%s: a start did not end in time", o.name)
+		_ = p.cmd.Process.Kill()
+		<-p.exit
+	}
+	o.start()
+}
+
 // reload has configurations read again in a row, some of which make no sense.
 func (o *overlapRouter) reload(rng *rand.Rand) {
 	for range 1 + rng.IntN(4) {
-		text := o.rig.config(o, time.Duration(1+rng.IntN(3))*time.Second)
-		if rng.IntN(3) == 0 {
-			text = strings.Replace(text, `"settings"`, `"settings":[`, 1)
-		}
-		if err := os.WriteFile(o.file+".new", []byte(text), 0o600); err != nil {
+		if err := o.draw(rng); err != nil {
 			o.rig.fault("%v", err)
 		}
-		if err := os.Rename(o.file+".new", o.file); err != nil {
-			o.rig.fault("%v", err)
+		if rng.IntN(3) == 0 {
+			if err := os.WriteFile(o.file, []byte(strings.Replace(o.text, `"settings"`, `"settings":[`, 1)), 0o600); err != nil {
+				o.rig.fault("%v", err)
+			}
 		}
 		p, _, _ := o.process()
 		p.signal(syscall.SIGHUP)
