A process that is told to end cuts streams whose workers have fallen silent

Cause: internal/daemon gave up requests without an answer and half requests, and waited for streams without a bound: one whose worker is lost keeps the process until the kill, which takes its counters, the lines on what went wrong, and releases with it. Change: 0.3 s after all was given up, streams of which nothing has come for 0.5 s are cut (router cutSilent).

--- a/internal/daemon/ending.go
+++ b/internal/daemon/ending.go
@@ -10,8 +10,12 @@
 )
 
 const (
-	movesPart = 6                      // of the time until all is given up, the last, in which streams move
-	dropAfter = 300 * time.Millisecond // all was given up, connections with half a request are closed
+	movesPart = 6 // of the time until all is given up, the last, in which streams move
+	// dropAfter is how long after all was given up what keeps connections open is ended: half requests, and streams of which
+	// nothing has come for silentFor, some ten times the usual time between two events. A connection takes 0.2 s to be closed
+	// then, a release up to 0.1 s, and the kill comes 0.7 s after all was given up.
+	dropAfter = 300 * time.Millisecond
+	silentFor = 500 * time.Millisecond
 )
 
 // ending is how a front ends, in time after SIGTERM.
@@ -60,6 +64,12 @@
 	return now.take
 }
 
+// drop ends what keeps connections open and will not end by itself in time.
+func (f *front) drop(ending) {
+	f.server.DropUnread()
+	f.core.CutSilent(silentFor)
+}
+
 // giveUp has the front give up what is in hand, step by step, in time for the platform's kill. It returns when that is done, or
 // done is closed.
 func (f *front) giveUp(began time.Time, done <-chan struct{}) {
@@ -70,7 +80,7 @@
 	}{
 		{"streams move", func(e ending) time.Duration { return e.leave - e.leave/movesPart }, func(e ending) { f.core.Close(e.leave / movesPart) }},
 		{"requests are answered", func(e ending) time.Duration { return e.leave }, func(ending) { f.core.Close(0) }},
-		{"half requests are closed", func(e ending) time.Duration { return e.leave + dropAfter }, func(ending) { f.server.DropUnread() }},
+		{"half requests and silent streams are ended", func(e ending) time.Duration { return e.leave + dropAfter }, f.drop},
 	}
 	for len(steps) > 0 {
 		end, moved := f.endings.get()
--- a/router/core.go
+++ b/router/core.go
@@ -186,6 +186,9 @@
 	c.post(func() { c.routing.push(logic.Event{Kind: logic.Closing, Latency: in}) })
 }
 
+// CutSilent ends the answers of which nothing has come for so long: a process that ends has no time left for their workers.
+func (c *Core) CutSilent(silent time.Duration) { c.post(func() { c.sender.cutSilent(silent) }) }
+
 // Settle waits, within reason, until what was let go of last has been taken. It returns how many releases are still out.
 func (c *Core) Settle(ctx context.Context) int64 {
 	most := time.After(settleMost)
--- a/router/history.go
+++ b/router/history.go
@@ -29,6 +29,7 @@
 	stepWritten
 	stepEnded
 	stepCalledOff
+	stepCut
 	stepReleaseAsked
 	stepReleaseTaken
 	stepReleaseFailed
@@ -68,7 +69,7 @@
 	switch s.kind {
 	case stepEnded:
 		h.wrong = h.wrong || unusual(s.outcome.Status)
-	case stepCalledOff, stepReleaseFailed, stepFailed, stepViolation:
+	case stepCalledOff, stepCut, stepReleaseFailed, stepFailed, stepViolation:
 		h.wrong = true
 	case stepRefused:
 		h.refused = true
@@ -122,6 +123,8 @@
 		return fmt.Sprintf("ended %d at %s: %s%s", s.attempt, s.worker.name(), statusNames[s.outcome.Status], s.outcome.details())
 	case stepCalledOff:
 		return fmt.Sprintf("called off %d at %s", s.attempt, s.worker.name())
+	case stepCut:
+		return fmt.Sprintf("silent stream %d from %s cut at the end of the process", s.attempt, s.worker.name())
 	case stepReleaseAsked:
 		return "release asked"
 	case stepReleaseTaken:
--- a/router/relay.go
+++ b/router/relay.go
@@ -1,12 +1,16 @@
 package router
 
 import (
+	"errors"
 	"io"
 	"time"
 
 	"lichenshelf/logic"
 )
 
+// errCut ends a stream that was broken off here.
+var errCut = errors.New("the stream was broken off")
+
 // relay commits answers: with its first event an attempt belongs to the client.
 type relay struct{ core *Core }
 
@@ -23,6 +27,7 @@
 		Latency: time.Since(a.sentAt), Load: answer.Load()})
 	r.core.guard.note(ex, "answer", ex.rules.Began(time.Now()))
 	ex.history.add(step{kind: stepAnswering, attempt: a.number})
+	a.heard.Store(int64(time.Since(a.sentAt)))
 	ex.Payload = nil // a stream may last, and its request's message has been sent
 	ex.client.Stream(&relayed{Answer: answer, attempt: a})
 }
@@ -37,6 +42,12 @@
 // Read implements io.Reader for the one goroutine that serves the client.
 func (r *relayed) Read(p []byte) (int, error) {
 	n, err := r.Answer.Read(p)
+	if err != nil && r.attempt.cut.Load() {
+		err = errCut
+	}
+	if n > 0 {
+		r.attempt.heard.Store(int64(time.Since(r.attempt.sentAt)))
+	}
 	switch {
 	case err == nil:
 	case err == io.EOF:
