--- a/store/disk_test.go
+++ b/store/disk_test.go
@@ -19,13 +19,17 @@
 type failingFile struct {
 	raft.InmemStore
 	fails atomic.Bool
-	keeps bool // what failed
+	next  atomic.Int64 // so many more writes fail
+	keeps bool         // what failed
 }
 
+// failNext makes so many of the next writes fail.
+func (f *failingFile) failNext(n int) { f.next.Store(int64(n)) }
+
 func (f *failingFile) Close() error { return nil }
 
 func (f *failingFile) StoreLogs(logs []*raft.Log) error {
-	if !f.fails.Load() {
+	if !f.fails.Load() && f.next.Add(-1) < 0 {
 		return f.InmemStore.StoreLogs(logs)
 	}
 	if f.keeps {
