Failing writes leave no hole in the store's log, and a hole that is there ends no router

Cause: store/disk.go GetLog found entries whose write had failed. Raft (appendEntries) looks the previous entry up, found it, stored the next one behind it, and StoreLogs then deleted the doubtful one: a hole, 'panic: log not found', at each start again. Second path: raft counts on the write that follows a cleared log end, whose error left its last index wrong ('TODO' there).

--- a/store/disk.go
+++ b/store/disk.go
@@ -33,7 +33,11 @@
 // nothing. Nothing here relies on that: the file below (bbolt) is copy-on-write, and a write that is tried again is a new
 // transaction, which writes every page that it refers to and that was not in a transaction synced before, and then its own
 // meta page. What failed may still be found in the file, as after a crash; entries of which that is so are deleted before
-// others are written, or they would stand behind the next leader's.
+// others are written, or they would stand behind the next leader's. Until then lookups don't find them: raft takes an entry that
+// it finds for one that is stored, and would store others behind one that is about to be deleted.
+//
+// Where raft has just cleared the end of its log, it counts on the write of what replaces it (raft.go, appendEntries: it goes on as
+// if what was cleared were there). That write is tried again until it succeeds, too.
 type disk struct {
 	file    logFile
 	log     hclog.Logger
@@ -41,6 +45,7 @@
 
 	mu       sync.Mutex
 	doubtful indexes // entries that may be in the file though writing them failed
+	cleared  bool    // the end of the log was deleted, and nothing has been written since
 	failing  bool    // told in the log, and nothing has been written since
 }
 
@@ -55,6 +60,19 @@
 	return indexes{min(i.first, other.first), max(i.last, other.last)}
 }
 
+// has tells whether an index is in the range.
+func (i indexes) has(index uint64) bool {
+	return i != (indexes{}) && i.first <= index && index <= i.last
+}
+
+// before is the last index before the range; the given one, if there is no range.
+func (i indexes) before(last uint64) uint64 {
+	if i == (indexes{}) {
+		return last
+	}
+	return i.first - 1
+}
+
 func newDisk(file logFile, log hclog.Logger) *disk {
 	return &disk{file: file, log: log, closing: make(chan struct{})}
 }
@@ -69,7 +87,15 @@
 func (d *disk) LastIndex() (uint64, error) { return d.file.LastIndex() }
 
 // GetLog implements raft.LogStore.
-func (d *disk) GetLog(index uint64, log *raft.Log) error { return d.file.GetLog(index, log) }
+func (d *disk) GetLog(index uint64, log *raft.Log) error {
+	d.mu.Lock()
+	doubtful := d.doubtful.has(index)
+	d.mu.Unlock()
+	if doubtful {
+		return raft.ErrLogNotFound
+	}
+	return d.file.GetLog(index, log)
+}
 
 // StoreLog implements raft.LogStore.
 func (d *disk) StoreLog(log *raft.Log) error { return d.StoreLogs([]*raft.Log{log}) }
@@ -79,6 +105,17 @@
 	if len(logs) == 0 {
 		return nil
 	}
+	d.mu.Lock()
+	cleared := d.cleared
+	d.mu.Unlock()
+	if cleared {
+		return d.untilWritten(func() error { return d.store(logs) })
+	}
+	return d.store(logs)
+}
+
+// store writes entries once.
+func (d *disk) store(logs []*raft.Log) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.doubtful != (indexes{}) {
@@ -94,13 +131,24 @@
 		d.failed(err)
 		return err
 	}
+	d.cleared = false
 	d.succeeded()
 	return nil
 }
 
 // DeleteRange implements raft.LogStore.
 func (d *disk) DeleteRange(first, last uint64) error {
-	return d.untilWritten(func() error { return d.file.DeleteRange(first, last) })
+	end, err := d.file.LastIndex()
+	if err != nil {
+		return err
+	}
+	if err := d.untilWritten(func() error { return d.file.DeleteRange(first, last) }); err != nil {
+		return err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.cleared = d.cleared || last >= min(end, d.doubtful.before(end))
+	return nil
 }
 
 // Set implements raft.StableStore.
--- a/store/reads.go
+++ b/store/reads.go
@@ -211,6 +211,7 @@
 	again.InitialInterval, again.MaxInterval = 10*time.Millisecond, time.Second
 	for ctx.Err() == nil {
 		if r.CatchUp(ctx) == nil {
+			r.recovered()
 			close(r.caught)
 			return
 		}
--- a/store/replica.go
+++ b/store/replica.go
@@ -58,8 +58,9 @@
 	cfg      Config
 	machine  *machine
 	raft     *raft.Raft
-	network  *raft.NetworkTransport
+	network  *voteless
 	disk     *disk
+	recovery *recovery
 	peers    fasthttp.Client // to the leader's API
 	sessions sessions
 	reads    gate
@@ -87,7 +88,10 @@
 		return nil, fmt.Errorf("open log: %w", err)
 	}
 	r := &Replica{cfg: cfg, machine: newMachine(), disk: newDisk(logs, cfg.logger()), stopped: make(chan struct{}), caught: make(chan struct{}), peers: onceClient()}
-	if err := r.start(self); err != nil {
+	if r.recovery, err = newRecovery(cfg.DataDir); err == nil {
+		err = r.start(self)
+	}
+	if err != nil {
 		_ = logs.Close()
 		return nil, err
 	}
@@ -162,9 +166,14 @@
 	if err != nil {
 		return fmt.Errorf("raft address: %w", err)
 	}
-	if r.network, err = raft.NewTCPTransport(self.Raft, advertised, raftConns, raftWait, r.cfg.output()); err != nil {
+	if err := r.repair(snapshots); err != nil {
+		return err
+	}
+	network, err := raft.NewTCPTransport(self.Raft, advertised, raftConns, raftWait, r.cfg.output())
+	if err != nil {
 		return fmt.Errorf("listen for replicas: %w", err)
 	}
+	r.network = newVoteless(network, r.recovery)
 	var first raft.Configuration
 	for _, p := range r.cfg.Peers {
 		first.Servers = append(first.Servers, raft.Server{ID: raft.ServerID(p.ID), Address: raft.ServerAddress(p.Raft)})
--- a/test/faults_test.go
+++ b/test/faults_test.go
@@ -4,10 +4,12 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -116,6 +118,67 @@
 	}
 }
 
+// Syncs that fail now and then, a few at a time, while each replica is written to, end no router and lose nothing that was
+// acknowledged; a router that is started again afterwards has all of it.
+func TestSyncsThatFailNowAndThenEndNoRouter(t *testing.T) {
+	const lasts, mostFailing = 8 * time.Second, 8 // syncs in a row
+	var disks []*syscalls.Faults
+	programs, apis, _, _ := replicasStarted(t, "", false, func(addr string, args ...string) *program {
+		p, faults := startTrapped(t, []int{syscalls.Fdatasync}, addr, nil, args...)
+		disks = append(disks, faults)
+		return p
+	})
+	for i := range 3 {
+		status, _ := storeCall(t, http.MethodPost, "http://"+apis[i]+fmt.Sprintf("/v1/nodes/n%d", i), "0")
+		require.Equal(t, http.StatusCreated, status)
+	}
+	until := time.Now().Add(lasts)
+	var all sync.WaitGroup
+	acknowledged := make([]int, 3)
+	for i := range 3 {
+		all.Go(func() {
+			for n := 1; time.Now().Before(until); n++ {
+				req, err := http.NewRequest(http.MethodPut, fmt.Sprintf("http://%s/v1/nodes/n%d", apis[i], i), strings.NewReader(fmt.Sprint(n)))
+				require.NoError(t, err)
+				if resp, err := hasty.Do(req); err == nil {
+					_ = resp.Body.Close()
+					if resp.StatusCode == http.StatusNoContent {
+						acknowledged[i] = n
+					}
+				}
+			}
+		})
+		all.Go(func() {
+			rng := rand.New(rand.NewPCG(1, uint64(i)))
+			for time.Now().Before(until) {
+				time.Sleep(time.Duration(rng.IntN(500)) * time.Millisecond)
+				disks[i].Set(syscalls.Next(syscalls.Fdatasync, 1+rng.IntN(mostFailing), syscall.EIO))
+			}
+			disks[i].Set(nil)
+		})
+	}
+	all.Wait()
+	for _, p := range programs {
+		p.running()
+	}
+	again := programs[2]
+	again.signal(syscall.SIGTERM)
+	again.waitExit()
+	programs[2] = start(t, again.addr, nil, again.cmd.Args[2:]...)
+	for i := range 3 {
+		for at := range 3 {
+			eventually(t, func() bool {
+				_, node := storeCall(t, http.MethodGet, fmt.Sprintf("http://%s/v1/nodes/n%d", apis[at], i), "")
+				text, _ := node["data"].(string)
+				n, err := strconv.Atoi(text)
+				return err == nil && n >= acknowledged[i] // a write without an answer may be there as well
+			}, fmt.Sprintf("what was acknowledged last (%d) is at replica %d", acknowledged[i], at))
+		}
+		require.Positive(t, disks[i].Failed(syscalls.Fdatasync))
+	}
+	t.Logf("acknowledged %v", acknowledged)
+}
+
 // backendFile is what a model API's file says of a backend.
 func backendFile(b *worker) string {
 	return fmt.Sprintf("[[backend]]\nname = %q\naddr = %q\n", b.name, b.Listener.Addr())
