Two tests that are red: no sign of life, and a release that nobody took

Related paths of the incident's class. logic/attempts.go judge sets the server's last sign of life for every Full, also where this router had no connection for it or was told that the worker leaves: attempts that a silent worker has are not called off then. router: a release that no worker took within 0.6 s, as in a longer outage, is never made again, so the state stays for good. Measured: both fail (the second hangs at its second release until its time-out).

--- a/logic/guards_test.go
+++ b/logic/guards_test.go
@@ -666,3 +666,25 @@
 		t.Fatalf("%d entries kept past the restart", len(kept))
 	}
 }
+
+// What this gateway could not send is no sign of life of the server that it was meant for: an attempt there that nobody answers is
+// called off all the same.
+func TestWhatWasNotSentIsNoSignOfLife(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		unreached bool
+		called    bool
+	}{{"turned away by the server", false, false}, {"not sent for want of a connection", true, true}} {
+		r := newRig(t, reader(1, 0))
+		silent, _ := r.arrive(Request{})
+		r.wait(10 * time.Millisecond)
+		other, acts := r.arrive(Request{})
+		r.wantSend(acts, 1)
+		r.g.Handle(r.now, []Event{{Kind: AttemptEnded, ID: other, Server: 1, Status: Full, Unreached: c.unreached}}, nil)
+		r.now = r.g.requests[silent].check
+		acts = r.g.Handle(r.now, []Event{{Kind: TimerFired, Token: uint64(silent)}}, nil)
+		if called := find(acts, CallOff) != nil; called != c.called {
+			t.Errorf("%s: called off: %v, want %v", c.name, called, c.called)
+		}
+	}
+}
--- a/router/core_test.go
+++ b/router/core_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -29,6 +31,7 @@
 	gaveUp   chan struct{}
 	released chan string
 	taken    chan struct{} // a release waits for this, where it is set
+	refuse   atomic.Int64  // so many more releases are taken by nobody
 	known    chan struct{} // closed when workers know that an attempt was given up; nil: at once
 }
 
@@ -46,6 +49,10 @@
 		if w.taken != nil {
 			<-w.taken
 		}
+		if w.refuse.Add(-1) >= 0 {
+			done(nil, errors.New("nobody"))
+			return
+		}
 		done(nil, nil)
 	}()
 }
@@ -437,3 +444,39 @@
 	require.Eventually(t, func() bool { return c.Open() == 0 }, time.Minute, time.Millisecond)
 	require.Empty(t, w.sent)
 }
+
+// What no worker has taken is let go of again and again, until one takes it; not once the request is sent elsewhere, whose state
+// it would take away.
+func TestAReleaseThatNobodyTakesIsMadeAgain(t *testing.T) {
+	for _, again := range []bool{false, true} {
+		w := newWires()
+		w.refuse.Store(2)
+		c, counters := run(t, func(e logic.Event) []logic.Action {
+			switch e.Kind {
+			case logic.Arrived:
+				return []logic.Action{{Kind: logic.Send, ID: e.Request.ID, Server: 5, After: time.Hour}}
+			case logic.AttemptEnded:
+				acts := []logic.Action{{Kind: logic.Release, ID: e.ID}}
+				if again {
+					return append(acts, logic.Action{Kind: logic.Send, ID: e.ID, Server: 5, After: time.Hour})
+				}
+				return append(acts, logic.Action{Kind: logic.Refuse, ID: e.ID})
+			}
+			return nil
+		}, w)
+		submit(c, "a")
+		(<-w.sent).Ended(Outcome{Status: logic.Full})
+		if again {
+			<-w.sent
+			time.Sleep(2 * releaseRetryAfter)
+			require.Len(t, w.released, 1)
+			continue
+		}
+		for range 3 {
+			require.Equal(t, "a", <-w.released)
+		}
+		time.Sleep(2 * releaseRetryAfter)
+		require.Empty(t, w.released, "it has been taken")
+		require.EqualValues(t, 2, counters.Get("releases_made_again"))
+	}
+}
--- a/router/release.go
+++ b/router/release.go
@@ -6,6 +6,9 @@
 // What it left behind by then is let go of a second time.
 const crossing = 60 * time.Millisecond
 
+// releaseRetryAfter is the pause before a release that nobody took is made again.
+const releaseRetryAfter = 250 * time.Millisecond
+
 // releaser lets go of the read states that workers hold for requests.
 type releaser struct {
 	core      *Core
