A release that nobody took is made again, and what was not sent is no sign of life

Change: a Full that never reached the server says nothing of it. A failed release is asked for again each 0.25 s, 36 times at most, unless the request was sent on since it was asked for, or another one has its name (releases_made_again). The first version looked at the sends when the release had failed: its own test showed that it would have taken the next read's state away. Related paths looked at without a change: releases count once a worker answers 2xx; the fleet's links acknowledge by the peer's program; calls between replicas are answered; the model API holds no states.

--- a/logic/attempts.go
+++ b/logic/attempts.go
@@ -222,7 +222,10 @@
 	case Served:
 		s.quiet, s.fails, s.shunned = g.now, 0, 0
 	case Full, Rejected:
-		if s.quiet = g.now; e.Kept == 1 || e.Unreached || e.Status == Rejected { // it has room
+		if e.Unreached { // it was not even asked
+			break
+		}
+		if s.quiet = g.now; e.Kept == 1 || e.Status == Rejected { // it has room
 			break
 		}
 		// Its queue is full, whatever this gateway has there: peers' work, or left behind.
--- a/router/core.go
+++ b/router/core.go
@@ -65,20 +65,21 @@
 // core's goroutine touches it.
 type exchange struct {
 	*Request
-	rules    *rules.Request // what may be done for it; nil until it is admitted
-	client   Client
-	turn     *time.Timer // ends its wait behind another of its name; nil: it did not wait
-	attempt  *attempt    // the one that is out
-	sends    int
-	last     logic.Status
-	closed   bool // it has its final answer, or the client has gone
-	answered bool // an answer has begun
-	ran      bool // an attempt may have run, as far as its outcome tells
-	unsure   bool // a read was cut off: the worker may hold its state all the same
-	releases int  // that are out; what is sent meanwhile waits for them
-	overdue  bool // it was noted that it has no answer yet
-	history  history
-	reported bool // its history has been looked at for the log
+	rules          *rules.Request // what may be done for it; nil until it is admitted
+	client         Client
+	turn           *time.Timer // ends its wait behind another of its name; nil: it did not wait
+	attempt        *attempt    // the one that is out
+	sends          int
+	last           logic.Status
+	closed         bool // it has its final answer, or the client has gone
+	answered       bool // an answer has begun
+	ran            bool // an attempt may have run, as far as its outcome tells
+	unsure         bool // a read was cut off: the worker may hold its state all the same
+	releases       int  // that are out; what is sent meanwhile waits for them
+	releaseRetries int  // of releases that nobody took
+	overdue        bool // it was noted that it has no answer yet
+	history        history
+	reported       bool // its history has been looked at for the log
 }
 
 // New returns a core; Run starts it.
--- a/router/release.go
+++ b/router/release.go
@@ -9,6 +9,10 @@
 // releaseRetryAfter is the pause before a release that nobody took is made again.
 const releaseRetryAfter = 250 * time.Millisecond
 
+// mostReleaseRetries bounds how often that is done, to some 30 s with the time that each release takes: by then readers have dropped
+// what nobody used, or are gone.
+const mostReleaseRetries = 36
+
 // releaser lets go of the read states that workers hold for requests.
 type releaser struct {
 	core      *Core
@@ -45,20 +49,22 @@
 // leaves be lost to it: that attempt waits.
 func (r *releaser) ask(ex *exchange) {
 	ex.releases++
+	sends := ex.sends
 	r.core.letting.Add(1)
 	ex.history.add(step{kind: stepReleaseAsked})
 	r.transport.Release(ex.Name, r.core.roster.running(), func(by *Worker, err error) {
 		r.core.letting.Add(-1)
-		r.core.post(func() { r.done(ex, by, err) })
+		r.core.post(func() { r.done(ex, sends, by, err) })
 	})
 }
 
-// done takes the end of a release: the worker that took it, or why none did.
-func (r *releaser) done(ex *exchange, by *Worker, err error) {
+// done takes the end of a release that was asked for after so many sends: the worker that took it, or why none did.
+func (r *releaser) done(ex *exchange, sends int, by *Worker, err error) {
 	ex.releases--
 	switch {
 	case err != nil:
 		ex.history.add(step{kind: stepReleaseFailed, text: err.Error()})
+		r.askLater(ex, sends)
 	case by != nil:
 		ex.history.add(step{kind: stepReleaseTaken, worker: by})
 	}
@@ -71,3 +77,22 @@
 	}
 	r.core.admission.report(ex)
 }
+
+// askLater asks again after a moment, unless the request has been sent on since, or another one has its name: a release would
+// take away what is read for that.
+func (r *releaser) askLater(ex *exchange, sends int) {
+	if ex.sends != sends || ex.releaseRetries == mostReleaseRetries {
+		return
+	}
+	ex.releaseRetries++
+	time.AfterFunc(releaseRetryAfter, func() {
+		r.core.post(func() {
+			other := r.core.admission.names[ex.Name]
+			if ex.sends != sends || ex.answered || other != nil && other != ex {
+				return
+			}
+			r.count.Add("releases_made_again", 1)
+			r.ask(ex)
+		})
+	})
+}
