--- a/conffile/read.go
+++ b/conffile/read.go
@@ -1,12 +1,13 @@
 package conffile
 
 import (
-	"errors"
+	"context"
 	"fmt"
 	"os"
-	"slices"
 	"syscall"
 	"time"
+
+	"lichenshelf/internal/transient"
 )
 
 const (
@@ -16,19 +17,20 @@
 	readAgain = 20 * time.Millisecond
 )
 
-// passing are the errors of open and read that may be over a moment later, and say nothing of the file.
-var passing = []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOMEM, syscall.EAGAIN, syscall.EINTR, syscall.EIO}
+// mayReadLater tells whether open and read may succeed a moment later: such errors say nothing of the file.
+func mayReadLater(err error) bool { return transient.Is(err, syscall.EINTR, syscall.EIO) }
 
 // ReadText reads a file whole. Where the system lacks something for it, as descriptors, it is tried again for readWait.
 func ReadText(path string) ([]byte, error) {
-	for until := time.Now().Add(readWait); ; time.Sleep(readAgain) {
-		text, err := os.ReadFile(path)
-		if err == nil {
-			return text, nil
-		}
-		passes := slices.ContainsFunc(passing, func(e error) bool { return errors.Is(err, e) })
-		if !passes || time.Now().After(until) {
-			return nil, fmt.Errorf("read configuration: %w", err)
-		}
+	ctx, cancel := context.WithTimeout(context.Background(), readWait)
+	defer cancel()
+	var text []byte
+	err := transient.Retry(ctx, readAgain, mayReadLater, func() (err error) {
+		text, err = os.ReadFile(path)
+		return err
+	})
+	if err != nil {
+		return nil, fmt.Errorf("read configuration: %w", err)
 	}
+	return text, nil
 }
--- a/cordon/cordon.go
+++ b/cordon/cordon.go
@@ -21,6 +21,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"lichenshelf/internal/transient"
 	"lichenshelf/router"
 )
 
@@ -72,9 +73,9 @@
 // logged: a router that does not start helps nobody.
 func New(next Taker, path string, log *logrus.Logger) *Cordon {
 	c := &Cordon{gate: NewGate(next), path: path, log: log, out: map[string]bool{}}
-	for until := time.Now().Add(readWait); c.follow() != nil && time.Now().Before(until); {
-		time.Sleep(readAgain)
-	}
+	ctx, cancel := context.WithTimeout(context.Background(), readWait)
+	defer cancel()
+	_ = transient.Retry(ctx, readAgain, nil, c.follow) // it is logged, and looked at again
 	return c
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -28,6 +28,7 @@
 	"lichenshelf/front/platform"
 	"lichenshelf/front/zkfront"
 	"lichenshelf/internal/listener"
+	"lichenshelf/internal/transient"
 	"lichenshelf/logic"
 	"lichenshelf/metrics"
 	"lichenshelf/router"
@@ -345,17 +346,10 @@
 
 // tell asks the store over and over until it answers or ctx ends: a connection that breaks must not end a start.
 func tell(ctx context.Context, ask func() error) error {
-	for {
-		err := ask()
-		if err == nil {
-			return nil
-		}
-		select {
-		case <-time.After(settleAgain):
-		case <-ctx.Done():
-			return fmt.Errorf("the store can't tell what is newest, for the configuration: %w", err)
-		}
+	if err := transient.Retry(ctx, settleAgain, nil, ask); err != nil {
+		return fmt.Errorf("the store can't tell what is newest, for the configuration: %w", err)
 	}
+	return nil
 }
 
 func (d *daemon) core(ctx context.Context, decider logic.Decider, t router.Transport, p share, settings logic.Settings, open int) *router.Core {
@@ -443,18 +437,14 @@
 func (d *daemon) openReplica(starting context.Context, cfg store.Config) (*store.Replica, error) {
 	ctx, cancel := context.WithTimeout(starting, storeWait)
 	defer cancel()
-	for {
-		r, err := store.Open(cfg)
-		if err == nil || !diskFault(err) {
-			return r, err
+	var r *store.Replica
+	err := transient.Retry(ctx, settleAgain, diskFault, func() (err error) {
+		if r, err = store.Open(cfg); err != nil && diskFault(err) {
+			d.log.WithError(err).Error("the store's folder can't be written, tried again")
 		}
-		d.log.WithError(err).Error("the store's folder can't be written, tried again")
-		select {
-		case <-time.After(settleAgain):
-		case <-ctx.Done():
-			return nil, err
-		}
-	}
+		return err
+	})
+	return r, err
 }
 
 // diskFault tells whether an error is the disk's, and may pass.
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -9,9 +9,10 @@
 	"context"
 	"errors"
 	"net"
-	"slices"
 	"syscall"
 	"time"
+
+	"lichenshelf/internal/transient"
 )
 
 // RetryAfter is the pause after an accept that failed.
@@ -24,28 +25,30 @@
 	OpenAgain = 20 * time.Millisecond
 )
 
-// lacking are the errors of socket, bind and listen that may be over a moment later.
-var lacking = []error{syscall.EADDRINUSE, syscall.EADDRNOTAVAIL, syscall.EAGAIN, syscall.EINTR, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM}
+// mayOpenLater tells whether socket, bind and listen may succeed a moment later.
+func mayOpenLater(err error) bool {
+	return transient.Is(err, syscall.EADDRINUSE, syscall.EADDRNOTAVAIL, syscall.EINTR, syscall.ENOBUFS)
+}
 
 // Open calls open until it succeeds, fails by an error that does not pass by itself, ctx ends, or OpenWait is over. failed is told
 // of the first error that may pass.
 func Open(ctx context.Context, open func() (net.Listener, error), failed func(error)) (net.Listener, error) {
 	ctx, cancel := context.WithTimeout(ctx, OpenWait)
 	defer cancel()
-	for first := true; ; first = false {
-		l, err := open()
-		if err == nil || !slices.ContainsFunc(lacking, func(e error) bool { return errors.Is(err, e) }) {
-			return l, err
-		}
-		if first {
+	var l net.Listener
+	told := false
+	err := transient.Retry(ctx, OpenAgain, mayOpenLater, func() (err error) {
+		l, err = open()
+		if err != nil && !told && mayOpenLater(err) {
+			told = true
 			failed(err)
 		}
-		select {
-		case <-time.After(OpenAgain):
-		case <-ctx.Done():
-			return nil, err
-		}
+		return err
+	})
+	if err != nil {
+		return nil, err
 	}
+	return l, nil
 }
 
 // final are the errors that say that the listener itself is of no use any more.
--- a/router/core.go
+++ b/router/core.go
@@ -41,16 +41,17 @@
 	Log logrus.FieldLogger
 }
 
-// Core is the router proper. Its chain is: intake, admission, routing, sender,
+// Core is the router proper. Its chain is: Submit, admission, routing, sender,
 // relay, completion; releaser beside it.
 type Core struct {
 	mail    chan func()
 	stopped chan struct{}
 	open    atomic.Int64 // requests in hand, and those whose last attempt is still out
 	letting atomic.Int64 // releases that are out
-	roster  roster
+	workers workerSet
+	maxOpen int64 // 0: no bound
+	count   Counters
 
-	intake     intake
 	admission  admission
 	routing    routing
 	sender     sender
@@ -89,9 +90,8 @@
 		silent.SetOutput(io.Discard)
 		cfg.Log = silent
 	}
-	c := &Core{mail: make(chan func(), mailboxSize), stopped: make(chan struct{})}
-	c.roster.workers, c.roster.fence = map[logic.ServerID]*Worker{}, cfg.Fence
-	c.intake = intake{core: c, limit: int64(cfg.MaxOpen), count: cfg.Counters}
+	c := &Core{mail: make(chan func(), mailboxSize), stopped: make(chan struct{}), maxOpen: int64(cfg.MaxOpen), count: cfg.Counters}
+	c.workers.byID, c.workers.fence = map[logic.ServerID]*Worker{}, cfg.Fence
 	c.admission = admission{core: c, exchanges: map[logic.RequestID]*exchange{}, names: map[string]*exchange{}, behind: map[string][]*exchange{}}
 	c.routing = routing{core: c, decider: cfg.Decider, start: time.Now(), log: cfg.Log}
 	c.sender = sender{core: c, transport: cfg.Transport, permit: cfg.Permit, count: cfg.Counters}
@@ -135,8 +135,8 @@
 // Discovered takes a list of members, or changes to it. Leaving workers are
 // marked before it returns.
 func (c *Core) Discovered(members []Member, whole bool) {
-	void := c.roster.apply(members, whole)
-	list := c.roster.dated(members, time.Now(), c.routing.at)
+	void := c.workers.apply(members, whole)
+	list := c.workers.dated(members, time.Now(), c.routing.at)
 	c.post(func() {
 		c.routing.push(logic.Event{Kind: logic.ServersChanged, Members: list, Whole: whole})
 		for _, w := range void {
--- a/router/release.go
+++ b/router/release.go
@@ -52,7 +52,7 @@
 	sends := ex.sends
 	r.core.letting.Add(1)
 	ex.history.add(step{kind: stepReleaseAsked})
-	r.transport.Release(ex.Name, r.core.roster.running(), func(by *Worker, err error) {
+	r.transport.Release(ex.Name, r.core.workers.running(), func(by *Worker, err error) {
 		r.core.letting.Add(-1)
 		r.core.post(func() { r.done(ex, sends, by, err) })
 	})
--- a/router/send.go
+++ b/router/send.go
@@ -36,7 +36,7 @@
 }
 
 func (s *sender) send(ex *exchange, act *logic.Action) {
-	w := s.core.roster.worker(act.Server)
+	w := s.core.workers.worker(act.Server)
 	a := &attempt{core: s.core, ex: ex, number: ex.sends, server: act.Server, sentAt: time.Now(), to: w, wait: act.After, reach: act.Reach}
 	to := s.target(w)
 	switch v := ex.rules.MaySend(a.sentAt, to); v {
@@ -82,7 +82,7 @@
 
 // target is what the rules look at of a worker; nil is one that is not listed any more.
 func (s *sender) target(w *Worker) rules.Target {
-	fence := s.core.roster.fence
+	fence := s.core.workers.fence
 	to := rules.Target{Fenced: fence != nil && !fence(), Leaving: w == nil || !w.MaySend()}
 	if w != nil {
 		to.Place = s.core.guard.place(w)
--- a/router/roster.go
+++ b/router/workers.go
@@ -39,23 +39,23 @@
 // have had to come up, and a drain may have been told meanwhile.
 func (w *Worker) MaySend() bool { return !w.leaving.Load() && (w.fence == nil || w.fence()) }
 
-// roster holds the workers that discovery has named. Discovery's goroutine marks
+// workerSet holds the workers that discovery has named. Discovery's goroutine marks
 // a leaving worker here before the core hears of it, so that queued sends stop.
-type roster struct {
-	mu      sync.RWMutex
-	workers map[logic.ServerID]*Worker
-	fence   func() bool // nil: none
-	starts  Starts
+type workerSet struct {
+	mu     sync.RWMutex
+	byID   map[logic.ServerID]*Worker
+	fence  func() bool // nil: none
+	starts Starts
 }
 
 // dated returns the lines as the decisions take them, with starts on the core's clock. The clock tells the time there.
-func (r *roster) dated(members []Member, now time.Time, clock func(time.Time) logic.Time) []logic.Member {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+func (s *workerSet) dated(members []Member, now time.Time, clock func(time.Time) logic.Time) []logic.Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	out := make([]logic.Member, len(members))
 	for i, m := range members {
 		out[i] = m.Member
-		if began := r.starts.Began(m.Name, m.Since, m.News, now); !began.IsZero() {
+		if began := s.starts.Began(m.Name, m.Since, m.News, now); !began.IsZero() {
 			out[i].Began = clock(began)
 		}
 	}
@@ -63,13 +63,13 @@
 }
 
 // apply takes a list and returns the workers whose connections are void.
-func (r *roster) apply(members []Member, whole bool) (void []*Worker) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+func (s *workerSet) apply(members []Member, whole bool) (void []*Worker) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	named := make(map[logic.ServerID]bool, len(members))
 	for _, m := range members {
 		named[m.Server] = true
-		w := r.workers[m.Server]
+		w := s.byID[m.Server]
 		if w != nil && (w.Addr != m.Addr && m.Addr != "" || m.Health == logic.Ready && w.since != m.Since) {
 			w.leaving.Store(true) // another process by now
 			void, w = append(void, w), nil
@@ -78,8 +78,8 @@
 			if m.Health == logic.Gone {
 				continue
 			}
-			w = &Worker{ID: m.Server, Name: m.Name, Addr: m.Addr, since: m.Since, zone: m.Zone, cell: m.Cell, kind: m.Kind, fence: r.fence}
-			r.workers[m.Server] = w
+			w = &Worker{ID: m.Server, Name: m.Name, Addr: m.Addr, since: m.Since, zone: m.Zone, cell: m.Cell, kind: m.Kind, fence: s.fence}
+			s.byID[m.Server] = w
 		}
 		w.leaving.Store(m.Health != logic.Ready)
 		if m.Health == logic.Gone {
@@ -87,7 +87,7 @@
 		}
 	}
 	if whole {
-		for id, w := range r.workers {
+		for id, w := range s.byID {
 			if !named[id] {
 				w.leaving.Store(true)
 				void = append(void, w)
@@ -95,26 +95,26 @@
 		}
 	}
 	for _, w := range void {
-		if r.workers[w.ID] == w {
-			delete(r.workers, w.ID)
+		if s.byID[w.ID] == w {
+			delete(s.byID, w.ID)
 		}
 	}
 	return void
 }
 
-func (r *roster) worker(id logic.ServerID) *Worker {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	return r.workers[id]
+func (s *workerSet) worker(id logic.ServerID) *Worker {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.byID[id]
 }
 
 // running returns the workers in random order, those that are leaving last: they
 // run still, and take a release where no other does.
-func (r *roster) running() []*Worker {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
+func (s *workerSet) running() []*Worker {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
 	var out, leaving []*Worker
-	for _, w := range r.workers {
+	for _, w := range s.byID {
 		if w.MaySend() {
 			out = append(out, w)
 		} else {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"lichenshelf/internal/socket"
+	"lichenshelf/internal/transient"
 	"lichenshelf/router"
 )
 
@@ -184,14 +185,10 @@
 	return &conn{TCPConn: tc, br: bufio.NewReaderSize(tc, readBuffer), pool: p, ended: make(chan struct{})}, nil
 }
 
-// ownFaults are the errors of socket and connect by which the router's own machine says that it lacks something now
-// (socket(2), connect(2)). They tell nothing of the worker.
-var ownFaults = []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL, syscall.EAGAIN,
-	syscall.ENETUNREACH, syscall.ENETDOWN, syscall.EPERM, syscall.EACCES}
-
-// lacking tells whether a connection could not be opened for want of something on the router's own machine.
+// lacking tells whether a connection could not be opened for want of something on the router's own machine (socket(2),
+// connect(2)). That tells nothing of the worker.
 func lacking(err error) bool {
-	return slices.ContainsFunc(ownFaults, func(fault error) bool { return errors.Is(err, fault) })
+	return transient.Is(err, syscall.ENOBUFS, syscall.EADDRNOTAVAIL, syscall.ENETUNREACH, syscall.ENETDOWN, syscall.EPERM, syscall.EACCES)
 }
 
 const (
