A test that is red: streams are moved by timers that were set for something else

Line at fault: logic/endings.go timer moves a stream at any timer once the process ends, also where clients do not come again for the rest. Ruled out: faults of the link (their count did not change), moves (resume is off there).

--- a/lab/judge/judge.go
+++ b/lab/judge/judge.go
@@ -86,6 +86,7 @@
 	sent     time.Time
 	deadline time.Time
 	began    bool
+	streamed bool // its answer has begun at a worker
 	router   string
 	finals   []Final
 	ended    time.Time // when the first of them came
@@ -328,11 +329,26 @@
 		r.runs = slices.DeleteFunc(r.runs, func(t time.Time) bool { return t.Equal(a.at) })
 	}
 	switch {
-	case a.reader && fate == Read, a.carries && fate != Began:
+	case fate == Began: // which lets go of the rest
+		r.held = time.Time{}
+		r.streamed = true
+	case a.reader && fate == Read, a.carries && !r.passOn():
 		r.held = at
 	}
 }
 
+// passOn hands a state on that an attempt waited for whose end comes late to this judge: to the attempt that has arrived at a writer
+// since, or nowhere, if that one's answer has begun.
+func (r *request) passOn() bool {
+	for _, later := range r.out {
+		if !later.reader {
+			later.carries = true
+			return true
+		}
+	}
+	return r.streamed
+}
+
 // CutOff notes that the way between the worker and its router fails while the attempt is out, or while its answer is under way:
 // when it ends for the router, and whether that has heard of a read state, its worker can't see. While the router waits for the
 // answer the attempt is out.
--- a/lab/judge/judge_test.go
+++ b/lab/judge/judge_test.go
@@ -121,6 +121,22 @@
 			a.Ended(MayHaveRun, at(time.Second))
 			j.Final("a", Failed, start)
 		}, want: []Rule{Pinned}},
+		"an attempt whose end is seen after the next one's arrival": {play: func(j *Judge) {
+			j.Arrived("a", "r", true, start, patience).Ended(Read, start)
+			first := j.Arrived("a", "v", false, start, patience)
+			second := j.Arrived("a", "w", false, start, patience)
+			first.Ended(MayHaveRun, start)
+			second.Ended(Began, start)
+			j.Final("a", Served, start)
+		}},
+		"the same, and the next one fails as well": {play: func(j *Judge) {
+			j.Arrived("a", "r", true, start, patience).Ended(Read, start)
+			first := j.Arrived("a", "v", false, start, patience)
+			second := j.Arrived("a", "w", false, start, patience)
+			first.Ended(MayHaveRun, start)
+			second.Ended(MayHaveRun, start)
+			j.Final("a", Refused, at(time.Second))
+		}, want: []Rule{Pinned}},
 		"an answer that is lost as the link fails": {play: func(j *Judge) {
 			a := j.Arrived("a", "r", true, start, patience)
 			a.Ended(Read, start)
--- a/logic/guards_test.go
+++ b/logic/guards_test.go
@@ -688,3 +688,40 @@
 		}
 	}
 }
+
+// A stream is moved when that is due and clients come again for the rest, by no timer that was set for something else.
+func TestStreamsMoveWhenThatIsDue(t *testing.T) {
+	for _, resume := range []bool{false, true} {
+		r := newRig(t, reader(1, 0), writer(3, 0))
+		r.g.set.Resume = resume
+		var ids []RequestID
+		for range 2 {
+			id, _ := r.arrive(Request{})
+			r.end(id, 1, PromptRead, 0)
+			r.start(id, 3)
+			ids = append(ids, id)
+		}
+		fire := func() (moved int) {
+			for _, id := range ids {
+				for _, a := range r.g.Handle(r.now, []Event{{Kind: TimerFired, Token: uint64(id)}}, nil) {
+					if a.Kind == Move {
+						moved++
+					}
+				}
+			}
+			return moved
+		}
+		const in = 400 * time.Millisecond
+		r.g.Handle(r.now, []Event{{Kind: Closing, Latency: in}}, nil)
+		want := []int{0, 0, 0} // what moves at once, after a quarter of the time, after all of it
+		if resume {
+			want = []int{1, 1, 2}
+		}
+		for i, at := range []time.Duration{0, in / 4, in - in/4} {
+			r.wait(at)
+			if moved := fire(); moved != want[i] {
+				t.Errorf("resume %v: %d streams move %v after the end was told, want %d", resume, moved, at, want[i])
+			}
+		}
+	}
+}
--- a/router/relay.go
+++ b/router/relay.go
@@ -53,7 +53,7 @@
 	case err == io.EOF:
 		r.finish(Outcome{Status: logic.Served, Kept: r.Kept(), Load: r.Load()})
 	default:
-		r.finish(Outcome{Status: logic.ConnectionReset})
+		r.finish(Outcome{Status: logic.ConnectionReset, Cause: err})
 	}
 	return n, err
 }
