Streams are moved when that is due, and one that is given up is whole only with its end

Change: each stream has its own time to move (moveAt), none where clients do not come again. What a stream that was given up is worth is told by upstream/body.go, which knows its end mark: whole with it, broken without.

--- a/logic/endings.go
+++ b/logic/endings.go
@@ -25,7 +25,7 @@
 		g.releaseUnanswered(r)
 	}
 	switch {
-	case r != nil && !r.closed && r.phase == streaming && g.ending:
+	case r != nil && !r.closed && r.phase == streaming && r.moveAt != 0 && g.now >= r.moveAt:
 		g.do(Action{Kind: Move, ID: id})
 	case r == nil || r.closed || g.now < r.check || r.phase == streaming || r.out && r.called:
 	case !r.out:
@@ -56,13 +56,15 @@
 // come again for the rest, and requests that wait for one are called off and answered. Until all of that
 // is due, answers move one by one: each is read anew elsewhere, and all at once would jam the readers.
 func (g *Gateway) close(in time.Duration) {
-	g.ending, g.closing = true, in <= 0
+	g.closing = in <= 0
 	ids := slices.Sorted(maps.Keys(g.requests))
 	for i, id := range ids {
 		switch r := g.requests[id]; {
 		case r.closed:
 		case r.phase == streaming && g.set.Resume:
-			g.arm(r, in*time.Duration(i)/time.Duration(len(ids)))
+			d := max(in*time.Duration(i)/time.Duration(len(ids)), 0)
+			r.moveAt = g.now + Time(d)
+			g.arm(r, d)
 		case r.phase == streaming || !g.closing:
 		case r.out:
 			r.called = true
--- a/logic/state.go
+++ b/logic/state.go
@@ -42,6 +42,7 @@
 	heldSince         Time      // since when a state waits for which no server has answered
 	releaseArmed      Time      // when a timer looks whether the state is to be let go of
 	released          bool      // the state was let go of beside the attempt that is out
+	moveAt            Time      // when its running stream is to be moved; 0: not
 	homes             []*server // readers where its prefix meets
 	renewed           float64   // part of a prefix that own requests alone keep warm anywhere
 	meets             Key       // by which it meets others
@@ -293,7 +294,7 @@
 	born            Time // when this instance began
 	surveyed, swept Time
 	figures         []float64 // by zone, as a map of traffic tells them; nil: none
-	ending, closing bool      // the instance is about to end; what is in hand is given up
+	closing         bool      // the instance is about to end; what is in hand is given up
 }
 
 func (g *Gateway) do(a Action) { g.out = append(g.out, a) }
--- a/router/relay.go
+++ b/router/relay.go
@@ -1,16 +1,12 @@
 package router
 
 import (
-	"errors"
 	"io"
 	"time"
 
 	"lichenshelf/logic"
 )
 
-// errCut ends a stream that was broken off here.
-var errCut = errors.New("the stream was broken off")
-
 // relay commits answers: with its first event an attempt belongs to the client.
 type relay struct{ core *Core }
 
@@ -42,9 +38,6 @@
 // Read implements io.Reader for the one goroutine that serves the client.
 func (r *relayed) Read(p []byte) (int, error) {
 	n, err := r.Answer.Read(p)
-	if err != nil && r.attempt.cut.Load() {
-		err = errCut
-	}
 	if n > 0 {
 		r.attempt.heard.Store(int64(time.Since(r.attempt.sentAt)))
 	}
--- a/router/send.go
+++ b/router/send.go
@@ -28,7 +28,6 @@
 	wait    time.Duration
 	reach   time.Duration           // as of sentAt; 0: no bound
 	giveUp  func() <-chan struct{}  // nil until it has started
-	cut     atomic.Bool             // its running stream was broken off
 	heard   atomic.Int64            // when something of its answer came last, in nanoseconds since sentAt
 	written atomic.Pointer[Written] // nil until its last byte has gone out
 	ended   bool
@@ -201,20 +200,14 @@
 			continue
 		}
 		ex.history.add(step{kind: stepCut, attempt: a.number, worker: a.to})
-		a.cutOff()
+		a.giveUp()
 	}
 }
 
-// cutOff breaks off a running stream. What its worker still says, which may look like an end, belongs to nobody.
-func (a *attempt) cutOff() {
-	a.cut.Store(true)
-	a.giveUp()
-}
-
 // move breaks off a running stream; its client comes again for the rest.
 func (s *sender) move(ex *exchange) {
 	if ex.attempt != nil && ex.answered {
-		ex.attempt.cutOff()
+		ex.attempt.giveUp()
 	}
 }
 
--- a/upstream/body.go
+++ b/upstream/body.go
@@ -180,6 +180,9 @@
 	b.tail = append(b.tail, p[:n]...)
 	b.tail = b.tail[max(0, len(b.tail)-tailSize):]
 	switch {
+	case err == io.EOF && b.events && b.attempt.isGivenUp() && !endsWhole(b.tail):
+		err = errCutShort
+		b.conn.end()
 	case err == io.EOF && b.events && len(b.tail) == 0: // no answer of this request's: a better one may follow
 		b.conn.end()
 	case err == io.EOF:
@@ -191,6 +194,15 @@
 	return n, err
 }
 
+// errCutShort is the end of a stream that was given up here: a worker that learns of it may end in good order what is not whole.
+var errCutShort = errors.New("the stream was broken off")
+
+// endMark is what the last event of a whole stream holds.
+const endMark = "data: [DONE]"
+
+// endsWhole tells whether a stream with these latest bytes came to its end by itself. A report may stand behind the mark.
+func endsWhole(tail []byte) bool { return bytes.Contains(tail, []byte(endMark)) }
+
 func (b *body) finish() {
 	if !b.attempt.disown() {
 		return
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -179,6 +179,13 @@
 	return c.end()
 }
 
+// isGivenUp tells whether the attempt was given up.
+func (x *attempt) isGivenUp() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.given
+}
+
 // own notes the connection in use, unless the attempt has been given up.
 func (x *attempt) own(c *conn) bool {
 	x.mu.Lock()
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -301,3 +302,30 @@
 	require.Equal(t, wrote.Add(confirmAfter), confirmBy(wrote, wrote.Add(confirmAfter/2)))
 	require.Equal(t, wrote.Add(2*confirmAfter), confirmBy(wrote, wrote.Add(2*confirmAfter)))
 }
+
+// A stream that is given up is whole only if its worker had come to the end of it: some end in good order what they break off.
+func TestAStreamThatIsGivenUpIsWholeOnlyWithItsEnd(t *testing.T) {
+	const first = "data: {\"a\":1}\n\n"
+	for text, want := range map[string]error{"": errCutShort, "data: {\"b\":2}\n\n": errCutShort, "data: [DONE]\n\n": nil, "data: [DONE]\n\n: load\n\n": nil} {
+		c, w, _ := against(t, func(nc net.Conn) {
+			br := bufio.NewReader(nc)
+			_, _ = http.ReadRequest(br)
+			_, _ = fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(first), first)
+			_, _ = io.Copy(io.Discard, br) // until it is given up
+			if text != "" {
+				_, _ = fmt.Fprintf(nc, "%x\r\n%s\r\n", len(text), text)
+			}
+			_, _ = io.WriteString(nc, "0\r\n\r\n")
+			_ = nc.Close()
+		})
+		c.pool.learning = time.Minute // the machine may be busy
+		e, giveUp := send(c, w, true)
+		a := <-e.answers
+		giveUp()
+		got, err := io.ReadAll(a)
+		require.ErrorIs(t, err, want, "%q", text)
+		if want == nil {
+			require.Equal(t, first+text, string(got))
+		}
+	}
+}
