--- a/downstream/handover_test.go
+++ b/downstream/handover_test.go
@@ -145,3 +145,21 @@
 	require.NoError(t, err, "it ends, and is not reset")
 	require.Regexp(t, "^HTTP/1.1 503 ", string(text))
 }
+
+// Nor may a connection that was shut a moment before, whose client keeps its side open.
+func TestDropUnreadShortensWhatLingers(t *testing.T) {
+	s, l := beside(t, "127.0.0.1:0", func(http.ResponseWriter, *http.Request) {})
+	s.listener.linger = time.Hour
+	c := dial(t, "http://"+l.Addr().String(), "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+	require.Contains(t, read(t, c), "done")
+	ended := make(chan error, 1)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	go func() { ended <- s.Stop(ctx, takes(0)) }()
+	_, err := l.Accept() // until the listener is closed
+	for err == nil {
+		_, err = l.Accept()
+	}
+	s.DropUnread()
+	require.NoError(t, <-ended)
+}
