DropUnread bounds the lingering of connections that were shut before it

Change: a connection notes until when it lingers (set under the listener's lock, before discard starts); lingerFor shortens those that have longer. A connection that was shut but whose server has not let go of it yet isn't touched: its read deadline wakes the server.

--- a/downstream/listener.go
+++ b/downstream/listener.go
@@ -220,6 +220,7 @@
 	phase   phase
 	since   time.Time // when the phase began
 	dropped bool      // shut from outside, and to be served no more
+	lingers time.Time // until when it is open for its client to close it; zero: its server is not done with it
 	hurried bool      // what has not come of its request is not waited for
 	ending  bool      // it is one of these, or its last answer is out
 	used    bool      // something has come on it
@@ -469,10 +470,28 @@
 	}
 	c.home.end(c)
 	c.phase, c.since = lingering, time.Now()
-	go c.discard(tcp, time.Now().Add(c.home.linger))
+	c.lingerUntil(c.since.Add(c.home.linger))
+	go c.discard(tcp)
 	return nil
 }
 
+// lingerUntil bounds how long a connection that its server is done with stays open. The lock is held.
+func (c *conn) lingerUntil(t time.Time) {
+	c.lingers = t
+	_ = c.Conn.SetReadDeadline(t)
+}
+
+// lingerFor bounds how long connections stay open that have been shut or will be. The lock is held.
+func (l *listener) lingerFor(most time.Duration) {
+	l.linger = most
+	until := time.Now().Add(most)
+	for c := range l.conns {
+		if c.lingers.After(until) {
+			c.lingerUntil(until)
+		}
+	}
+}
+
 const (
 	discardFor  = 500 * time.Millisecond
 	discardLast = 200 * time.Millisecond // where the process is about to be killed
@@ -480,14 +499,14 @@
 )
 
 // discard drops what the client still sends before it closes the connection.
-func (c *conn) discard(tcp *net.TCPConn, until time.Time) {
+func (c *conn) discard(tcp *net.TCPConn) {
 	defer func() {
 		c.home.mu.Lock()
 		defer c.home.mu.Unlock()
 		c.home.remove(c)
 		_ = tcp.Close()
 	}()
-	if tcp.CloseWrite() != nil || tcp.SetReadDeadline(until) != nil {
+	if tcp.CloseWrite() != nil {
 		return
 	}
 	_, _ = io.CopyN(io.Discard, tcp, discardMost)
--- a/downstream/server.go
+++ b/downstream/server.go
@@ -146,7 +146,7 @@
 func (s *Server) DropUnread() {
 	s.listener.mu.Lock()
 	defer s.listener.mu.Unlock()
-	s.listener.linger = discardLast
+	s.listener.lingerFor(discardLast)
 	for c := range s.listener.conns {
 		switch end := c.end(forExit); {
 		case end == keep:
