Red: a request that waits to be accepted is counted as come when it is read

Ruled out: a step of the clock (times are monotonic).

Change: a test that lets a connection and its request wait before the accept.

--- a/downstream/arrivals.go
+++ b/downstream/arrivals.go
@@ -12,6 +12,9 @@
 // the times than for the bytes.
 const mergeWithin = 5 * time.Millisecond
 
+// arrivalResolution is how much less than its true age the system may tell of what has come: its clock ticks once in 10 ms at most.
+const arrivalResolution = 20 * time.Millisecond
+
 // arrival is a part of what was read ahead, and when it came.
 type arrival struct {
 	bytes int
--- a/downstream/arrivals_test.go
+++ b/downstream/arrivals_test.go
@@ -1,11 +1,14 @@
 package downstream
 
 import (
+	"net"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"lichenshelf/metrics"
 )
 
 // All bytes are handed out once, in order, as having come when they came or up to mergeWithin before.
@@ -49,3 +52,29 @@
 	require.Less(t, time.Since(at), time.Minute)
 	require.NotEqual(t, at, at.Round(0), "Round(0) strips the monotonic reading")
 }
+
+// A request whose connection waits to be accepted, for want of a descriptor or of a process that has started, has come when its
+// bytes have, on each connection: its client's time runs.
+func TestTheTimeOfArrivalIsThatBeforeTheAccept(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	came := make(chan time.Time, 1)
+	s := NewServer(l, Config{MaxBody: 1 << 10, MaxConns: most, Counters: &metrics.Set{}, Problem: TextProblem, Handler: func(c *Call) {
+		_, release, ok := c.Body()
+		if ok {
+			defer release()
+		}
+		came <- c.Received
+	}})
+	c := dial(t, "http://"+l.Addr().String(), "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody")
+	wrote := time.Now()
+	time.Sleep(4 * arrivalResolution)
+	accepting := time.Now()
+	done := make(chan error, 1)
+	go func() { done <- s.Serve() }()
+	at := <-came
+	require.True(t, at.Before(accepting), "it came %v after it was written, the accept %v", at.Sub(wrote), accepting.Sub(wrote))
+	require.NoError(t, c.Close())
+	require.NoError(t, s.Stop(t.Context(), takes(0)))
+	require.NoError(t, <-done)
+}
