--- a/lab/virtual/virtual.go
+++ b/lab/virtual/virtual.go
@@ -50,6 +50,8 @@
 	For    time.Duration
 	Seed   uint64
 	Faults []Fault
+	// Record, if set, is told of each call of a router's decisions: its number, what it was told and what it did.
+	Record func(router int, now logic.Time, events []logic.Event, actions []logic.Action)
 }
 
 // Fault begins or ends something at a time.
@@ -290,6 +292,9 @@
 	work   counts.Work
 }
 
+// RouterSeed is the seed of a router's decisions in a run.
+func RouterSeed(seed uint64, router int) uint64 { return seed*1000 + uint64(router) }
+
 func (w *World) newGateway(i int) (*gateway, error) {
 	r := &gateway{w: w, i: i, name: fmt.Sprintf("r-%d", i), open: map[logic.RequestID]*exchange{}}
 	set := w.cfg.Settings
@@ -299,7 +304,7 @@
 		r.zone = i % zones
 		set.Zone = r.zone
 	}
-	r.decide = logic.New(set, w.cfg.Seed*1000+uint64(i))
+	r.decide = logic.New(set, RouterSeed(w.cfg.Seed, i))
 	if w.cfg.Near > 0 {
 		figures := slices.Repeat([]float64{w.cfg.Near}, zones)
 		figures[r.zone] = 1
@@ -455,7 +460,12 @@
 	for len(r.pending) > 0 {
 		events := r.pending
 		r.pending = nil
-		for _, a := range r.decide.Handle(epoch+logic.Time(r.w.now), events, nil) {
+		now := epoch + logic.Time(r.w.now)
+		actions := r.decide.Handle(now, events, nil)
+		if r.w.cfg.Record != nil {
+			r.w.cfg.Record(r.i, now, events, actions)
+		}
+		for _, a := range actions {
 			r.do(a)
 		}
 	}
