The time of a request runs from the arrival of its bytes, accepted or not

Cause: as told with the red test: what waits in the system's queue for its accept was counted as come when it was read (downstream/listener.go Read and look), so a worker was told up to 0.7 s more than its client had left. The class: a moment at which the program sees something is taken for the moment of its happening.

Change: at each read the system tells how long ago the last bytes came (TCP_INFO, tcpi_last_data_recv; socket.SinceReceived), and that is the time of arrival where it is 20 ms or more ago; its clock ticks each 10 ms or more often. Where it can't tell, the time of the read counts as before. Later than the truth it may be, where more has come behind, never earlier by over a tick. A counter, reads_delayed. Not taken: SO_TIMESTAMP (not for TCP), the time of the accept.

--- a/downstream/arrivals.go
+++ b/downstream/arrivals.go
@@ -1,6 +1,10 @@
 package downstream
 
-import "time"
+import (
+	"time"
+
+	"lichenshelf/internal/socket"
+)
 
 // started is what times of arrival are counted from: a step of the wall clock moves none of them.
 var started = time.Now()
@@ -12,9 +16,25 @@
 // the times than for the bytes.
 const mergeWithin = 5 * time.Millisecond
 
-// arrivalResolution is how much less than its true age the system may tell of what has come: its clock ticks once in 10 ms at most.
+// arrivalResolution is an age of received bytes that the system can tell from none: its clock ticks each 10 ms or more often.
 const arrivalResolution = 20 * time.Millisecond
 
+// receivedAt is when what was just read had come, or later: bytes wait in the system until their connection is accepted, for
+// which a descriptor may lack, and until their reader runs.
+func (c *conn) receivedAt() time.Duration {
+	now := sinceStart()
+	raw, err := socket.Raw(c.Conn)
+	if err != nil {
+		return now
+	}
+	age, err := socket.SinceReceived(raw)
+	if err != nil || age < arrivalResolution {
+		return now
+	}
+	c.home.count.Add("reads_delayed", 1)
+	return now - age
+}
+
 // arrival is a part of what was read ahead, and when it came.
 type arrival struct {
 	bytes int
--- a/downstream/listener.go
+++ b/downstream/listener.go
@@ -298,7 +298,7 @@
 			b := make([]byte, step)
 			n, err := c.Conn.Read(b)
 			if n > 0 {
-				c.ahead, c.came = append(c.ahead, b[:n]...), c.came.add(n, sinceStart())
+				c.ahead, c.came = append(c.ahead, b[:n]...), c.came.add(n, c.receivedAt())
 			}
 			c.home.ahead.used.Add(int64(n - step))
 			if err != nil {
@@ -374,7 +374,10 @@
 		return c.arrived(n, nil, at)
 	}
 	n, err := c.Conn.Read(p)
-	return c.arrived(n, err, sinceStart())
+	if n == 0 {
+		return c.arrived(n, err, 0)
+	}
+	return c.arrived(n, err, c.receivedAt())
 }
 
 // between begins the wait for the next request where an answer is out. It tells whether the
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -45,6 +45,21 @@
 	return n, err
 }
 
+// SinceReceived is how long ago the last bytes came that were received on a TCP connection, by the system's clock ticks; for a
+// connection on which nothing has come, how long ago it was made.
+func SinceReceived(raw syscall.RawConn) (age time.Duration, err error) {
+	cerr := raw.Control(func(fd uintptr) {
+		var info *unix.TCPInfo
+		if info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			age = time.Duration(info.Last_data_recv) * time.Millisecond
+		}
+	})
+	if cerr != nil {
+		return 0, cerr
+	}
+	return age, err
+}
+
 // Queued tells whether connections wait at a listener to be accepted.
 func Queued(raw syscall.RawConn) bool {
 	var events int16
