The judge asks for the whole of the answer that was forwarded, not of one given up before

The router's line: "115.5 called off 0 at s- ... 190.3 answer of 2 begins ... 1867.9 ended 2 at s-: reset (unexpected EOF)". The rig notes a stream as whole only if no fault of its link began while it was written or 0.5 s after, and s-'s bytes ended too early by such a fault: so attempt 0 was the whole one, whose answer nobody had (its connection had been silenced right after its request had passed, and its handler read the count of faults after that). lab/judge kept one mark for the request, not the attempt. Not seen itself: which attempt had the mark; the two things the rig excludes leave this one.

Change: the mark is the attempt's, and the attempt that counts is the last one that had come when the client's answer began. A stream cut off and sent again is still found (a case of the judge's test).

--- a/lab/judge/judge.go
+++ b/lab/judge/judge.go
@@ -93,10 +93,21 @@
 	left     time.Time
 	excused  bool
 	seen     bool      // an attempt has come at a worker
-	whole    bool      // its worker has written a stream to its end
 	held     time.Time // since when a read state waits; zero: none does
 	runs     []time.Time
 	out      []*Attempt
+	answers  []*Attempt // all that may have answered, in the order of their arrival
+}
+
+// forwarded is the attempt whose answer the client has: the last one that had come when that began, or the last one of all where
+// that is not known. A router has one attempt out at a time.
+func (r *request) forwarded() *Attempt {
+	for _, a := range slices.Backward(r.answers) {
+		if r.began.IsZero() || !a.at.After(r.began) {
+			return a
+		}
+	}
+	return nil
 }
 
 // Attempt is one attempt as its worker sees it.
@@ -109,6 +120,7 @@
 	next    time.Time // when another one arrived while this one was out; zero: none did
 	carries bool      // a read state waited for it
 	cutOff  bool      // its worker can't see how it ends for the router
+	whole   bool      // its worker has written a stream to its end
 	ended   bool
 	endedAt time.Time
 }
@@ -276,6 +288,7 @@
 	a := &Attempt{judge: j, request: r, worker: worker, reader: reader, at: at}
 	r.out = append(r.out, a)
 	if !reader {
+		r.answers = append(r.answers, a)
 		a.carries = !r.held.IsZero()
 		j.take(r, at)
 		j.run(r, worker, at)
@@ -371,7 +384,7 @@
 	}
 	a.judge.mu.Lock()
 	defer a.judge.mu.Unlock()
-	a.request.whole = true
+	a.whole = true
 }
 
 // Released notes that a worker was asked to let go of what is held for a request and no attempt waits for.
@@ -394,8 +407,10 @@
 		switch {
 		case len(r.finals) == 0 && r.left.IsZero():
 			j.violate(r, Lost, "it has no answer")
-		case r.whole && slices.Contains(r.finals, Broken):
-			j.violate(r, Lost, "its answer was cut off, and its worker had written all of it")
+		case slices.Contains(r.finals, Broken):
+			if a := r.forwarded(); a != nil && a.whole {
+				j.violate(r, Lost, "its answer was cut off, and %s had written all of it", a.worker)
+			}
 		}
 	}
 	j.overloads()
--- a/lab/judge/judge_test.go
+++ b/lab/judge/judge_test.go
@@ -173,6 +173,22 @@
 			a.Whole()
 			j.Final("a", Broken, start)
 		}, want: []Rule{Lost}},
+		"cut off by the router, and sent again": {play: func(j *Judge) {
+			a := j.Arrived("a", "w", false, start, patience)
+			a.Ended(Began, start)
+			a.Whole()
+			j.Began("a", at(over))
+			j.Arrived("a", "v", false, at(2*over), patience).Ended(Began, at(3*over))
+			j.Final("a", Broken, at(4*over))
+		}, want: []Rule{Lost}},
+		"cut off by another worker than the one that had written all of it, for nobody": {play: func(j *Judge) {
+			a := j.Arrived("a", "w", false, start, patience)
+			a.Ended(Began, start)
+			a.Whole()
+			j.Arrived("a", "v", false, at(over), patience).Ended(Began, at(over))
+			j.Began("a", at(2*over))
+			j.Final("a", Broken, at(3*over))
+		}},
 		"its router was killed": {play: func(j *Judge) {
 			j.Arrived("a", "r", true, start, patience).Ended(Read, start)
 			j.Excuse("a")
--- a/test/overlap_troubles_test.go
+++ b/test/overlap_troubles_test.go
@@ -84,6 +84,7 @@
 	"open connections silent": onWorker(func(k *overlapWorker, _ *overlapRig, _ *rand.Rand) {
 		k.linkFaults.Add(1)
 		k.relay.Silence()
+		time.Sleep(answerUnderWay) // for requests that had passed and are just beginning: their answers fall silent as well
 		k.linkFaults.Add(1)
 	}),
 	"half of all workers lost": func(r *overlapRig, rng *rand.Rand) bool {
