Decision module: names a newcomer can read for slow start, health and admission

Change: abandoned and abandonedFade, creditSpan, tooLate, findHomes, sharedWait, credits (coldCredits, creditsLapseAt, creditsGivenAt, creditPart), writerPressure, suspectUntil; bears is assumedWarmth, borne is perWarmth. The doc of coldRoom in the words of token buckets and slow start. Two long lines are two steps each. No decision changes.

--- a/logic/admission.go
+++ b/logic/admission.go
@@ -38,7 +38,7 @@
 	}
 	r.memory = r.PromptTokens + answer
 	g.requests[q.ID] = r
-	g.meet(r)
+	g.findHomes(r)
 	g.proceed(r)
 }
 
@@ -59,10 +59,10 @@
 	return true
 }
 
-// hopeless tells whether even the best reader's backlog eats up the aim. A fleet that reads only what is late
+// tooLate tells whether even the best reader's backlog eats up the aim. A fleet that reads only what is late
 // by then, for nobody, never comes back: so what would wait too long is refused, the less worthy the earlier,
 // and so is what would not be read and fetched in the time that its client has left.
-func (g *Gateway) hopeless(r *request, s *server) bool {
+func (g *Gateway) tooLate(r *request, s *server) bool {
 	told := g.blind * g.trust(s, unreadFade) * s.load.UnreadToken
 	wait := g.readSeconds(s, g.pending(s)+told) + g.waitAt(s.role)
 	need := g.readSeconds(s, g.missing(r, s)+baseTokens)
@@ -84,14 +84,14 @@
 	if after(r.arrived, g.now) > r.aim {
 		worth = 0
 	}
-	least := waitLeast * g.shared(r)
-	limit := least + math.Max(0, math.Min(r.aim.Seconds()-need, g.shared(r))-least)*worth
+	least := waitLeast * g.sharedWait(r)
+	limit := least + math.Max(0, math.Min(r.aim.Seconds()-need, g.sharedWait(r))-least)*worth
 	return wait > limit || seconds(wait+need) > after(g.now, r.deadline)
 }
 
-// shared is the wait, in seconds, that a request may add itself to: all classes wait in the same queues, so
-// what is less worthy must not fill them past the aim of what is worth more.
-func (g *Gateway) shared(r *request) float64 {
+// sharedWait is the wait, in seconds, that a request may add itself to: all classes wait in the same
+// queues, so what is less worthy must not fill them past the aim of what is worth more.
+func (g *Gateway) sharedWait(r *request) float64 {
 	aim := r.aim
 	for _, c := range g.set.Classes {
 		if c.Points > g.class(r).Points {
--- a/logic/attempts.go
+++ b/logic/attempts.go
@@ -9,11 +9,11 @@
 
 // send starts the one attempt of a request, charges it, and budgets its time-out.
 func (g *Gateway) send(r *request, s *server) {
-	if g.bears(s) < 1 {
-		s.coldLeft--
+	if g.assumedWarmth(s) < 1 {
+		s.coldCredits--
 	}
-	if s.shunned != 0 && g.now >= s.shunned { // its trial: one at a time
-		s.shunned = g.now + Time(firstBackoff)
+	if s.suspectUntil != 0 && g.now >= s.suspectUntil { // its trial: one at a time
+		s.suspectUntil = g.now + Time(firstBackoff)
 	}
 	r.charge, r.ahead = 0, 0
 	if r.reader == nil {
@@ -88,7 +88,7 @@
 
 // learn compares an attempt's time with the pace of its kind. A wait for a writer is all of its time.
 func (g *Gateway) learn(r *request, s *server, took time.Duration) {
-	s.quiet, s.fails, s.shunned = g.now, 0, 0
+	s.quiet, s.fails, s.suspectUntil = g.now, 0, 0
 	g.told(r, true)
 	p, tok := g.stage(r, s)
 	sec, want := took.Seconds(), p.seconds(tok)
@@ -199,7 +199,7 @@
 	g.ask(r)
 	if r.reader != nil {
 		s = g.pickWriter(r)
-	} else if s = g.pickReader(r); s != nil && g.hopeless(r, s) {
+	} else if s = g.pickReader(r); s != nil && g.tooLate(r, s) {
 		g.giveUp(r, WhyQueue)
 		return
 	}
@@ -220,7 +220,7 @@
 		// still lead their sessions back to one reader instead of scattering them over all.
 		s.record(r, g.now)
 	case Served:
-		s.quiet, s.fails, s.shunned = g.now, 0, 0
+		s.quiet, s.fails, s.suspectUntil = g.now, 0, 0
 	case Full, Rejected:
 		if e.Unreached { // it was not even asked
 			break
@@ -234,9 +234,9 @@
 		if s.role != RoleWrite {
 			full = fullBacklog.Seconds() / g.readSeconds(s, 1)
 		}
-		s.ghost.add(g.now, ghostFade, math.Max(0, full-s.ghost.value(g.now, ghostFade)))
+		s.abandoned.add(g.now, abandonedFade, math.Max(0, full-s.abandoned.value(g.now, abandonedFade)))
 	case TimedOut, Cancelled:
-		s.ghost.add(g.now, ghostFade, r.charge)
+		s.abandoned.add(g.now, abandonedFade, r.charge)
 		if e.Status == TimedOut || r.called {
 			g.unanswered(r, s)
 		}
--- a/logic/guards_test.go
+++ b/logic/guards_test.go
@@ -192,7 +192,7 @@
 		r.wantSend(acts, room)
 		r.start(b, room)
 	}
-	r.wait(5 * ghostFade)
+	r.wait(5 * abandonedFade)
 	_, acts = read()
 	r.wantSend(acts, full)
 }
@@ -251,7 +251,7 @@
 	next, _ := r.arrive(Request{})
 	r.wantSend(r.end(next, 1, PromptRead, 0), 4) // one at a time
 	r.start(id, 3)
-	if s.shunned != 0 {
+	if s.suspectUntil != 0 {
 		t.Error("a good trial must clear the suspicion")
 	}
 }
@@ -277,7 +277,7 @@
 		r.wait(maxBackoff * 2)
 		id, acts = r.arrive(Request{})
 	}
-	if r.g.byID[1].shunned != 0 && r.g.byID[2].shunned != 0 {
+	if r.g.byID[1].suspectUntil != 0 && r.g.byID[2].suspectUntil != 0 {
 		t.Error("no reader came back")
 	}
 }
@@ -339,8 +339,8 @@
 	s := r.g.byID[1]
 	r.g.suspect(s)
 	r.g.Handle(r.now, []Event{{Kind: ServersChanged, Members: []Member{{Server: 1, Weight: 1, Since: r.now}}}}, nil)
-	if len(s.kept) != 0 || s.shunned != 0 || r.g.warmth(s) >= 1 {
-		t.Errorf("kept %d, suspect %v, warmth %v", len(s.kept), s.shunned != 0, r.g.warmth(s))
+	if len(s.kept) != 0 || s.suspectUntil != 0 || r.g.warmth(s) >= 1 {
+		t.Errorf("kept %d, suspect %v, warmth %v", len(s.kept), s.suspectUntil != 0, r.g.warmth(s))
 	}
 }
 
--- a/logic/health.go
+++ b/logic/health.go
@@ -9,7 +9,7 @@
 // scale makes a token at s dearer by all that makes s slow: its observed pace, a bad sign, distance, cold.
 func (g *Gateway) scale(s *server) float64 {
 	v := g.slowness(s) / math.Pow(math.Max(g.warmth(s), 0.05), 1-g.unseen)
-	if g.now < s.shunned { // one bad sign may be chance: dearer, but not out
+	if g.now < s.suspectUntil { // one bad sign may be chance: dearer, but not out
 		v *= suspectScale
 	}
 	v *= g.distance(s)
@@ -33,5 +33,5 @@
 	unit := min(max(firstBackoff, seconds(g.gap*float64(g.pools[s.role].n))), maxBackoff)
 	wait := min(unit<<min(s.fails, 6), max(maxBackoff, 2*unit))
 	s.fails++
-	s.shunned = g.now + Time(float64(wait)*(0.8+0.4*g.rng.Float64()))
+	s.suspectUntil = g.now + Time(float64(wait)*(0.8+0.4*g.rng.Float64()))
 }
--- a/logic/load.go
+++ b/logic/load.go
@@ -9,7 +9,9 @@
 
 // pending is the read load that this gateway put on s: what is out, and what time-outs left behind, or a
 // server that times out would look idle just when it is not.
-func (g *Gateway) pending(s *server) float64 { return s.unread + s.ghost.value(g.now, ghostFade) }
+func (g *Gateway) pending(s *server) float64 {
+	return s.unread + s.abandoned.value(g.now, abandonedFade)
+}
 
 // trust in a server's own report falls with its age; none is as old as can be.
 func (g *Gateway) trust(s *server, over time.Duration) float64 {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -33,11 +33,11 @@
 	mixedWeight   = 3.0              // of a mixed server's memory share against the writers'
 	unknownMemory = 1e5              // tokens; only shares against like servers count then
 	coldCaution   = 0.6              // part of the cold budget used; the rest is for chance
-	rightsPart    = 0.4              // the same by rights alone, where little is seen of peers
+	creditPart    = 0.4              // the same by credits alone, where little is seen of peers
 	homePart      = 0.4              // and the other, where requests meet
 	farWait       = 0.2              // seconds of wait at writers from which a cold one is worth a far move
-	lull          = 4                // times the settings' time for a fall: rights come for so long at most
-	coldHomes     = 8.0              // power of warmth that homes go by where rights seldom meet their prompts
+	creditSpan    = 4                // times the settings' time for a fall: credits accrue for so long at most
+	coldHomes     = 8.0              // power of warmth that homes go by where credits seldom meet their prompts
 	reachTries    = 3                // servers tried with one held state where connections fail
 	answerPart    = 0.3              // guess of an answer's length as part of its limit, without a hint
 	strayTimes    = 4.0              // a time is out of the usual when so many mean deviations past the mean
@@ -48,7 +48,7 @@
 	firstBackoff  = time.Second      // a suspect's first trial; each further one twice as late
 	maxBackoff    = 8 * time.Second
 	fullBacklog   = time.Second           // backlog that a 'full' stands for
-	ghostFade     = time.Second           // tokens that a time-out leaves behind drain so fast
+	abandonedFade = time.Second           // tokens that a time-out leaves behind drain so fast
 	waitFade      = 2 * time.Second       // a wait not confirmed fades, so that servers are tried again
 	unreadFade    = time.Second           // trust in a server's report of its read load fades
 	shareFade     = 5 * time.Second       // the same of its memory, which changes with its answers
--- a/logic/readers.go
+++ b/logic/readers.go
@@ -7,10 +7,11 @@
 	"slices"
 )
 
-// meet finds the homes of the request's prefix by rendezvous hashing: with many gateways hardly any table
-// holds what peers had read, but all of them hash alike. A frequent prefix has more homes; the first of
-// them is the one where the request's session meets. So do sessions that share nothing, where little is seen.
-func (g *Gateway) meet(r *request) {
+// findHomes finds the homes of the request's prefix by rendezvous hashing: with many gateways hardly any
+// table holds what peers had read, but all of them hash alike. A frequent prefix has more homes; the
+// first of them is the one where the request's session meets. So do sessions that share nothing, where
+// little is seen.
+func (g *Gateway) findHomes(r *request) {
 	if g.surveyed == 0 {
 		g.survey()
 	}
--- a/logic/servers.go
+++ b/logic/servers.go
@@ -19,13 +19,13 @@
 			if m.Health == Gone {
 				continue
 			}
-			s = &server{Member: m, kept: map[Key]entry{}, began: g.began(m), coldAt: g.now}
+			s = &server{Member: m, kept: map[Key]entry{}, began: g.began(m), creditsGivenAt: g.now}
 			g.byID[m.Server] = s
 			g.servers = append(g.servers, s)
 		} else if m.Since != s.Since && m.Health != Gone {
 			// A restarted process keeps nothing, and what was held against the old one is void.
-			s.kept, s.ghost, s.fails, s.shunned = map[Key]entry{}, fading{}, 0, 0
-			s.slow, s.load, s.began, s.coldAt, s.coldLeft = fading{}, Load{}, g.began(m), g.now, 0
+			s.kept, s.abandoned, s.fails, s.suspectUntil = map[Key]entry{}, fading{}, 0, 0
+			s.slow, s.load, s.began, s.creditsGivenAt, s.coldCredits = fading{}, Load{}, g.began(m), g.now, 0
 		}
 		m.Kind = min(m.Kind, len(g.set.Kinds)-1)
 		kind := g.set.Kinds[m.Kind]
@@ -38,7 +38,7 @@
 
 // balance sets each reader's part of the traffic by the writers of its cell: their answers have to be
 // written there, and a reader's own load shows nothing of it. What a cell's writers would get above an
-// average writer's part all the same is their press.
+// average writer's part all the same is their pressure.
 func (g *Gateway) balance() {
 	cells, all := map[int]*[3]float64{}, [3]float64{}
 	g.warming = false
@@ -66,7 +66,7 @@
 		}
 	}
 	for _, s := range g.servers {
-		s.press = finite(pulls[s.Cell]/sum*all[RoleWrite]/cells[s.Cell][RoleWrite], 1, 1e3)
+		s.writerPressure = finite(pulls[s.Cell]/sum*all[RoleWrite]/cells[s.Cell][RoleWrite], 1, 1e3)
 	}
 	for _, h := range g.homes {
 		h.servers = nil
@@ -89,7 +89,7 @@
 	for _, s := range g.servers {
 		if p := &g.pools[s.role]; s.usable() {
 			p.n++
-			g.join(s, g.bears(s))
+			g.join(s, g.assumedWarmth(s))
 			if g.reports && (p.roomiest == nil || g.share(s) < g.share(p.roomiest)) {
 				p.roomiest = s
 			}
--- a/logic/slowstart.go
+++ b/logic/slowstart.go
@@ -7,40 +7,43 @@
 	"math"
 )
 
-// bears is the warmth that sends go by. A server that could not be reached twice may have started anew: it is
-// sent as to a cold one since, until discovery would have told of a start. Trials go on where much is seen.
-func (g *Gateway) bears(s *server) float64 {
+// assumedWarmth is the warmth that sends go by. A server that could not be reached twice may have started
+// anew: it is sent as to a cold one since, until discovery would have told of a start. Trials go on where
+// much is seen.
+func (g *Gateway) assumedWarmth(s *server) float64 {
 	w, gone := g.warmth(s), after(s.lost, g.now)
-	trial := g.unseen <= mostUnseen && s.shunned != 0 && g.now >= s.shunned && s.waiting == 0
+	trial := g.unseen <= mostUnseen && s.suspectUntil != 0 && g.now >= s.suspectUntil && s.waiting == 0
 	if s.lost == 0 || gone >= toldWithin || trial || g.set.FallMultiple <= 0 || g.set.FallAfter <= 0 {
 		return w
 	}
 	return math.Min(w, g.set.ColdShare+(1-g.set.ColdShare)*gone.Seconds()/toldWithin.Seconds())
 }
 
-// coldRoom tells whether this gateway may send to s now. To a fresh server it has rights to single sends,
-// that come with time: its part of what the settings let all send, by the rate that a unit of warmth bears.
-// Its part of that rate is what its own requests had there, so the parts of all make up the fleet's rate,
-// however uneven. Parts of a right are drawn for. Rights lapse: from a lull, they would be used at once.
+// coldRoom tells whether this gateway may send to s now. For a server in slow start it has credits, one
+// for each send, which accrue with time: its share of what the settings let the whole fleet send, by the
+// rate that a unit of warmth bears. That share is what its own requests had of the rate, so the shares of
+// all gateways make up the fleet's rate, however uneven. Fractions of a credit are drawn for. Credits
+// lapse: saved up, they would be used at once.
 func (g *Gateway) coldRoom(s *server) bool {
-	w := g.bears(s)
+	w := g.assumedWarmth(s)
 	if w >= 1 {
 		return true
 	}
 	least := 1 / float64(g.set.Gateways) / g.set.FallAfter.Seconds() // one a window of all: warming has to begin
 	part := coldCaution
 	if g.unseen > mostUnseen {
-		part = rightsPart // where requests meet, cold servers have another
+		part = creditPart // where requests meet, cold servers have another
 	}
-	rate := math.Max(part*g.set.FallMultiple*w*g.stages[s.role.stage()].borne(g.now, g.born), least)
-	if g.now >= s.coldUntil {
-		s.coldLeft = 0
+	rate := math.Max(part*g.set.FallMultiple*w*g.stages[s.role.stage()].perWarmth(g.now, g.born), least)
+	if g.now >= s.creditsLapseAt {
+		s.coldCredits = 0
 	}
-	if n := int(rate*min(after(s.coldAt, g.now), lull*g.set.FallAfter).Seconds() + g.rng.Float64()); n > 0 {
-		s.coldLeft, s.coldUntil = s.coldLeft+n, g.now+Time(g.set.FallAfter)
+	accrued := rate * min(after(s.creditsGivenAt, g.now), creditSpan*g.set.FallAfter).Seconds()
+	if n := int(accrued + g.rng.Float64()); n > 0 {
+		s.coldCredits, s.creditsLapseAt = s.coldCredits+n, g.now+Time(g.set.FallAfter)
 	}
-	s.coldAt = g.now
-	return s.coldLeft > 0
+	s.creditsGivenAt = g.now
+	return s.coldCredits > 0
 }
 
 // ask counts a request at the stage that it comes to. Until it ends it stands for what servers bear however
@@ -59,10 +62,11 @@
 	}
 }
 
-// invite lets a part of the requests go without a right to the cold server at which a request meets others of
-// its kind, by its beginning or near its reader: the less, the more of this gateway's last ones met there. It
-// bounds the mean of what all let go to one server, however requests fall on servers: where k of m met there,
-// each with the chance h, E[h(m+1)/(k+1)] < 1, and that k = 0 counts twice adds 1/e at most.
+// invite lets a part of the requests go without a credit to the cold server at which a request meets
+// others of its kind, by its beginning or near its reader: the less, the more of this gateway's last ones
+// met there. It bounds the mean of what all let go to one server, however requests fall on servers: where
+// k of m met there, each with the chance h, E[h(m+1)/(k+1)] < 1, and that k = 0 counts twice adds 1/e at
+// most.
 func (g *Gateway) invite(r *request, st *stage) {
 	key := cmp.Or(r.meets, Key(r.ID))
 	if r.reader != nil {
@@ -82,7 +86,11 @@
 	if k == 0 {
 		m *= 2
 	}
-	if at != nil && g.rng.Float64()*(k+1)/m < homePart*g.set.FallMultiple*g.bears(at)*st.did.v/st.asks.v {
+	if at == nil {
+		return
+	}
+	bears := homePart * g.set.FallMultiple * g.assumedWarmth(at) * st.did.v / st.asks.v
+	if g.rng.Float64()*(k+1)/m < bears {
 		r.guest = at
 	}
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -46,7 +46,7 @@
 	homes             []*server // readers where its prefix meets
 	renewed           float64   // part of a prefix that own requests alone keep warm anywhere
 	meets             Key       // by which it meets others
-	guest             *server   // cold, and it may go there without a right
+	guest             *server   // cold, and it may go there without a credit
 	asked             *stage    // that it is counted at, with its outcome open
 	part              float64   // what it counts for there
 	charge, ahead     float64   // tokens charged to the server's read load, and the load found there
@@ -63,28 +63,28 @@
 // server is what this gateway knows of one server.
 type server struct {
 	Member
-	role          Role
-	memory        float64
-	pull          float64 // its part of what peers send, against an average server
-	press         float64 // load of the writers of its cell, against the mean, if all states stay near
-	began         Time    // its latest start, or when it was heard of if its clock is ahead
-	listed        bool
-	kept          map[Key]entry
-	unread        float64 // prompt tokens sent and not yet read
-	ghost         fading  // tokens left behind by time-outs; at a writer, those of work that it turned away
-	tokens, since float64 // own tokens in its memory; those sent since its last report
-	slow          fading  // observed time against its kind's pace, less one
-	streams       int
-	waiting       int  // own attempts out that have not begun to answer
-	fails         int  // bad signs in a row
-	quiet         Time // last sign of life, or the send that ended idleness
-	shunned       Time // suspect until its trial at this time; 0: not suspect
-	lost          Time // when it could last not be reached; 0: it always could
-	coldAt        Time // up to when its rights have come
-	coldUntil     Time // when those in coldLeft lapse
-	coldLeft      int  // rights to single sends while it is cold
-	load          Load
-	loadAt        Time
+	role           Role
+	memory         float64
+	pull           float64 // its part of what peers send, against an average server
+	writerPressure float64 // load of the writers of its cell, against the mean, if all states stay near
+	began          Time    // its latest start, or when it was heard of if its clock is ahead
+	listed         bool
+	kept           map[Key]entry
+	unread         float64 // prompt tokens sent and not yet read
+	abandoned      fading  // tokens left behind by time-outs; at a writer, those of work that it turned away
+	tokens, since  float64 // own tokens in its memory; those sent since its last report
+	slow           fading  // observed time against its kind's pace, less one
+	streams        int
+	waiting        int  // own attempts out that have not begun to answer
+	fails          int  // bad signs in a row
+	quiet          Time // last sign of life, or the send that ended idleness
+	suspectUntil   Time // suspect until its trial at this time; 0: not suspect
+	lost           Time // when it could last not be reached; 0: it always could
+	creditsGivenAt Time // up to when its credits have accrued
+	creditsLapseAt Time // when those in coldCredits lapse
+	coldCredits    int  // credits for single sends while it is in slow start
+	load           Load
+	loadAt         Time
 }
 
 // turnedAway is the part of a writer's memory that stands for its having had no room; of other servers it is
@@ -93,7 +93,7 @@
 	if s.role != RoleWrite {
 		return 0
 	}
-	return s.ghost.value(now, ghostFade) / s.memory
+	return s.abandoned.value(now, abandonedFade) / s.memory
 }
 
 // fading is a value that decays towards zero with time.
@@ -169,9 +169,9 @@
 	}
 }
 
-// borne is what own requests had done a second by each unit of warmth there. Memory of a gateway that has begun
+// perWarmth is what own requests had done a second by each unit of warmth there. Memory of a gateway that has begun
 // just now reaches back to that, not further.
-func (st *stage) borne(now, born Time) float64 {
+func (st *stage) perWarmth(now, born Time) float64 {
 	known := 1 - math.Exp(-math.Max(after(born, now).Seconds(), 1)/rateMemory.Seconds())
 	return math.Max(0, st.did.value(now, rateMemory)) / rateMemory.Seconds() / known
 }
@@ -366,11 +366,11 @@
 	return g.set.ColdShare + (1-g.set.ColdShare)*math.Max(float64(age), 0)/float64(g.set.WarmWithin)
 }
 
-// missed notes that the server could not be reached, if it could not be before as well. Rights do not gather
+// missed notes that the server could not be reached, if it could not be before as well. Credits do not accrue
 // meanwhile, beyond a moment.
 func (s *server) missed(now Time, unreachable bool, moment time.Duration) {
 	if unreachable && s.fails > 1 {
-		s.lost, s.coldAt = now, max(s.coldAt, now-Time(moment))
+		s.lost, s.creditsGivenAt = now, max(s.creditsGivenAt, now-Time(moment))
 	}
 }
 
--- a/logic/writers.go
+++ b/logic/writers.go
@@ -9,8 +9,8 @@
 // pickWriter takes the writer of the reader's cell with the lowest memory share, if it has room; else
 // the best one elsewhere; if none has room, the near one with fewest own streams.
 func (g *Gateway) pickWriter(r *request) *server {
-	// Where own streams tell little, the press of the cell's writers goes wherever there is most room.
-	roam := g.rng.Float64() < g.unseen*(1-1/r.reader.press)
+	// Where own streams tell little, the pressure on the cell's writers goes wherever there is most room.
+	roam := g.rng.Float64() < g.unseen*(1-1/r.reader.writerPressure)
 	return g.pick(r, func(s *server) (class int, cost float64) {
 		near, scale := s.Cell == r.reader.Cell, g.scale(s)
 		share := (g.share(s) + r.memory/s.memory) * scale
