--- a/cmd/lichenplot/main.go
+++ b/cmd/lichenplot/main.go
@@ -8,7 +8,7 @@
 
 	"github.com/urfave/cli/v3"
 
-	"lichenshelf/fleet/trail"
+	"lichenshelf/fleet/eventlog"
 	"lichenshelf/internal/plots"
 )
 
@@ -27,7 +27,7 @@
 				if c.Args().Len() == 0 {
 					return fmt.Errorf("lag takes DIR..., one directory for each router")
 				}
-				trails, err := trail.ReadAll(c.Args().Slice())
+				trails, err := eventlog.ReadAll(c.Args().Slice())
 				if err != nil {
 					return fmt.Errorf("lag: %w", err)
 				}
--- a/fleet/agent/config.go
+++ b/fleet/agent/config.go
@@ -8,7 +8,7 @@
 
 	"lichenshelf/conffile"
 	"lichenshelf/fleet/node"
-	"lichenshelf/fleet/shift"
+	"lichenshelf/fleet/solver"
 	"lichenshelf/fleet/traffic"
 	"lichenshelf/fleet/zone"
 )
@@ -89,14 +89,14 @@
 // zones is the node's part of the file; false where no zones are listed.
 func (c *Config) zones() (node.ZoneConfig, bool) {
 	n, s := len(c.Zones), &c.Shift
-	z := node.ZoneConfig{Safe: s.Safe, Capacity: map[string]shift.Zone{}, Terms: traffic.Terms{Fresh: s.Fresh.Duration, Fade: s.Fade.Duration, Spill: s.Spill},
+	z := node.ZoneConfig{Safe: s.Safe, Capacity: map[string]solver.Zone{}, Terms: traffic.Terms{Fresh: s.Fresh.Duration, Fade: s.Fade.Duration, Spill: s.Spill},
 		Pace: traffic.Pace{Every: s.Every.Duration, Up: s.Up, Back: s.Back, Band: band, Burst: mapsBurst, PerMin: s.PerMin, Reserve: reserve},
 		Judge: zone.Config{Least: s.Least, Failing: s.Failing, Lost: s.Lost, Strain: s.Safe, Confirm: s.Confirm.Duration, Hold: s.Hold.Duration,
 			Return: s.Return.Duration, Trial: s.Trial}}
 	at := map[string]int{}
 	for i, l := range c.Zones {
 		z.Judge.Zones, at[l.Name] = append(z.Judge.Zones, l.Name), i
-		z.Capacity[l.Name] = shift.Zone{Read: l.Read, Write: l.Write}
+		z.Capacity[l.Name] = solver.Zone{Read: l.Read, Write: l.Write}
 		far, room := make([]float64, n), make([]float64, n)
 		for j := range n {
 			if j != i {
--- a/fleet/agent/witness.go
+++ b/fleet/agent/observer.go
@@ -10,7 +10,7 @@
 	"lichenshelf/fleet/attempts"
 	"lichenshelf/fleet/counts"
 	"lichenshelf/fleet/node"
-	"lichenshelf/fleet/verdict"
+	"lichenshelf/fleet/outlier"
 	"lichenshelf/logic"
 	"lichenshelf/router"
 )
@@ -150,15 +150,15 @@
 }
 
 // Watch returns a transport that sends by t and notes what becomes of each attempt.
-func (f *Front) Watch(t router.Transport) router.Transport { return &witness{t, f} }
+func (f *Front) Watch(t router.Transport) router.Transport { return &observer{t, f} }
 
-type witness struct {
+type observer struct {
 	router.Transport
 	front *Front
 }
 
 // Send implements router.Transport.
-func (w *witness) Send(at router.Attempt, sink router.Sink) func() <-chan struct{} {
+func (w *observer) Send(at router.Attempt, sink router.Sink) func() <-chan struct{} {
 	s := &watched{Sink: sink, agent: w.front.agent, front: w.front, prompt: at.Request.PromptTokens, worker: at.Worker.Name, since: at.Worker.Since()}
 	s.agent.mu.Lock()
 	s.work = w.front.part.Work(s.worker, &at.Request.Request)
@@ -262,12 +262,12 @@
 	if !says {
 		return
 	}
-	if s.front.trail != nil && fault != verdict.None {
+	if s.front.trail != nil && fault != outlier.None {
 		s.front.trail.Failed(s.worker, int64(s.since), s.request, fault.String())
 	}
 	s.agent.mu.Lock()
 	s.agent.node.Observe(s.worker, int64(s.since), fault, s.agent.now())
-	s.agent.node.ZoneTried(s.front.zones.of[s.worker].zone, fault != verdict.None, s.agent.now())
+	s.agent.node.ZoneTried(s.front.zones.of[s.worker].zone, fault != outlier.None, s.agent.now())
 	s.agent.mu.Unlock()
 }
 
--- a/fleet/agent/zones.go
+++ b/fleet/agent/zones.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"lichenshelf/fleet/node"
-	"lichenshelf/fleet/shift"
+	"lichenshelf/fleet/solver"
 	"lichenshelf/fleet/traffic"
 	"lichenshelf/logic"
 	"lichenshelf/router"
@@ -147,7 +147,7 @@
 	Map     *traffic.Map `json:"map"`
 	AgeS    float64      `json:"age_s"`  // since it was renewed
 	Shares  []float64    `json:"shares"` // of this router's traffic
-	Best    *shift.Plan  `json:"best"`   // what the map moves towards
+	Best    *solver.Plan `json:"best"`   // what the map moves towards
 }
 
 // ZoneLine is one zone.
@@ -186,7 +186,7 @@
 }
 
 // dry is where traffic would go without a zone.
-func (a *Agent) dry(zone string) (*shift.Plan, bool) {
+func (a *Agent) dry(zone string) (*solver.Plan, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	p, err := a.node.ZoneDry(zone)
--- a/fleet/audit/record.go
+++ b/fleet/audit/record.go
@@ -2,7 +2,7 @@
 // kept what they had said. It goes by versions and by what one router did after another
 // thing, not by wall clocks, which may be an hour apart.
 //
-// The package does no I/O. What it reads is written by fleet/trail.
+// The package does no I/O. What it reads is written by fleet/eventlog.
 package audit
 
 import (
--- a/fleet/trail/archive_test.go
+++ b/fleet/eventlog/archive_test.go
@@ -1,4 +1,4 @@
-package trail
+package eventlog
 
 import (
 	"archive/tar"
--- a/fleet/trail/trail.go
+++ b/fleet/eventlog/eventlog.go
@@ -1,11 +1,11 @@
-// Package trail keeps the records of one router on disk: what it took, acknowledged, refused
+// Package eventlog keeps the records of one router on disk: what it took, acknowledged, refused
 // and sent under which version (fleet/audit says what they mean).
 //
 // Records are appended to segments of bounded size, the oldest of which go. Each has its
 // length and an XXH3 checksum, so that a torn tail, a flipped byte and a cut are found and
 // named. Nothing waits for the disk: a record that finds the writer behind is dropped and
 // counted, and a disk that is full or gone stops nothing but the trail.
-package trail
+package eventlog
 
 import (
 	"bufio"
--- a/fleet/node/node.go
+++ b/fleet/node/node.go
@@ -20,7 +20,7 @@
 	"lichenshelf/fleet/budget"
 	"lichenshelf/fleet/counts"
 	"lichenshelf/fleet/members"
-	"lichenshelf/fleet/verdict"
+	"lichenshelf/fleet/outlier"
 	"lichenshelf/fleet/version"
 	"lichenshelf/logic"
 )
@@ -38,7 +38,7 @@
 	To      string              `cbor:"5,keyasint"`
 	Members *members.Message    `cbor:"10,keyasint,omitempty"`
 	Budget  []budget.Message    `cbor:"11,keyasint,omitempty"`
-	Judged  []verdict.Judgement `cbor:"12,keyasint,omitempty"` // of the sender and passed on
+	Judged  []outlier.Judgement `cbor:"12,keyasint,omitempty"` // of the sender and passed on
 	Counts  *counts.State       `cbor:"13,keyasint,omitempty"`
 	Acts    version.Vector      `cbor:"14,keyasint,omitempty"` // what the sender acts on, with Members
 	Zones   *ZoneNews           `cbor:"15,keyasint,omitempty"` // the same
@@ -86,26 +86,26 @@
 
 // Node is one router's part.
 type Node struct {
-	cfg     Config
-	names   []string
-	ledger  *budget.Ledger
-	members *members.View
-	court   *verdict.Court
-	board   *counts.Board
-	limits  map[string]float64
-	fronts  []*Front
-	states  map[string]members.State // as noticed last
-	parts   map[string]float64
-	fenced  bool
-	deaf    bool
-	rng     *rand.Rand
-	counted Time // when own work was told to others last
-	told    Time // when others' work was told here last
-	notices []Notice
-	acts    version.Vector // what is told to the others
-	said    map[string]said
-	texts   texts
-	zones   *zones // nil: traffic between zones is each router's own matter
+	cfg      Config
+	names    []string
+	ledger   *budget.Ledger
+	members  *members.View
+	outliers *outlier.Detector
+	work     *counts.Board
+	limits   map[string]float64
+	fronts   []*Front
+	states   map[string]members.State // as noticed last
+	parts    map[string]float64
+	fenced   bool
+	deaf     bool
+	rng      *rand.Rand
+	counted  Time // when own work was told to others last
+	told     Time // when others' work was told here last
+	notices  []Notice
+	acts     version.Vector // what is told to the others
+	said     map[string]said
+	texts    texts
+	zones    *zones // nil: traffic between zones is each router's own matter
 }
 
 // said is what another router said that it acts on.
@@ -152,11 +152,11 @@
 		DoubtFor: members.Patience(len(n.names), cfg.Period, cfg.Fanout, cfg.Digest)}, rng, members.Time(now)); err != nil {
 		return nil, err
 	}
-	if n.court, err = verdict.New(verdict.Config{Self: cfg.Self, Zones: cfg.Zones, Quorum: cfg.Quorum, MostOut: cfg.MostOut, Least: cfg.Least,
+	if n.outliers, err = outlier.New(outlier.Config{Self: cfg.Self, Zones: cfg.Zones, Quorum: cfg.Quorum, MostOut: cfg.MostOut, Least: cfg.Least,
 		Hold: cfg.Hold, Return: cfg.Return}, cfg.Life); err != nil {
 		return nil, err
 	}
-	n.board = counts.New(cfg.Self, n.names, cfg.Life, 2*max(cfg.Counts, time.Millisecond))
+	n.work = counts.New(cfg.Self, n.names, cfg.Life, 2*max(cfg.Counts, time.Millisecond))
 	return n, nil
 }
 
@@ -220,12 +220,12 @@
 			e.Zones = n.zones.tell(now)
 		}
 		if len(n.fronts) > 0 {
-			e.Judged = n.court.Tell(verdict.Time(now))
+			e.Judged = n.outliers.Tell(outlier.Time(now))
 		}
 	}
 	if len(n.fronts) > 0 && n.cfg.Counts > 0 && now-n.counted >= n.cfg.Counts && !n.fenced {
 		n.counted = now
-		state := n.board.Tell()
+		state := n.work.Tell()
 		left := n.cfg.Fanout
 		for _, i := range n.rng.Perm(len(n.names)) {
 			if left > 0 && n.names[i] != n.cfg.Self {
@@ -261,9 +261,9 @@
 			n.zones.hear(e.From, *e.Zones, now)
 		}
 	}
-	n.court.Receive(e.Judged, verdict.Time(now))
+	n.outliers.Receive(e.Judged, outlier.Time(now))
 	if e.Counts != nil {
-		n.board.Receive(*e.Counts, counts.Time(now))
+		n.work.Receive(*e.Counts, counts.Time(now))
 	}
 	answer := Envelope{From: n.cfg.Self, To: e.From}
 	if e.Wanted != nil && n.other(e.From) {
@@ -350,8 +350,8 @@
 	}
 	life := n.members.Life()
 	n.ledger.SetIncarnation(life)
-	n.court.SetLife(life)
-	n.board.SetLife(life)
+	n.outliers.SetLife(life)
+	n.work.SetLife(life)
 	if deaf := n.members.Deaf(members.Time(now)); deaf != n.deaf {
 		n.deaf = deaf
 		kind := Hears
@@ -476,29 +476,29 @@
 // Charge notes own work at a worker, sent or, if negative, done.
 func (n *Node) Charge(worker string, w counts.Work) {
 	if w != (counts.Work{}) {
-		n.board.Add(worker, w)
+		n.work.Add(worker, w)
 	}
 }
 
-// Observe notes how an own attempt at a worker of this incarnation ended; verdict.None is well.
-func (n *Node) Observe(worker string, since int64, f verdict.Fault, now Time) {
-	n.court.Observe(worker, since, f, verdict.Time(now))
+// Observe notes how an own attempt at a worker of this incarnation ended; outlier.None is well.
+func (n *Node) Observe(worker string, since int64, f outlier.Fault, now Time) {
+	n.outliers.Observe(worker, since, f, outlier.Time(now))
 }
 
 // FaultOf is what an attempt's end says of its worker. What was turned away or called off
 // says nothing.
-func FaultOf(s logic.Status) (f verdict.Fault, says bool) {
+func FaultOf(s logic.Status) (f outlier.Fault, says bool) {
 	switch s {
 	case logic.Served, logic.PromptRead:
-		return verdict.None, true
+		return outlier.None, true
 	case logic.ServerError:
-		return verdict.Errors, true
+		return outlier.Errors, true
 	case logic.ConnectionReset:
-		return verdict.Resets, true
+		return outlier.Resets, true
 	case logic.ConnectFailed:
-		return verdict.Connect, true
+		return outlier.Connect, true
 	}
-	return verdict.None, false
+	return outlier.None, false
 }
 
 // Told is what the others have at a worker, as the decisions take it.
@@ -511,17 +511,17 @@
 // get all, and, where it is due, what there is to tell of others' work, by front. The lists are
 // those of the fronts, in their order.
 func (n *Node) Confer(lists [][]Line, now Time) (parts map[string]float64, told [][]Told) {
-	var workers []verdict.Worker
+	var workers []outlier.Worker
 	known := map[string]bool{}
 	for i, lines := range lists {
 		for _, l := range lines {
-			workers = append(workers, verdict.Worker{Name: l.Name, Since: l.Since, Kind: n.fronts[i].cfg.Name + strconv.Itoa(l.Kind), Zone: strconv.Itoa(l.Cell)})
+			workers = append(workers, outlier.Worker{Name: l.Name, Since: l.Since, Kind: n.fronts[i].cfg.Name + strconv.Itoa(l.Kind), Zone: strconv.Itoa(l.Cell)})
 			known[l.Name] = true
 		}
 	}
-	n.court.Judge(verdict.Time(now))
-	parts = n.court.Parts(workers, verdict.Time(now))
-	n.court.Keep(func(name string) bool { return known[name] })
+	n.outliers.Judge(outlier.Time(now))
+	parts = n.outliers.Parts(workers, outlier.Time(now))
+	n.outliers.Keep(func(name string) bool { return known[name] })
 	for _, name := range slices.Sorted(maps.Keys(parts)) {
 		if was, ok := n.parts[name]; parts[name] == 0 && (!ok || was > 0) {
 			n.notices = append(n.notices, Notice{Kind: WorkerOut, Name: name})
@@ -533,7 +533,7 @@
 		}
 	}
 	n.parts = parts
-	if n.cfg.Counts > 0 && now-n.told >= n.cfg.Counts && len(n.names) > 1 && (n.told > 0 || n.board.Heard(counts.Time(now)) > 0) {
+	if n.cfg.Counts > 0 && now-n.told >= n.cfg.Counts && len(n.names) > 1 && (n.told > 0 || n.work.Heard(counts.Time(now)) > 0) {
 		n.told = now
 		told = n.tell(lists, now)
 	}
@@ -542,7 +542,7 @@
 
 func (n *Node) tell(lists [][]Line, now Time) [][]Told {
 	peers := map[string]counts.Work{}
-	n.board.Peers(counts.Time(now), func(w string, v counts.Work) { peers[w] = v })
+	n.work.Peers(counts.Time(now), func(w string, v counts.Work) { peers[w] = v })
 	all := float64(len(n.names))
 	out := make([][]Told, len(lists))
 	for i, lines := range lists {
@@ -554,7 +554,7 @@
 			// The decisions take the peers' part of the read load that a worker reports, and all of its memory.
 			load := logic.Load{HasUnread: true, UnreadToken: peers[l.Name].Unread * all / (all - 1)}
 			if memory := f.kind(l.Kind).MemoryTokens; memory > 0 {
-				load.HasMemory, load.MemoryShare = true, (n.board.Own(l.Name).Held+peers[l.Name].Held)/memory
+				load.HasMemory, load.MemoryShare = true, (n.work.Own(l.Name).Held+peers[l.Name].Held)/memory
 			}
 			out[i] = append(out[i], Told{l.Server, load})
 		}
@@ -579,15 +579,15 @@
 
 // Worker tells what is known of one worker: the part of its traffic that it gets, who judges
 // it, and what the other routers have there.
-func (n *Node) Worker(name string, now Time) (part float64, k verdict.Case, peers counts.Work) {
+func (n *Node) Worker(name string, now Time) (part float64, k outlier.Case, peers counts.Work) {
 	part = 1
 	if p, ok := n.parts[name]; ok {
 		part = p
 	}
-	n.board.Peers(counts.Time(now), func(w string, v counts.Work) {
+	n.work.Peers(counts.Time(now), func(w string, v counts.Work) {
 		if w == name {
 			peers = v
 		}
 	})
-	return part, n.court.Case(name, verdict.Time(now)), peers
+	return part, n.outliers.Case(name, outlier.Time(now)), peers
 }
--- a/fleet/node/node_test.go
+++ b/fleet/node/node_test.go
@@ -14,7 +14,7 @@
 	"lichenshelf/fleet/budget"
 	"lichenshelf/fleet/counts"
 	"lichenshelf/fleet/members"
-	"lichenshelf/fleet/verdict"
+	"lichenshelf/fleet/outlier"
 	"lichenshelf/fleet/version"
 	"lichenshelf/logic"
 )
@@ -155,9 +155,9 @@
 	for range 4 {
 		for name, n := range f.nodes {
 			for i := range 4 {
-				fault := verdict.None
+				fault := outlier.None
 				if i == 0 && name != "r-2" {
-					fault = verdict.Errors
+					fault = outlier.Errors
 				}
 				n.Observe(fmt.Sprintf("w-%d", i), 0, fault, f.now)
 			}
@@ -173,8 +173,8 @@
 	require.NotEmpty(t, k.By)
 	f.run(20 * time.Second)
 	require.True(t, f.saw(WorkerBack, "w-0"))
-	for s, want := range map[logic.Status]verdict.Fault{logic.ServerError: verdict.Errors, logic.ConnectionReset: verdict.Resets,
-		logic.ConnectFailed: verdict.Connect, logic.Served: verdict.None} {
+	for s, want := range map[logic.Status]outlier.Fault{logic.ServerError: outlier.Errors, logic.ConnectionReset: outlier.Resets,
+		logic.ConnectFailed: outlier.Connect, logic.Served: outlier.None} {
 		got, says := FaultOf(s)
 		require.True(t, says)
 		require.Equal(t, want, got)
@@ -256,7 +256,7 @@
 				w := p.Work(name, q)
 				node.Charge(name, w)
 				node.Charge(name, counts.Work{Unread: -w.Unread, Held: -w.Held})
-				node.Observe(name, 0, verdict.None, now)
+				node.Observe(name, 0, outlier.None, now)
 			}
 		})
 	}
@@ -277,7 +277,7 @@
 					node.Receive(Envelope{From: s.Router, To: "r-0", Counts: &s}, f.now)
 				}
 				for i := range workers {
-					node.Observe(fmt.Sprintf("w-%d", i), 0, verdict.None, f.now)
+					node.Observe(fmt.Sprintf("w-%d", i), 0, outlier.None, f.now)
 				}
 				b.ReportAllocs()
 				for i := 0; b.Loop(); i++ {
--- a/fleet/node/zones.go
+++ b/fleet/node/zones.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"lichenshelf/fleet/members"
-	"lichenshelf/fleet/shift"
+	"lichenshelf/fleet/solver"
 	"lichenshelf/fleet/traffic"
 	"lichenshelf/fleet/zone"
 )
@@ -19,10 +19,10 @@
 	Judge    zone.Config // its Zones are those of the map
 	Terms    traffic.Terms
 	Pace     traffic.Pace
-	Safe     float64               // part of a zone's capacity up to which it is loaded while another one has room
-	Capacity map[string]shift.Zone // requests a second that a zone takes, with all of its workers warm
-	Far      [][]float64           // cost of distance, 0 to 1
-	Room     [][]float64           // requests a second between readers and writers; negative: not bounded
+	Safe     float64                // part of a zone's capacity up to which it is loaded while another one has room
+	Capacity map[string]solver.Zone // requests a second that a zone takes, with all of its workers warm
+	Far      [][]float64            // cost of distance, 0 to 1
+	Room     [][]float64            // requests a second between readers and writers; negative: not bounded
 }
 
 // ZoneNews is what one router tells of the zones.
@@ -57,18 +57,18 @@
 
 // zones is a node's part in the traffic between zones.
 type zones struct {
-	cfg    ZoneConfig
-	own    string
-	court  *zone.Court
-	step   *traffic.Stepper
-	keep   *traffic.Keeper
-	news   ZoneNews // of this router; counts as of at
-	at     Time
-	others map[string]heardZones
-	looked Time
-	states []zone.Verdict
-	plan   *shift.Plan // what the best would be, as it was found last
-	site   shift.Site  // from which
+	cfg     ZoneConfig
+	own     string
+	monitor *zone.Monitor
+	step    *traffic.Stepper
+	keep    *traffic.Keeper
+	news    ZoneNews // of this router; counts as of at
+	at      Time
+	others  map[string]heardZones
+	looked  Time
+	states  []zone.Verdict
+	plan    *solver.Plan // what the best would be, as it was found last
+	site    solver.Site  // from which
 }
 
 type heardZones struct {
@@ -85,7 +85,7 @@
 	}
 	z := &zones{cfg: cfg, own: own, at: now, others: map[string]heardZones{}}
 	var err error
-	if z.court, err = zone.New(cfg.Judge, zone.Time(now)); err != nil {
+	if z.monitor, err = zone.New(cfg.Judge, zone.Time(now)); err != nil {
 		return err
 	}
 	if z.step, err = traffic.NewStepper(cfg.Pace, traffic.Time(now)); err != nil {
@@ -94,11 +94,11 @@
 	if z.keep, err = traffic.NewKeeper(cfg.Terms, own); err != nil {
 		return err
 	}
-	site := shift.Site{Far: cfg.Far, Room: cfg.Room, Safe: cfg.Safe}
+	site := solver.Site{Far: cfg.Far, Room: cfg.Room, Safe: cfg.Safe}
 	for _, name := range cfg.Judge.Zones {
 		site.Zones = append(site.Zones, cfg.Capacity[name])
 	}
-	if _, err := shift.Solve(site, nil); err != nil {
+	if _, err := solver.Solve(site, nil); err != nil {
 		return err
 	}
 	z.news = ZoneNews{Tried: map[string]float64{}, Bad: map[string]float64{}, Up: map[string]float64{}, Ops: map[string]ZoneOp{}}
@@ -246,7 +246,7 @@
 	if current == nil {
 		current = z.nearest()
 	}
-	site := shift.Site{Far: z.cfg.Far, Room: z.cfg.Room, Safe: z.cfg.Safe, Seen: make([][]bool, len(all))}
+	site := solver.Site{Far: z.cfg.Far, Room: z.cfg.Room, Safe: z.cfg.Safe, Seen: make([][]bool, len(all))}
 	takes := make([]float64, len(all))
 	for i, name := range all {
 		part := 1.0 // nobody has told of its workers yet
@@ -266,12 +266,12 @@
 			site.Seen[i][j] = true
 		}
 	}
-	z.states = z.court.Judge(view, zone.Time(now))
+	z.states = z.monitor.Judge(view, zone.Time(now))
 	aim := traffic.Aim{Load: load, Bears: make([]float64, len(all)), Level: make([]float64, len(all)), By: n.cfg.Self}
 	for i, v := range z.states {
 		c := z.cfg.Capacity[v.Zone]
-		site.Zones = append(site.Zones, shift.Zone{Read: c.Read * takes[i] * v.Level, Write: c.Write * takes[i] * v.Level})
-		site.Demand = append(site.Demand, shift.Demand{Entry: i, Load: load[i], Worth: 1})
+		site.Zones = append(site.Zones, solver.Zone{Read: c.Read * takes[i] * v.Level, Write: c.Write * takes[i] * v.Level})
+		site.Demand = append(site.Demand, solver.Demand{Entry: i, Load: load[i], Worth: 1})
 		aim.Level[i] = v.Level
 		aim.Bears[i] = math.Max(0, site.Zones[i].Read-view.Capacities[v.Zone].Load)
 		for _, from := range v.Cut {
@@ -281,7 +281,7 @@
 			aim.Why += fmt.Sprintf("%s %s: %s; ", v.Zone, v.State, v.Why)
 		}
 	}
-	plan, err := shift.Solve(site, &shift.Plan{Read: current.Read})
+	plan, err := solver.Solve(site, &solver.Plan{Read: current.Read})
 	if err != nil {
 		return // checked at the start; capacities are parts of what was checked
 	}
@@ -368,7 +368,7 @@
 	States  []zone.Verdict
 	Map     *traffic.Map
 	Age     time.Duration
-	Best    *shift.Plan // what the map moves towards
+	Best    *solver.Plan // what the map moves towards
 	Decides bool
 	Shares  []float64 // of this router
 }
@@ -387,15 +387,15 @@
 }
 
 // ZoneDry tells where traffic would go if a zone were out, by what is known now.
-func (n *Node) ZoneDry(name string) (*shift.Plan, error) {
+func (n *Node) ZoneDry(name string) (*solver.Plan, error) {
 	z := n.zones
 	if z == nil || !slices.Contains(z.cfg.Judge.Zones, name) || len(z.site.Zones) == 0 {
 		return nil, fmt.Errorf("%w: %.64q", ErrNoZone, name)
 	}
 	site := z.site
 	site.Zones = slices.Clone(site.Zones)
-	site.Zones[slices.Index(z.cfg.Judge.Zones, name)] = shift.Zone{}
-	return shift.Solve(site, z.plan)
+	site.Zones[slices.Index(z.cfg.Judge.Zones, name)] = solver.Zone{}
+	return solver.Solve(site, z.plan)
 }
 
 // ZoneOut takes an operator's word that a zone is out, or back with false. A zone that is the last one that may be used is
--- a/fleet/verdict/verdict.go
+++ b/fleet/outlier/outlier.go
@@ -1,4 +1,4 @@
-// Package verdict takes workers out for a whole fleet of routers by agreement.
+// Package outlier takes workers out for a whole fleet of routers by agreement.
 //
 // Each router judges workers by what became of its own attempts there. Judgements and
 // what they rest on are passed on between routers, each for a stated time. A worker is
@@ -11,9 +11,9 @@
 // A router to which most workers look bad has a bad link itself, and judges nobody. One
 // that judges more workers than may be out is disregarded.
 //
-// The package does no I/O and starts nothing; the clock is an argument. A Court is not
+// The package does no I/O and starts nothing; the clock is an argument. A Detector is not
 // safe for concurrent use.
-package verdict
+package outlier
 
 import (
 	"cmp"
@@ -69,7 +69,7 @@
 }
 
 // ErrConfig is what a faulty Config wraps.
-var ErrConfig = errors.New("verdict")
+var ErrConfig = errors.New("outlier detection")
 
 func (c *Config) check() error {
 	_, self := c.Zones[c.Self]
@@ -109,8 +109,8 @@
 	Zone  string
 }
 
-// Court is one router's part in all judgements.
-type Court struct {
+// Detector is one router's part in all judgements.
+type Detector struct {
 	cfg      Config
 	life     uint64
 	seq      uint64
@@ -136,24 +136,24 @@
 	until Time
 }
 
-// New returns a court without evidence. The life grows with each start.
-func New(cfg Config, life uint64) (*Court, error) {
+// New returns a detector without evidence. The life grows with each start.
+func New(cfg Config, life uint64) (*Detector, error) {
 	if err := cfg.check(); err != nil {
 		return nil, err
 	}
-	return &Court{cfg: cfg, life: life, evidence: map[string]*evidence{}, words: map[string]map[string]*word{},
+	return &Detector{cfg: cfg, life: life, evidence: map[string]*evidence{}, words: map[string]map[string]*word{},
 		back: map[string]Time{}, out: map[string]bool{}}, nil
 }
 
 // SetLife tells that this process goes by a newer life: its judgements go by it from
 // the next one on, and those made before are made anew.
-func (c *Court) SetLife(life uint64) {
-	if life <= c.life {
+func (d *Detector) SetLife(life uint64) {
+	if life <= d.life {
 		return
 	}
-	c.life = life
-	for _, by := range c.words {
-		delete(by, c.cfg.Self)
+	d.life = life
+	for _, by := range d.words {
+		delete(by, d.cfg.Self)
 	}
 }
 
@@ -180,14 +180,14 @@
 }
 
 // Observe takes what became of an attempt at a worker; None says that it went well.
-func (c *Court) Observe(worker string, since int64, fault Fault, now Time) {
-	e := c.evidence[worker]
+func (d *Detector) Observe(worker string, since int64, fault Fault, now Time) {
+	e := d.evidence[worker]
 	if e == nil || e.since != since {
-		if e == nil && len(c.evidence) >= mostWorkers {
+		if e == nil && len(d.evidence) >= mostWorkers {
 			return
 		}
 		e = &evidence{since: since, at: now}
-		c.evidence[worker] = e
+		d.evidence[worker] = e
 	}
 	e.fade(now)
 	if fault == None {
@@ -198,16 +198,16 @@
 }
 
 // Keep drops what is known of workers that are not listed any more.
-func (c *Court) Keep(listed func(worker string) bool) {
-	maps.DeleteFunc(c.evidence, func(name string, _ *evidence) bool { return !listed(name) })
-	maps.DeleteFunc(c.words, func(name string, _ map[string]*word) bool { return !listed(name) })
-	maps.DeleteFunc(c.back, func(name string, _ Time) bool { return !listed(name) })
+func (d *Detector) Keep(listed func(worker string) bool) {
+	maps.DeleteFunc(d.evidence, func(name string, _ *evidence) bool { return !listed(name) })
+	maps.DeleteFunc(d.words, func(name string, _ map[string]*word) bool { return !listed(name) })
+	maps.DeleteFunc(d.back, func(name string, _ Time) bool { return !listed(name) })
 }
 
 // Judge renews the own judgements. It is to be called several times in a Hold.
-func (c *Court) Judge(now Time) {
+func (d *Detector) Judge(now Time) {
 	good, bad, looked, wrong := 0.0, 0.0, 0, 0
-	for _, e := range c.evidence {
+	for _, e := range d.evidence {
 		e.fade(now)
 		b, _ := e.sum()
 		good, bad = good+e.good, bad+b
@@ -219,70 +219,70 @@
 		}
 	}
 	// Where most look bad the fault is on this side.
-	own := looked > 2 && float64(wrong) > c.cfg.MostOut*float64(looked)
-	for _, name := range slices.Sorted(maps.Keys(c.evidence)) {
-		e := c.evidence[name]
+	own := looked > 2 && float64(wrong) > d.cfg.MostOut*float64(looked)
+	for _, name := range slices.Sorted(maps.Keys(d.evidence)) {
+		e := d.evidence[name]
 		b, most := e.sum()
 		n := e.good + b
 		usual := (bad - b) / math.Max(good+bad-n, 1)
-		w := c.words[name][c.cfg.Self]
+		w := d.words[name][d.cfg.Self]
 		held := w != nil && w.Fault != None && w.Since == e.since && now < w.until
 		switch {
 		case own || b < badPart*n:
 			if held && (own || n >= leastBad) {
-				c.say(name, e, None, b, now)
+				d.say(name, e, None, b, now)
 			}
 		case b < leastBad || b < timesUsual*usual*n:
-		case !held || w.until-now < Time(c.cfg.Hold)/2 || b > 1.5*w.Bad:
+		case !held || w.until-now < Time(d.cfg.Hold)/2 || b > 1.5*w.Bad:
 			if !held {
-				if now-e.until > Time(8*c.cfg.Hold) {
+				if now-e.until > Time(8*d.cfg.Hold) {
 					e.again = 0
 				}
 				e.again++
 			}
-			c.say(name, e, most, b, now)
+			d.say(name, e, most, b, now)
 		}
 	}
-	c.prune(now)
+	d.prune(now)
 }
 
 // say makes an own judgement. One that is made again and again holds for longer.
-func (c *Court) say(name string, e *evidence, fault Fault, bad float64, now Time) {
-	c.seq++
-	hold := c.cfg.Hold << min(max(e.again-1, 0), mostDoublings)
+func (d *Detector) say(name string, e *evidence, fault Fault, bad float64, now Time) {
+	d.seq++
+	hold := d.cfg.Hold << min(max(e.again-1, 0), mostDoublings)
 	e.until = now + Time(hold)
-	c.keep(&word{Judgement{name, e.since, c.cfg.Self, c.life, c.seq, fault, bad, e.good, 0}, e.until})
+	d.keep(&word{Judgement{name, e.since, d.cfg.Self, d.life, d.seq, fault, bad, e.good, 0}, e.until})
 }
 
-func (c *Court) keep(w *word) {
-	if c.words[w.Worker] == nil {
-		c.words[w.Worker] = map[string]*word{}
+func (d *Detector) keep(w *word) {
+	if d.words[w.Worker] == nil {
+		d.words[w.Worker] = map[string]*word{}
 	}
-	c.words[w.Worker][w.Origin] = w
+	d.words[w.Worker][w.Origin] = w
 }
 
-func (c *Court) prune(now Time) {
-	for name, by := range c.words {
+func (d *Detector) prune(now Time) {
+	for name, by := range d.words {
 		maps.DeleteFunc(by, func(_ string, w *word) bool { return now >= w.until })
 		if len(by) == 0 {
-			delete(c.words, name)
+			delete(d.words, name)
 		}
 	}
 }
 
 // Tell returns what a message to another router holds: the own judgements, and those
 // of others in turn.
-func (c *Court) Tell(now Time) []Judgement {
+func (d *Detector) Tell(now Time) []Judgement {
 	var own, others []Judgement
-	for _, name := range slices.Sorted(maps.Keys(c.words)) {
-		for _, origin := range slices.Sorted(maps.Keys(c.words[name])) {
-			w := c.words[name][origin]
+	for _, name := range slices.Sorted(maps.Keys(d.words)) {
+		for _, origin := range slices.Sorted(maps.Keys(d.words[name])) {
+			w := d.words[name][origin]
 			if now >= w.until {
 				continue
 			}
 			j := w.Judgement
 			j.LeftMs = uint32(time.Duration(w.until-now).Milliseconds()) + 1
-			if origin == c.cfg.Self {
+			if origin == d.cfg.Self {
 				own = append(own, j)
 			} else {
 				others = append(others, j)
@@ -293,35 +293,35 @@
 		if len(own) >= mostPassed {
 			break
 		}
-		own = append(own, others[(c.next+i)%len(others)])
+		own = append(own, others[(d.next+i)%len(others)])
 	}
-	c.next++
+	d.next++
 	return own[:min(len(own), mostPassed)]
 }
 
 // Receive takes others' judgements. What is malformed, holds too long, comes from a
 // stranger or is older than what is known is passed over.
-func (c *Court) Receive(list []Judgement, now Time) {
-	most := c.cfg.Hold << mostDoublings
+func (d *Detector) Receive(list []Judgement, now Time) {
+	most := d.cfg.Hold << mostDoublings
 	for _, j := range list[:min(len(list), mostPassed)] {
 		left := time.Duration(j.LeftMs) * time.Millisecond
-		_, known := c.cfg.Zones[j.Origin]
-		if !known || j.Origin == c.cfg.Self || j.Worker == "" || j.Fault > Silent || !(j.Bad >= 0 && j.Bad <= mostSeen) || !(j.Good >= 0 && j.Good <= mostSeen) ||
-			left <= 0 || left > most+time.Second || c.words[j.Worker] == nil && len(c.words) >= mostWorkers {
+		_, known := d.cfg.Zones[j.Origin]
+		if !known || j.Origin == d.cfg.Self || j.Worker == "" || j.Fault > Silent || !(j.Bad >= 0 && j.Bad <= mostSeen) || !(j.Good >= 0 && j.Good <= mostSeen) ||
+			left <= 0 || left > most+time.Second || d.words[j.Worker] == nil && len(d.words) >= mostWorkers {
 			continue
 		}
-		was := c.words[j.Worker][j.Origin]
+		was := d.words[j.Worker][j.Origin]
 		if was != nil && (j.Life < was.Life || j.Life == was.Life && j.Seq <= was.Seq) {
 			continue
 		}
-		c.keep(&word{j, now + Time(min(left, most))})
+		d.keep(&word{j, now + Time(min(left, most))})
 	}
 }
 
 // agreed is who judges a worker's present incarnation, and what went wrong for them.
-func (c *Court) agreed(w Worker, liars map[string]bool, now Time) (by []string, bad float64) {
-	for _, origin := range slices.Sorted(maps.Keys(c.words[w.Name])) {
-		if j := c.words[w.Name][origin]; j.Fault != None && j.Since == w.Since && now < j.until && !liars[origin] {
+func (d *Detector) agreed(w Worker, liars map[string]bool, now Time) (by []string, bad float64) {
+	for _, origin := range slices.Sorted(maps.Keys(d.words[w.Name])) {
+		if j := d.words[w.Name][origin]; j.Fault != None && j.Since == w.Since && now < j.until && !liars[origin] {
 			by = append(by, origin)
 			bad += j.Bad
 		}
@@ -330,25 +330,25 @@
 }
 
 // enough tells whether these routers may take a worker out for all.
-func (c *Court) enough(by []string) bool {
-	if len(by) < min(c.cfg.Quorum, len(c.cfg.Zones)) {
+func (d *Detector) enough(by []string) bool {
+	if len(by) < min(d.cfg.Quorum, len(d.cfg.Zones)) {
 		return false
 	}
 	zones := map[string]bool{}
-	for _, z := range c.cfg.Zones {
+	for _, z := range d.cfg.Zones {
 		zones[z] = true
 	}
 	mine := map[string]bool{}
 	for _, origin := range by {
-		mine[c.cfg.Zones[origin]] = true
+		mine[d.cfg.Zones[origin]] = true
 	}
 	return len(zones) < 2 || len(mine) > 1
 }
 
 // Parts tells which part of its traffic each worker gets that does not get all of it:
 // 0 for those that are out, more for those on their way back.
-func (c *Court) Parts(workers []Worker, now Time) map[string]float64 {
-	liars := c.liars(workers, now)
+func (d *Detector) Parts(workers []Worker, now Time) map[string]float64 {
+	liars := d.liars(workers, now)
 	type candidate struct {
 		Worker
 		by  int
@@ -359,7 +359,7 @@
 	for _, w := range workers {
 		kinds[w.Kind]++
 		zones[w.Zone]++
-		if by, bad := c.agreed(w, liars, now); c.enough(by) && bad >= c.cfg.Least {
+		if by, bad := d.agreed(w, liars, now); d.enough(by) && bad >= d.cfg.Least {
 			list = append(list, candidate{w, len(by), bad})
 		}
 	}
@@ -368,7 +368,7 @@
 	})
 	out, kindsOut, zonesOut := map[string]bool{}, map[string]int{}, map[string]int{}
 	for _, k := range list {
-		if kindsOut[k.Kind] < c.most(kinds[k.Kind]) && zonesOut[k.Zone] < c.most(zones[k.Zone]) {
+		if kindsOut[k.Kind] < d.most(kinds[k.Kind]) && zonesOut[k.Zone] < d.most(zones[k.Zone]) {
 			out[k.Name] = true
 			kindsOut[k.Kind]++
 			zonesOut[k.Zone]++
@@ -376,45 +376,45 @@
 	}
 	parts := map[string]float64{}
 	for _, w := range workers {
-		e := c.evidence[w.Name]
-		if c.out[w.Name] && !out[w.Name] {
-			c.back[w.Name] = now
+		e := d.evidence[w.Name]
+		if d.out[w.Name] && !out[w.Name] {
+			d.back[w.Name] = now
 			if e != nil { // what it did before it was out must not take it out again
 				e.good, e.bad = 0, [Silent + 1]float64{}
 			}
 		}
 		if out[w.Name] {
 			parts[w.Name] = 0
-			delete(c.back, w.Name)
-		} else if since, ok := c.back[w.Name]; ok {
-			step := 1 + int(returnSteps*float64(now-since)/math.Max(float64(c.cfg.Return), 1))
+			delete(d.back, w.Name)
+		} else if since, ok := d.back[w.Name]; ok {
+			step := 1 + int(returnSteps*float64(now-since)/math.Max(float64(d.cfg.Return), 1))
 			if step > returnSteps {
-				delete(c.back, w.Name)
+				delete(d.back, w.Name)
 			} else {
 				parts[w.Name] = float64(step) / (returnSteps + 1)
 			}
 		}
 	}
-	c.out = out
+	d.out = out
 	return parts
 }
 
 // most is how many of a group may be out.
-func (c *Court) most(group int) int { return int(c.cfg.MostOut * float64(group)) }
+func (d *Detector) most(group int) int { return int(d.cfg.MostOut * float64(group)) }
 
 // liars are routers that judge more workers than may ever be out.
-func (c *Court) liars(workers []Worker, now Time) map[string]bool {
+func (d *Detector) liars(workers []Worker, now Time) map[string]bool {
 	judged := map[string]int{}
 	for _, w := range workers {
-		for origin, j := range c.words[w.Name] {
-			if j.Fault != None && j.Since == w.Since && now < j.until && origin != c.cfg.Self {
+		for origin, j := range d.words[w.Name] {
+			if j.Fault != None && j.Since == w.Since && now < j.until && origin != d.cfg.Self {
 				judged[origin]++
 			}
 		}
 	}
 	liars := map[string]bool{}
 	for origin, n := range judged {
-		liars[origin] = n > max(1, c.most(len(workers)))
+		liars[origin] = n > max(1, d.most(len(workers)))
 	}
 	return liars
 }
@@ -429,15 +429,15 @@
 }
 
 // Case tells of one worker.
-func (c *Court) Case(worker string, now Time) Case {
-	k := Case{Worker: worker, Out: c.out[worker]}
-	if e := c.evidence[worker]; e != nil {
+func (d *Detector) Case(worker string, now Time) Case {
+	k := Case{Worker: worker, Out: d.out[worker]}
+	if e := d.evidence[worker]; e != nil {
 		e.fade(now)
 		k.Good = e.good
 		k.Bad, _ = e.sum()
 	}
-	for _, origin := range slices.Sorted(maps.Keys(c.words[worker])) {
-		if w := c.words[worker][origin]; now < w.until {
+	for _, origin := range slices.Sorted(maps.Keys(d.words[worker])) {
+		if w := d.words[worker][origin]; now < w.until {
 			j := w.Judgement
 			j.LeftMs = uint32(time.Duration(w.until - now).Milliseconds())
 			k.By = append(k.By, j)
--- a/fleet/verdict/verdict_test.go
+++ b/fleet/outlier/outlier_test.go
@@ -1,4 +1,4 @@
-package verdict
+package outlier
 
 import (
 	"fmt"
@@ -20,7 +20,7 @@
 	return c
 }
 
-func court(t require.TestingT, c Config) *Court {
+func detector(t require.TestingT, c Config) *Detector {
 	k, err := New(c, 1)
 	require.NoError(t, err)
 	return k
@@ -74,7 +74,7 @@
 			return append(out, say("r1", "w00", 1))
 		}(), false},
 	} {
-		c := court(t, config("r0", tc.zones...))
+		c := detector(t, config("r0", tc.zones...))
 		c.Receive(tc.words, now)
 		_, out := c.Parts(pool(10), now)["w00"]
 		require.Equal(t, tc.out, out, tc.name)
@@ -84,9 +84,9 @@
 // Own attempts make a judgement, which is spread, holds for its time, and comes back in steps; a new incarnation has it all.
 func TestOutAndBackInSteps(t *testing.T) {
 	now := Time(time.Hour)
-	a, b := court(t, config("r0", "x", "x")), court(t, config("r1", "x", "x"))
+	a, b := detector(t, config("r0", "x", "x")), detector(t, config("r1", "x", "x"))
 	for i := range 40 {
-		for _, c := range []*Court{a, b} {
+		for _, c := range []*Detector{a, b} {
 			c.Observe(fmt.Sprintf("w%02d", i%10), 1, map[bool]Fault{true: Errors}[i%10 == 3], now)
 		}
 	}
@@ -100,7 +100,7 @@
 	require.Len(t, k.By, 2)
 	again := pool(10)
 	again[3].Since = 2
-	require.NotContains(t, court(t, config("r0", "x", "x")).Parts(again, now), "w03")
+	require.NotContains(t, detector(t, config("r0", "x", "x")).Parts(again, now), "w03")
 	now += Time(3 * time.Second)
 	var steps []float64
 	for range 6 {
@@ -117,7 +117,7 @@
 // A process that goes by a newer life than it began with makes its judgements anew: others have dropped those of the old.
 func TestJudgementsGoByTheNewerLife(t *testing.T) {
 	now := Time(time.Hour)
-	a, b := court(t, config("r0", "x", "x")), court(t, config("r1", "x", "x"))
+	a, b := detector(t, config("r0", "x", "x")), detector(t, config("r1", "x", "x"))
 	a.Receive([]Judgement{{Worker: "w03", Since: 1, Origin: "r1", Life: 9, Seq: 50, LeftMs: 3000}}, now) // by its forerunner
 	for i := range 40 {
 		b.Observe(fmt.Sprintf("w%02d", i%10), 1, map[bool]Fault{true: Errors}[i%10 == 3], now)
@@ -134,7 +134,7 @@
 // A router to which most workers look bad has a bad link, and judges nobody.
 func TestBadLinkJudgesNobody(t *testing.T) {
 	now := Time(time.Hour)
-	c := court(t, config("r0", "x", "x"))
+	c := detector(t, config("r0", "x", "x"))
 	for i := range 100 {
 		c.Observe(fmt.Sprintf("w%02d", i%10), 1, map[bool]Fault{true: Connect}[i%10 < 6], now)
 	}
@@ -146,7 +146,7 @@
 func TestShareHoldsWhateverIsSaid(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := Time(time.Hour)
-		c := court(t, config("r0", "a", "b", "a", "b"))
+		c := detector(t, config("r0", "a", "b", "a", "b"))
 		workers := pool(rapid.IntRange(1, 30).Draw(t, "workers"))
 		for i := range workers {
 			workers[i].Kind = rapid.SampledFrom([]string{"read", "write"}).Draw(t, "kind")
@@ -194,15 +194,15 @@
 		for i := range n {
 			zones[i] = string(rune('a' + i%2))
 		}
-		courts := make([]*Court, n)
+		detectors := make([]*Detector, n)
 		alone, told := make([]Time, n), make([]Time, n)
 		for i := range n {
-			courts[i] = court(t, config(fmt.Sprintf("r%d", i), zones...))
+			detectors[i] = detector(t, config(fmt.Sprintf("r%d", i), zones...))
 		}
 		begin := Time(time.Hour)
 		for now := begin; now-begin < Time(most); now += Time(tick) {
 			left := 0
-			for i, c := range courts {
+			for i, c := range detectors {
 				if rng.Float64() < rate*tick.Seconds() {
 					w := rng.IntN(20)
 					c.Observe(fmt.Sprintf("w%02d", w), 1, map[bool]Fault{true: Errors}[w == 0], now)
@@ -219,7 +219,7 @@
 				}
 				if (now/Time(tick))%5 == 0 { // twice a second to two others
 					for range 2 {
-						courts[rng.IntN(n)].Receive(c.Tell(now), now)
+						detectors[rng.IntN(n)].Receive(c.Tell(now), now)
 					}
 				}
 			}
--- a/fleet/shift/flow.go
+++ b/fleet/solver/flow.go
@@ -1,4 +1,4 @@
-package shift
+package solver
 
 import "container/heap"
 
--- a/fleet/shift/shift.go
+++ b/fleet/solver/solver.go
@@ -1,4 +1,4 @@
-// Package shift finds where traffic goes: for each entry zone the parts that are read and answered in each zone, so that
+// Package solver finds where traffic goes: for each entry zone the parts that are read and answered in each zone, so that
 // it stays near while that is safe. It is an optimum, not a rule of thumb: first as little as possible is shed, and that of the
 // least worth; then as little as possible lies over the safe load; then readers and writers are as near as they can be, their
 // pairs together, since a read state over a link between zones is dear; then as little as possible moves from the map before.
@@ -7,7 +7,7 @@
 // successive shortest paths over whole units, so an answer is exact in units.
 //
 // The package does no I/O and starts nothing; the same input gives the same output.
-package shift
+package solver
 
 import (
 	"errors"
@@ -68,7 +68,7 @@
 }
 
 // ErrSite is what a faulty Site wraps.
-var ErrSite = errors.New("shift")
+var ErrSite = errors.New("traffic solver")
 
 const (
 	shedCost  = 1_000_000_000 // and as much again by worth
--- a/fleet/traffic/traffic_test.go
+++ b/fleet/traffic/traffic_test.go
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"lichenshelf/fleet/shift"
+	"lichenshelf/fleet/solver"
 	"lichenshelf/fleet/zone"
 )
 
@@ -90,21 +90,21 @@
 
 // world is zones with their load and capacity under a decider, in virtual time.
 type world struct {
-	t      require.TestingT
-	names  []string
-	load   []float64 // of each entry
-	real   []float64 // what each zone takes in truth; 0: lost
-	cfg    zone.Config
-	court  *zone.Court
-	step   *Stepper
-	pace   Pace
-	now    Map
-	at     Time
-	states []zone.Verdict
-	made   int
-	blind  map[[2]int]bool // links that are cut
-	served float64
-	asked  float64
+	t       require.TestingT
+	names   []string
+	load    []float64 // of each entry
+	real    []float64 // what each zone takes in truth; 0: lost
+	cfg     zone.Config
+	monitor *zone.Monitor
+	step    *Stepper
+	pace    Pace
+	now     Map
+	at      Time
+	states  []zone.Verdict
+	made    int
+	blind   map[[2]int]bool // links that are cut
+	served  float64
+	asked   float64
 }
 
 const look = 250 * time.Millisecond
@@ -118,7 +118,7 @@
 	w.cfg = zone.Config{Zones: w.names, Least: 5, Failing: 0.2, Lost: 0.8, Strain: 0.85, Confirm: second, Hold: 5 * second, Return: 20 * second, Trial: 0.05}
 	w.pace = Pace{Every: second, Up: 0.2, Back: 0.05, Band: 0.02, Burst: 12, PerMin: 20, Reserve: 4}
 	var err error
-	w.court, err = zone.New(w.cfg, zone.Time(w.at))
+	w.monitor, err = zone.New(w.cfg, zone.Time(w.at))
 	require.NoError(t, err)
 	w.step, err = NewStepper(w.pace, w.at)
 	require.NoError(t, err)
@@ -163,13 +163,13 @@
 		for z, name := range w.names {
 			view.Capacities[name] = zone.Capacity{Load: in[z], Now: w.real[z], Listed: w.real[z] > 0}
 		}
-		w.states = w.court.Judge(view, zone.Time(w.at))
-		site := shift.Site{Far: make([][]float64, n), Seen: make([][]bool, n), Safe: 0.8}
+		w.states = w.monitor.Judge(view, zone.Time(w.at))
+		site := solver.Site{Far: make([][]float64, n), Seen: make([][]bool, n), Safe: 0.8}
 		aim := Aim{Load: w.load, Why: "virtual", By: "r", Bears: make([]float64, n), Level: make([]float64, n)}
 		for z, v := range w.states {
 			capacity := v.Level * math.Max(w.real[z], 1)
-			site.Zones = append(site.Zones, shift.Zone{Read: capacity, Write: capacity})
-			site.Demand = append(site.Demand, shift.Demand{Entry: z, Load: w.load[z], Worth: 1})
+			site.Zones = append(site.Zones, solver.Zone{Read: capacity, Write: capacity})
+			site.Demand = append(site.Demand, solver.Demand{Entry: z, Load: w.load[z], Worth: 1})
 			aim.Level[z], aim.Bears[z] = v.Level, math.Max(capacity-in[z], 0)
 			site.Far[z], site.Seen[z] = make([]float64, n), make([]bool, n)
 			for o := range n {
@@ -188,7 +188,7 @@
 				}
 			}
 		}
-		plan, err := shift.Solve(site, &shift.Plan{Read: w.now.Read})
+		plan, err := solver.Solve(site, &solver.Plan{Read: w.now.Read})
 		require.NoError(w.t, err)
 		aim.Read, aim.Write = plan.Read, plan.Write
 		before := w.now
--- a/fleet/zone/zone.go
+++ b/fleet/zone/zone.go
@@ -8,7 +8,7 @@
 // A lost zone gets nothing, so nothing more is learnt of it. After a hold, which doubles each time soon after the last, and
 // once its workers are listed, it returns with a trial, and from there by a ramp as long as what comes back is good.
 //
-// The package does no I/O and starts nothing; the clock is an argument. A Court is not safe for concurrent use.
+// The package does no I/O and starts nothing; the clock is an argument. A Monitor is not safe for concurrent use.
 package zone
 
 import (
@@ -129,22 +129,22 @@
 	everWasLost bool
 }
 
-// Court judges all zones.
-type Court struct {
+// Monitor judges all zones.
+type Monitor struct {
 	cfg   Config
 	zones map[string]*record
 }
 
-// New returns a court to which all zones are healthy.
-func New(cfg Config, now Time) (*Court, error) {
+// New returns a monitor to which all zones are healthy.
+func New(cfg Config, now Time) (*Monitor, error) {
 	if err := cfg.check(); err != nil {
 		return nil, err
 	}
-	c := &Court{cfg: cfg, zones: map[string]*record{}}
+	m := &Monitor{cfg: cfg, zones: map[string]*record{}}
 	for _, z := range cfg.Zones {
-		c.zones[z] = &record{since: now, at: now, level: 1}
+		m.zones[z] = &record{since: now, at: now, level: 1}
 	}
-	return c, nil
+	return m, nil
 }
 
 // looks is what sights say of one zone, by the zone that they are from.
@@ -154,25 +154,25 @@
 	share               float64 // that goes wrong, over all
 }
 
-func (c *Court) looks(v View, of string) (l looks) {
+func (m *Monitor) looks(v View, of string) (l looks) {
 	l.of = of
 	tried, bad := map[string]float64{}, map[string]float64{}
 	allTried, allBad := 0.0, 0.0
 	for _, s := range v.Sights {
-		if s.Of == of && s.Tried > 0 && s.Bad >= 0 && s.Bad <= s.Tried && c.zones[s.From] != nil {
+		if s.Of == of && s.Tried > 0 && s.Bad >= 0 && s.Bad <= s.Tried && m.zones[s.From] != nil {
 			tried[s.From] += s.Tried
 			bad[s.From] += s.Bad
 		}
 	}
 	for _, from := range slices.Sorted(maps.Keys(tried)) {
-		if tried[from] < c.cfg.Least {
+		if tried[from] < m.cfg.Least {
 			continue
 		}
 		allTried, allBad = allTried+tried[from], allBad+bad[from]
 		switch share := bad[from] / tried[from]; {
-		case share >= c.cfg.Lost:
+		case share >= m.cfg.Lost:
 			l.lost = append(l.lost, from)
-		case share >= c.cfg.Failing:
+		case share >= m.cfg.Failing:
 			l.failing = append(l.failing, from)
 		default:
 			l.well = append(l.well, from)
@@ -209,11 +209,11 @@
 
 // Judge takes what is known and returns what each zone is, in the order of the Config. It is to be called several times in a
 // Confirm.
-func (c *Court) Judge(v View, now Time) []Verdict {
-	out := make([]Verdict, 0, len(c.cfg.Zones))
-	for _, name := range c.cfg.Zones {
-		r, l := c.zones[name], c.looks(v, name)
-		c.step(r, &l, v.Capacities[name], v.Out[name], now)
+func (m *Monitor) Judge(v View, now Time) []Verdict {
+	out := make([]Verdict, 0, len(m.cfg.Zones))
+	for _, name := range m.cfg.Zones {
+		r, l := m.zones[name], m.looks(v, name)
+		m.step(r, &l, v.Capacities[name], v.Out[name], now)
 		verdict := Verdict{Zone: name, State: r.state, Level: r.level, Since: r.since, Why: r.why}
 		if r.state != Lost { // else all are without it
 			verdict.Cut = l.cut()
@@ -230,7 +230,7 @@
 	r.why = why
 }
 
-func (c *Court) step(r *record, l *looks, k Capacity, out bool, now Time) {
+func (m *Monitor) step(r *record, l *looks, k Capacity, out bool, now Time) {
 	elapsed := time.Duration(now - r.at)
 	r.at = now
 	worst, why := l.worst()
@@ -240,17 +240,17 @@
 		r.level, r.worse = 0, Healthy
 		return
 	case r.state == Out:
-		c.back(r, "an operator gave it back", now)
+		m.back(r, "an operator gave it back", now)
 		return
 	}
 	if worst == Healthy || r.worse != worst && r.worse != Lost {
 		r.worseSince = now
 	}
 	r.worse = worst
-	confirmed := worst != Healthy && now-r.worseSince >= Time(c.cfg.Confirm)
+	confirmed := worst != Healthy && now-r.worseSince >= Time(m.cfg.Confirm)
 	switch {
 	case confirmed && worst == Lost && r.state != Lost:
-		if r.everWasLost && now-r.lostAt < Time(forgetAfter*(c.cfg.Hold<<mostDoublings)) {
+		if r.everWasLost && now-r.lostAt < Time(forgetAfter*(m.cfg.Hold<<mostDoublings)) {
 			r.times = min(r.times+1, mostDoublings)
 		} else {
 			r.times = 0
@@ -258,8 +258,8 @@
 		r.lostAt, r.everWasLost, r.level = now, true, 0
 		r.become(Lost, why, now)
 	case r.state == Lost:
-		if now-r.since >= Time(c.cfg.Hold<<r.times) && k.Listed {
-			c.back(r, "its hold is over and its workers are listed", now)
+		if now-r.since >= Time(m.cfg.Hold<<r.times) && k.Listed {
+			m.back(r, "its hold is over and its workers are listed", now)
 		}
 	case confirmed && worst == Failing:
 		r.level = min(r.level, 1-l.share)
@@ -269,14 +269,14 @@
 			r.become(Returning, "what comes back is good again", now)
 		}
 		if worst == Healthy {
-			r.level = min(1, r.level+elapsed.Seconds()/c.cfg.Return.Seconds()*(1-c.cfg.Trial))
+			r.level = min(1, r.level+elapsed.Seconds()/m.cfg.Return.Seconds()*(1-m.cfg.Trial))
 		}
 		if r.level >= 1 {
 			r.become(Healthy, "", now)
 		}
 	case r.state == Healthy || r.state == Strained:
 		r.level = 1
-		if sane := k.Now > 0 && k.Load >= 0; sane && k.Load > c.cfg.Strain*k.Now {
+		if sane := k.Now > 0 && k.Load >= 0; sane && k.Load > m.cfg.Strain*k.Now {
 			r.become(Strained, fmt.Sprintf("it has %.3g of %.3g", k.Load, k.Now), now)
 		} else {
 			r.become(Healthy, "", now)
@@ -284,7 +284,7 @@
 	}
 }
 
-func (c *Court) back(r *record, why string, now Time) {
-	r.level, r.worse, r.worseSince = c.cfg.Trial, Healthy, now
+func (m *Monitor) back(r *record, why string, now Time) {
+	r.level, r.worse, r.worseSince = m.cfg.Trial, Healthy, now
 	r.become(Returning, why, now)
 }
--- a/fleet/zone/zone_test.go
+++ b/fleet/zone/zone_test.go
@@ -22,7 +22,7 @@
 type world struct {
 	t   require.TestingT
 	cfg Config
-	c   *Court
+	c   *Monitor
 	now Time
 	bad map[[2]string]float64
 	v   View
--- a/internal/cli/audit.go
+++ b/internal/cli/audit.go
@@ -14,7 +14,7 @@
 	"github.com/urfave/cli/v3"
 
 	"lichenshelf/fleet/audit"
-	"lichenshelf/fleet/trail"
+	"lichenshelf/fleet/eventlog"
 )
 
 // errBreach makes the exit code of a check that found something.
@@ -27,7 +27,7 @@
 			if c.Args().Len() <= own {
 				return fmt.Errorf("audit %s takes %sDIR..., one directory for each router", name, args)
 			}
-			trails, err := trail.ReadAll(c.Args().Slice()[own:])
+			trails, err := eventlog.ReadAll(c.Args().Slice()[own:])
 			if err != nil {
 				return fmt.Errorf("audit %s: %w", name, err)
 			}
--- a/internal/cli/collect.go
+++ b/internal/cli/collect.go
@@ -13,7 +13,7 @@
 
 	"github.com/urfave/cli/v3"
 
-	"lichenshelf/fleet/trail"
+	"lichenshelf/fleet/eventlog"
 )
 
 // defaultCollect is how long one router's trail may take to come.
@@ -51,7 +51,7 @@
 func collect(ctx context.Context, c *cli.Command, addr, dir string) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.Duration("timeout"))
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/v1/fleet/trail", nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/v1/fleet/eventlog", nil)
 	if err != nil {
 		return 0, err
 	}
@@ -72,7 +72,7 @@
 	if err := os.RemoveAll(part); err != nil {
 		return 0, err
 	}
-	n, err := trail.Unpack(resp.Body, part, c.Int64("bytes"))
+	n, err := eventlog.Unpack(resp.Body, part, c.Int64("bytes"))
 	if err != nil {
 		return n, err
 	}
--- a/internal/cli/zone.go
+++ b/internal/cli/zone.go
@@ -13,7 +13,7 @@
 	"github.com/urfave/cli/v3"
 
 	"lichenshelf/fleet/agent"
-	"lichenshelf/fleet/shift"
+	"lichenshelf/fleet/solver"
 )
 
 // zoneCommand looks at the traffic between zones at a running router, and takes zones out and back.
@@ -99,7 +99,7 @@
 
 func showPlan(zone string) func(io.Writer, []byte) error {
 	return func(w io.Writer, text []byte) error {
-		var p shift.Plan
+		var p solver.Plan
 		if err := json.Unmarshal(text, &p); err != nil {
 			return err
 		}
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -10,8 +10,8 @@
 	"lichenshelf/cordon"
 	"lichenshelf/downstream"
 	"lichenshelf/fleet/agent"
+	"lichenshelf/fleet/eventlog"
 	"lichenshelf/fleet/node"
-	"lichenshelf/fleet/trail"
 	"lichenshelf/front/console"
 	"lichenshelf/front/modelapi"
 	"lichenshelf/logic"
@@ -84,7 +84,7 @@
 	}
 	f.acts.trail.Flush()
 	r, w := io.Pipe()
-	go func() { _ = w.CloseWithError(trail.Archive(f.acts.dir, w)) }()
+	go func() { _ = w.CloseWithError(eventlog.Archive(f.acts.dir, w)) }()
 	return r, true
 }
 
--- a/internal/daemon/trail.go
+++ b/internal/daemon/trail.go
@@ -11,7 +11,7 @@
 	"lichenshelf/fleet/agent"
 	"lichenshelf/fleet/audit"
 	"lichenshelf/fleet/budget"
-	"lichenshelf/fleet/trail"
+	"lichenshelf/fleet/eventlog"
 	"lichenshelf/fleet/version"
 )
 
@@ -22,8 +22,8 @@
 type acts struct {
 	mu       sync.Mutex
 	versions *version.Tracker
-	trail    *trail.Writer // nil: none is kept
-	dir      string        // where it is
+	trail    *eventlog.Writer // nil: none is kept
+	dir      string           // where it is
 	log      logrus.FieldLogger
 	tell     func(version.Vector) // the other routers; nil: nobody
 }
@@ -33,7 +33,7 @@
 	if cfg.Trail == "" {
 		return nil
 	}
-	w, err := trail.Open(trail.Config{Dir: filepath.Join(cfg.Trail, cfg.Self), Router: cfg.Self, Life: life, Bytes: cfg.TrailMax, Count: d.counters})
+	w, err := eventlog.Open(eventlog.Config{Dir: filepath.Join(cfg.Trail, cfg.Self), Router: cfg.Self, Life: life, Bytes: cfg.TrailMax, Count: d.counters})
 	if err != nil {
 		return err
 	}
@@ -166,7 +166,7 @@
 }
 
 // recorder implements agent.Recorder on a trail.
-type recorder struct{ *trail.Writer }
+type recorder struct{ *eventlog.Writer }
 
 // Failed implements agent.Recorder.
 func (r recorder) Failed(worker string, since int64, request, how string) {
--- a/lab/virtual/virtual.go
+++ b/lab/virtual/virtual.go
@@ -17,8 +17,8 @@
 	"lichenshelf/fleet/counts"
 	"lichenshelf/fleet/link"
 	"lichenshelf/fleet/node"
+	"lichenshelf/fleet/outlier"
 	"lichenshelf/fleet/traffic"
-	"lichenshelf/fleet/verdict"
 	"lichenshelf/lab/engine"
 	"lichenshelf/lab/load"
 	"lichenshelf/logic"
@@ -677,7 +677,7 @@
 		if fault, says := node.FaultOf(status); says {
 			r.node.Observe(at.name, at.since, fault, w.now)
 			if w.cfg.Zones != nil {
-				r.node.ZoneTried(w.cfg.Zones.Judge.Zones[w.cfg.Site.Servers[at.server].Zone], fault != verdict.None, w.now)
+				r.node.ZoneTried(w.cfg.Zones.Judge.Zones[w.cfg.Site.Servers[at.server].Zone], fault != outlier.None, w.now)
 			}
 		}
 	}
--- a/lab/virtual/virtual_test.go
+++ b/lab/virtual/virtual_test.go
@@ -9,7 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"lichenshelf/fleet/node"
-	"lichenshelf/fleet/shift"
+	"lichenshelf/fleet/solver"
 	"lichenshelf/fleet/traffic"
 	"lichenshelf/fleet/zone"
 	"lichenshelf/lab/demo"
@@ -249,12 +249,12 @@
 func mapped(cfg Config) Config {
 	cfg.Fleet = terms()
 	cfg.Fleet.MostOut = 0 // what goes out by agreement on single workers is another matter
-	zones := node.ZoneConfig{Safe: 0.8, Capacity: map[string]shift.Zone{}, Terms: traffic.Terms{Fresh: 5 * time.Second, Fade: 20 * time.Second, Spill: 0.2},
+	zones := node.ZoneConfig{Safe: 0.8, Capacity: map[string]solver.Zone{}, Terms: traffic.Terms{Fresh: 5 * time.Second, Fade: 20 * time.Second, Spill: 0.2},
 		Judge: zone.Config{Zones: []string{"a", "b", "c"}, Least: 3, Failing: 0.2, Lost: 0.8, Strain: 0.8, Confirm: time.Second, Hold: 5 * time.Second,
 			Return: 5 * time.Second, Trial: 0.1},
 		Pace: traffic.Pace{Every: time.Second, Up: 0.5, Back: 0.2, Band: 0.02, Burst: 12, PerMin: 20, Reserve: 4}}
 	for i, name := range zones.Judge.Zones {
-		zones.Capacity[name] = shift.Zone{Read: 37, Write: 37}
+		zones.Capacity[name] = solver.Zone{Read: 37, Write: 37}
 		far, room := []float64{0.5, 0.5, 0.5}, []float64{-1, -1, -1}
 		far[i] = 0
 		zones.Far, zones.Room = append(zones.Far, far), append(zones.Room, room)
--- a/test/audit_test.go
+++ b/test/audit_test.go
@@ -14,7 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"lichenshelf/fleet/audit"
-	"lichenshelf/fleet/trail"
+	"lichenshelf/fleet/eventlog"
 	"lichenshelf/internal/plots"
 	relay "lichenshelf/internal/standin/link"
 	"lichenshelf/lab/demo"
@@ -61,7 +61,7 @@
 	}
 	eventually(t, func() bool { // on a busy machine that may take longer
 		for _, r := range l.layout.Routers {
-			tr, err := trail.Read(filepath.Join(dir, r.Name))
+			tr, err := eventlog.Read(filepath.Join(dir, r.Name))
 			if err == nil && slices.ContainsFunc(tr.Entries, func(e audit.Entry) bool { return e.Kind == audit.Borrowed }) {
 				return true
 			}
@@ -85,7 +85,7 @@
 	live, err := command(t, append([]string{"audit", "lag"}, copied...)...)
 	require.NoError(t, err, live)
 	require.Contains(t, live, "versions behind at most")
-	trails, err := trail.ReadAll(copied)
+	trails, err := eventlog.ReadAll(copied)
 	require.NoError(t, err)
 	require.NoError(t, plots.Lag(trails, picture))
 	drawn, err := os.ReadFile(picture)
@@ -100,7 +100,7 @@
 	}
 	outs, loans := 0, map[audit.Kind]int{}
 	for _, d := range dirs {
-		tr, err := trail.Read(d)
+		tr, err := eventlog.Read(d)
 		require.NoError(t, err)
 		for _, e := range tr.Entries {
 			switch e.Kind {
@@ -130,15 +130,15 @@
 	t.Logf("%v of trails of %d routers", time.Since(began), n)
 
 	// What is done to a trail shows.
-	names, err := trail.Segments(dirs[0])
+	names, err := eventlog.Segments(dirs[0])
 	require.NoError(t, err)
 	whole, err := os.ReadFile(names[0])
 	require.NoError(t, err)
-	tr, err := trail.Read(dirs[0])
+	tr, err := eventlog.Read(dirs[0])
 	require.NoError(t, err)
 	require.Greater(t, len(tr.Entries), 12)
 	from, to := tr.Entries[5].Offset, tr.Entries[6].Offset
-	late, err := trail.Encode(audit.Record{Seq: tr.Entries[len(tr.Entries)-1].Seq + 1, Kind: audit.Sent, Worker: "reader-0",
+	late, err := eventlog.Encode(audit.Record{Seq: tr.Entries[len(tr.Entries)-1].Seq + 1, Kind: audit.Sent, Worker: "reader-0",
 		Since: outOf(tr, "reader-0").Since, Number: lastNumber(tr), At: time.Hour, Until: time.Hour + time.Second, Count: 1})
 	require.NoError(t, err)
 	for what, text := range map[string][]byte{
--- a/test/lab_test.go
+++ b/test/lab_test.go
@@ -21,7 +21,7 @@
 
 	"lichenshelf/fleet/link"
 	"lichenshelf/fleet/members"
-	"lichenshelf/fleet/verdict"
+	"lichenshelf/fleet/outlier"
 	relay "lichenshelf/internal/standin/link"
 	"lichenshelf/lab/demo"
 	"lichenshelf/lab/emulator"
@@ -246,9 +246,9 @@
 	go tongue.Run(t.Context())
 	go func() {
 		for seq := uint64(1); t.Context().Err() == nil; seq++ {
-			var all []verdict.Judgement
+			var all []outlier.Judgement
 			for _, s := range demo.Site().Servers {
-				all = append(all, verdict.Judgement{Worker: s.Name, Origin: l.layout.Routers[liar].Name, Life: 1, Seq: seq, Fault: verdict.Errors,
+				all = append(all, outlier.Judgement{Worker: s.Name, Origin: l.layout.Routers[liar].Name, Life: 1, Seq: seq, Fault: outlier.Errors,
 					Bad: 500, LeftMs: 2000})
 			}
 			for _, p := range peers {
--- a/test/straggler_test.go
+++ b/test/straggler_test.go
@@ -21,7 +21,7 @@
 	"github.com/stretchr/testify/require"
 
 	"lichenshelf/fleet/audit"
-	"lichenshelf/fleet/trail"
+	"lichenshelf/fleet/eventlog"
 	relay "lichenshelf/internal/standin/link"
 	"lichenshelf/lab/history"
 	"lichenshelf/store"
@@ -91,7 +91,7 @@
 func (f *followers) end(i int) audit.Trail {
 	f.routers[i].signal(syscall.SIGTERM)
 	f.routers[i].waitExit()
-	t, err := trail.Read(filepath.Join(f.trails, f.names[i]))
+	t, err := eventlog.Read(filepath.Join(f.trails, f.names[i]))
 	require.NoError(f.t, err)
 	return t
 }
@@ -176,7 +176,7 @@
 	}
 	eventually(t, func() bool {
 		require.Equal(t, 200, f.ask(0))
-		live, err := trail.Read(filepath.Join(f.trails, f.names[0]))
+		live, err := eventlog.Read(filepath.Join(f.trails, f.names[0]))
 		return err == nil && took(live)
 	}, "it goes by version 2")
 	out, err = f.command(1, "show")
