Large files split by job: connections, attempts, fronts of a node, virtual routers

Change: lab/virtual: virtual (the run), queue, router, exchange; downstream: listener, conn, linger; upstream: client, attempt, arrival; fleet/node: node, front, notices, workers.

Measured: the sorted lines of each package are the same before and after but for a space; vet and staticcheck clean; tests of lab, upstream and fleet/node green.

--- a/fleet/node/node.go
+++ b/fleet/node/node.go
@@ -22,7 +22,6 @@
 	"lichenshelf/fleet/members"
 	"lichenshelf/fleet/outlier"
 	"lichenshelf/fleet/version"
-	"lichenshelf/logic"
 )
 
 // Time is a reading of the caller's monotonic clock from an arbitrary start. It must go
@@ -119,9 +118,6 @@
 	mostPart  = 512 // bytes of a part's name
 )
 
-// NoticeKind says what has changed.
-type NoticeKind uint8
-
 // What may change.
 const (
 	Fenced        NoticeKind = iota // another process goes on under this name
@@ -132,12 +128,6 @@
 	WorkerBack                      // worker Name comes back
 )
 
-// Notice is one change, for a log.
-type Notice struct {
-	Kind          NoticeKind
-	Name, Is, Was string
-}
-
 // New returns a node that has heard of nobody.
 func New(cfg Config, rng *rand.Rand, now Time) (*Node, error) {
 	n := &Node{cfg: cfg, rng: rng, limits: map[string]float64{}, states: map[string]members.State{}, said: map[string]said{}, texts: newTexts()}
@@ -341,227 +331,11 @@
 	return newest, times[len(times)-need], true
 }
 
-// notice looks for what has changed.
-func (n *Node) notice(now Time) {
-	if n.members.Fenced() && !n.fenced {
-		n.fenced = true
-		n.ledger.Fence()
-		n.notices = append(n.notices, Notice{Kind: Fenced, Name: n.cfg.Self})
-	}
-	life := n.members.Life()
-	n.ledger.SetIncarnation(life)
-	n.outliers.SetLife(life)
-	n.work.SetLife(life)
-	if deaf := n.members.Deaf(members.Time(now)); deaf != n.deaf {
-		n.deaf = deaf
-		kind := Hears
-		if deaf {
-			kind = Deaf
-		}
-		n.notices = append(n.notices, Notice{Kind: kind, Name: n.cfg.Self})
-	}
-	for _, r := range n.members.Routers(members.Time(now)) {
-		was, ok := n.states[r.Name]
-		n.states[r.Name] = r.State
-		if ok && r.State != was {
-			n.notices = append(n.notices, Notice{RouterChanged, r.Name, r.State.String(), was.String()})
-		}
-	}
-}
-
-// Notices returns what has changed since it was asked last.
-func (n *Node) Notices() []Notice {
-	out := n.notices
-	n.notices = nil
-	return out
-}
-
-// FrontConfig says whose workers are shared.
-type FrontConfig struct {
-	Name     string
-	Settings logic.Settings
-	Reports  bool     // workers report their load themselves, others' part in it: it is not told twice
-	Zones    []string // names of the zones that workers' lines number; nil: none are known
-}
-
-// Front is one front's part.
-type Front struct {
-	cfg   FrontConfig
-	node  *Node
-	rules *attempts.Rules
-	kinds map[string]int // by worker
-	fresh float64        // part of a prompt that is not found kept, lately
-}
-
-// Line is a worker as a front's list names it.
-type Line struct {
-	Name       string
-	Server     logic.ServerID
-	Since      int64 // wall clock of its latest start in nanoseconds; 0: long ago
-	Kind, Cell int
-	Zone       int
-	Gone       bool
-}
-
-// Front lets a front's workers be judged together with the other routers, and its
-// attempts be spent from what all share.
-func (n *Node) Front(cfg FrontConfig, now Time) *Front {
-	f := &Front{cfg: cfg, node: n, kinds: map[string]int{}, fresh: 1, rules: attempts.New(attempts.Config{Front: cfg.Name,
-		RepeatsPerSecond: n.cfg.Repeats, ColdPerSecond: n.cfg.Cold, WarmWithin: cfg.Settings.WarmWithin})}
-	if n.cfg.Repeats > 0 {
-		n.SetLimits(f.rules.Repeats(), map[string]float64{f.rules.Repeats(): n.cfg.Repeats}, now)
-	}
-	n.fronts = append(n.fronts, f)
-	return f
-}
-
-// Listed takes a list of workers, whole or changes to it. It is to be called before the
-// decisions hear of it: a cold worker's budget is there then.
-func (f *Front) Listed(lines []Line, whole bool, wall int64, now Time) {
-	if whole {
-		clear(f.kinds)
-	}
-	list := make([]attempts.Worker, len(lines))
-	for i, l := range lines {
-		list[i] = attempts.Worker{Name: l.Name, Since: l.Since, Gone: l.Gone}
-		f.kinds[l.Name] = l.Kind
-		if l.Gone {
-			delete(f.kinds, l.Name)
-		}
-	}
-	if f.rules.Listed(list, whole, wall, attempts.Time(now)) {
-		limits, _ := f.rules.Cold(attempts.Time(now))
-		f.node.SetLimits(f.rules.Prefix(), limits, now)
-	}
-}
-
-// Allow spends an attempt from the budgets that it concerns; repeat tells that the one
-// before it failed.
-func (f *Front) Allow(worker string, repeat bool, now Time) attempts.Refusal {
-	return f.rules.Spend(worker, repeat, attempts.Time(now), func(key string) bool { return f.node.Spend(key, 1, now) })
-}
-
 const (
 	answerPart = 0.3  // guess of an answer's length as part of its limit
 	keptWeight = 0.05 // of one read in the mean of what is found kept
 )
 
-// Work is what an attempt puts on its worker.
-func (f *Front) Work(worker string, r *logic.Request) counts.Work {
-	w := counts.Work{Held: r.PromptTokens + answerPart*r.MaxTokens}
-	switch k := f.kind(f.kinds[worker]); k.Role {
-	case logic.RoleRead:
-		return counts.Work{Unread: f.fresh * r.PromptTokens}
-	case logic.RoleBoth:
-		w.Unread = f.fresh * r.PromptTokens
-	}
-	return w
-}
-
-// Kept notes how much of a prompt was found kept where it was read: no more than the rest
-// of it is a load.
-func (f *Front) Kept(prompt, kept float64) {
-	if prompt > 0 {
-		f.fresh += keptWeight * (min(max(1-kept/prompt, 0), 1) - f.fresh)
-	}
-}
-
-func (f *Front) kind(i int) logic.Kind {
-	if i < len(f.cfg.Settings.Kinds) {
-		return f.cfg.Settings.Kinds[i]
-	}
-	return logic.Kind{Role: logic.RoleBoth}
-}
-
-// Charge notes own work at a worker, sent or, if negative, done.
-func (n *Node) Charge(worker string, w counts.Work) {
-	if w != (counts.Work{}) {
-		n.work.Add(worker, w)
-	}
-}
-
-// Observe notes how an own attempt at a worker of this incarnation ended; outlier.None is well.
-func (n *Node) Observe(worker string, since int64, f outlier.Fault, now Time) {
-	n.outliers.Observe(worker, since, f, outlier.Time(now))
-}
-
-// FaultOf is what an attempt's end says of its worker. What was turned away or called off
-// says nothing.
-func FaultOf(s logic.Status) (f outlier.Fault, says bool) {
-	switch s {
-	case logic.Served, logic.PromptRead:
-		return outlier.None, true
-	case logic.ServerError:
-		return outlier.Errors, true
-	case logic.ConnectionReset:
-		return outlier.Resets, true
-	case logic.ConnectFailed:
-		return outlier.Connect, true
-	}
-	return outlier.None, false
-}
-
-// Told is what the others have at a worker, as the decisions take it.
-type Told struct {
-	Server logic.ServerID
-	Load   logic.Load
-}
-
-// Confer judges anew. It returns the part of its traffic that each worker gets that does not
-// get all, and, where it is due, what there is to tell of others' work, by front. The lists are
-// those of the fronts, in their order.
-func (n *Node) Confer(lists [][]Line, now Time) (parts map[string]float64, told [][]Told) {
-	var workers []outlier.Worker
-	known := map[string]bool{}
-	for i, lines := range lists {
-		for _, l := range lines {
-			workers = append(workers, outlier.Worker{Name: l.Name, Since: l.Since, Kind: n.fronts[i].cfg.Name + strconv.Itoa(l.Kind), Zone: strconv.Itoa(l.Cell)})
-			known[l.Name] = true
-		}
-	}
-	n.outliers.Judge(outlier.Time(now))
-	parts = n.outliers.Parts(workers, outlier.Time(now))
-	n.outliers.Keep(func(name string) bool { return known[name] })
-	for _, name := range slices.Sorted(maps.Keys(parts)) {
-		if was, ok := n.parts[name]; parts[name] == 0 && (!ok || was > 0) {
-			n.notices = append(n.notices, Notice{Kind: WorkerOut, Name: name})
-		}
-	}
-	for _, name := range slices.Sorted(maps.Keys(n.parts)) {
-		if part, ok := parts[name]; n.parts[name] == 0 && (!ok || part > 0) {
-			n.notices = append(n.notices, Notice{Kind: WorkerBack, Name: name})
-		}
-	}
-	n.parts = parts
-	if n.cfg.Counts > 0 && now-n.told >= n.cfg.Counts && len(n.names) > 1 && (n.told > 0 || n.work.Heard(counts.Time(now)) > 0) {
-		n.told = now
-		told = n.tell(lists, now)
-	}
-	return parts, told
-}
-
-func (n *Node) tell(lists [][]Line, now Time) [][]Told {
-	peers := map[string]counts.Work{}
-	n.work.Peers(counts.Time(now), func(w string, v counts.Work) { peers[w] = v })
-	all := float64(len(n.names))
-	out := make([][]Told, len(lists))
-	for i, lines := range lists {
-		f := n.fronts[i]
-		if f.cfg.Reports {
-			continue
-		}
-		for _, l := range lines {
-			// The decisions take the peers' part of the read load that a worker reports, and all of its memory.
-			load := logic.Load{HasUnread: true, UnreadToken: peers[l.Name].Unread * all / (all - 1)}
-			if memory := f.kind(l.Kind).MemoryTokens; memory > 0 {
-				load.HasMemory, load.MemoryShare = true, (n.work.Own(l.Name).Held+peers[l.Name].Held)/memory
-			}
-			out[i] = append(out[i], Told{l.Server, load})
-		}
-	}
-	return out
-}
-
 // View is what this router knows of the others.
 type View struct {
 	Life         uint64
@@ -576,18 +350,3 @@
 
 // Budgets tells what may be spent.
 func (n *Node) Budgets(now Time) []budget.View { return n.ledger.Views(budget.Time(now)) }
-
-// Worker tells what is known of one worker: the part of its traffic that it gets, who judges
-// it, and what the other routers have there.
-func (n *Node) Worker(name string, now Time) (part float64, k outlier.Case, peers counts.Work) {
-	part = 1
-	if p, ok := n.parts[name]; ok {
-		part = p
-	}
-	n.work.Peers(counts.Time(now), func(w string, v counts.Work) {
-		if w == name {
-			peers = v
-		}
-	})
-	return part, n.outliers.Case(name, outlier.Time(now)), peers
-}
--- /dev/null
+++ b/fleet/node/workers.go
@@ -0,0 +1,115 @@
+package node
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+
+	"lichenshelf/fleet/counts"
+	"lichenshelf/fleet/outlier"
+	"lichenshelf/logic"
+)
+
+// Charge notes own work at a worker, sent or, if negative, done.
+func (n *Node) Charge(worker string, w counts.Work) {
+	if w != (counts.Work{}) {
+		n.work.Add(worker, w)
+	}
+}
+
+// Observe notes how an own attempt at a worker of this incarnation ended; outlier.None is well.
+func (n *Node) Observe(worker string, since int64, f outlier.Fault, now Time) {
+	n.outliers.Observe(worker, since, f, outlier.Time(now))
+}
+
+// FaultOf is what an attempt's end says of its worker. What was turned away or called off
+// says nothing.
+func FaultOf(s logic.Status) (f outlier.Fault, says bool) {
+	switch s {
+	case logic.Served, logic.PromptRead:
+		return outlier.None, true
+	case logic.ServerError:
+		return outlier.Errors, true
+	case logic.ConnectionReset:
+		return outlier.Resets, true
+	case logic.ConnectFailed:
+		return outlier.Connect, true
+	}
+	return outlier.None, false
+}
+
+// Told is what the others have at a worker, as the decisions take it.
+type Told struct {
+	Server logic.ServerID
+	Load   logic.Load
+}
+
+// Confer judges anew. It returns the part of its traffic that each worker gets that does not
+// get all, and, where it is due, what there is to tell of others' work, by front. The lists are
+// those of the fronts, in their order.
+func (n *Node) Confer(lists [][]Line, now Time) (parts map[string]float64, told [][]Told) {
+	var workers []outlier.Worker
+	known := map[string]bool{}
+	for i, lines := range lists {
+		for _, l := range lines {
+			workers = append(workers, outlier.Worker{Name: l.Name, Since: l.Since, Kind: n.fronts[i].cfg.Name + strconv.Itoa(l.Kind), Zone: strconv.Itoa(l.Cell)})
+			known[l.Name] = true
+		}
+	}
+	n.outliers.Judge(outlier.Time(now))
+	parts = n.outliers.Parts(workers, outlier.Time(now))
+	n.outliers.Keep(func(name string) bool { return known[name] })
+	for _, name := range slices.Sorted(maps.Keys(parts)) {
+		if was, ok := n.parts[name]; parts[name] == 0 && (!ok || was > 0) {
+			n.notices = append(n.notices, Notice{Kind: WorkerOut, Name: name})
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(n.parts)) {
+		if part, ok := parts[name]; n.parts[name] == 0 && (!ok || part > 0) {
+			n.notices = append(n.notices, Notice{Kind: WorkerBack, Name: name})
+		}
+	}
+	n.parts = parts
+	if n.cfg.Counts > 0 && now-n.told >= n.cfg.Counts && len(n.names) > 1 && (n.told > 0 || n.work.Heard(counts.Time(now)) > 0) {
+		n.told = now
+		told = n.tell(lists, now)
+	}
+	return parts, told
+}
+
+func (n *Node) tell(lists [][]Line, now Time) [][]Told {
+	peers := map[string]counts.Work{}
+	n.work.Peers(counts.Time(now), func(w string, v counts.Work) { peers[w] = v })
+	all := float64(len(n.names))
+	out := make([][]Told, len(lists))
+	for i, lines := range lists {
+		f := n.fronts[i]
+		if f.cfg.Reports {
+			continue
+		}
+		for _, l := range lines {
+			// The decisions take the peers' part of the read load that a worker reports, and all of its memory.
+			load := logic.Load{HasUnread: true, UnreadToken: peers[l.Name].Unread * all / (all - 1)}
+			if memory := f.kind(l.Kind).MemoryTokens; memory > 0 {
+				load.HasMemory, load.MemoryShare = true, (n.work.Own(l.Name).Held+peers[l.Name].Held)/memory
+			}
+			out[i] = append(out[i], Told{l.Server, load})
+		}
+	}
+	return out
+}
+
+// Worker tells what is known of one worker: the part of its traffic that it gets, who judges
+// it, and what the other routers have there.
+func (n *Node) Worker(name string, now Time) (part float64, k outlier.Case, peers counts.Work) {
+	part = 1
+	if p, ok := n.parts[name]; ok {
+		part = p
+	}
+	n.work.Peers(counts.Time(now), func(w string, v counts.Work) {
+		if w == name {
+			peers = v
+		}
+	})
+	return part, n.outliers.Case(name, outlier.Time(now)), peers
+}
--- /dev/null
+++ b/lab/virtual/exchange.go
@@ -0,0 +1,274 @@
+package virtual
+
+import (
+	"fmt"
+	"time"
+
+	"lichenshelf/fleet/attempts"
+	"lichenshelf/fleet/counts"
+	"lichenshelf/fleet/node"
+	"lichenshelf/fleet/outlier"
+	"lichenshelf/fleet/traffic"
+	"lichenshelf/lab/engine"
+	"lichenshelf/lab/load"
+	"lichenshelf/logic"
+)
+
+// exchange is one request in hand.
+type exchange struct {
+	of       *gateway
+	id       logic.RequestID
+	job      engine.Job
+	arrived  time.Duration
+	sends    int
+	reads    int
+	readIn   int // the zone of the latest read
+	class    int
+	attempt  *attempt
+	last     logic.Status
+	closed   bool
+	answered bool
+}
+
+type attempt struct {
+	number int
+	server logic.ServerID
+	name   string
+	since  int64
+	sent   time.Duration
+	work   counts.Work
+}
+
+func (r *gateway) arrive(q load.Request) {
+	w := r.w
+	r.last++
+	ex := &exchange{of: r, id: r.last, arrived: w.now, class: q.Class, last: logic.NotSent, job: engine.Job{ID: fmt.Sprintf("%s-%d", r.name, r.last),
+		Prefix: q.Prefix, Session: q.Session, PrefixTokens: q.PrefixTokens, PromptTokens: q.PromptTokens, AnswerTokens: q.AnswerTokens}}
+	r.open[ex.id] = ex
+	w.jobs[ex.job.ID] = ex
+	w.second(w.now).Asked++
+	if r.node != nil {
+		r.node.ZoneArrived(w.now)
+	}
+	if w.now >= w.cfg.Warm {
+		w.Result.Asked++
+	}
+	r.push(logic.Event{Kind: logic.Arrived, Request: logic.Request{ID: ex.id, Class: q.Class, Session: logic.Key(q.Session), Prefix: logic.Key(q.Prefix),
+		PromptTokens: q.PromptTokens, PrefixTokens: q.PrefixTokens, MaxTokens: 2 * float64(q.AnswerTokens), Patience: w.cfg.Patience}})
+	r.run()
+}
+
+func (r *gateway) do(a logic.Action) {
+	w := r.w
+	if a.Kind == logic.SetTimer {
+		w.after(a.After, func() {
+			r.push(logic.Event{Kind: logic.TimerFired, Token: a.Token})
+			r.run()
+		})
+		return
+	}
+	ex := r.open[a.ID]
+	if ex == nil {
+		return
+	}
+	switch a.Kind {
+	case logic.Send:
+		r.send(ex, a.Server, a.After)
+	case logic.CallOff:
+		if at := ex.attempt; at != nil && at.number == a.Attempt && !ex.answered {
+			r.end(ex, at, logic.Cancelled, 0)
+		}
+	case logic.Refuse:
+		r.close(ex, &w.Result.Refused)
+	case logic.Fail:
+		r.close(ex, &w.Result.Failed)
+	case logic.Release:
+		w.after(w.cfg.Hop, func() { w.Site.Release(ex.job.ID) })
+	}
+}
+
+func (r *gateway) close(ex *exchange, counter *int) {
+	if ex.closed {
+		return
+	}
+	ex.closed = true
+	if ex.arrived >= r.w.cfg.Warm {
+		*counter++
+	}
+	r.forget(ex)
+}
+
+func (r *gateway) forget(ex *exchange) {
+	if ex.closed && ex.attempt == nil {
+		r.w.after(0, func() {
+			if ex.attempt == nil {
+				delete(r.open, ex.id)
+				delete(r.w.jobs, ex.job.ID)
+			}
+		})
+	}
+}
+
+func (r *gateway) send(ex *exchange, server logic.ServerID, wait time.Duration) {
+	w := r.w
+	at := &attempt{number: ex.sends, server: server, name: r.lines[server].Name, since: r.lines[server].Since, sent: w.now}
+	if r.front != nil {
+		switch r.front.Allow(at.name, ex.sends > 0 && ex.last != logic.PromptRead, w.now) {
+		case attempts.TooCold:
+			ex.sends++
+			r.report(ex, at, logic.Full, 0)
+			return
+		case attempts.Repeats:
+			r.report(ex, at, logic.NotSent, 0)
+			return
+		}
+		at.work = r.front.Work(at.name, &logic.Request{PromptTokens: ex.job.PromptTokens, MaxTokens: 2 * float64(ex.job.AnswerTokens)})
+		r.node.Charge(at.name, at.work)
+	}
+	if w.now >= w.cfg.Warm {
+		w.Result.Sent++
+		w.Result.At[at.name]++
+		if ex.sends > 0 && ex.last != logic.PromptRead {
+			w.Result.Repeats++
+		}
+	}
+	spec := w.cfg.Site.Servers[server]
+	if reads := w.cfg.Site.Kinds[spec.Kind].Role != logic.RoleWrite; reads {
+		r.balance.Sent(spec.Zone, spec.Zone+1, traffic.Time(w.now))
+		ex.readIn = spec.Zone
+		if s := w.second(ex.arrived); ex.reads == 0 && ex.sends == 0 && spec.Zone == r.zone {
+			s.Near++
+		} else if ex.reads == 0 && ex.sends == 0 {
+			s.Far++
+		}
+	} else if ex.readIn != spec.Zone && w.now >= w.cfg.Warm {
+		w.Result.Moved += ex.job.PromptTokens
+	}
+	ex.sends++
+	ex.attempt = at
+	w.after(wait, func() { r.end(ex, at, logic.TimedOut, 0) })
+	w.after(w.cfg.Hop, func() {
+		if ex.attempt != at {
+			return
+		}
+		w.settle()
+		w.Result.Arrivals[at.name] = append(w.Result.Arrivals[at.name], w.now)
+		says := w.Site.Arrive(at.name, ex.job, w.now)
+		w.look()
+		if says == engine.Taken {
+			return
+		}
+		w.after(w.cfg.Hop, func() {
+			switch says {
+			case engine.Full:
+				r.end(ex, at, logic.Full, 0)
+			case engine.NoState:
+				r.end(ex, at, logic.Full, 1)
+			case engine.Failed:
+				r.end(ex, at, logic.ServerError, 0)
+			case engine.Unheard:
+				r.end(ex, at, logic.ConnectFailed, 0)
+			}
+		})
+	})
+}
+
+// happened takes a server's event, a hop later.
+func (r *gateway) happened(ex *exchange, e engine.Event) {
+	at := ex.attempt
+	if at == nil || at.name != e.Server {
+		return
+	}
+	r.w.after(r.w.cfg.Hop, func() {
+		if ex.attempt != at {
+			return
+		}
+		switch e.Kind {
+		case engine.Read:
+			r.end(ex, at, logic.PromptRead, uint32(e.Kept))
+		case engine.First:
+			r.started(ex, at)
+		case engine.Done:
+			r.end(ex, at, logic.Served, uint32(e.Kept))
+		case engine.Lost:
+			r.end(ex, at, logic.ConnectionReset, 0)
+		}
+	})
+}
+
+func (r *gateway) started(ex *exchange, at *attempt) {
+	w := r.w
+	ex.answered, ex.closed = true, true
+	c := w.cfg.Settings.Classes[ex.class]
+	if w.now-ex.arrived <= c.Aim+time.Duration(float64(c.AimPer1000)*ex.job.PromptTokens/1000) {
+		w.second(ex.arrived).InTime++
+	} else if ex.arrived >= w.cfg.Warm {
+		w.Result.Late++
+	}
+	if ex.arrived >= w.cfg.Warm {
+		_ = w.Result.First.RecordValue(max((w.now - ex.arrived).Microseconds(), 1))
+	}
+	r.charge(at, counts.Work{Unread: at.work.Unread})
+	r.push(logic.Event{Kind: logic.AnswerStarted, ID: ex.id, Attempt: at.number, Server: at.server, Latency: w.now - at.sent})
+	r.run()
+}
+
+// charge takes work off the board.
+func (r *gateway) charge(at *attempt, done counts.Work) {
+	if r.node != nil {
+		r.node.Charge(at.name, counts.Work{Unread: -done.Unread, Held: -done.Held})
+	}
+	at.work.Unread -= done.Unread
+	at.work.Held -= done.Held
+}
+
+// end takes the first of the ways in which an attempt ends.
+func (r *gateway) end(ex *exchange, at *attempt, status logic.Status, kept uint32) {
+	w := r.w
+	if ex.attempt != at || status == logic.TimedOut && ex.answered {
+		return
+	}
+	ex.attempt, ex.last = nil, status
+	if status == logic.PromptRead && w.now >= w.cfg.Warm {
+		w.Result.Prompt += ex.job.PromptTokens
+		w.Result.Kept += float64(kept)
+		ex.reads++
+	}
+	if status == logic.Served && w.now >= w.cfg.Warm {
+		w.Result.Wasted += ex.reads - 1
+	}
+	r.charge(at, at.work)
+	if r.node != nil {
+		if status == logic.PromptRead {
+			r.front.Kept(ex.job.PromptTokens, float64(kept))
+		}
+		if fault, says := node.FaultOf(status); says {
+			r.node.Observe(at.name, at.since, fault, w.now)
+			if w.cfg.Zones != nil {
+				r.node.ZoneTried(w.cfg.Zones.Judge.Zones[w.cfg.Site.Servers[at.server].Zone], fault != outlier.None, w.now)
+			}
+		}
+	}
+	if status == logic.TimedOut || status == logic.Cancelled {
+		w.after(w.cfg.Hop, func() {
+			w.settle()
+			w.Site.Cancel(at.name, ex.job.ID)
+			w.look()
+		})
+	}
+	if ex.answered && ex.arrived >= w.cfg.Warm {
+		if status == logic.Served {
+			w.Result.Served++
+		} else {
+			w.Result.Broken++
+		}
+	}
+	r.report(ex, at, status, kept)
+	r.forget(ex)
+}
+
+func (r *gateway) report(ex *exchange, at *attempt, status logic.Status, kept uint32) {
+	r.push(logic.Event{Kind: logic.AttemptEnded, ID: ex.id, Attempt: at.number, Server: at.server, Latency: r.w.now - at.sent,
+		Status: status, Closed: ex.closed, Kept: kept})
+	r.run()
+}
