Red: the time of an attempt that is over ends an answer that has begun

Ruled out: the worker (it had written all), its link (no fault of it while it wrote).

Change: a test whose transport has the answer begin and the core busy until the attempt's time is over.

--- a/router/core_test.go
+++ b/router/core_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -480,3 +481,37 @@
 		require.EqualValues(t, 2, counters.Get("releases_made_again"))
 	}
 }
+
+// slowStart is a transport whose answer has begun before the core gets to anything else, also to the end of the attempt's time.
+type slowStart struct{ *wires }
+
+func (w slowStart) Send(a Attempt, s Sink) func() <-chan struct{} {
+	giveUp := w.wires.Send(a, s)
+	s.Started(text{strings.NewReader("")})
+	time.Sleep(20 * a.Wait) // the core is busy meanwhile
+	return giveUp
+}
+
+// An answer that has begun belongs to the client: the end of its attempt's time, noted behind it, ends nothing any more.
+func TestTheTimeOfAnAttemptDoesNotEndItsAnswer(t *testing.T) {
+	ended, w := make(chan logic.Event, 4), newWires()
+	c := New(Config{Decider: decide(func(e logic.Event) []logic.Action {
+		switch e.Kind {
+		case logic.Arrived:
+			return []logic.Action{{Kind: logic.Send, ID: e.Request.ID, Server: 5, After: 10 * time.Millisecond}}
+		case logic.AttemptEnded:
+			ended <- e
+		}
+		return nil
+	}), Transport: slowStart{w}, Counters: &metrics.Set{}, Settings: logic.Settings{MaxAttempts: 3}, MaxOpen: 2})
+	ctx, cancel := context.WithCancel(context.Background())
+	go c.Run(ctx)
+	t.Cleanup(func() { cancel(); <-c.stopped })
+	c.Discovered([]Member{{Member: logic.Member{Server: 5}, Name: "s", Addr: "x:1"}}, true)
+	who, _ := submit(c, "a")
+	require.Equal(t, "stream", <-who.answers)
+	sink := <-w.sent
+	sink.Ended(Outcome{Status: logic.Served})
+	require.Equal(t, logic.Served, (<-ended).Status)
+	require.Empty(t, w.gaveUp)
+}
