The end of an attempt's time does not break off an answer that has begun

Cause: as told with the red test: the timer's event waits in the core's mailbox behind the beginning of the answer, and ended it (router/send.go).

Change: timeOut looks whether the answer has begun, as callOff does. Looked at beside it: the timers of a turn behind a name, of releases and of the decisions look at the state when they are handled; the one of a worker's confirmation has its own mark.

--- a/router/send.go
+++ b/router/send.go
@@ -71,9 +71,7 @@
 	if repeat {
 		s.count.Add("attempts_repeated_after_"+statusNames[ex.last], 1)
 	}
-	a.timer = time.AfterFunc(a.wait, func() {
-		s.core.post(func() { s.end(a, Outcome{Status: logic.TimedOut}) })
-	})
+	a.timer = time.AfterFunc(a.wait, func() { s.core.post(func() { s.timeOut(a) }) })
 	if ex.releases == 0 {
 		s.start(a)
 	}
@@ -144,6 +142,13 @@
 	s.over(a, o)
 }
 
+// timeOut ends an attempt whose time is over, unless its answer has begun meanwhile: that belongs to the client.
+func (s *sender) timeOut(a *attempt) {
+	if !a.ex.answered {
+		s.end(a, Outcome{Status: logic.TimedOut})
+	}
+}
+
 // over reports an attempt that has ended and that its worker knows to have: sent again or refused before that, a request
 // could run twice.
 func (s *sender) over(a *attempt, o Outcome) {
