--- a/downstream/body.go
+++ b/downstream/body.go
@@ -51,6 +51,7 @@
 		return nil, nil, false
 	}
 	c.read = true
+	c.ReadWhole = time.Now()
 	c.Received = started.Add(time.Duration(c.conn.lastRead.Load()))
 	return body, func() { in.used.Add(-int64(cap(body))) }, true
 }
--- a/downstream/server.go
+++ b/downstream/server.go
@@ -228,10 +228,11 @@
 // Call is one call of a client.
 type Call struct {
 	*fasthttp.RequestCtx
-	Received time.Time // when its last byte came, once its body is read
-	server   *Server
-	conn     *conn
-	read     bool // its body has been read whole
+	// Received is when its last byte came, and ReadWhole when that was read, once its body is.
+	Received, ReadWhole time.Time
+	server              *Server
+	conn                *conn
+	read                bool // its body has been read whole
 }
 
 // end closes the connection after the answer. Nothing that comes on it is served.
--- a/front/modelapi/front.go
+++ b/front/modelapi/front.go
@@ -163,7 +163,7 @@
 	}
 	p.Tenant = tenant
 	within := tenant >= len(by.rates) || by.rates[tenant].Allow()
-	r := &router.Request{Request: p.Request, Received: call.Received,
+	r := &router.Request{Request: p.Request, Received: call.Received, Read: call.ReadWhole,
 		Name: f.prefix + strconv.FormatUint(f.last.Add(1), 36)}
 	id := string(call.Request.Header.Peek(headerRequestID))
 	if id == "" {
--- a/front/platform/front.go
+++ b/front/platform/front.go
@@ -143,7 +143,7 @@
 		return
 	}
 	defer release()
-	r.Received = call.Received
+	r.Received, r.Read = call.Received, call.ReadWhole
 	r.Payload = message(call, body)
 	answer := call.Route(r)
 	switch {
--- a/router/api.go
+++ b/router/api.go
@@ -17,7 +17,8 @@
 type Request struct {
 	logic.Request           // what the decisions look at; Patience runs from Received
 	Name          string    // the client's id of the request, the same at every party
-	Received      time.Time // when its last byte came
+	Received      time.Time // when its last byte came to this machine
+	Read          time.Time // when it had been read whole; zero: as it came
 	Payload       any       // the front's message, for the transport alone
 }
 
--- a/router/guard.go
+++ b/router/guard.go
@@ -22,10 +22,13 @@
 
 // rules begins the history of a request. One of a class that is not stated may be repeated freely, as in the decisions.
 func (g *guard) rules(r *Request) *rules.Request {
-	c := rules.Config{Deadline: r.Received.Add(r.Patience), MostTries: g.settings.MaxAttempts, HeldFor: g.settings.ReleaseWithin}
+	c := rules.Config{Deadline: r.Received.Add(r.Patience), Read: r.Read, MostTries: g.settings.MaxAttempts, HeldFor: g.settings.ReleaseWithin}
 	if r.Class >= 0 && r.Class < len(g.settings.Classes) {
 		c.Class = g.settings.Classes[r.Class]
 	}
+	if !r.Read.IsZero() && r.Read.After(c.Deadline) {
+		g.count.Add("requests_read_past_their_time", 1)
+	}
 	return rules.New(c)
 }
 
--- a/router/rules/rules.go
+++ b/router/rules/rules.go
@@ -49,6 +49,9 @@
 const (
 	// AnswerWithin is how long after its client's time a request may have its final answer.
 	AnswerWithin = 500 * time.Millisecond
+	// AnswerUnread is how long a request may take to be answered whose time was over before it could be read: its connection
+	// waited to be accepted.
+	AnswerUnread = 100 * time.Millisecond
 	// GoneWithin is how long after its client has gone an attempt may begin.
 	GoneWithin = 100 * time.Millisecond
 	// ToldSlack is how much more time than is left a worker may be told.
@@ -76,7 +79,8 @@
 type Request struct {
 	class     logic.Class
 	deadline  time.Time
-	mostTries int // 0: no bound
+	answerBy  time.Time // when it has to have its final answer at the latest
+	mostTries int       // 0: no bound
 	heldFor   time.Duration
 
 	out       bool
@@ -97,13 +101,19 @@
 type Config struct {
 	Class     logic.Class
 	Deadline  time.Time     // the end of its client's time
+	Read      time.Time     // when it had been read whole, which may be long after it has come; zero: as it came
 	MostTries int           // 0: no bound
 	HeldFor   time.Duration // for which a read state may be held; 0: not stated
 }
 
 // New returns the history of a request of which nothing was sent.
 func New(c Config) *Request {
-	return &Request{class: c.Class, deadline: c.Deadline, mostTries: c.MostTries, heldFor: c.HeldFor}
+	r := &Request{class: c.Class, deadline: c.Deadline, mostTries: c.MostTries, heldFor: c.HeldFor}
+	r.answerBy = c.Deadline.Add(AnswerWithin)
+	if late := c.Read.Add(AnswerUnread); late.After(r.answerBy) {
+		r.answerBy = late
+	}
+	return r
 }
 
 // MaySend tells whether an attempt may begin there now.
@@ -200,7 +210,7 @@
 // Answer notes the final answer and tells whether it comes in time. That of a stream is its beginning.
 func (r *Request) Answer(now time.Time) Verdict {
 	r.answered = true
-	if now.Sub(r.deadline) > AnswerWithin {
+	if now.After(r.answerBy) {
 		return AnsweredLate
 	}
 	return Allowed
@@ -223,7 +233,7 @@
 
 // Overdue tells whether the request still has no final answer though it should.
 func (r *Request) Overdue(now time.Time) Verdict {
-	if !r.answered && now.Sub(r.deadline) > AnswerWithin {
+	if !r.answered && now.After(r.answerBy) {
 		return NeverAnswered
 	}
 	return Allowed
--- a/router/rules/rules_test.go
+++ b/router/rules/rules_test.go
@@ -182,3 +182,20 @@
 		}
 	})
 }
+
+// Nobody answers what could not be read: a request whose connection waited past its time is to be answered as it is read.
+func TestARequestThatIsReadLateIsAnsweredAtOnce(t *testing.T) {
+	deadline := time.Now()
+	for read, last := range map[time.Duration]time.Duration{
+		-time.Second:               AnswerWithin,
+		AnswerWithin - time.Second: AnswerWithin,
+		AnswerWithin:               AnswerWithin + AnswerUnread,
+		time.Minute:                time.Minute + AnswerUnread,
+	} {
+		r := New(Config{Deadline: deadline, Read: deadline.Add(read)})
+		require.Equal(t, Allowed, r.Overdue(deadline.Add(last)), read)
+		require.Equal(t, NeverAnswered, r.Overdue(deadline.Add(last+1)), read)
+		require.Equal(t, Allowed, r.Answer(deadline.Add(last)), read)
+		require.Equal(t, AnsweredLate, r.Answer(deadline.Add(last+1)), read)
+	}
+}
