Writes to the store are applied once: named, with their answers in the replicated state

Cause: as told with the red test: a client that lost an answer asked the next replica, and its write was applied again.

A name that is known is answered as the first time; one that is not is refused with 410 if answers were dropped since its client first sent it, and applied else, so nothing depends on clocks or on which clients are remembered. store.Client names all its writes. One place makes errors that passed between replicas (namedFault).

--- a/store/api.go
+++ b/store/api.go
@@ -109,17 +109,20 @@
 		if err := json.Unmarshal(ctx.PostBody(), &q); err != nil || q.TimeoutMs <= 0 {
 			return fmt.Errorf("%w: timeout_ms must be a positive number", errInput)
 		}
-		id, err := a.replica.NewSession(time.Duration(q.TimeoutMs) * time.Millisecond)
+		c, err := newSession(time.Duration(q.TimeoutMs) * time.Millisecond)
 		if err != nil {
 			return err
 		}
-		return reply(ctx, fasthttp.StatusCreated, map[string]string{"session": id})
+		result, err := a.write(ctx, c)
+		if err != nil {
+			return err
+		}
+		return reply(ctx, fasthttp.StatusCreated, map[string]string{"session": result.Session})
 	case method == fasthttp.MethodPut && id != "":
 		ctx.SetStatusCode(fasthttp.StatusNoContent)
 		return a.replica.Touch(id)
 	case method == fasthttp.MethodDelete && id != "":
-		ctx.SetStatusCode(fasthttp.StatusNoContent)
-		return a.replica.EndSession(id)
+		return a.change(ctx, fasthttp.StatusNoContent, command{Op: opEndSession, Session: id})
 	}
 	return errMethod
 }
@@ -157,19 +160,30 @@
 	return errMethod
 }
 
-// change answers with the number of the operation, also where it was refused: what refused
-// it was there by then.
+// change answers a write that has no other answer than its status.
 func (a *API) change(ctx *fasthttp.RequestCtx, status int, c command) error {
-	index, err := a.replica.apply(c)
-	if index > 0 {
-		setVersion(ctx, index)
-	}
+	_, err := a.write(ctx, c)
 	if err == nil {
 		ctx.SetStatusCode(status)
 	}
 	return err
 }
 
+// write applies a command under the name that the call gives it. The answer has the number of the operation, also where it
+// was refused: what refused it was there by then.
+func (a *API) write(ctx *fasthttp.RequestCtx, c command) (*Result, error) {
+	c, err := named(ctx, c)
+	if err != nil {
+		return nil, err
+	}
+	result, err := a.replica.apply(c)
+	if err != nil {
+		return nil, err
+	}
+	setVersion(ctx, result.Index)
+	return result, result.Err
+}
+
 // await answers with the node once its version or its list of children is
 // another than the caller names, or with 204 if that does not happen in time.
 func (a *API) await(ctx *fasthttp.RequestCtx, path string, f freshness) error {
@@ -248,6 +262,8 @@
 		status = fasthttp.StatusConflict
 	case errors.Is(err, ErrBadPath), errors.Is(err, ErrEphemeral), errors.Is(err, errInput), errors.Is(err, ErrRefused):
 		status = fasthttp.StatusBadRequest
+	case errors.Is(err, ErrForgotten):
+		status = fasthttp.StatusGone
 	case errors.Is(err, errMethod):
 		status = fasthttp.StatusMethodNotAllowed
 	}
--- a/store/client.go
+++ b/store/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -26,11 +27,13 @@
 	addrs []string
 	http  fasthttp.Client
 	seen  atomic.Uint64 // the newest version that an answer had
+	name  string        // of this client among all that write
+	wrote atomic.Uint64 // writes that were named
 }
 
 // NewClient returns a client that asks the replicas in turn.
 func NewClient(addrs ...string) *Client {
-	return &Client{addrs: addrs, http: onceClient()}
+	return &Client{addrs: addrs, http: onceClient(), name: rand.Text()}
 }
 
 // onceClient is an HTTP client that sends nothing twice on its own: a create that
@@ -43,27 +46,58 @@
 	}
 }
 
-// call asks one replica after the other until one gives an answer of its own.
+// writeName is how one write is known to all replicas.
+type writeName struct {
+	name string // empty: it is no write
+	seen uint64
+}
+
+// call asks one replica after the other until one gives an answer of its own. A write goes under one name to all of them, and is
+// applied once.
 func (c *Client) call(method, uri string, body []byte) (status int, answer []byte, err error) {
-	err = errors.New("no replica to ask")
+	var write writeName
+	if method != fasthttp.MethodGet {
+		write = writeName{c.name + "-" + strconv.FormatUint(c.wrote.Add(1), 10), c.seen.Load()}
+	}
+	status, answer, sure, err := c.askAll(write, method, uri, body)
+	if err == nil && status == fasthttp.StatusGone && sure { // what this client had seen is too old for a first write
+		write.seen = c.seen.Load()
+		status, answer, _, err = c.askAll(write, method, uri, body)
+	}
+	if err != nil {
+		return 0, nil, fmt.Errorf("ask the store: %w", err)
+	}
+	return status, answer, nil
+}
+
+// askAll asks one replica after the other. It tells as well whether none before the one that has answered can have applied a
+// write.
+func (c *Client) askAll(write writeName, method, uri string, body []byte) (status int, answer []byte, sure bool, err error) {
+	sure, err = true, errors.New("no replica to ask")
 	for _, addr := range c.addrs {
-		if status, answer, err = c.ask(addr, method, uri, body); err == nil && status < fasthttp.StatusInternalServerError {
-			return status, answer, nil
+		status, answer, err = c.ask(addr, write, method, uri, body)
+		if err == nil && status < fasthttp.StatusInternalServerError {
+			return status, answer, sure, nil
 		}
+		sure = sure && unsent(err)
 		if err == nil {
 			err = fmt.Errorf("%s answered %d: %s", addr, status, answer)
 		}
 	}
-	return 0, nil, fmt.Errorf("ask the store: %w", err)
+	return 0, nil, sure, err
 }
 
-func (c *Client) ask(addr, method, uri string, body []byte) (int, []byte, error) {
+func (c *Client) ask(addr string, write writeName, method, uri string, body []byte) (int, []byte, error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.Header.SetMethod(method)
 	req.SetRequestURI("http://" + addr + uri)
 	req.SetBody(body)
+	if write.name != "" {
+		req.Header.Set(WriteHeader, write.name)
+		req.Header.Set(WriteSeenHeader, strconv.FormatUint(write.seen, 10))
+	}
 	if seen := c.seen.Load(); seen > 0 {
 		req.Header.Set(VersionHeader, strconv.FormatUint(seen, 10))
 	}
@@ -130,10 +164,15 @@
 
 func (c *Client) change(method, uri string, body []byte) error {
 	status, answer, err := c.call(method, uri, body)
-	if err == nil && status/100 != 2 {
-		err = fmt.Errorf("status %d: %s", status, answer)
+	switch {
+	case err != nil:
+		return err
+	case status == fasthttp.StatusGone:
+		return fmt.Errorf("%w: status %d: %s", ErrUnknown, status, answer)
+	case status/100 != 2:
+		return fmt.Errorf("status %d: %s", status, answer)
 	}
-	return err
+	return nil
 }
 
 // Next waits until a node is no longer at the given versions, and returns it then;
--- a/store/forward.go
+++ b/store/forward.go
@@ -26,7 +26,7 @@
 // pass between replicas.
 var faults = map[string]error{"no-node": ErrNoNode, "node-exists": ErrNodeExists, "bad-version": ErrBadVersion,
 	"not-empty": ErrNotEmpty, "no-session": ErrNoSession, "ephemeral": ErrEphemeral, "bad-path": ErrBadPath, "moved": ErrMoved,
-	"input": errInput, "no-revision": ErrNoRevision, "reused": ErrReused}
+	"input": errInput, "no-revision": ErrNoRevision, "reused": ErrReused, "forgotten": ErrForgotten}
 
 func faultName(err error) string {
 	for name, fault := range faults {
@@ -37,6 +37,27 @@
 	return ""
 }
 
+// namedFault is an error that passed between replicas, or was kept; nil if there was none.
+func namedFault(name, message string) error {
+	switch fault := faults[name]; {
+	case name == "" && message == "":
+		return nil
+	case fault == nil:
+		return errors.New(message)
+	default:
+		return &keptFault{fault, message}
+	}
+}
+
+// keptFault is one of the faults in the words that it first had.
+type keptFault struct {
+	fault   error
+	message string
+}
+
+func (f *keptFault) Error() string { return f.message }
+func (f *keptFault) Unwrap() error { return f.fault }
+
 // wireResult is a Result between replicas.
 type wireResult struct {
 	Result
@@ -96,13 +117,7 @@
 	case err != nil:
 		return nil, fmt.Errorf("%w: %w", ErrUnknown, err)
 	}
-	switch answer := future.Response().(type) {
-	case *Result:
-		return answer, nil
-	case error:
-		return &Result{Index: future.Index(), Err: answer}, nil
-	}
-	return &Result{Index: future.Index(), Failed: -1}, nil
+	return asWhole(future.Index(), future.Response()), nil
 }
 
 // forward has the leader apply a command.
@@ -115,15 +130,16 @@
 	if err := r.askLeader(ctx, commandsPath, text, &w); err != nil {
 		return nil, err
 	}
-	if w.Fault != "" || w.Message != "" {
-		w.Err = fmt.Errorf("%w: %s", faults[w.Fault], w.Message)
-		if faults[w.Fault] == nil {
-			w.Err = errors.New(w.Message)
-		}
-	}
+	w.Err = namedFault(w.Fault, w.Message)
 	return &w.Result, nil
 }
 
+// unsent tells whether a call failed before anything of it was sent.
+func unsent(err error) bool {
+	var dial *net.OpError
+	return errors.As(err, &dial) && dial.Op == "dial"
+}
+
 func (r *Replica) askLeader(ctx context.Context, path string, body []byte, into any) error {
 	leader, ok := r.Leader()
 	if !ok || leader.ID == r.cfg.ID || leader.API == "" {
@@ -140,8 +156,7 @@
 		deadline = d
 	}
 	if err := r.peers.DoDeadline(req, resp, deadline); err != nil {
-		var dial *net.OpError
-		if errors.As(err, &dial) && dial.Op == "dial" { // nothing was sent
+		if unsent(err) {
 			return fmt.Errorf("%w: %s can't be reached: %w", ErrNotLeader, leader.ID, err)
 		}
 		return fmt.Errorf("%w: ask the leader %s: %w", ErrUnknown, leader.ID, err)
--- a/store/fsm.go
+++ b/store/fsm.go
@@ -24,6 +24,10 @@
 	Claim   *claim        `json:"claim,omitempty"`
 	Steps   []Step        `json:"steps,omitempty"`
 	Publish *publication  `json:"publish,omitempty"`
+	// Write names it among all writes; empty: it is applied whenever it comes. Seen is the operation that its client had seen
+	// when it first sent it.
+	Write string `json:"write,omitempty"`
+	Seen  uint64 `json:"seen,omitempty"`
 }
 
 // The operations of the log.
@@ -139,7 +143,7 @@
 	return w
 }
 
-// Apply implements raft.FSM. Its result is an error or nil.
+// Apply implements raft.FSM. Its result is an error, a *Result, or nil.
 func (m *machine) Apply(entry *raft.Log) any {
 	var c command
 	if err := json.Unmarshal(entry.Data, &c); err != nil {
@@ -148,35 +152,63 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	defer m.settle(entry.Index)
+	if c.Write == "" {
+		return m.execute(entry.Index, &c)
+	}
+	known, err := m.tree.Answers.find(c.Write, c.Seen)
+	switch {
+	case err != nil:
+		return err
+	case known != nil:
+		return known
+	}
+	result := asWhole(entry.Index, m.execute(entry.Index, &c))
+	m.tree.Answers.add(c.Write, entry.Index, result)
+	return result
+}
+
+// execute applies a command to the tree. Its result is that of Apply.
+func (m *machine) execute(index uint64, c *command) any {
 	m.tree.now = c.TimeMs
 	switch c.Op {
 	case opCreate:
-		return asResult(m.tree.create(entry.Index, c.Path, c.Data, c.Session))
+		return asResult(m.tree.create(index, c.Path, c.Data, c.Session))
 	case opSet:
-		return asResult(m.tree.set(entry.Index, c.Path, c.Data, c.Version))
+		return asResult(m.tree.set(index, c.Path, c.Data, c.Version))
 	case opRemove:
-		return asResult(m.tree.remove(entry.Index, c.Path, c.Version))
+		return asResult(m.tree.remove(index, c.Path, c.Version))
 	case opSession:
 		m.tree.Sessions[c.Session] = c.Timeout
 		if c.Claim != nil {
 			m.tree.Claims[c.Session] = *c.Claim
 		}
-		return nil
+		return &Result{Index: index, Failed: -1, Session: c.Session}
 	case opEndSession:
-		return asResult(m.tree.endSession(entry.Index, c.Session))
+		return asResult(m.tree.endSession(index, c.Session))
 	case opAttach:
 		return asResult(m.tree.attach(c.Session, c.Claim))
 	case opSteps:
-		return m.steps(entry.Index, &c)
+		return m.steps(index, c)
 	case opPut:
-		return asResult(m.tree.put(entry.Index, c.Path, c.Data))
+		return asResult(m.tree.put(index, c.Path, c.Data))
 	case opPublish:
-		r, err := m.tree.publish(entry.Index, c.Path, c.Data, cmp.Or(c.Publish, &publication{}))
-		return &Result{Index: entry.Index, Failed: -1, Err: err, Revision: r}
+		r, err := m.tree.publish(index, c.Path, c.Data, cmp.Or(c.Publish, &publication{}))
+		return &Result{Index: index, Failed: -1, Err: err, Revision: r}
 	case opNothing:
 		return nil
 	}
-	return fmt.Errorf("log entry %d: unknown operation %q", entry.Index, c.Op)
+	return fmt.Errorf("log entry %d: unknown operation %q", index, c.Op)
+}
+
+// asWhole is what a command has led to as a Result.
+func asWhole(index uint64, answer any) *Result {
+	switch answer := answer.(type) {
+	case *Result:
+		return answer
+	case error:
+		return &Result{Index: index, Err: answer}
+	}
+	return &Result{Index: index, Failed: -1}
 }
 
 // asResult keeps a nil error from becoming an interface that is not nil.
--- a/store/replica.go
+++ b/store/replica.go
@@ -229,22 +229,15 @@
 // IsLeader tells whether this replica takes writes.
 func (r *Replica) IsLeader() bool { return r.raft.State() == raft.Leader }
 
-// apply puts a command through the log, and returns the number of the operation. ErrNotLeader
+// apply puts a command through the log, and returns what it has led to. ErrNotLeader
 // means that it was not taken and may be given to another replica; ErrUnknown that it may be
 // applied still, so that giving it again could apply it twice.
-func (r *Replica) apply(c command) (uint64, error) {
+func (r *Replica) apply(c command) (*Result, error) {
 	c.TimeMs = time.Now().UnixMilli()
-	result, err := r.lead(c)
-	if err != nil {
-		return 0, err
-	}
-	return result.Index, result.Err
+	return r.lead(c)
 }
 
-func (r *Replica) done(c command) error {
-	_, err := r.apply(c)
-	return err
-}
+func (r *Replica) done(c command) error { return errOf(r.apply(c)) }
 
 // Create makes a node. With a session it is ephemeral: it goes with the session.
 func (r *Replica) Create(path string, data []byte, session string) error {
@@ -263,15 +256,23 @@
 
 // NewSession starts a session that ends unless it is touched within the time-out.
 func (r *Replica) NewSession(timeout time.Duration) (string, error) {
+	c, err := newSession(timeout)
+	if err != nil {
+		return "", err
+	}
+	return c.Session, r.done(c)
+}
+
+// newSession is the command that starts a session under a name that nobody else has.
+func newSession(timeout time.Duration) (command, error) {
 	if timeout <= 0 {
-		return "", fmt.Errorf("session time-out %v is not positive", timeout)
+		return command{}, fmt.Errorf("session time-out %v is not positive", timeout)
 	}
 	var id [8]byte
 	if _, err := rand.Read(id[:]); err != nil {
-		return "", fmt.Errorf("session id: %w", err)
+		return command{}, fmt.Errorf("session id: %w", err)
 	}
-	name := hex.EncodeToString(id[:])
-	return name, r.done(command{Op: opSession, Session: name, Timeout: timeout})
+	return command{Op: opSession, Session: hex.EncodeToString(id[:]), Timeout: timeout}, nil
 }
 
 // EndSession ends a session at its owner's wish.
--- a/store/steps.go
+++ b/store/steps.go
@@ -43,6 +43,8 @@
 	Results []StepResult `json:"results,omitempty"`
 	Failed  int          `json:"failed"` // -1: none
 	Err     error        `json:"-"`
+	// Session is the one that was made.
+	Session string `json:"session,omitempty"`
 	// Revision is the version that a text was published as.
 	Revision *Revision `json:"revision,omitempty"`
 }
--- a/store/tree.go
+++ b/store/tree.go
@@ -58,6 +58,8 @@
 	Index  uint64           `json:"index"` // the latest operation that was applied
 	// Published are the versions of each configuration that are kept, the oldest first.
 	Published map[string][]Revision `json:"published,omitempty"`
+	// Answers are those to the latest named writes.
+	Answers answers `json:"answers"`
 
 	// What follows from the nodes, so that neither a list of children nor the end
 	// of a session has to look at the whole tree; not in snapshots.
@@ -101,7 +103,7 @@
 const degree = 8
 
 func newTree() *tree {
-	t := &tree{Nodes: map[string]*node{"/": {}}, Sessions: map[string]time.Duration{}, Claims: map[string]claim{}, Published: map[string][]Revision{}, changed: func(Change) {}}
+	t := &tree{Nodes: map[string]*node{"/": {}}, Sessions: map[string]time.Duration{}, Claims: map[string]claim{}, Published: map[string][]Revision{}, Answers: newAnswers(), changed: func(Change) {}}
 	t.index()
 	return t
 }
@@ -114,6 +116,7 @@
 			t.link(p, n)
 		}
 	}
+	t.Answers.index()
 }
 
 // link enters a node in the indexes.
