The soak sends large requests and has slow links

Cause: its requests had 330 bytes, which any system takes at once, and no link was ever slow.

Change: one request in 25 has up to 200 kB; a trouble makes a link 60 ms slow each way. A relay that passes bytes in pieces passes what came together in 32 pieces at most, 64 bytes each as before where that is more: in pieces of 64 bytes 200 kB take a second and more behind the router's back, in buffers that a real way does not have, and workers got requests whose clients had long gone.

--- a/internal/standin/link/relay.go
+++ b/internal/standin/link/relay.go
@@ -28,7 +28,8 @@
 }
 
 const (
-	mostPiece  = 64 // bytes
+	mostPiece  = 64 // bytes, or
+	mostPieces = 32 // such a part of what came together
 	pieceEvery = 200 * time.Microsecond
 )
 
@@ -205,8 +206,9 @@
 }
 
 func (r *Relay) write(to net.Conn, data []byte) (n int, err error) {
-	for r.now().Pieces && len(data) > mostPiece && err == nil {
-		n, err = to.Write(data[:mostPiece])
+	piece := max(mostPiece, len(data)/mostPieces)
+	for r.now().Pieces && len(data) > piece && err == nil {
+		n, err = to.Write(data[:piece])
 		data = data[n:]
 		time.Sleep(pieceEvery)
 	}
--- a/test/overlap_clients_test.go
+++ b/test/overlap_clients_test.go
@@ -26,6 +26,13 @@
 // leastPatience is how long clients wait at least.
 const leastPatience = 300 * time.Millisecond
 
+// One in largeEvery requests has a body of up to mostLarge bytes; what is longer than atOnce may take its time to be written.
+const (
+	largeEvery = 25
+	mostLarge  = 200 << 10
+	atOnce     = 16 << 10
+)
+
 // overlapClient sends requests to all routers, over connections that it keeps.
 type overlapClient struct {
 	rig    *overlapRig
@@ -113,10 +120,14 @@
 	for range n {
 		c.last++
 		class := overlapClasses[c.rng.IntN(len(overlapClasses))]
+		text := prompt
+		if c.rng.IntN(largeEvery) == 0 {
+			text = fmt.Sprintf(`{"model":"chat","stream":true,"messages":[{"role":"user","content":%q}]}`, strings.Repeat("x", c.rng.IntN(mostLarge)))
+		}
 		q := asked{id: fmt.Sprintf("%04x%012x", c.id, c.last), effect: class.effect, kills: kills}
 		q.wire = fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: %s\r\nX-Service-Class: %s\r\nX-Account: acme\r\n"+
 			"X-Session-Key: %x\r\nX-Time-Left-Ms: %d\r\nX-Facts: prompt_len=%d,prefix_len=0,max_out=100\r\nContent-Length: %d\r\n\r\n%s",
-			q.id, class.name, c.rng.IntN(20)+1, patience.Milliseconds(), 100+c.rng.IntN(2000), len(prompt), prompt)
+			q.id, class.name, c.rng.IntN(20)+1, patience.Milliseconds(), 100+c.rng.IntN(2000), len(text), text)
 		wire.WriteString(q.wire)
 		sent = append(sent, q)
 		c.rig.judge.Sent(q.id, class.effect, to.name, time.Now(), patience)
@@ -126,6 +137,11 @@
 		c.again(to, sent, conn.reused, patience)
 		return
 	}
+	if wire.Len() > atOnce { // its time runs from its last byte
+		for _, q := range sent {
+			c.rig.judge.Sent(q.id, q.effect, to.name, time.Now(), patience)
+		}
+	}
 	if leave > 0 {
 		time.Sleep(leave)
 		for _, q := range sent {
--- a/test/overlap_troubles_test.go
+++ b/test/overlap_troubles_test.go
@@ -76,6 +76,7 @@
 	"reset":        withManner(resets),
 	"break off":    withManner(breaksOff),
 	"half answer":  withManner(halfAnswer),
+	"slow link":    withLink(link.Fault{Delay: 60 * time.Millisecond}),
 	"refuse":       withLink(link.Fault{Refuse: true}),
 	"vanish":       withLink(link.Fault{Vanish: true}),
 	"answers lost": withLink(link.Fault{Drop: [2]bool{false, true}}),
