Decision module: fields and steps say what they hold and do

Change: peerShare, unseenShare, lastSignAt, unreachableAt, invitedTo, served, offered, startedAt, arrivalGap; settleStage, countAtStage, takeReport, refusalReason, addToStages. One long line is two steps. No decision changes.

--- a/logic/admission.go
+++ b/logic/admission.go
@@ -12,7 +12,7 @@
 		return
 	}
 	if g.lastArrival != 0 {
-		g.gap += fastLearn * (math.Min(after(g.lastArrival, g.now).Seconds(), 5) - g.gap)
+		g.arrivalGap += fastLearn * (math.Min(after(g.lastArrival, g.now).Seconds(), 5) - g.arrivalGap)
 	}
 	g.lastArrival = g.now
 	r := &request{Request: q, arrived: g.now}
@@ -63,7 +63,7 @@
 // by then, for nobody, never comes back: so what would wait too long is refused, the less worthy the earlier,
 // and so is what would not be read and fetched in the time that its client has left.
 func (g *Gateway) tooLate(r *request, s *server) bool {
-	told := g.blind * g.trust(s, unreadFade) * s.load.UnreadToken
+	told := g.peerShare * g.trust(s, unreadFade) * s.load.UnreadToken
 	wait := g.readSeconds(s, g.pending(s)+told) + g.waitAt(s.role)
 	need := g.readSeconds(s, g.missing(r, s)+baseTokens)
 	full := 1.0 // where a writer reports room, waits of before are over; remembered, they would keep all out
@@ -105,4 +105,4 @@
 	g.pools[role].wait.average(g.now, g.waitSpan(), math.Max(0, sec), 0.02)
 }
 
-func (g *Gateway) waitSpan() time.Duration { return max(waitFade, seconds(3*g.gap)) }
+func (g *Gateway) waitSpan() time.Duration { return max(waitFade, seconds(3*g.arrivalGap)) }
--- a/logic/api.go
+++ b/logic/api.go
@@ -132,7 +132,8 @@
 	Rejected   // the server found fault with the request itself: it has not run, and no other server would take it
 )
 
-// Answered tells whether the server itself has answered, so that it had the request. Nothing else proves that.
+// Answered tells whether the server itself has answered, so that it had the request. Nothing else proves
+// that.
 func (s Status) Answered() bool {
 	switch s {
 	case Served, ServerError, Full, PromptRead, Rejected:
--- a/logic/attempts.go
+++ b/logic/attempts.go
@@ -29,7 +29,7 @@
 		s.since += r.memory
 	}
 	if s.waiting == 0 {
-		s.quiet = g.now
+		s.lastSignAt = g.now
 	}
 	s.waiting++
 	r.out, r.called, r.server, r.sentAt, r.check = true, false, s, g.now, math.MaxInt64
@@ -76,7 +76,7 @@
 		return
 	}
 	r.settle()
-	g.tell(r.server, e.Load)
+	g.takeReport(r.server, e.Load)
 	g.learn(r, r.server, e.Latency)
 	r.phase = streaming
 	g.delay.average(g.now, g.waitSpan(), math.Max(0, after(r.arrived, g.now).Seconds()-r.need), 0.02)
@@ -88,8 +88,8 @@
 
 // learn compares an attempt's time with the pace of its kind. A wait for a writer is all of its time.
 func (g *Gateway) learn(r *request, s *server, took time.Duration) {
-	s.quiet, s.fails, s.suspectUntil = g.now, 0, 0
-	g.told(r, true)
+	s.lastSignAt, s.fails, s.suspectUntil = g.now, 0, 0
+	g.settleStage(r, true)
 	p, tok := g.stage(r, s)
 	sec, want := took.Seconds(), p.seconds(tok)
 	if p.n > 0 {
@@ -115,11 +115,11 @@
 		return
 	}
 	// Beside many answers that come at once, one that does not is lost; in a jam it is a longer wait.
-	bound := (2*g.waitAt(s.role) + quietFloor.Seconds()) / (1 - g.unseen)
+	bound := (2*g.waitAt(s.role) + quietFloor.Seconds()) / (1 - g.unseenShare)
 	g.waited(s.role, math.Min(sec-p.seconds(tok), bound))
 	g.sample(s, sec/p.seconds(tok))
-	p.stray(tok, most)       // a jam raises the time-outs by and by; silent servers must not do so at once
-	if s.quiet <= r.sentAt { // nothing at all since: silent, not just slow
+	p.stray(tok, most)            // a jam raises the time-outs by and by; silent servers must not do so at once
+	if s.lastSignAt <= r.sentAt { // nothing at all since: silent, not just slow
 		g.suspect(s)
 	}
 }
@@ -131,7 +131,7 @@
 	}
 	s, was := r.server, r.phase
 	r.free(g.now, e.Unreached)
-	g.tell(s, e.Load)
+	g.takeReport(s, e.Load)
 	if was != streaming {
 		r.settle()
 	}
@@ -140,7 +140,7 @@
 		s.tokens = math.Max(0, s.tokens-r.memory)
 	}
 	g.judge(r, s, e)
-	g.told(r, false)
+	g.settleStage(r, false)
 	r.closed = r.closed || e.Closed
 	noState := e.Status == Full && e.Kept == 1
 	g.settleState(r, was, e)
@@ -166,8 +166,8 @@
 	}
 }
 
-// over tells why nothing can be sent for a request any more.
-func (g *Gateway) over(r *request) Why {
+// refusalReason tells why nothing can be sent for a request any more.
+func (g *Gateway) refusalReason(r *request) Why {
 	c := g.class(r)
 	switch {
 	case g.closing:
@@ -190,13 +190,13 @@
 		r.reader = nil // too late to reach a writer with it: it is let go of, and the prompt read again
 		g.do(Action{Kind: Release, ID: r.ID})
 	}
-	if why := g.over(r); why != WhyNone {
+	if why := g.refusalReason(r); why != WhyNone {
 		g.giveUp(r, why)
 		return
 	}
 	var s *server
 	g.survey()
-	g.ask(r)
+	g.countAtStage(r)
 	if r.reader != nil {
 		s = g.pickWriter(r)
 	} else if s = g.pickReader(r); s != nil && g.tooLate(r, s) {
@@ -220,12 +220,12 @@
 		// still lead their sessions back to one reader instead of scattering them over all.
 		s.record(r, g.now)
 	case Served:
-		s.quiet, s.fails, s.suspectUntil = g.now, 0, 0
+		s.lastSignAt, s.fails, s.suspectUntil = g.now, 0, 0
 	case Full, Rejected:
 		if e.Unreached { // it was not even asked
 			break
 		}
-		if s.quiet = g.now; e.Kept == 1 || e.Status == Rejected { // it has room
+		if s.lastSignAt = g.now; e.Kept == 1 || e.Status == Rejected { // it has room
 			break
 		}
 		// Its queue is full, whatever this gateway has there: peers' work, or left behind.
--- a/logic/choice.go
+++ b/logic/choice.go
@@ -14,7 +14,7 @@
 func (g *Gateway) pick(r *request, weigh func(*server) (int, float64)) *server {
 	var best *server
 	bestClass, bestCost := never, math.Inf(1)
-	few, jam := g.unseen > mostUnseen, g.waitAt(RoleWrite) > farWait
+	few, jam := g.unseenShare > mostUnseen, g.waitAt(RoleWrite) > farWait
 	for _, s := range g.servers {
 		if !g.allowed(r, s) {
 			continue
@@ -40,7 +40,7 @@
 
 // allowed keeps the rules: drains, cold servers, and the group of a by-key request; proceed, its window.
 func (g *Gateway) allowed(r *request, s *server) bool {
-	if !s.usable() || s != r.guest && !g.coldRoom(s) || s.role == RoleRead && r.reader != nil {
+	if !s.usable() || s != r.invitedTo && !g.coldRoom(s) || s.role == RoleRead && r.reader != nil {
 		return false
 	}
 	if r.mayHaveRun {
--- a/logic/deployments_test.go
+++ b/logic/deployments_test.go
@@ -39,7 +39,7 @@
 					r.g.Handle(r.now, []Event{{Kind: ServersChanged, Whole: true,
 						Members: []Member{reader(1, 0), writer(3, 0)}}}, nil)
 					if s := r.g.byID[1]; report {
-						r.g.tell(s, Load{HasUnread: true, UnreadToken: load})
+						r.g.takeReport(s, Load{HasUnread: true, UnreadToken: load})
 					} else {
 						s.unread = load
 					}
@@ -72,7 +72,7 @@
 		for range 200 {
 			r.wait(200 * time.Millisecond)
 			// Half of what a reader of two gateways reports is this gateway's.
-			r.g.tell(r.g.byID[1], Load{HasUnread: true, UnreadToken: 2 * peers})
+			r.g.takeReport(r.g.byID[1], Load{HasUnread: true, UnreadToken: 2 * peers})
 			id, acts := r.arrive(Request{PromptTokens: 2000, Patience: 30 * time.Second})
 			r.wantSend(acts, 1)
 			took := time.Duration(2000+baseTokens+peers) * perToken
@@ -131,7 +131,7 @@
 		r.end(id, 1, PromptRead, 0)
 		r.wait(took)
 		r.g.now = r.now
-		r.g.tell(r.g.byID[3], Load{HasMemory: true, MemoryShare: share})
+		r.g.takeReport(r.g.byID[3], Load{HasMemory: true, MemoryShare: share})
 		r.g.Handle(r.now, []Event{{Kind: AnswerStarted, ID: id, Server: 3, Latency: took}}, nil)
 		r.end(id, 3, Served, 0)
 		r.wait(2 * time.Minute)
--- a/logic/endings.go
+++ b/logic/endings.go
@@ -30,7 +30,7 @@
 	case r == nil || r.closed || g.now < r.check || r.phase == streaming || r.out && r.called:
 	case !r.out:
 		g.proceed(r)
-	case r.server.quiet <= r.sentAt:
+	case r.server.lastSignAt <= r.sentAt:
 		r.called = true
 		g.do(Action{Kind: CallOff, ID: r.ID, Attempt: r.sends - 1})
 	default:
@@ -84,6 +84,6 @@
 		g.do(Action{Kind: Release, ID: r.ID})
 		r.reader = nil
 	}
-	g.told(r, false)
+	g.settleStage(r, false)
 	delete(g.requests, r.ID)
 }
--- a/logic/guards_test.go
+++ b/logic/guards_test.go
@@ -459,7 +459,7 @@
 		s := g.byID[1]
 		for i := range 200 {
 			g.now += Time(20 * time.Millisecond)
-			g.unseen = tc.unseen
+			g.unseenShare = tc.unseen
 			r := &request{charge: 2000, server: s, sentAt: g.now - Time(2*time.Second)}
 			if i%5 == 4 {
 				g.unanswered(r, s)
--- a/logic/health.go
+++ b/logic/health.go
@@ -8,7 +8,7 @@
 
 // scale makes a token at s dearer by all that makes s slow: its observed pace, a bad sign, distance, cold.
 func (g *Gateway) scale(s *server) float64 {
-	v := g.slowness(s) / math.Pow(math.Max(g.warmth(s), 0.05), 1-g.unseen)
+	v := g.slowness(s) / math.Pow(math.Max(g.warmth(s), 0.05), 1-g.unseenShare)
 	if g.now < s.suspectUntil { // one bad sign may be chance: dearer, but not out
 		v *= suspectScale
 	}
@@ -30,7 +30,7 @@
 // suspect takes a server out of the ordinary path; single trials, ever later, bring it back. Where this
 // gateway seldom sends to any one server, a trial costs as much and tells as little: they are later.
 func (g *Gateway) suspect(s *server) {
-	unit := min(max(firstBackoff, seconds(g.gap*float64(g.pools[s.role].n))), maxBackoff)
+	unit := min(max(firstBackoff, seconds(g.arrivalGap*float64(g.pools[s.role].n))), maxBackoff)
 	wait := min(unit<<min(s.fails, 6), max(maxBackoff, 2*unit))
 	s.fails++
 	s.suspectUntil = g.now + Time(float64(wait)*(0.8+0.4*g.rng.Float64()))
--- a/logic/load.go
+++ b/logic/load.go
@@ -24,11 +24,11 @@
 // reported is the peers' part of the read load that s reports, or of the mean as the report ages.
 func (g *Gateway) reported(s *server) float64 {
 	mean := g.pools[s.role].unread.value(g.now, g.waitSpan())
-	return g.blind * (mean + g.trust(s, unreadFade)*(s.load.UnreadToken-mean))
+	return g.peerShare * (mean + g.trust(s, unreadFade)*(s.load.UnreadToken-mean))
 }
 
-// tell takes a server's report into its model and into the means of its role.
-func (g *Gateway) tell(s *server, l Load) {
+// takeReport takes a server's report into its model and into the means of its role.
+func (g *Gateway) takeReport(s *server, l Load) {
 	if s == nil || !l.HasMemory && !l.HasUnread {
 		return
 	}
@@ -49,7 +49,8 @@
 func (g *Gateway) share(s *server) float64 {
 	mean := g.pools[s.role].share
 	if !g.reports {
-		return s.turnedAway(g.now) + s.tokens/s.memory*(1+g.peers*(1-g.unseen)) + g.blind*mean*g.unseen
+		own := s.tokens / s.memory * (1 + g.peers*(1-g.unseenShare))
+		return s.turnedAway(g.now) + own + g.peerShare*mean*g.unseenShare
 	}
 	return s.turnedAway(g.now) + mean + g.trust(s, shareFade)*(s.load.MemoryShare-mean) + s.since/s.memory
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -97,7 +97,7 @@
 		byID: map[ServerID]*server{}, requests: map[RequestID]*request{}, homes: map[Key]*home{},
 		reads: make([]pace, len(set.Kinds)), quota: make([]bucket, len(set.Tenants)),
 		fetch: pace{tok: 1000, sec: 1e-3, ratio: 1, dev: 1}}
-	g.blind = g.peers / float64(set.Gateways)
+	g.peerShare = g.peers / float64(set.Gateways)
 	prior := 1e-9
 	for _, c := range set.Classes[:len(set.Classes)-1] {
 		prior += c.AimPer1000.Seconds() / float64(len(set.Classes)-1)
@@ -121,7 +121,7 @@
 
 // Handle takes what was seen at now and appends what to do to actions.
 func (g *Gateway) Handle(now Time, events []Event, actions []Action) []Action {
-	g.now, g.out, g.born = now, actions, cmp.Or(g.born, now)
+	g.now, g.out, g.startedAt = now, actions, cmp.Or(g.startedAt, now)
 	for i := range events {
 		e := &events[i]
 		switch e.Kind {
@@ -143,7 +143,7 @@
 		case Closing:
 			g.close(e.Latency)
 		case LoadTold:
-			g.tell(g.byID[e.Server], e.Load)
+			g.takeReport(g.byID[e.Server], e.Load)
 		}
 	}
 	g.sweep()
--- a/logic/readers.go
+++ b/logic/readers.go
@@ -18,7 +18,7 @@
 	key := r.Prefix
 	if r.PrefixTokens <= 0 {
 		key = 0
-		if g.unseen > mostUnseen {
+		if g.unseenShare > mostUnseen {
 			key = r.Session
 		}
 	}
@@ -85,7 +85,7 @@
 			}
 		}
 		cost = (overlapWeight*g.missing(r, s) + baseTokens + g.pending(s) + g.reported(s)) * g.scale(s)
-		cost += tieTokens * g.unseen * g.rng.ExpFloat64() / s.pull
+		cost += tieTokens * g.unseenShare * g.rng.ExpFloat64() / s.pull
 		if s.role == RoleBoth { // answers that run there wait for the read, and are load as well
 			cost += math.Max(0, mixedWeight*g.share(s)-answering) * s.memory
 			if g.share(s) >= roomShare {
--- a/logic/servers.go
+++ b/logic/servers.go
@@ -59,7 +59,7 @@
 		if cell := cells[s.Cell]; s.role == RoleRead && s.usable() {
 			s.pull = finite(cell[RoleWrite]/all[RoleWrite]*all[RoleRead]/cell[RoleRead], pullLeast, pullMost)
 		}
-		s.pull *= math.Pow(g.warmth(s), 1+coldHomes*g.unseen)
+		s.pull *= math.Pow(g.warmth(s), 1+coldHomes*g.unseenShare)
 		if s.role == RoleRead && s.usable() {
 			pulls[s.Cell] += s.pull
 			sum += s.pull
@@ -89,7 +89,7 @@
 	for _, s := range g.servers {
 		if p := &g.pools[s.role]; s.usable() {
 			p.n++
-			g.join(s, g.assumedWarmth(s))
+			g.addToStages(s, g.assumedWarmth(s))
 			if g.reports && (p.roomiest == nil || g.share(s) < g.share(p.roomiest)) {
 				p.roomiest = s
 			}
@@ -106,6 +106,6 @@
 			p.share += a * (tokens[i]/memory[i]*float64(g.set.Gateways) - p.share)
 		}
 	}
-	g.unseen = g.blind / (1 + streams/servers)
+	g.unseenShare = g.peerShare / (1 + streams/servers)
 	g.surveyed = g.now
 }
--- a/logic/slowstart.go
+++ b/logic/slowstart.go
@@ -11,9 +11,9 @@
 // anew: it is sent as to a cold one since, until discovery would have told of a start. Trials go on where
 // much is seen.
 func (g *Gateway) assumedWarmth(s *server) float64 {
-	w, gone := g.warmth(s), after(s.lost, g.now)
-	trial := g.unseen <= mostUnseen && s.suspectUntil != 0 && g.now >= s.suspectUntil && s.waiting == 0
-	if s.lost == 0 || gone >= toldWithin || trial || g.set.FallMultiple <= 0 || g.set.FallAfter <= 0 {
+	w, gone := g.warmth(s), after(s.unreachableAt, g.now)
+	trial := g.unseenShare <= mostUnseen && s.suspectUntil != 0 && g.now >= s.suspectUntil && s.waiting == 0
+	if s.unreachableAt == 0 || gone >= toldWithin || trial || g.set.FallMultiple <= 0 || g.set.FallAfter <= 0 {
 		return w
 	}
 	return math.Min(w, g.set.ColdShare+(1-g.set.ColdShare)*gone.Seconds()/toldWithin.Seconds())
@@ -31,10 +31,10 @@
 	}
 	least := 1 / float64(g.set.Gateways) / g.set.FallAfter.Seconds() // one a window of all: warming has to begin
 	part := coldCaution
-	if g.unseen > mostUnseen {
+	if g.unseenShare > mostUnseen {
 		part = creditPart // where requests meet, cold servers have another
 	}
-	rate := math.Max(part*g.set.FallMultiple*w*g.stages[s.role.stage()].perWarmth(g.now, g.born), least)
+	rate := math.Max(part*g.set.FallMultiple*w*g.stages[s.role.stage()].perWarmth(g.now, g.startedAt), least)
 	if g.now >= s.creditsLapseAt {
 		s.coldCredits = 0
 	}
@@ -46,18 +46,18 @@
 	return s.coldCredits > 0
 }
 
-// ask counts a request at the stage that it comes to. Until it ends it stands for what servers bear however
-// warm; done, for what their warmth did; failed, for nothing.
-func (g *Gateway) ask(r *request) {
+// countAtStage counts a request at the stage that it comes to. Until it ends it stands for what servers
+// bear however warm; done, for what their warmth did; failed, for nothing.
+func (g *Gateway) countAtStage(r *request) {
 	st := &g.stages[r.stage()]
 	if r.asked == st || st.n == 0 {
 		return
 	}
-	g.told(r, false)
-	r.asked, r.part = st, (1-g.unseen/2)/st.n
-	st.did.add(g.now, rateMemory, r.part)
-	st.asks.add(g.now, rateMemory, 1)
-	if r.guest = nil; g.unseen > mostUnseen {
+	g.settleStage(r, false)
+	r.asked, r.part = st, (1-g.unseenShare/2)/st.n
+	st.served.add(g.now, rateMemory, r.part)
+	st.offered.add(g.now, rateMemory, 1)
+	if r.invitedTo = nil; g.unseenShare > mostUnseen {
 		g.invite(r, st)
 	}
 }
@@ -89,8 +89,8 @@
 	if at == nil {
 		return
 	}
-	bears := homePart * g.set.FallMultiple * g.assumedWarmth(at) * st.did.v / st.asks.v
+	bears := homePart * g.set.FallMultiple * g.assumedWarmth(at) * st.served.v / st.offered.v
 	if g.rng.Float64()*(k+1)/m < bears {
-		r.guest = at
+		r.invitedTo = at
 	}
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -46,7 +46,7 @@
 	homes             []*server // readers where its prefix meets
 	renewed           float64   // part of a prefix that own requests alone keep warm anywhere
 	meets             Key       // by which it meets others
-	guest             *server   // cold, and it may go there without a credit
+	invitedTo         *server   // cold, and it may go there without a credit
 	asked             *stage    // that it is counted at, with its outcome open
 	part              float64   // what it counts for there
 	charge, ahead     float64   // tokens charged to the server's read load, and the load found there
@@ -77,9 +77,9 @@
 	streams        int
 	waiting        int  // own attempts out that have not begun to answer
 	fails          int  // bad signs in a row
-	quiet          Time // last sign of life, or the send that ended idleness
+	lastSignAt     Time // last sign of life, or the send that ended idleness
 	suspectUntil   Time // suspect until its trial at this time; 0: not suspect
-	lost           Time // when it could last not be reached; 0: it always could
+	unreachableAt  Time // when it could last not be reached; 0: it always could
 	creditsGivenAt Time // up to when its credits have accrued
 	creditsLapseAt Time // when those in coldCredits lapse
 	coldCredits    int  // credits for single sends while it is in slow start
@@ -130,8 +130,8 @@
 type stage struct {
 	n, units float64     // of the usable servers: how many, and the sum of their warmth
 	cold     []*server   // of those that requests meet at
-	did      fading      // own requests, by what a unit of warmth bore of them
-	asks     fading      // own requests that came to it
+	served   fading      // own requests, by what a unit of warmth bore of them
+	offered  fading      // own requests that came to it
 	past     [32]meeting // of the last ones
 	last     int
 }
@@ -156,8 +156,8 @@
 	return at
 }
 
-// join adds a usable server to the stages that it has a part in.
-func (g *Gateway) join(s *server, warmth float64) {
+// addToStages adds a usable server to the stages that it has a part in.
+func (g *Gateway) addToStages(s *server, warmth float64) {
 	for i := range g.stages {
 		if st := &g.stages[i]; s.role == RoleBoth || s.role.stage() == i {
 			st.n++
@@ -169,21 +169,21 @@
 	}
 }
 
-// perWarmth is what own requests had done a second by each unit of warmth there. Memory of a gateway that has begun
-// just now reaches back to that, not further.
+// perWarmth is what own requests had done a second by each unit of warmth there. Memory of a gateway that
+// has begun just now reaches back to that, not further.
 func (st *stage) perWarmth(now, born Time) float64 {
 	known := 1 - math.Exp(-math.Max(after(born, now).Seconds(), 1)/rateMemory.Seconds())
-	return math.Max(0, st.did.value(now, rateMemory)) / rateMemory.Seconds() / known
+	return math.Max(0, st.served.value(now, rateMemory)) / rateMemory.Seconds() / known
 }
 
-// told takes how a request ended at the stage that it was counted at, if it is counted still.
-func (g *Gateway) told(r *request, done bool) {
+// settleStage takes how a request ended at the stage that it was counted at, if it is counted still.
+func (g *Gateway) settleStage(r *request, done bool) {
 	if r.asked == nil {
 		return
 	}
-	r.asked.did.add(g.now, rateMemory, -r.part)
+	r.asked.served.add(g.now, rateMemory, -r.part)
 	if done {
-		r.asked.did.add(g.now, rateMemory, 1/r.asked.units)
+		r.asked.served.add(g.now, rateMemory, 1/r.asked.units)
 	}
 	r.asked = nil
 }
@@ -270,8 +270,8 @@
 type Gateway struct {
 	set             Settings
 	peers           float64 // other gateways
-	blind           float64 // part of the traffic that is theirs
-	unseen          float64 // the same, vanishing as own streams at each server become many
+	peerShare       float64 // part of the traffic that is theirs
+	unseenShare     float64 // the same, vanishing as own streams at each server become many
 	rng             *rand.Rand
 	now             Time
 	out             []Action
@@ -287,11 +287,11 @@
 	quota           []bucket
 	delay           fading  // seconds from arrivals to first tokens beyond the need
 	maxWorth        float64 // best points
-	gap             float64 // mean seconds between arrivals
+	arrivalGap      float64 // mean seconds between arrivals
 	lastArrival     Time
 	warming         bool // some usable server is not warm yet
 	reports         bool // servers report their memory
-	born            Time // when this instance began
+	startedAt       Time // when this instance began
 	surveyed, swept Time
 	figures         []float64 // by zone, as a map of traffic tells them; nil: none
 	closing         bool      // the instance is about to end; what is in hand is given up
@@ -370,16 +370,17 @@
 // meanwhile, beyond a moment.
 func (s *server) missed(now Time, unreachable bool, moment time.Duration) {
 	if unreachable && s.fails > 1 {
-		s.lost, s.creditsGivenAt = now, max(s.creditsGivenAt, now-Time(moment))
+		s.unreachableAt, s.creditsGivenAt = now, max(s.creditsGivenAt, now-Time(moment))
 	}
 }
 
-// mostFigure is what a figure counts for at most: a server of a zone that gets nothing is the last one to be used.
+// mostFigure is what a figure counts for at most: a server of a zone that gets nothing is the last one to
+// be used.
 const mostFigure = 1e6
 
-// SetZones takes a figure for each zone, by its index, which stands for the usual cost of distance from now on: what a server
-// there counts for against one of figure 1. A zone past the list, or whose figure makes no sense, counts as without one; nil ends
-// them all.
+// SetZones takes a figure for each zone, by its index, which stands for the usual cost of distance from
+// now on: what a server there counts for against one of figure 1. A zone past the list, or whose figure
+// makes no sense, counts as without one; nil ends them all.
 func (g *Gateway) SetZones(figures []float64) { g.figures = slices.Clone(figures) }
 
 // distance is what a server counts for by its zone alone.
--- a/logic/writers.go
+++ b/logic/writers.go
@@ -10,13 +10,13 @@
 // the best one elsewhere; if none has room, the near one with fewest own streams.
 func (g *Gateway) pickWriter(r *request) *server {
 	// Where own streams tell little, the pressure on the cell's writers goes wherever there is most room.
-	roam := g.rng.Float64() < g.unseen*(1-1/r.reader.writerPressure)
+	roam := g.rng.Float64() < g.unseenShare*(1-1/r.reader.writerPressure)
 	return g.pick(r, func(s *server) (class int, cost float64) {
 		near, scale := s.Cell == r.reader.Cell, g.scale(s)
 		share := (g.share(s) + r.memory/s.memory) * scale
 		// What peers have there is off its mean by chance: the fewer streams, the more.
-		mean := g.blind * g.pools[s.role].share
-		chance := (1e-3*g.blind + mean/math.Sqrt(1+mean*s.memory/r.memory)) * g.rng.ExpFloat64() * scale
+		mean := g.peerShare * g.pools[s.role].share
+		chance := (1e-3*g.peerShare + mean/math.Sqrt(1+mean*s.memory/r.memory)) * g.rng.ExpFloat64() * scale
 		switch {
 		case share < roomShare && (near || roam) && s.role == RoleWrite:
 		case share < roomShare && s.role == RoleWrite:
