The console answers scrapes in the Prometheus text format

Not done: histograms of waits, the slow-start budget, discovery's age.

Nothing is added to the path of a request, so its cost there was not measured.

--- a/downstream/server.go
+++ b/downstream/server.go
@@ -130,6 +130,9 @@
 	}
 }
 
+// OpenConnections is how many clients' connections there are.
+func (s *Server) OpenConnections() int { return s.listener.open() }
+
 // Connections tells how many clients' connections there are in each phase, as text for the log.
 func (s *Server) Connections() string {
 	s.listener.mu.Lock()
--- a/front/console/console.go
+++ b/front/console/console.go
@@ -1,9 +1,10 @@
-// Package console is the operators' address: readiness, and workers taken out
+// Package console is the operators' address: readiness, metrics, and workers taken out
 // and put back by hand. It speaks HTTP/1.1 with one call to a connection, over a
 // listener and a server of its own, so that no client's load stands before it.
 package console
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"io"
@@ -26,6 +27,7 @@
 	readyPath   = "/v1/readyz"
 	workersPath = "/v1/workers/"
 	fleetPath   = "/v1/fleet/"
+	metricsPath = "/v1/metrics"
 )
 
 var errNoPath = errors.New("no such path")
@@ -41,6 +43,21 @@
 	ready   func() bool
 	workers Workers // nil: no front takes workers by hand
 	fleet   Fleet   // nil: none
+	metrics Metrics // nil: none
+
+	metricsType string
+}
+
+// Metrics are figures for who scrapes them.
+type Metrics interface {
+	// Write writes them as text.
+	Write(w io.Writer) error
+}
+
+// WithMetrics makes the console answer with metrics of a content type.
+func (c *Console) WithMetrics(m Metrics, contentType string) *Console {
+	c.metrics, c.metricsType = m, contentType
+	return c
 }
 
 // Fleet is what there is to see of a fleet of routers.
@@ -76,6 +93,8 @@
 	switch {
 	case path == readyPath:
 		call.Ready(c.ready)
+	case path == metricsPath && c.metrics != nil:
+		c.scrape(call)
 	case c.fleet != nil && strings.HasPrefix(path, fleetPath):
 		c.page(call, strings.TrimPrefix(path, fleetPath))
 	case strings.HasPrefix(path, workersPath):
@@ -85,6 +104,19 @@
 	}
 }
 
+func (c *Console) scrape(call *downstream.Call) {
+	if !call.Allow(fasthttp.MethodGet) {
+		return
+	}
+	var text bytes.Buffer
+	if err := c.metrics.Write(&text); err != nil {
+		call.Problem(fasthttp.StatusInternalServerError, err)
+		return
+	}
+	call.SetContentType(c.metricsType)
+	call.SetBody(text.Bytes())
+}
+
 func (c *Console) page(call *downstream.Call, name string) {
 	if call.Request.Header.IsPost() {
 		if err := c.fleet.Do(name); err != nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -12,6 +12,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -63,6 +64,7 @@
 	counters *metrics.Set
 	files    Files
 	fronts   []front
+	frontsMu sync.RWMutex // for who reads fronts beside the start
 	watch    *platform.Watch
 	sources  *sources.Config          // nil without a file
 	feeds    map[string]*sources.Feed // by front, those that take sources
@@ -270,7 +272,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for the console: %w", err)
 	}
-	server := c.Server(l, d.counters)
+	server := d.withMetrics(c).Server(l, d.counters)
 	go func() {
 		if err := server.Serve(); err != nil {
 			d.failed <- err
@@ -377,7 +379,9 @@
 	cfg.Core, cfg.Counters = f.core, d.counters
 	server := downstream.NewServer(l, cfg)
 	f.server, f.log = server, d.log
+	d.frontsMu.Lock()
 	d.fronts = append(d.fronts, f)
+	d.frontsMu.Unlock()
 	go func() {
 		if err := server.Serve(); err != nil {
 			d.failed <- err
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -32,11 +32,16 @@
 	return s.n[name]
 }
 
+// All returns all counters as they are.
+func (s *Set) All() map[string]int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.n)
+}
+
 // Print writes all counters, a line each, in order of their names.
 func (s *Set) Print(w io.Writer) error {
-	s.mu.Lock()
-	n := maps.Clone(s.n)
-	s.mu.Unlock()
+	n := s.All()
 	for _, name := range slices.Sorted(maps.Keys(n)) {
 		if _, err := fmt.Fprintf(w, "%s %d\n", name, n[name]); err != nil {
 			return fmt.Errorf("print counters: %w", err)
