Red: what is accepted after the last step of a stop keeps the process for a second

A crowd of 450 idle connections had come, 216 of which may be open, so the others waited in the system's queue and were accepted as those gave way, also after DropUnread had ended the 216 of that moment. closeIdle keeps a connection that has sent nothing for its first second (closing.go, freshFor).

Change: a test that connects after DropUnread.

--- a/downstream/handover_test.go
+++ b/downstream/handover_test.go
@@ -163,3 +163,22 @@
 	s.DropUnread()
 	require.NoError(t, <-ended)
 }
+
+// Nor one that comes after that, out of a queue that was long: nothing is served on it any more.
+func TestWhatIsAcceptedAfterDropUnreadIsShutAtOnce(t *testing.T) {
+	s, l := beside(t, "127.0.0.1:0", func(http.ResponseWriter, *http.Request) {})
+	ended := make(chan error, 1)
+	go func() { ended <- s.Stop(context.Background(), takes(time.Hour)) }()
+	s.DropUnread()
+	for range 3 {
+		from := time.Now()
+		c, err := net.Dial("tcp", l.Addr().String())
+		require.NoError(t, err)
+		require.NoError(t, c.SetReadDeadline(from.Add(atLast)))
+		_, err = c.Read(make([]byte, 1))
+		require.ErrorIs(t, err, io.EOF)
+		require.Less(t, time.Since(from), freshFor)
+		require.NoError(t, c.Close())
+	}
+	require.NoError(t, <-ended)
+}
