What a stop still accepts after its last step is ended at once

Cause: as told with the red test: DropUnread ended the connections of one moment, and Stop's looks went on by closeIdle, for which a connection without a byte may be expecting its first request for a second.

Change: DropUnread marks the listener as exiting, and each look after that ends what has no whole request in hand (closeUnread, which DropUnread uses itself). The red test connects once: a second connection is refused now, since the stop ends first.

--- a/downstream/listener.go
+++ b/downstream/listener.go
@@ -26,6 +26,7 @@
 	ending   int           // of conns, those that are
 	last     time.Time     // when the latest was accepted
 	linger   time.Duration // how long what is shut may take to be closed
+	exiting  bool          // the process is about to end
 }
 
 // One of endingPart connections may be ending beside those in use: what gives way is shut first, and
@@ -191,6 +192,34 @@
 	return len(l.conns)
 }
 
+// closeUnused ends the connections that a stop need not wait for; once the process is about to end, all that have no whole
+// request in hand.
+func (l *listener) closeUnused() {
+	l.mu.Lock()
+	exiting := l.exiting
+	l.mu.Unlock()
+	if exiting {
+		l.closeUnread()
+		return
+	}
+	l.closeIdle()
+}
+
+// closeUnread ends all connections but those with a whole request in hand.
+func (l *listener) closeUnread() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		switch end := c.end(forExit); {
+		case end == keep:
+		case end == shutIdle && !c.pending():
+			l.shut(c)
+		default:
+			l.hurry(c)
+		}
+	}
+}
+
 // closeIdle shuts the connections that are between requests. A request that
 // crosses this is sent again by its client, on a new connection; one whose bytes
 // have come already, but that the server has not read yet, is left to be served:
--- a/downstream/server.go
+++ b/downstream/server.go
@@ -108,7 +108,7 @@
 	tick := time.NewTicker(lookEvery)
 	defer tick.Stop()
 	for closed := false; ; {
-		s.listener.closeIdle()
+		s.listener.closeUnused()
 		over := time.Since(began) >= takeMost()
 		if over {
 			s.over.Store(true)
@@ -145,20 +145,14 @@
 }
 
 // DropUnread ends all connections but those with a whole request in hand, for a process that must
-// leave: half a request would keep Stop waiting until its deadline. It is refused.
+// leave: half a request would keep Stop waiting until its deadline. It is refused. So are, from then on, connections
+// that Stop still accepts.
 func (s *Server) DropUnread() {
 	s.listener.mu.Lock()
-	defer s.listener.mu.Unlock()
+	s.listener.exiting = true
 	s.listener.lingerFor(discardLast)
-	for c := range s.listener.conns {
-		switch end := c.end(forExit); {
-		case end == keep:
-		case end == shutIdle && !c.pending():
-			s.listener.shut(c)
-		default:
-			s.listener.hurry(c)
-		}
-	}
+	s.listener.mu.Unlock()
+	s.listener.closeUnused()
 }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
