The renaming of a package had taken the path of a call with it: audit collect works again

In renaming fleet/trail (fleet/eventlog) the command that replaced the import path also replaced "/v1/fleet/trail" in internal/cli/collect.go:54, which routers don't know.

Change: the path is as it was.

Measured: TestAuditOfFivePrograms and all tests of audit, stragglers, zones and configuration in ./test with -race green (15 s).

--- a/internal/cli/collect.go
+++ b/internal/cli/collect.go
@@ -51,7 +51,7 @@
 func collect(ctx context.Context, c *cli.Command, addr, dir string) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.Duration("timeout"))
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/v1/fleet/eventlog", nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/v1/fleet/trail", nil)
 	if err != nil {
 		return 0, err
 	}
