Reread of the change: one loop ends unused connections, one copy of settings, files, log cuts; a stray file

Change: listener.closeUnused with its reason (forStop, forExit); demo.Settings; replaceFile; cluster.pierce; slices.Contains; the file is gone. Tests keep their assertions; two call closeUnused where they called closeIdle. In the soak the longest deadline is noted before the configuration is written, not between its writing and its renaming.

--- a/downstream/crossings_test.go
+++ b/downstream/crossings_test.go
@@ -184,7 +184,7 @@
 // of the connection and no reset.
 func TestARequestThatCrossesTheEndOfARestingConnection(t *testing.T) {
 	for name, end := range map[string]func(*Server){
-		"stopping":   func(s *Server) { s.listener.closeIdle() },
+		"stopping":   func(s *Server) { s.listener.closeUnused() },
 		"giving way": func(s *Server) { s.listener.mu.Lock(); s.listener.evict(forRoom); s.listener.mu.Unlock() },
 		"leaving":    func(s *Server) { s.DropUnread() },
 	} {
@@ -268,7 +268,7 @@
 				for range 2 {
 					<-began
 				}
-				s.listener.closeIdle()
+				s.listener.closeUnused()
 			}()
 			answers := bufio.NewReader(c)
 			for range 3 {
--- a/downstream/listener.go
+++ b/downstream/listener.go
@@ -192,45 +192,25 @@
 	return len(l.conns)
 }
 
-// closeUnused ends the connections that a stop need not wait for; once the process is about to end, all that have no whole
-// request in hand.
+// closeUnused ends the connections that a stop need not wait for: those between requests, and once the process is about to end
+// also those with a part of a request. A request that crosses this is sent again by its client, on a new connection; one whose
+// bytes have come already, but that the server has not read yet, is left to be served: closing on it would lose a request that
+// was taken. So is, for a moment, a new connection whose first request may be on its way. Once the process is about to end,
+// both are refused.
 func (l *listener) closeUnused() {
-	l.mu.Lock()
-	exiting := l.exiting
-	l.mu.Unlock()
-	if exiting {
-		l.closeUnread()
-		return
-	}
-	l.closeIdle()
-}
-
-// closeUnread ends all connections but those with a whole request in hand.
-func (l *listener) closeUnread() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	why := forStop
+	if l.exiting {
+		why = forExit
+	}
 	for c := range l.conns {
-		switch end := c.end(forExit); {
+		switch end := c.end(why); {
 		case end == keep:
 		case end == shutIdle && !c.pending():
 			l.shut(c)
-		default:
+		case why == forExit:
 			l.hurry(c)
 		}
 	}
 }
-
-// closeIdle shuts the connections that are between requests. A request that
-// crosses this is sent again by its client, on a new connection; one whose bytes
-// have come already, but that the server has not read yet, is left to be served:
-// closing on it would lose a request that was taken. So is, for a moment, a new
-// connection whose first request may be on its way.
-func (l *listener) closeIdle() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for c := range l.conns {
-		if c.end(forStop) == shutIdle && !c.pending() {
-			l.shut(c)
-		}
-	}
-}
--- a/lab/demo/demo.go
+++ b/lab/demo/demo.go
@@ -103,6 +103,20 @@
 	return cfg
 }
 
+// Settings are what runs in virtual time tell the decisions about a site: two classes, of which the one that must not run twice is
+// worth more.
+func Settings(site *engine.Config) logic.Settings {
+	s := logic.Settings{CancelAllowed: true, RetryAfter: true, MaxRetryAfter: 2 * time.Second, MaxAttempts: 5, ConnectTimeout: 250 * time.Millisecond,
+		OverShareWorth: 0.1, DrainGrace: 250 * time.Millisecond, ColdShare: site.Cold.Share, WarmWithin: site.Cold.WarmWithin,
+		FallMultiple: site.Cold.FallMultiple, FallAfter: site.Cold.FallAfter, ReleaseWithin: 300 * time.Millisecond,
+		Classes: []logic.Class{{Aim: 1500 * time.Millisecond, AimPer1000: 40 * time.Millisecond, TokenAim: 60 * time.Millisecond, Points: 1, LateShare: 0.2},
+			{Aim: 1500 * time.Millisecond, AimPer1000: 40 * time.Millisecond, TokenAim: 60 * time.Millisecond, Points: 3, LateShare: 0.2, Effect: logic.EffectOnce}}}
+	for _, k := range site.Kinds {
+		s.Kinds = append(s.Kinds, logic.Kind{Role: k.Role, MemoryTokens: k.Memory})
+	}
+	return s
+}
+
 // Load is what the demonstration's clients ask for.
 func Load(rate float64) load.Config {
 	return load.Config{Rate: rate, Classes: []float64{3, 1}, Prefixes: 24, Zipf: 1.2, PrefixTokens: 1200, Turns: 4,
--- a/lab/replay/replay_test.go
+++ b/lab/replay/replay_test.go
@@ -82,14 +82,7 @@
 }
 
 func (d deployment) run(t *testing.T) *replay.Recording {
-	settings := logic.Settings{CancelAllowed: true, RetryAfter: true, MaxRetryAfter: 2 * time.Second, MaxAttempts: 5, ConnectTimeout: 250 * time.Millisecond,
-		OverShareWorth: 0.1, DrainGrace: 250 * time.Millisecond, ColdShare: d.site.Cold.Share, WarmWithin: d.site.Cold.WarmWithin,
-		FallMultiple: d.site.Cold.FallMultiple, FallAfter: d.site.Cold.FallAfter, ReleaseWithin: 300 * time.Millisecond,
-		Classes: []logic.Class{{Aim: 1500 * time.Millisecond, AimPer1000: 40 * time.Millisecond, TokenAim: 60 * time.Millisecond, Points: 1, LateShare: 0.2},
-			{Aim: 1500 * time.Millisecond, AimPer1000: 40 * time.Millisecond, TokenAim: 60 * time.Millisecond, Points: 3, LateShare: 0.2, Effect: logic.EffectOnce}}}
-	for _, k := range d.site.Kinds {
-		settings.Kinds = append(settings.Kinds, logic.Kind{Role: k.Role, MemoryTokens: k.Memory})
-	}
+	settings := demo.Settings(&d.site)
 	if d.settings != nil {
 		d.settings(&settings)
 	}
--- a/lab/virtual/virtual_test.go
+++ b/lab/virtual/virtual_test.go
@@ -25,22 +25,10 @@
 		Observers: 2, Quorum: 2, MostOut: 0.3, Least: 3, Hold: 3 * time.Second, Return: 10 * time.Second}
 }
 
-func settings(kinds []engine.Kind, cold engine.Cold) logic.Settings {
-	s := logic.Settings{CancelAllowed: true, RetryAfter: true, MaxRetryAfter: 2 * time.Second, MaxAttempts: 5, ConnectTimeout: 250 * time.Millisecond,
-		OverShareWorth: 0.1, DrainGrace: 250 * time.Millisecond, ColdShare: cold.Share, WarmWithin: cold.WarmWithin, FallMultiple: cold.FallMultiple,
-		FallAfter: cold.FallAfter, ReleaseWithin: 300 * time.Millisecond,
-		Classes: []logic.Class{{Aim: 1500 * time.Millisecond, AimPer1000: 40 * time.Millisecond, TokenAim: 60 * time.Millisecond, Points: 1, LateShare: 0.2},
-			{Aim: 1500 * time.Millisecond, AimPer1000: 40 * time.Millisecond, TokenAim: 60 * time.Millisecond, Points: 3, LateShare: 0.2, Effect: logic.EffectOnce}}}
-	for _, k := range kinds {
-		s.Kinds = append(s.Kinds, logic.Kind{Role: k.Role, MemoryTokens: k.Memory})
-	}
-	return s
-}
-
 // usual is the demonstration's site before n routers, at a rate over all of them.
 func usual(n int, rate float64, seed uint64) Config {
 	site := demo.Site()
-	return Config{Routers: n, Site: site, Load: demo.Load(rate), Settings: settings(site.Kinds, site.Cold), Patience: 4 * time.Second,
+	return Config{Routers: n, Site: site, Load: demo.Load(rate), Settings: demo.Settings(&site), Patience: 4 * time.Second,
 		Hop: time.Millisecond, For: 30 * time.Second, Seed: seed}
 }
 
@@ -135,7 +123,7 @@
 	for j := range 8 {
 		cfg.Site.Servers = append(cfg.Site.Servers, engine.Spec{Name: fmt.Sprint("m-", j), Started: -time.Hour})
 	}
-	cfg.Settings = settings(cfg.Site.Kinds, cfg.Site.Cold)
+	cfg.Settings = demo.Settings(&cfg.Site)
 	cfg.Load.PrefixTokens, cfg.Load.Prefixes, cfg.Load.Turns, cfg.Load.Prompt, cfg.Load.Answer = 0, 1, 1, 800, 4
 	return cfg
 }
--- a/metrics/exposition/exposition.go
+++ b/metrics/exposition/exposition.go
@@ -7,6 +7,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"sync"
 
@@ -53,14 +54,9 @@
 		if !ok {
 			continue
 		}
-		if f.values == nil {
+		if f.values == nil || slices.Contains(f.values, value) {
 			return f, value
 		}
-		for _, v := range f.values {
-			if v == value {
-				return f, value
-			}
-		}
 	}
 	return nil, ""
 }
--- a/store/damage_test.go
+++ b/store/damage_test.go
@@ -113,12 +113,7 @@
 	}
 	victim := (at + 1) % 3
 	c.close(victim)
-	logs, err := raftboltdb.NewBoltStore(filepath.Join(c.cfg[victim].DataDir, "raft.db"))
-	require.NoError(t, err)
-	last, err := logs.LastIndex()
-	require.NoError(t, err)
-	require.NoError(t, logs.DeleteRange(last-9, last-8))
-	require.NoError(t, logs.Close())
+	c.pierce(victim, 9, 8)
 
 	var log lockedBuffer
 	c.cfg[victim].Log = &log
@@ -150,12 +145,7 @@
 	c.close(damaged)
 	c.close(was)
 
-	logs, err := raftboltdb.NewBoltStore(filepath.Join(c.cfg[damaged].DataDir, "raft.db"))
-	require.NoError(t, err)
-	last, err := logs.LastIndex()
-	require.NoError(t, err)
-	require.NoError(t, logs.DeleteRange(last-1, last-1))
-	require.NoError(t, logs.Close())
+	c.pierce(damaged, 1, 1)
 	c.open(damaged)
 	c.open(behind)
 	time.Sleep(8 * pace) // elections of these two alone would be over by then
@@ -169,6 +159,16 @@
 	}
 }
 
+// pierce takes entries out of the log of a replica that is closed, from one so many before its last to another.
+func (c *cluster) pierce(i int, from, to uint64) {
+	logs, err := raftboltdb.NewBoltStore(filepath.Join(c.cfg[i].DataDir, "raft.db"))
+	require.NoError(c.t, err)
+	last, err := logs.LastIndex()
+	require.NoError(c.t, err)
+	require.NoError(c.t, logs.DeleteRange(last-from, last-to))
+	require.NoError(c.t, logs.Close())
+}
+
 // has tells whether the replica has caught up and has a node with these data.
 func (r *Replica) has(path, data string) bool {
 	got, _, err := r.Get(path)
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -525,10 +525,17 @@
 // clockLibrary is built once, in the directory of the program.
 var clockLibrary = sync.OnceValues(func() (clock.Library, error) { return clock.Build(filepath.Dir(binary)) })
 
+// replaceFile puts another text in a file's place, so that nobody reads half of it.
+func replaceFile(path, text string) error {
+	if err := os.WriteFile(path+".new", []byte(text), 0o600); err != nil {
+		return err
+	}
+	return os.Rename(path+".new", path)
+}
+
 // reconfigure replaces the platform's configuration and has it read again.
 func (p *program) reconfigure(text string) {
-	require.NoError(p.t, os.WriteFile(p.file+".new", []byte(text), 0o600))
-	require.NoError(p.t, os.Rename(p.file+".new", p.file))
+	require.NoError(p.t, replaceFile(p.file, text))
 	p.signal(syscall.SIGHUP)
 }
 
--- a/test/overlap_test.go
+++ b/test/overlap_test.go
@@ -181,11 +181,8 @@
 func (o *overlapRouter) draw(rng *rand.Rand) error {
 	longest := deadlines[rng.IntN(len(deadlines))]
 	o.text = o.rig.config(o, longest)
-	if err := os.WriteFile(o.file+".new", []byte(o.text), 0o600); err != nil {
-		return err
-	}
 	o.longest.Store(int64(longest))
-	return os.Rename(o.file+".new", o.file)
+	return replaceFile(o.file, o.text)
 }
 
 // known is when what the agent has counts as known to the router.
--- a/test/signals_test.go
+++ b/test/signals_test.go
@@ -78,8 +78,7 @@
 				p.reconfigure(shorter)
 				eventually(t, func() bool { return p.logged("settings read again") }, "the configuration is taken")
 			} else {
-				require.NoError(t, os.WriteFile(file+".new", []byte(shorter), 0o600))
-				require.NoError(t, os.Rename(file+".new", file))
+				require.NoError(t, replaceFile(file, shorter))
 			}
 			if c.away > 0 {
 				faults.Set(syscalls.Always(syscall.ENFILE, syscalls.Openat))
