--- /dev/null
+++ b/test/starved_test.go
@@ -0,0 +1,135 @@
+package test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lichenshelf/internal/standin/cpushare"
+)
+
+const (
+	crowdFor    = 4 * time.Second
+	crowdShare  = 0.12 // of a core, of a program with the race detector
+	crowdPerSec = 3000
+	crowdKept   = 4000 // connections that the crowd keeps; the oldest go first
+	leastServed = 60   // of some 155 that are served where no crowd comes
+)
+
+// crowdAt opens connections at an address at a rate until ctx ends: each other one asks once and stays, the rest never send a
+// whole request.
+func crowdAt(ctx context.Context, addr string, perSecond int) (opened int64) {
+	const batch = 5 * time.Millisecond
+	var n atomic.Int64
+	var all sync.WaitGroup
+	kept := make(chan net.Conn, crowdKept)
+	defer func() {
+		all.Wait()
+		close(kept)
+		for c := range kept {
+			_ = c.Close()
+		}
+	}()
+	began := time.Now()
+	tick := time.NewTicker(batch)
+	defer tick.Stop()
+	for due := 0; ; {
+		select {
+		case <-ctx.Done():
+			return n.Load()
+		case <-tick.C:
+		}
+		for ; due < int(time.Since(began).Seconds()*float64(perSecond)); due++ {
+			asks := due%2 == 0
+			all.Go(func() {
+				c, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+				if err != nil {
+					return
+				}
+				n.Add(1)
+				text := "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
+				if asks {
+					text = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"
+				}
+				_, _ = io.WriteString(c, text)
+				for {
+					select {
+					case kept <- c:
+						return
+					default:
+					}
+					select {
+					case old := <-kept:
+						_ = old.Close()
+					default:
+					}
+				}
+			})
+		}
+	}
+}
+
+// A crowd of connections that ask for nothing takes what processor time there is. What the router owes meanwhile comes before
+// it: a state that a reader holds is taken or let go of in time, and a stream's end is passed on.
+func TestACrowdDoesNotKeepARouterFromWhatItOwes(t *testing.T) {
+	h := newHolds()
+	workers := []*worker{}
+	for _, name := range []string{"s-r1", "s-r2"} {
+		workers = append(workers, h.watched(newWorker(t, name, "reader", nil)))
+	}
+	var ended sync.Map // when each stream's last byte was written
+	for _, name := range []string{"s-w1", "s-w2", "s-w3"} {
+		workers = append(workers, h.watched(newWorker(t, name, "writer", func(w http.ResponseWriter, r *http.Request) {
+			write(w, r)
+			ended.Store(r.Header.Get("X-Correlation-Id"), time.Now())
+		})))
+	}
+	p, _ := platform(t, workers...)
+	asking, stop := context.WithCancel(t.Context())
+	var clients sync.WaitGroup
+	var mu sync.Mutex
+	var served int
+	var latest time.Duration
+	for range 4 {
+		client := &http.Client{Transport: &http.Transport{}}
+		defer client.CloseIdleConnections()
+		clients.Go(func() {
+			for asking.Err() == nil {
+				id := newID()
+				resp, err := client.Do(p.request("query", id, 6*time.Second))
+				if err != nil {
+					continue
+				}
+				_, err = io.Copy(io.Discard, resp.Body)
+				resp.Body.Close()
+				if at, ok := ended.Load(id); ok && err == nil && resp.StatusCode == http.StatusOK {
+					mu.Lock()
+					served, latest = served+1, max(latest, time.Since(at.(time.Time)))
+					mu.Unlock()
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+		})
+	}
+	quota, err := cpushare.Hold(p.cmd.Process.Pid, crowdShare)
+	require.NoError(t, err)
+	crowding, over := context.WithTimeout(t.Context(), crowdFor)
+	defer over()
+	opened := crowdAt(crowding, p.addr, crowdPerSec)
+	stop()
+	clients.Wait()
+	time.Sleep(time.Second) // what is held is let go of by then
+	quota.Lift()
+	late := h.judge()
+	t.Logf("%d connections came; %d states held, %v at most; %d streams, the latest end %v late", opened, h.read, h.most, served, latest)
+	require.Empty(t, late, "states held for too long")
+	require.Less(t, latest, time.Second, "the end of a stream was passed on late")
+	require.Greater(t, served, leastServed, "requests that the crowd kept from being served")
+}
