--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -102,7 +102,10 @@
 
 func startCommand(t *testing.T, cmd *exec.Cmd, addr string, env []string) *program {
 	p := &program{t: t, addr: addr, cmd: cmd, exit: make(chan error, 1), served: map[string]string{}}
-	p.cmd.Stdout, p.cmd.Stderr = p, p
+	p.cmd.Stdout = p
+	if p.cmd.Stderr == nil {
+		p.cmd.Stderr = p
+	}
 	p.cmd.Dir = t.TempDir()
 	if p.cmd.Env == nil {
 		p.cmd.Env = os.Environ()
--- /dev/null
+++ b/test/late_arrival_test.go
@@ -0,0 +1,113 @@
+package test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lichenshelf/internal/standin/link"
+)
+
+const (
+	cutFor   = 800 * time.Millisecond
+	cutEvery = 2 * time.Second
+	cuts     = 4
+)
+
+// What a router calls off while its worker's machine is out of reach must not arrive there when it is back: a client that has
+// gone, another attempt and a released state have nothing to do with it any more. What arrived is told by the workers' handlers.
+func TestWhatIsCalledOffDuringACutDoesNotArriveWhenItHeals(t *testing.T) {
+	require.NoError(t, link.CanVanish(), "this system makes the test one for privileged users")
+	h := newHolds()
+	var workers []*worker
+	var relays []*link.Relay
+	d := newDiscovery(t)
+	d.list(true, "in_service")
+	var mu sync.Mutex
+	left := map[string]time.Time{} // clients that have gone
+	var late []time.Duration
+	arrived := func(id string) {
+		mu.Lock()
+		defer mu.Unlock()
+		if at, ok := left[id]; ok {
+			late = append(late, time.Since(at))
+		}
+	}
+	for i := range 8 {
+		kind := "reader"
+		if i%2 == 1 {
+			kind = "writer"
+		}
+		k := h.watched(newWorker(t, "s-0000000"+string(rune('1'+i)), kind, nil))
+		serve := k.serve
+		k.serve = func(w http.ResponseWriter, r *http.Request) {
+			arrived(r.Header.Get("X-Correlation-Id"))
+			serve(w, r)
+		}
+		relay, err := link.New(k.Listener.Addr().String())
+		require.NoError(t, err)
+		t.Cleanup(relay.Close)
+		workers, relays = append(workers, k), append(relays, relay)
+	}
+	p := platformAt(t, d, connIdle).waitReady()
+	generation := 0
+	for i, k := range workers {
+		generation = d.listAt(k.name, k.kind, relays[i].Addr())
+	}
+	p.told(generation)
+	asking, stop := context.WithCancel(t.Context())
+	var clients sync.WaitGroup
+	for i := range 8 {
+		clients.Go(func() {
+			for n := 0; asking.Err() == nil; n++ {
+				id := newID()
+				ctx, end := context.WithCancel(t.Context())
+				if (i+n)%4 == 0 { // these leave in the middle of a cut
+					time.AfterFunc(cutFor/4, func() {
+						mu.Lock()
+						left[id] = time.Now()
+						mu.Unlock()
+						end()
+					})
+				}
+				resp, err := http.DefaultClient.Do(p.request("query", id, 3*time.Second).WithContext(ctx))
+				if err == nil {
+					_, _ = io.Copy(io.Discard, resp.Body)
+					resp.Body.Close()
+				}
+				mu.Lock()
+				if err == nil {
+					delete(left, id)
+				}
+				mu.Unlock()
+				end()
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+	}
+	for range cuts {
+		time.Sleep(cutEvery - cutFor)
+		for _, relay := range relays[1:] {
+			relay.Set(link.Fault{Vanish: true})
+		}
+		time.Sleep(cutFor)
+		for _, relay := range relays[1:] {
+			relay.Set(link.Fault{})
+		}
+	}
+	time.Sleep(cutEvery - cutFor)
+	stop()
+	clients.Wait()
+	time.Sleep(heldWithin + 100*time.Millisecond)
+	t.Logf("%d states held, %v at most; %d requests arrived after their clients had gone", h.read, h.most, len(late))
+	require.Empty(t, h.judge(), "states held for too long")
+	for _, d := range late {
+		require.Less(t, d, 100*time.Millisecond, "an attempt reached its worker so long after its client had gone")
+	}
+	require.Greater(t, h.read, 200)
+}
