The log is written beside the router; closed connections drop what is not confirmed

Cause 1: logrus wrote to os.Stderr under its lock from whatever goroutine logs (internal/cli/cli.go, daemon.printCounters), also the core's; the Go runtime ends a process that writes to a broken pipe at descriptor 2. Cause 2: conn.end and conn.Close (upstream/pool.go) and the end of a release's call (release.go) left unconfirmed bytes to the system, which sends them again when a cut heals. Change: internal/logwriter queues entries (256 KiB), drops and counts what finds no room, tells it in its place, is flushed for 0.1 s at the end; SIGPIPE is ignored by serve. What is not confirmed at a close is dropped (SO_LINGER 0), the end mark alone is not. New: process_late, process_late_ms and a line where the process ran late, log_entries_dropped.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -9,6 +9,7 @@
 	"os"
 	"runtime/debug"
 	"strings"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
@@ -18,14 +19,31 @@
 	"lichenshelf/front/modelapi"
 	"lichenshelf/front/platform"
 	"lichenshelf/internal/daemon"
+	"lichenshelf/internal/logwriter"
 	"lichenshelf/store"
 )
 
+const (
+	// logQueue bounds the bytes of the log that are not written yet: some ten seconds of a router with much to say.
+	logQueue = 256 << 10
+	// flushWithin is how long the end of the program waits for its last lines to be written: less than is left between the last
+	// step of a stop and the platform's kill.
+	flushWithin = 100 * time.Millisecond
+)
+
 // Run runs the command line and returns the exit code.
 func Run(args []string) int {
 	log := logrus.New()
-	log.SetOutput(os.Stderr)
-	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: "15:04:05.000"})
+	format := &logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: "15:04:05.000"}
+	out := logwriter.New(os.Stderr, logQueue, func(entries int) []byte {
+		entry := log.WithField("entries", entries).WithTime(time.Now())
+		entry.Level, entry.Message = logrus.WarnLevel, "entries of the log are missing here: they found no room while it was not taken"
+		text, _ := format.Format(entry)
+		return text
+	})
+	defer out.Flush(flushWithin)
+	log.SetOutput(out)
+	log.SetFormatter(format)
 	if err := command(log).Run(context.Background(), args); err != nil {
 		log.WithError(err).Error("lichenshelf ends")
 		return 1
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -106,6 +106,7 @@
 		acts: acts{versions: version.New(nil), log: log}}
 	defer d.printCounters()
 	defer d.acts.close()
+	d.freeFromLog()
 	signals := listenForSignals()
 	defer signals.stop()
 	ctx, cancel := context.WithCancel(ctx)
@@ -125,6 +126,7 @@
 	// Files may hang, and so may who reads the counters: neither keeps the end of the process waiting.
 	go onEach(ctx, signals.reload, d.reload)
 	go onEach(ctx, signals.counters, d.printCounters)
+	go d.watchLateness(ctx)
 	select {
 	case err := <-d.failed:
 		return err
@@ -497,9 +499,3 @@
 	}
 	return all
 }
-
-func (d *daemon) printCounters() {
-	if err := d.counters.Print(os.Stderr); err != nil {
-		d.log.WithError(err).Warn("counters not printed")
-	}
-}
--- a/test/log_test.go
+++ b/test/log_test.go
@@ -113,3 +113,15 @@
 	p.waitExit()
 	require.Less(t, time.Since(from), 3*time.Second, "the end waited")
 }
+
+// A process that was held up says so: what it did too late would look as if others had been slow.
+func TestAProcessThatRanLateSaysSo(t *testing.T) {
+	r, w := pair(t, nil)
+	p, _ := platform(t, r, w)
+	p.signal(syscall.SIGSTOP)
+	time.Sleep(400 * time.Millisecond)
+	p.signal(syscall.SIGCONT)
+	eventually(t, func() bool { return p.logged("the process ran late") }, "the lateness is told")
+	p.signal(syscall.SIGUSR1)
+	eventually(t, func() bool { return p.logged("\nprocess_late_ms ") }, "the lateness is counted")
+}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -55,6 +55,7 @@
 }
 
 func (c *conn) close() error {
+	c.dropUnconfirmed(0)
 	err := c.TCPConn.Close()
 	c.pool.closed()
 	close(c.ended)
@@ -65,6 +66,9 @@
 // must still be within a request's time (router's answerMargin).
 const mostLearning = 10 * time.Millisecond
 
+// finOctet is what the end of the sending counts among the bytes that are not confirmed.
+const finOctet = 1
+
 // end is Close for a connection that has a request out: it ends the sending, by which a worker learns that the attempt is
 // given up, and closes when the worker has ended its side as well, or after mostLearning. The channel is closed then. How long
 // that takes can't be foretold: the time in which the connection came up is often less (docs/measurements/crossings.md).
@@ -74,7 +78,10 @@
 			_ = c.close()
 			return
 		}
-		bound := time.AfterFunc(c.pool.learning, func() { _ = c.TCPConn.Close() })
+		bound := time.AfterFunc(c.pool.learning, func() {
+			c.dropUnconfirmed(finOctet)
+			_ = c.TCPConn.Close()
+		})
 		go func() {
 			err := os.ErrDeadlineExceeded // one that is set, or set by who reads, is not meant for this
 			for errors.Is(err, os.ErrDeadlineExceeded) {
@@ -88,13 +95,22 @@
 	return c.ended
 }
 
-// cutOff ends a connection whose other end confirms nothing. What it has not confirmed is dropped: sent again by the system,
-// it would arrive when the other end is back, long after others have taken the request on.
-func (c *conn) cutOff() {
-	c.once.Do(func() {
+// dropUnconfirmed has the system drop, at the close, what the other end's system has not confirmed, if that is more than so many
+// bytes. Left in the system's queue it would be sent again, and arrive when the other end is back: long after others have taken
+// the request on, its client has gone, or what was held for it has been let go of.
+func (c *conn) dropUnconfirmed(most int) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return
+	}
+	if n, err := socket.Unacknowledged(raw); err == nil && n > most {
 		_ = c.TCPConn.SetLinger(0)
-		_ = c.close()
-	})
+	}
+}
+
+// cutOff ends a connection whose other end confirms nothing.
+func (c *conn) cutOff() {
+	c.once.Do(func() { _ = c.close() })
 }
 
 // abandon ends a connection on which reading an answer failed, at once where the other end has ended it.
--- a/upstream/release.go
+++ b/upstream/release.go
@@ -174,7 +174,10 @@
 	h.SetHost(w.Addr)
 	h.SetNoDefaultContentType(true)
 	deadline, _ := ctx.Deadline()
-	stop := context.AfterFunc(ctx, func() { _ = cn.TCPConn.Close() })
+	stop := context.AfterFunc(ctx, func() {
+		cn.dropUnconfirmed(0) // it would let go of what is read for the request by then
+		_ = cn.TCPConn.Close()
+	})
 	var resp fasthttp.Response
 	if err = cn.SetDeadline(deadline); err == nil {
 		_, err = cn.Write(h.Header())
