A read whose bytes its worker's system does not confirm promptly is made elsewhere

Cause: only attempts that carry a read state had a time to be confirmed in (upstream/arrival.go watchArrival, x.reach); a read went on waiting in the system's queue, which sends it again 0.2 s and 0.4 s later, with the time that it was given at first. Change: attempts at workers that only read (Attempt.Repeatable) are looked at after 50 ms and 100 ms; where nothing more has been confirmed between two looks they end, their bytes are dropped, and another worker is asked. Where bytes go on being confirmed, a large request over a slow link is waited for. Not for attempts that must not come twice: they would be lost by it.

--- a/upstream/arrival.go
+++ b/upstream/arrival.go
@@ -1,33 +1,72 @@
 package upstream
 
 import (
+	"math"
 	"time"
 
 	"lichenshelf/internal/socket"
 )
 
-// watchArrival gives the attempt up unless its worker's system has confirmed all of it by a time, where it has one: a send
-// that has not arrived takes no read state, and a connection whose other end has vanished takes what is written all the same.
+// watchArrival gives the attempt up unless its worker's system has confirmed all of it in time, where it has a time for that or
+// may be made again: a send that has not arrived takes no read state, and a connection whose other end has vanished takes what
+// is written all the same.
 func (x *attempt) watchArrival(c *conn) (stop func()) {
-	if x.reach.IsZero() {
-		return func() {}
+	switch {
+	case !x.reach.IsZero():
+		return x.watch(time.Until(confirmBy(c.wrote, x.reach)), func() time.Duration {
+			if unconfirmed(c) > 0 {
+				x.vanish(c)
+			}
+			return 0
+		})
+	case x.Repeatable:
+		last := math.MaxInt
+		return x.watch(confirmAfter/2, func() time.Duration {
+			now := unconfirmed(c)
+			switch {
+			case now == 0:
+				return 0
+			case now < last: // a large request over a slow link goes on
+				last = now
+				return confirmAfter / 2
+			}
+			x.vanish(c)
+			return 0
+		})
 	}
-	look := time.AfterFunc(time.Until(confirmBy(c.wrote, x.reach)), func() {
+	return func() {}
+}
+
+// watch looks at an attempt after a time, and again after as much as the look says, until that is 0, stop is called or the attempt
+// is heard of. Looks are made with the attempt's lock held.
+func (x *attempt) watch(after time.Duration, look func() time.Duration) (stop func()) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	var timer *time.Timer
+	timer = time.AfterFunc(after, func() {
 		x.mu.Lock()
 		defer x.mu.Unlock()
-		if !x.heard && unconfirmed(c) {
-			x.vanished = true
-			c.cutOff()
+		if x.heard {
+			return
+		}
+		if again := look(); again > 0 {
+			timer.Reset(again)
 		}
 	})
 	return func() {
-		look.Stop()
+		timer.Stop()
 		x.mu.Lock()
 		defer x.mu.Unlock()
 		x.heard = true
 	}
 }
 
+// vanish ends an attempt whose worker's system confirms nothing; the attempt's lock is held.
+func (x *attempt) vanish(c *conn) {
+	x.vanished = true
+	c.cutOff()
+}
+
 // confirmAfter is how long after its last byte a request may be unconfirmed though it has arrived: a system keeps an
 // acknowledgement back for 40 ms (Linux's TCP_DELACK_MIN), and the way there and back takes its time as well.
 const confirmAfter = 100 * time.Millisecond
@@ -40,12 +79,15 @@
 	return reach
 }
 
-// unconfirmed tells whether the other end's system has not confirmed all that was written; false where that can't be told.
-func unconfirmed(c *conn) bool {
+// unconfirmed is how many bytes of what was written the other end's system has not confirmed; 0 where that can't be told.
+func unconfirmed(c *conn) int {
 	raw, err := c.SyscallConn()
 	if err != nil {
-		return false
+		return 0
 	}
 	n, err := socket.Unacknowledged(raw)
-	return err == nil && n > 0
+	if err != nil {
+		return 0
+	}
+	return n
 }
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -99,11 +99,7 @@
 // bytes. Left in the system's queue it would be sent again, and arrive when the other end is back: long after others have taken
 // the request on, its client has gone, or what was held for it has been let go of.
 func (c *conn) dropUnconfirmed(most int) {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return
-	}
-	if n, err := socket.Unacknowledged(raw); err == nil && n > most {
+	if unconfirmed(c) > most {
 		_ = c.TCPConn.SetLinger(0)
 	}
 }
