The soak stalls logs, heals cuts with bytes queued, and starves routers beside a crowd

Need: no trouble of the soak held a log, healed a cut without resetting its connections, or took processor time away. Change: 'log not read' (each router's stderr is a pipe of 4 KB whose reader pauses), 'cut that heals' (half of all workers vanish for up to 0.8 s and are back with their connections), 'starved crowd' (0.5 of a core for a program with the race detector, 800 idle connections a second); truth stays the handlers'.

--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"lichenshelf/internal/standin/clock"
 	"lichenshelf/internal/standin/syscalls"
@@ -72,6 +73,9 @@
 	mu   sync.Mutex
 	log  bytes.Buffer
 	exit chan error
+	// Of a program whose log is read by readLog:
+	pause   sync.Mutex    // held while nobody reads the log
+	logRead chan struct{} // closed when it has been read to its end; nil: the log is not read so
 
 	read   int               // of the log, for served
 	served map[string]string // the workers, as the log told of their changes
@@ -127,6 +131,36 @@
 	return p
 }
 
+// smallPipe is the least that a pipe holds.
+const smallPipe = 4 << 10
+
+// newSmallPipe returns both ends of a pipe that holds little.
+func newSmallPipe(t *testing.T) (r, w *os.File) {
+	r, w, err := os.Pipe()
+	require.NoError(t, err)
+	_, err = unix.FcntlInt(w.Fd(), unix.F_SETPIPE_SZ, smallPipe)
+	require.NoError(t, err)
+	return r, w
+}
+
+// readLog reads the program's log from a pipe, but while pause is held.
+func (p *program) readLog(r *os.File) {
+	p.logRead = make(chan struct{})
+	go func() {
+		defer close(p.logRead)
+		defer r.Close()
+		for b := make([]byte, smallPipe); ; {
+			n, err := r.Read(b)
+			p.pause.Lock()
+			_, _ = p.Write(b[:n])
+			p.pause.Unlock()
+			if err != nil {
+				return
+			}
+		}
+	}()
+}
+
 func (p *program) status(method, path string) int {
 	req, err := http.NewRequest(method, "http://"+p.addr+path, nil)
 	require.NoError(p.t, err)
--- a/test/log_test.go
+++ b/test/log_test.go
@@ -12,20 +12,13 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-	"golang.org/x/sys/unix"
 )
 
-const (
-	smallPipe  = 4 << 10 // the least that a pipe holds
-	logTrouble = 3 * time.Second
-)
+const logTrouble = 3 * time.Second
 
-// logPipe returns the writing end of a pipe that holds little, and what does as the case says with its reading end.
+// logPipe returns the writing end of a pipe that holds little, and does what the case says with its reading end.
 func logPipe(t *testing.T, do func(r *os.File)) *os.File {
-	r, w, err := os.Pipe()
-	require.NoError(t, err)
-	_, err = unix.FcntlInt(w.Fd(), unix.F_SETPIPE_SZ, smallPipe)
-	require.NoError(t, err)
+	r, w := newSmallPipe(t)
 	t.Cleanup(func() { _ = r.Close() })
 	do(r)
 	return w
--- a/test/overlap_test.go
+++ b/test/overlap_test.go
@@ -138,8 +138,12 @@
 	if *overlapLogs != "" {
 		level = "debug"
 	}
+	log, out := newSmallPipe(t)
+	cmd.Stderr = out
 	p := startCommand(t, cmd, o.addr, append(wall.Env(), "LICHENSHELF_LOG_LEVEL="+level, "ROUTER_LISTEN="+o.addr, "ROUTER_NAME="+o.name, "ROUTER_CONSOLE="+hand, "TMPDIR="+o.folder,
 		"ROUTER_DISCOVERY="+o.agent.Listener.Addr().String(), "ROUTER_CONFIG="+o.file))
+	_ = out.Close() // the program has its own
+	p.readLog(log)
 	o.mu.Lock()
 	if o.proc != nil {
 		o.former = append(o.former, o.proc)
@@ -393,6 +397,7 @@
 
 // inspect reads the log of one process.
 func (r *overlapRig) inspect(o *overlapRouter, number int, p *program) {
+	<-p.logRead
 	p.mu.Lock()
 	text := p.log.String()
 	p.mu.Unlock()
--- a/test/overlap_troubles_test.go
+++ b/test/overlap_troubles_test.go
@@ -1,6 +1,7 @@
 package test
 
 import (
+	"context"
 	"maps"
 	"math/rand/v2"
 	"os"
@@ -10,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"lichenshelf/internal/standin/cpushare"
 	"lichenshelf/internal/standin/link"
 	"lichenshelf/internal/standin/syscalls"
 )
@@ -99,6 +101,9 @@
 		all.Wait()
 		return true
 	},
+	"cut that heals": (*overlapRig).cutThatHeals,
+	"log not read":   onRouter((*overlapRouter).logNotRead),
+	"starved crowd":  onRouter((*overlapRouter).starvedCrowd),
 	"signals":        onRouter((*overlapRouter).signalsInSeries),
 	"end of a start": onRouter((*overlapRouter).endOfAStart),
 	"half of all writers hang": func(r *overlapRig, rng *rand.Rand) bool {
@@ -321,3 +326,56 @@
 	time.Sleep(some(rng, 2*time.Second))
 	calls.Set(nil)
 }
+
+// cutThatHeals has half of all workers vanish, and come back with their connections as they were: what was sent meanwhile is sent
+// again by the routers' systems.
+func (r *overlapRig) cutThatHeals(rng *rand.Rand) bool {
+	if r.cantVanish != nil {
+		return false
+	}
+	lasts := some(rng, 800*time.Millisecond)
+	var all sync.WaitGroup
+	for i, k := range r.workers {
+		if i%2 == 0 && k.busy.TryLock() {
+			all.Go(func() {
+				defer k.busy.Unlock()
+				k.linkFaults.Add(1)
+				k.relay.Set(link.Fault{Vanish: true})
+				time.Sleep(lasts)
+				k.relay.Set(link.Fault{})
+				time.Sleep(answerUnderWay)
+				k.linkFaults.Add(1)
+			})
+		}
+	}
+	all.Wait()
+	return true
+}
+
+// logNotRead has nobody read the router's log for a while.
+func (o *overlapRouter) logNotRead(rng *rand.Rand) {
+	p, _, _ := o.process()
+	p.pause.Lock()
+	defer p.pause.Unlock()
+	time.Sleep(some(rng, 2*time.Second))
+}
+
+const (
+	starvedShare = 0.5 // of a core, of a program with the race detector
+	starvedRate  = 800 // idle connections a second
+)
+
+// starvedCrowd gives the router a part of a core, while idle clients come one after the other.
+func (o *overlapRouter) starvedCrowd(rng *rand.Rand) {
+	p, _, _ := o.process()
+	quota, err := cpushare.Hold(p.cmd.Process.Pid, starvedShare)
+	if err != nil {
+		return // it has just ended
+	}
+	defer quota.Lift()
+	o.crowds.Add(1)
+	defer time.AfterFunc(overlapSlack, func() { o.crowds.Add(-1) })
+	ctx, end := context.WithTimeout(o.rig.t.Context(), some(rng, 1500*time.Millisecond))
+	defer end()
+	crowdAt(ctx, o.addr, starvedRate)
+}
