--- a/internal/standin/cpushare/cpushare.go
+++ b/internal/standin/cpushare/cpushare.go
@@ -17,6 +17,9 @@
 	lookEvery = time.Millisecond
 	// mostSaved bounds the CPU time that a process which was idle may use at once.
 	mostSaved = 5 * time.Millisecond
+	// mostStopped bounds how long the process is stopped at once: one that ran ahead since nobody looked in time is not held up for
+	// longer than the platform's pages allow for (0.15 s).
+	mostStopped = 100 * time.Millisecond
 	// schedulerClock asks for the time for which a process has run, as the scheduler counts it (CPUCLOCK_SCHED).
 	schedulerClock = 2
 )
@@ -54,6 +57,7 @@
 	defer look.Stop()
 	last, err := used(q.pid)
 	at, saved, stopped := time.Now(), time.Duration(0), false
+	mostOwed := time.Duration(q.share * float64(mostStopped))
 	for err == nil {
 		select {
 		case <-q.done:
@@ -66,6 +70,7 @@
 			return
 		}
 		saved = min(saved+time.Duration(float64(now.Sub(at))*q.share), mostSaved) - (total - last)
+		saved = max(saved, -mostOwed)
 		at, last = now, total
 		switch {
 		case saved < 0 && !stopped:
