Red: an attempt that was never sent counts as one that may have run

Change: TestAnAttemptThatWaitedBehindAReleaseNeverRan, listed. Measured: fails in both forms: status cancelled in place of one that was not asked.

--- a/router/core_test.go
+++ b/router/core_test.go
@@ -515,3 +515,36 @@
 	require.Equal(t, logic.Served, (<-ended).Status)
 	require.Empty(t, w.gaveUp)
 }
+
+// An attempt that waits behind a release which nobody takes has not been sent: called off, or its time over, it never ran and its
+// worker was not asked.
+func TestAnAttemptThatWaitedBehindAReleaseNeverRan(t *testing.T) {
+	for name, wait := range map[string]time.Duration{"called off": time.Hour, "its time over": time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			w := newWires()
+			w.taken = make(chan struct{})
+			t.Cleanup(func() { close(w.taken) })
+			ended := make(chan logic.Event, 4)
+			c, counters := run(t, func(e logic.Event) []logic.Action {
+				switch e.Kind {
+				case logic.Arrived:
+					return []logic.Action{{Kind: logic.Release, ID: e.Request.ID}, {Kind: logic.Send, ID: e.Request.ID, Server: 5, After: wait},
+						{Kind: logic.SetTimer, Token: uint64(e.Request.ID), After: time.Millisecond}}
+				case logic.TimerFired:
+					return []logic.Action{{Kind: logic.CallOff, ID: logic.RequestID(e.Token), Attempt: 0}}
+				case logic.AttemptEnded:
+					ended <- e
+					return []logic.Action{{Kind: logic.Refuse, ID: e.ID}}
+				}
+				return nil
+			}, w)
+			who, _ := submit(c, "a")
+			e := <-ended
+			require.Equal(t, logic.Full, e.Status)
+			require.True(t, e.Unreached)
+			require.Equal(t, "refused", <-who.answers)
+			require.Empty(t, w.sent)
+			require.Zero(t, counters.Get("rule_violations"))
+		})
+	}
+}
