An attempt that waited behind a release and was called off was never sent

Cause: router/send.go end reported it as cancelled or timed out, whether or not it had been handed to the transport (a.giveUp nil): over() then had its prompt released once more, and the decisions counted a try, a run that may have been, and silence of a worker that was not asked. Change: such an attempt ends as one that nobody was asked for (turned away, never reached). Measured: TestAnAttemptThatWaitedBehindAReleaseNeverRan in both forms; go test -race ./router/... green.

--- a/router/send.go
+++ b/router/send.go
@@ -130,6 +130,9 @@
 	}
 	a.ended, a.took = true, time.Since(a.sentAt)
 	a.timer.Stop()
+	if a.giveUp == nil { // it waited behind a release, and nobody was asked
+		o = Outcome{Status: logic.Full, Unreached: true}
+	}
 	if a.giveUp != nil && o.Status != logic.PromptRead && o.Status != logic.Served {
 		if known := a.giveUp(); known != nil {
 			go func() {
