--- a/upstream/arrival.go
+++ b/upstream/arrival.go
@@ -64,7 +64,7 @@
 // vanish ends an attempt whose worker's system confirms nothing; the attempt's lock is held.
 func (x *attempt) vanish(c *conn) {
 	x.vanished = true
-	c.cutOff()
+	_ = c.Close() // which drops what is not confirmed
 }
 
 // confirmAfter is how long after its last byte a request may be unconfirmed though it has arrived: a system keeps an
