Red: a flood of calls on kept connections keeps a router from what it owes

Change: TestAFloodOfCallsDoesNotKeepARouterFromWhatItOwes, 300 connections that call again as soon as they are answered; the body is that of the crowd's test.

--- a/test/starved_test.go
+++ b/test/starved_test.go
@@ -1,6 +1,7 @@
 package test
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -79,6 +80,47 @@
 // A crowd of connections that ask for nothing takes what processor time there is. What the router owes meanwhile comes before
 // it: a state that a reader holds is taken or let go of in time, and a stream's end is passed on.
 func TestACrowdDoesNotKeepARouterFromWhatItOwes(t *testing.T) {
+	owedBeside(t, func(ctx context.Context, addr string) int64 { return crowdAt(ctx, addr, crowdPerSec) })
+}
+
+// The same holds where what comes are calls without end on connections that are kept.
+func TestAFloodOfCallsDoesNotKeepARouterFromWhatItOwes(t *testing.T) {
+	owedBeside(t, floodAt)
+}
+
+const floodConnections = 300
+
+// floodAt has clients call over connections that they keep, each one again as soon as it is answered, until ctx ends.
+func floodAt(ctx context.Context, addr string) (calls int64) {
+	var n atomic.Int64
+	var all sync.WaitGroup
+	for range floodConnections {
+		all.Go(func() {
+			c, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			defer context.AfterFunc(ctx, func() { _ = c.Close() })()
+			for br := bufio.NewReader(c); ; n.Add(1) {
+				if _, err := io.WriteString(c, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+					return
+				}
+				resp, err := http.ReadResponse(br, nil)
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, resp.Body)
+			}
+		})
+	}
+	all.Wait()
+	return n.Load()
+}
+
+// owedBeside has a router with little of a core serve clients beside a trouble, and holds it to its rules. The trouble tells how
+// often it came.
+func owedBeside(t *testing.T, trouble func(ctx context.Context, addr string) int64) {
 	h := newHolds()
 	workers := []*worker{}
 	for _, name := range []string{"s-r1", "s-r2"} {
@@ -122,13 +164,13 @@
 	require.NoError(t, err)
 	crowding, over := context.WithTimeout(t.Context(), crowdFor)
 	defer over()
-	opened := crowdAt(crowding, p.addr, crowdPerSec)
+	came := trouble(crowding, p.addr)
 	stop()
 	clients.Wait()
 	time.Sleep(time.Second) // what is held is let go of by then
 	quota.Lift()
 	late := h.judge()
-	t.Logf("%d connections came; %d states held, %v at most; %d streams, the latest end %v late", opened, h.read, h.most, served, latest)
+	t.Logf("%d came; %d states held, %v at most; %d streams, the latest end %v late", came, h.read, h.most, served, latest)
 	require.Empty(t, late, "states held for too long")
 	require.Less(t, latest, time.Second, "the end of a stream was passed on late")
 	require.Greater(t, served, leastServed, "requests that the crowd kept from being served")
