What clients send is worked on in turns, behind all that is ready to run

Change: turns (downstream/turns.go) in place of the pace: a new connection has one until its server begins, what was read until its connection reads again, writes or its call is handled; five at once. Who has one lets run what is ready (runtime.Gosched), and pauses for as long as that took, 50 ms at most, past 2 ms. The checks on rules are as they were.

--- a/downstream/conn.go
+++ b/downstream/conn.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"os"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -30,8 +29,7 @@
 	place    *list.Element
 	placedIn evictionClass
 
-	accepted time.Time
-	begun    sync.Once    // by its server
+	turn     bool         // its server has a turn
 	lastRead atomic.Int64 // when the bytes came that the server got last, by sinceStart
 	deadline time.Time    // the server's own
 	watching chan struct{}
@@ -158,12 +156,30 @@
 	_ = c.SetReadDeadline(c.deadline)
 }
 
-// begin notes that its server runs, or is done with it: another connection may be accepted.
-func (c *conn) begin() { c.begun.Do(func() { c.home.pace.begun(c.accepted) }) }
+// beginTurn takes a turn for what has been read.
+func (c *conn) beginTurn() {
+	c.home.turns.take()
+	c.turn = true
+	c.home.turns.yield()
+}
+
+// endTurn gives the turn back, if its server has one.
+func (c *conn) endTurn() {
+	if c.turn {
+		c.turn = false
+		c.home.turns.give()
+	}
+}
+
+// Write implements net.Conn for the server. A client may take its time to read.
+func (c *conn) Write(p []byte) (int, error) {
+	c.endTurn()
+	return c.Conn.Write(p)
+}
 
 // Read implements net.Conn for the server.
 func (c *conn) Read(p []byte) (int, error) {
-	c.begin()
+	c.endTurn()
 	c.endWatch()
 	if c.err != nil {
 		return 0, c.err
@@ -181,13 +197,16 @@
 		if c.ahead = c.ahead[n:]; len(c.ahead) == 0 {
 			c.ahead, c.came = nil, nil
 		}
+		c.beginTurn()
 		return c.arrived(n, nil, at)
 	}
 	n, err := c.Conn.Read(p)
 	if n == 0 {
 		return c.arrived(n, err, 0)
 	}
-	return c.arrived(n, err, c.receivedAt())
+	at := c.receivedAt()
+	c.beginTurn()
+	return c.arrived(n, err, at)
 }
 
 // between begins the wait for the next request where an answer is out. It tells whether the
--- a/downstream/linger.go
+++ b/downstream/linger.go
@@ -10,7 +10,7 @@
 // its client has closed it, or after a moment: closed at once, it would be reset by what comes just then,
 // and the answer lost before the client has read it.
 func (c *conn) Close() error {
-	c.begin()
+	c.endTurn()
 	c.endWatch()
 	c.home.ahead.used.Add(-int64(len(c.ahead)))
 	c.ahead, c.came = nil, nil
--- a/downstream/listener.go
+++ b/downstream/listener.go
@@ -19,7 +19,7 @@
 	most  int
 	count router.Counters
 	ahead room // what watches have read ahead
-	pace  acceptPace
+	turns turns
 	// crossing, if set, is called right before a connection is shut: tests let bytes come there.
 	crossing func()
 	mu       sync.Mutex
@@ -38,10 +38,10 @@
 // longest gives way, or the others would be turned away.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
-		l.pace.wait()
+		l.turns.take()
 		nc, err := l.Listener.Accept()
 		if err != nil {
-			l.pace.begun(time.Time{})
+			l.turns.give()
 			if !accepting.Passes(err) {
 				return nil, err
 			}
@@ -49,12 +49,12 @@
 			time.Sleep(accepting.RetryAfter)
 			continue
 		}
-		now := time.Now()
-		c := &conn{Conn: nc, home: l, phase: waiting, since: now, accepted: now}
+		l.turns.yield()
+		c := &conn{Conn: nc, home: l, phase: waiting, since: time.Now(), turn: true}
 		if l.take(c) {
 			return c, nil
 		}
-		l.pace.begun(time.Time{})
+		l.turns.give()
 		l.count.Add("connections_turned_away", 1)
 		_ = nc.Close()
 	}
--- a/downstream/server.go
+++ b/downstream/server.go
@@ -56,7 +56,7 @@
 	if cfg.writeWait == 0 {
 		cfg.writeWait = defaultWait
 	}
-	s := &Server{cfg: cfg, listener: &listener{Listener: l, most: cfg.MaxConns, count: cfg.Counters, linger: discardFor, pace: newAcceptPace()}}
+	s := &Server{cfg: cfg, listener: &listener{Listener: l, most: cfg.MaxConns, count: cfg.Counters, linger: discardFor, turns: newTurns()}}
 	s.bodies.most, s.listener.ahead.most = cfg.MaxBytes, cfg.MaxBytes/aheadPart
 	// The listener bounds the connections. The server's own bound would turn new ones
 	// away while those that gave way to them are still ending.
@@ -157,6 +157,7 @@
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	call := &Call{RequestCtx: ctx, server: s, conn: ctx.Conn().(*conn)}
+	call.conn.endTurn() // what a call waits for is not known here
 	head := &ctx.Request.Header
 	size := head.ContentLength()
 	if err := checkHead(head); err != nil {
@@ -291,6 +292,7 @@
 	if c.conn.gone() { // with what it had sent ahead unanswered
 		return Answer{Left: true}
 	}
+	c.conn.endTurn()
 	w := &waiter{answers: make(chan Answer, 2)}
 	ticket := c.server.cfg.Core.Submit(r, w)
 	c.conn.watch(func() {
