--- a/internal/standin/link/relay.go
+++ b/internal/standin/link/relay.go
@@ -23,10 +23,16 @@
 	// Vanish makes the far end a machine that is gone: what is sent to it is not even acknowledged by its system, its
 	// connections stay open and silent, and new ones don't come up.
 	Vanish bool
+	// Heals, beside Vanish, makes the far end come back as it was: what it sends meanwhile is late and not lost, as TCP sends it
+	// again.
+	Heals bool
 	// Pieces passes bytes on a few at a time, either way, as small writes over a slow link come.
 	Pieces bool
 }
 
+// fromFarEnd is the way back.
+const fromFarEnd = 1
+
 const (
 	mostPiece  = 64 // bytes, or
 	mostPieces = 32 // such a part of what came together
@@ -40,6 +46,7 @@
 
 	mu    sync.Mutex
 	fault Fault
+	next  chan struct{} // closed when another fault is set
 	conns map[net.Conn]bool
 	near  map[net.Conn]bool // of them, those that were accepted
 	mute  map[net.Conn]bool // of conns, those that pass nothing any more
@@ -53,7 +60,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Relay{listener: l, to: to, conns: map[net.Conn]bool{}, near: map[net.Conn]bool{}, mute: map[net.Conn]bool{}}
+	r := &Relay{listener: l, to: to, next: make(chan struct{}), conns: map[net.Conn]bool{}, near: map[net.Conn]bool{}, mute: map[net.Conn]bool{}}
 	go r.serve()
 	return r, nil
 }
@@ -77,7 +84,7 @@
 func (r *Relay) Set(f Fault) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if f.Vanish {
+	if f.Vanish && !f.Heals {
 		f.Drop = [2]bool{true, true}
 	}
 	if f.Vanish != r.fault.Vanish {
@@ -89,6 +96,21 @@
 		}
 	}
 	r.fault = f
+	close(r.next)
+	r.next = make(chan struct{})
+}
+
+// waitHealed waits while what the far end sends is late.
+func (r *Relay) waitHealed(way int) {
+	for {
+		r.mu.Lock()
+		f, next := r.fault, r.next
+		r.mu.Unlock()
+		if way != fromFarEnd || !f.Vanish || !f.Heals {
+			return
+		}
+		<-next
+	}
 }
 
 func must(err error) {
@@ -152,8 +174,11 @@
 	}
 }
 
-// Close ends the relay.
+// Close ends the relay, and what waits in it.
 func (r *Relay) Close() {
+	if r.now().Heals {
+		r.Set(Fault{})
+	}
 	_ = r.listener.Close()
 	r.Cut()
 }
@@ -194,7 +219,7 @@
 	r.mu.Unlock()
 	var both sync.WaitGroup
 	both.Go(func() { r.copy(to, from, 0) })
-	both.Go(func() { r.copy(from, to, 1) })
+	both.Go(func() { r.copy(from, to, fromFarEnd) })
 	both.Wait()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -230,6 +255,7 @@
 		defer to.Close()
 		for p := range queue {
 			time.Sleep(time.Until(p.at))
+			r.waitHealed(way)
 			if r.drops(from, way) {
 				continue
 			}
--- a/internal/standin/link/relay_test.go
+++ b/internal/standin/link/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -52,3 +53,38 @@
 	r.Set(Fault{})
 	require.Equal(t, "gone", <-came)
 }
+
+// What a machine that vanishes and heals sends meanwhile is late, and none of it is lost.
+func TestWhatIsSentBackDuringACutThatHealsIsLate(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	r, err := New(l.Addr().String())
+	require.NoError(t, err)
+	defer r.Close()
+	c, err := net.Dial("tcp4", r.Addr())
+	require.NoError(t, err)
+	defer c.Close()
+	far, err := l.Accept()
+	require.NoError(t, err)
+	defer far.Close()
+	b := make([]byte, 16)
+	say := func(text string) {
+		_, err := far.Write([]byte(text))
+		require.NoError(t, err)
+	}
+	say("one")
+	n, err := c.Read(b)
+	require.NoError(t, err)
+	require.Equal(t, "one", string(b[:n]))
+	r.Set(Fault{Vanish: true, Heals: true})
+	say("two")
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(50*time.Millisecond)))
+	_, err = c.Read(b)
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	r.Set(Fault{})
+	require.NoError(t, c.SetReadDeadline(time.Time{}))
+	n, err = c.Read(b)
+	require.NoError(t, err)
+	require.Equal(t, "two", string(b[:n]))
+}
--- a/test/late_arrival_test.go
+++ b/test/late_arrival_test.go
@@ -51,10 +51,7 @@
 	}
 	var changes atomic.Int64 // cuts that have begun, and that have ended
 	for i := range 8 {
-		kind := "reader"
-		if i%2 == 1 {
-			kind = "writer"
-		}
+		kind := []string{"reader", "writer", "mixed"}[i%3]
 		k := h.watched(newWorker(t, "s-0000000"+string(rune('1'+i)), kind, nil))
 		serve := k.serve
 		k.serve = func(w http.ResponseWriter, r *http.Request) {
@@ -116,7 +113,7 @@
 			time.Sleep(cutRest / 2)
 			changes.Add(1)
 			for _, relay := range relays[1:] {
-				relay.Set(link.Fault{Vanish: true})
+				relay.Set(link.Fault{Vanish: true, Heals: true})
 			}
 			time.Sleep(lasts)
 			for _, relay := range relays[1:] {
--- a/test/overlap_troubles_test.go
+++ b/test/overlap_troubles_test.go
@@ -340,7 +340,7 @@
 			all.Go(func() {
 				defer k.busy.Unlock()
 				k.linkFaults.Add(1)
-				k.relay.Set(link.Fault{Vanish: true})
+				k.relay.Set(link.Fault{Vanish: true, Heals: true})
 				time.Sleep(lasts)
 				k.relay.Set(link.Fault{})
 				time.Sleep(answerUnderWay)
