Every attempt ends whose bytes its worker's system does not confirm promptly

Cause: router/send.go asked for that at workers that only read (Attempt.Repeatable); others got what the system sent again 0.2 s later, with the time that it was given at first. Change: all attempts without a time to be confirmed in are looked at after 50 and 100 ms; the field is gone. One that must not come twice fails then, as one that may have run: the rule on the time told goes before what it might still have earned.

--- a/router/api.go
+++ b/router/api.go
@@ -44,10 +44,6 @@
 	// included; past it the attempt ends as one that never reached its worker. 0
 	// means no bound.
 	Reach time.Duration
-	// Repeatable says that the attempt has no effect that must not come twice, as the read of a prompt: it ends when its worker's
-	// system does not confirm it promptly. It would arrive late, with a time that is no longer left, and another worker can
-	// be asked.
-	Repeatable bool
 }
 
 // Answer is a worker's answer that has begun.
--- a/router/send.go
+++ b/router/send.go
@@ -103,7 +103,7 @@
 	waited := time.Since(a.sentAt) // for a release
 	a.ex.history.add(step{kind: stepSend, attempt: a.number, worker: a.to, wait: a.wait - waited})
 	s.core.histories.attemptBegins(a, waited)
-	out := Attempt{Request: a.ex.Request, Worker: a.to, Wait: a.wait - waited, Repeatable: a.to != nil && s.core.guard.place(a.to).ReadsOnly}
+	out := Attempt{Request: a.ex.Request, Worker: a.to, Wait: a.wait - waited}
 	if a.reach > 0 {
 		out.Reach = max(a.reach-waited, time.Nanosecond)
 	}
--- a/upstream/arrival.go
+++ b/upstream/arrival.go
@@ -7,34 +7,31 @@
 	"lichenshelf/internal/socket"
 )
 
-// watchArrival gives the attempt up unless its worker's system has confirmed all of it in time, where it has a time for that or
-// may be made again: a send that has not arrived takes no read state, and a connection whose other end has vanished takes what
-// is written all the same.
+// watchArrival gives the attempt up unless its worker's system confirms it promptly: a send that has not arrived takes no read
+// state, and a connection whose other end has vanished takes what is written all the same. Sent again by the system, it would
+// arrive late, and tell its worker a time that is no longer left.
 func (x *attempt) watchArrival(c *conn) (stop func()) {
-	switch {
-	case !x.reach.IsZero():
+	if !x.reach.IsZero() {
 		return x.watch(time.Until(confirmBy(c.wrote, x.reach)), func() time.Duration {
 			if unconfirmed(c) > 0 {
 				x.vanish(c)
 			}
 			return 0
 		})
-	case x.Repeatable:
-		last := math.MaxInt
-		return x.watch(confirmAfter/2, func() time.Duration {
-			now := unconfirmed(c)
-			switch {
-			case now == 0:
-				return 0
-			case now < last: // a large request over a slow link goes on
-				last = now
-				return confirmAfter / 2
-			}
-			x.vanish(c)
-			return 0
-		})
 	}
-	return func() {}
+	last := math.MaxInt
+	return x.watch(confirmAfter/2, func() time.Duration {
+		now := unconfirmed(c)
+		switch {
+		case now == 0:
+			return 0
+		case now < last: // a large request over a slow link goes on
+			last = now
+			return confirmAfter / 2
+		}
+		x.vanish(c)
+		return 0
+	})
 }
 
 // watch looks at an attempt after a time, and again after as much as the look says, until that is 0, stop is called or the attempt
