The flood's test sends many calls at once as well

Need: clients may send many commands ahead on one connection, which are read together and need no turn each. Change: the flood's test has two forms, 300 connections with one call at a time and 60 with 100 at once.

--- a/test/starved_test.go
+++ b/test/starved_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -84,21 +85,25 @@
 		func(int64) int { return leastServed })
 }
 
-// The same holds where what comes are calls without end on connections that are kept.
+// The same holds where what comes are calls without end on connections that are kept, one at a time or many at once.
 func TestAFloodOfCallsDoesNotKeepARouterFromWhatItOwes(t *testing.T) {
-	owedBeside(t, floodAt, func(calls int64) int { return owedClients * int(calls) / floodConnections / 2 }) // half of a fair share
+	for name, flood := range map[string]flood{"one at a time": {300, 1}, "many at once": {60, 100}} {
+		t.Run(name, func(t *testing.T) {
+			owedBeside(t, flood.at, func(calls int64) int { return owedClients * int(calls) / flood.connections / flood.atOnce / 2 }) // half of a fair share
+		})
+	}
 }
 
-const (
-	floodConnections = 300
-	owedClients      = 4
-)
+const owedClients = 4
+
+// flood is clients that call over connections which they keep, so many calls at once, again as soon as these are answered.
+type flood struct{ connections, atOnce int }
 
-// floodAt has clients call over connections that they keep, each one again as soon as it is answered, until ctx ends.
-func floodAt(ctx context.Context, addr string) (calls int64) {
+// at makes the flood until ctx ends. It returns how many calls were answered.
+func (f flood) at(ctx context.Context, addr string) (calls int64) {
 	var n atomic.Int64
 	var all sync.WaitGroup
-	for range floodConnections {
+	for range f.connections {
 		all.Go(func() {
 			c, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
 			if err != nil {
@@ -106,22 +111,32 @@
 			}
 			defer c.Close()
 			defer context.AfterFunc(ctx, func() { _ = c.Close() })()
-			for br := bufio.NewReader(c); ; n.Add(1) {
-				if _, err := io.WriteString(c, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
-					return
-				}
-				resp, err := http.ReadResponse(br, nil)
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, resp.Body)
-			}
+			f.call(c, &n)
 		})
 	}
 	all.Wait()
 	return n.Load()
 }
 
+// call calls over a connection until that ends.
+func (f flood) call(c net.Conn, answered *atomic.Int64) {
+	text := strings.Repeat("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n", f.atOnce)
+	br := bufio.NewReader(c)
+	for {
+		if _, err := io.WriteString(c, text); err != nil {
+			return
+		}
+		for range f.atOnce {
+			resp, err := http.ReadResponse(br, nil)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, resp.Body)
+			answered.Add(1)
+		}
+	}
+}
+
 // owedBeside has a router with little of a core serve clients beside a trouble, and holds it to its rules. The trouble tells how
 // often it came, and least how many requests have to be served beside that.
 func owedBeside(t *testing.T, trouble func(ctx context.Context, addr string) int64, least func(came int64) int) {
