--- a/downstream/turns.go
+++ b/downstream/turns.go
@@ -6,8 +6,9 @@
 )
 
 const (
-	// mostTurns bounds the pieces of work for clients' bytes that are under way at once, the wait for a new connection among them.
-	mostTurns = 5
+	// turnsPerProcessor bounds the pieces of work for clients' bytes that are under way at once, beside the wait for a new
+	// connection: with fewer, turns would be what a server with many processors waits for.
+	turnsPerProcessor = 4
 	// promptly is how soon what is ready to run does run where processor time does not lack.
 	promptly = 2 * time.Millisecond
 	// mostPause bounds a pause, and with it how long a client waits that comes alone.
@@ -22,7 +23,8 @@
 // arrival is known (arrivals.go).
 type turns chan struct{}
 
-func newTurns() turns { return make(turns, mostTurns) }
+// newTurns goes by the processors that the program may use now.
+func newTurns() turns { return make(turns, 1+turnsPerProcessor*runtime.GOMAXPROCS(0)) }
 
 // take waits for a turn.
 func (t turns) take() { t <- struct{}{} }
