--- a/downstream/conn.go
+++ b/downstream/conn.go
@@ -156,8 +156,11 @@
 	_ = c.SetReadDeadline(c.deadline)
 }
 
-// beginTurn takes a turn for what has been read.
-func (c *conn) beginTurn() {
+// takeTurn takes a turn for what has been read, unless its server has one: what was read together may be many calls.
+func (c *conn) takeTurn() {
+	if c.turn {
+		return
+	}
 	c.home.turns.take()
 	c.turn = true
 	c.home.turns.yield()
@@ -197,7 +200,7 @@
 		if c.ahead = c.ahead[n:]; len(c.ahead) == 0 {
 			c.ahead, c.came = nil, nil
 		}
-		c.beginTurn()
+		c.takeTurn()
 		return c.arrived(n, nil, at)
 	}
 	n, err := c.Conn.Read(p)
@@ -205,7 +208,7 @@
 		return c.arrived(n, err, 0)
 	}
 	at := c.receivedAt()
-	c.beginTurn()
+	c.takeTurn()
 	return c.arrived(n, err, at)
 }
 
--- a/downstream/server.go
+++ b/downstream/server.go
@@ -157,6 +157,7 @@
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	call := &Call{RequestCtx: ctx, server: s, conn: ctx.Conn().(*conn)}
+	call.conn.takeTurn()
 	call.conn.endTurn() // what a call waits for is not known here
 	head := &ctx.Request.Header
 	size := head.ContentLength()
