--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -33,8 +33,10 @@
 
 const (
 	patient = 20 * time.Second // for what must happen at last
-	soon    = 2 * time.Millisecond
-	loaded  = 2 * time.Second // how late a machine with other work may be
+	// goroutineDumpTimeout is how long a program may take to write the trace of its goroutines.
+	goroutineDumpTimeout = 5 * time.Second
+	soon                 = 2 * time.Millisecond
+	loaded               = 2 * time.Second // how late a machine with other work may be
 )
 
 var binary string
@@ -186,10 +188,20 @@
 	case err := <-p.exit:
 		require.NoError(p.t, err, "exit code")
 	case <-time.After(patient):
+		p.dumpGoroutines()
 		p.t.Fatal("the program did not end")
 	}
 }
 
+// dumpGoroutines has the program end with a trace of all its goroutines in its log, so that a failure shows what it waited for.
+func (p *program) dumpGoroutines() {
+	_ = p.cmd.Process.Signal(syscall.SIGQUIT)
+	select {
+	case <-p.exit:
+	case <-time.After(goroutineDumpTimeout):
+	}
+}
+
 // call is one call that a worker got, whole.
 type call struct {
 	method, uri, id string
