A replica that refuses entries no longer stops its leader's replication

Cause: raft v1.7.3's pipelined replication. On a refused message pipelineDecode returns (replication.go:552) and nobody reads doneCh any more; decodeResponses waits to write to it (net_transport.go:852), and the sender waits for decodeResponses in AppendEntries (885), where neither stopCh nor finishCh is heard. That replica gets no entries until another leads, and Replica.Close waits for the sender for good. A follower refuses whenever its own disk failed, so a folder that takes no writes for a while is enough. Change: one message of entries under way for each replica (MaxRPCsInFlight 1), by which raft keeps to calls that are each waited for. The transport logs where raft does.

--- a/store/replica.go
+++ b/store/replica.go
@@ -51,6 +51,12 @@
 	snapshotKeep = 2
 	raftConns    = 3
 	raftWait     = 2 * time.Second
+	// raftCallsInFlight is how many messages of entries may be on their way to a replica. One of them turns raft's pipelined
+	// replication off: where a replica refuses entries, raft v1.7.3 ends the reader of the answers (replication.go,
+	// pipelineDecode) while the sender waits for it (net_transport.go, netPipeline.AppendEntries). That replica would get no
+	// entries any more, and the sender would never end. The entries of one message are as many as are due, up to raft's
+	// MaxAppendEntries.
+	raftCallsInFlight = 1
 )
 
 // Replica is one member of the store.
@@ -169,7 +175,12 @@
 	if err := r.repair(snapshots); err != nil {
 		return err
 	}
-	network, err := raft.NewTCPTransport(self.Raft, advertised, raftConns, raftWait, r.cfg.output())
+	network, err := raft.NewTCPTransportWithConfig(self.Raft, advertised, &raft.NetworkTransportConfig{
+		MaxPool:         raftConns,
+		MaxRPCsInFlight: raftCallsInFlight,
+		Timeout:         raftWait,
+		Logger:          r.cfg.logger(),
+	})
 	if err != nil {
 		return fmt.Errorf("listen for replicas: %w", err)
 	}
