Clean up behind the incident: one loop each, no result that nobody uses

Change: the log's writer looks at the room before it words what is missing, and pauses by the backoff library; evictionOrder.remove returns nothing; sender.end asks once for giveUp, and what waits for the worker is overOnceKnown; the soak's troubles at half of all workers share their loop.

--- a/downstream/eviction.go
+++ b/downstream/eviction.go
@@ -58,15 +58,14 @@
 	c.place = o.classes[c.placedIn].PushBack(c)
 }
 
-// remove takes a connection out; false if it is not there.
-func (o *evictionOrder) remove(c *conn) bool {
-	if c.place == nil {
-		return false
+// remove takes a connection out, if it is there.
+func (o *evictionOrder) remove(c *conn) {
+	if !o.has(c) {
+		return
 	}
 	o.classes[c.placedIn].Remove(c.place)
 	c.place = nil
 	o.size--
-	return true
 }
 
 // has tells whether a connection is there.
--- a/downstream/eviction_test.go
+++ b/downstream/eviction_test.go
@@ -40,7 +40,9 @@
 			c := conns[i]
 			switch rapid.IntRange(0, 3).Draw(t, "becomes") {
 			case 0:
-				require.True(t, l.conns.remove(c))
+				require.True(t, l.conns.has(c))
+				l.conns.remove(c)
+				require.False(t, l.conns.has(c))
 				conns = slices.Delete(conns, i, i+1)
 				continue
 			case 1:
--- a/internal/logwriter/logwriter.go
+++ b/internal/logwriter/logwriter.go
@@ -8,10 +8,12 @@
 	"io"
 	"sync"
 	"time"
+
+	"github.com/cenkalti/backoff/v5"
 )
 
+// leastRetry and mostRetry bound the pause after a write that failed.
 const (
-	// leastRetry and mostRetry bound the pause after a write that failed; it doubles from one to the other.
 	leastRetry = 20 * time.Millisecond
 	mostRetry  = time.Second
 )
@@ -50,19 +52,13 @@
 func (w *Writer) Write(entry []byte) (int, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	var notice []byte
-	if w.missing > 0 {
-		notice = w.notice(w.missing)
-	}
-	if len(w.queue)+w.writing+len(notice)+len(entry) > w.most {
+	if !w.take(entry) {
 		w.missing++
 		if w.onDrop != nil {
 			w.onDrop()
 		}
 		return len(entry), nil
 	}
-	w.missing = 0
-	w.queue = append(append(w.queue, notice...), entry...)
 	select {
 	case w.wake <- struct{}{}:
 	default:
@@ -70,6 +66,25 @@
 	return len(entry), nil
 }
 
+// take puts an entry in the queue, behind the notice of those that are missing before it. It tells whether there was room for
+// both; the lock is held.
+func (w *Writer) take(entry []byte) bool {
+	room := w.most - len(w.queue) - w.writing - len(entry)
+	if room < 0 {
+		return false
+	}
+	if w.missing > 0 {
+		notice := w.notice(w.missing)
+		if len(notice) > room {
+			return false
+		}
+		w.queue = append(w.queue, notice...)
+		w.missing = 0
+	}
+	w.queue = append(w.queue, entry...)
+	return true
+}
+
 // Flush waits until all that was taken has been written, for so long at most. It tells whether it has.
 func (w *Writer) Flush(within time.Duration) bool {
 	over := time.NewTimer(within)
@@ -106,7 +121,8 @@
 
 // writeAll writes until all is written: what stands between its bytes must not be lost, or lines would be mixed up.
 func (w *Writer) writeAll(batch []byte) {
-	retry := leastRetry
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval, pause.MaxInterval = leastRetry, mostRetry
 	for len(batch) > 0 {
 		n, err := w.to.Write(batch)
 		batch = batch[n:]
@@ -115,10 +131,9 @@
 		w.mu.Unlock()
 		switch {
 		case err == nil || n > 0:
-			retry = leastRetry
+			pause.Reset()
 		default:
-			time.Sleep(retry)
-			retry = min(2*retry, mostRetry)
+			time.Sleep(pause.NextBackOff())
 		}
 	}
 }
--- a/router/send.go
+++ b/router/send.go
@@ -130,19 +130,27 @@
 	}
 	a.ended, a.took = true, time.Since(a.sentAt)
 	a.timer.Stop()
-	if a.giveUp == nil { // it waited behind a release, and nobody was asked
-		o = Outcome{Status: logic.Full, Unreached: true}
-	}
-	if a.giveUp != nil && o.Status != logic.PromptRead && o.Status != logic.Served {
-		if known := a.giveUp(); known != nil {
-			go func() {
-				<-known
-				s.core.post(func() { s.over(a, o) })
-			}()
-			return
-		}
+	switch {
+	case a.giveUp == nil: // it waited behind a release, and nobody was asked
+		s.over(a, Outcome{Status: logic.Full, Unreached: true})
+	case o.Status == logic.PromptRead || o.Status == logic.Served:
+		s.over(a, o)
+	default:
+		s.overOnceKnown(a, o)
+	}
+}
+
+// overOnceKnown gives an attempt up, and reports it once its worker knows that.
+func (s *sender) overOnceKnown(a *attempt, o Outcome) {
+	known := a.giveUp()
+	if known == nil {
+		s.over(a, o)
+		return
 	}
-	s.over(a, o)
+	go func() {
+		<-known
+		s.core.post(func() { s.over(a, o) })
+	}()
 }
 
 // timeOut ends an attempt whose time is over, unless its answer has begun meanwhile: that belongs to the client.
--- a/test/overlap_troubles_test.go
+++ b/test/overlap_troubles_test.go
@@ -91,14 +91,7 @@
 		k.linkFaults.Add(1)
 	}),
 	"half of all workers lost": func(r *overlapRig, rng *rand.Rand) bool {
-		var all sync.WaitGroup
-		lose := withLinkOf(link.Fault{Drop: [2]bool{true, true}}, some(rng, 2*time.Second))
-		for i, k := range r.workers {
-			if i%2 == 0 && k.busy.TryLock() {
-				all.Go(func() { defer k.busy.Unlock(); lose(k) })
-			}
-		}
-		all.Wait()
+		r.onHalfOfAllWorkers(withLinkOf(link.Fault{Drop: [2]bool{true, true}}, some(rng, 2*time.Second)))
 		return true
 	},
 	"cut that heals": (*overlapRig).cutThatHeals,
@@ -334,22 +327,29 @@
 		return false
 	}
 	lasts := some(rng, 800*time.Millisecond)
+	r.onHalfOfAllWorkers(func(k *overlapWorker) {
+		k.linkFaults.Add(1)
+		k.relay.Set(link.Fault{Vanish: true, Heals: true})
+		time.Sleep(lasts)
+		k.relay.Set(link.Fault{})
+		time.Sleep(answerUnderWay)
+		k.linkFaults.Add(1)
+	})
+	return true
+}
+
+// onHalfOfAllWorkers does something to every second worker at once, but to those that have another trouble.
+func (r *overlapRig) onHalfOfAllWorkers(do func(*overlapWorker)) {
 	var all sync.WaitGroup
 	for i, k := range r.workers {
 		if i%2 == 0 && k.busy.TryLock() {
 			all.Go(func() {
 				defer k.busy.Unlock()
-				k.linkFaults.Add(1)
-				k.relay.Set(link.Fault{Vanish: true, Heals: true})
-				time.Sleep(lasts)
-				k.relay.Set(link.Fault{})
-				time.Sleep(answerUnderWay)
-				k.linkFaults.Add(1)
+				do(k)
 			})
 		}
 	}
 	all.Wait()
-	return true
 }
 
 // logNotRead has nobody read the router's log for a while.
