The decision module: one file for each job, constants where used, the field's names

Change: state.go is request.go, server.go, estimates.go, zones.go, arithmetic.go and the files that alone use a piece; a constant that one file uses is in it (31 of 44). Names: unread pendingTokens, abandoned residualTokens, meets affinityKey, past recent, asked countedAt, invite allowCreditFree, sharedWait queueWaitLimit, reach sendWithin (also in router and upstream). TestModuleLimits has no exception but the interface; all files are under policy. Way not taken: packages; nearly all files read the same two records.

--- a/logic/admission.go
+++ b/logic/admission.go
@@ -7,6 +7,17 @@
 	"time"
 )
 
+const (
+	waitLeast  = 0.2 // part of the aim the least worthy may wait behind a backlog
+	answerPart = 0.3 // guess of an answer's length as part of its limit, without a hint
+	quotaBurst = 2.0 // seconds of quota that may come at once, beside what chance adds
+)
+
+type bucket struct {
+	level float64
+	at    Time
+}
+
 func (g *Gateway) arrive(q Request) {
 	if g.requests[q.ID] != nil {
 		return
@@ -84,14 +95,14 @@
 	if after(r.arrived, g.now) > r.aim {
 		worth = 0
 	}
-	least := waitLeast * g.sharedWait(r)
-	limit := least + math.Max(0, math.Min(r.aim.Seconds()-need, g.sharedWait(r))-least)*worth
+	least := waitLeast * g.queueWaitLimit(r)
+	limit := least + math.Max(0, math.Min(r.aim.Seconds()-need, g.queueWaitLimit(r))-least)*worth
 	return wait > limit || seconds(wait+need) > after(g.now, r.deadline)
 }
 
-// sharedWait is the wait, in seconds, that a request may add itself to: all classes wait in the same
+// queueWaitLimit is the wait, in seconds, that a request may add itself to: all classes wait in the same
 // queues, so what is less worthy must not fill them past the aim of what is worth more.
-func (g *Gateway) sharedWait(r *request) float64 {
+func (g *Gateway) queueWaitLimit(r *request) float64 {
 	aim := r.aim
 	for _, c := range g.set.Classes {
 		if c.Points > g.class(r).Points {
@@ -100,9 +111,3 @@
 	}
 	return aim.Seconds()
 }
-
-func (g *Gateway) waited(role Role, sec float64) {
-	g.pools[role].wait.average(g.now, g.waitSpan(), math.Max(0, sec), 0.02)
-}
-
-func (g *Gateway) waitSpan() time.Duration { return max(waitFade, seconds(3*g.arrivalGap)) }
--- a/logic/api.go
+++ b/logic/api.go
@@ -207,7 +207,7 @@
 
 // The kinds of action.
 const (
-	Send     ActionKind = iota // ID, Server, After as time-out, Reach
+	Send     ActionKind = iota // ID, Server, After as time-out, SendWithin
 	CallOff                    // ID, Attempt
 	Refuse                     // ID, After as come-back advice, Why
 	Fail                       // ID, Why
@@ -240,15 +240,15 @@
 
 // Action is something the gateway must do, in the order given.
 type Action struct {
-	Kind    ActionKind
-	ID      RequestID
-	Attempt int
-	Server  ServerID
-	After   time.Duration
-	Reach   time.Duration // the request's last byte must have gone out within this; 0: no bound
-	Token   uint64
-	Text    string
-	Why     Why
+	Kind       ActionKind
+	ID         RequestID
+	Attempt    int
+	Server     ServerID
+	After      time.Duration
+	SendWithin time.Duration // the request's last byte must have gone out within this; 0: no bound
+	Token      uint64
+	Text       string
+	Why        Why
 }
 
 // Decider is one gateway's decisions. It is not safe for concurrent use;
--- a/logic/attempts.go
+++ b/logic/attempts.go
@@ -7,6 +7,11 @@
 	"time"
 )
 
+const (
+	callOffPart = 0.3         // part of the aim that every attempt gets before it is called off
+	fullBacklog = time.Second // backlog that a 'full' stands for
+)
+
 // send starts the one attempt of a request, charges it, and budgets its time-out.
 func (g *Gateway) send(r *request, s *server) {
 	if g.assumedWarmth(s) < 1 {
@@ -15,10 +20,10 @@
 	if s.suspectUntil != 0 && g.now >= s.suspectUntil { // its trial: one at a time
 		s.suspectUntil = g.now + Time(firstBackoff)
 	}
-	r.charge, r.ahead = 0, 0
+	r.charge, r.queuedAhead = 0, 0
 	if r.reader == nil {
-		r.charge, r.ahead = g.missing(r, s), g.pending(s)+g.reported(s)
-		s.unread += r.charge
+		r.charge, r.queuedAhead = g.missing(r, s), g.pending(s)+g.reported(s)
+		s.pendingTokens += r.charge
 		s.record(r, g.now)
 	}
 	r.phase = reading
@@ -34,7 +39,7 @@
 	s.waiting++
 	r.out, r.called, r.server, r.sentAt, r.check = true, false, s, g.now, math.MaxInt64
 	r.sends++
-	g.do(Action{Kind: Send, ID: r.ID, Server: s.Server, After: g.budget(r, s), Reach: g.reach(r)})
+	g.do(Action{Kind: Send, ID: r.ID, Server: s.Server, After: g.budget(r, s), SendWithin: g.sendWithin(r)})
 	g.armRelease(r)
 }
 
@@ -45,7 +50,7 @@
 	left := after(g.now, r.deadline)
 	p, _ := g.stage(r, s)
 	// Nothing may be kept there. What is called off at a writer loses its place, and waits as long at the next.
-	d := seconds(p.unusual(r.PromptTokens+r.ahead+baseTokens)) + quietFloor
+	d := seconds(p.unusual(r.PromptTokens+r.queuedAhead+baseTokens)) + quietFloor
 	if r.reader != nil {
 		d += seconds(2 * g.waitAt(s.role))
 	}
@@ -67,7 +72,7 @@
 	if r.reader != nil {
 		return &g.fetch, r.PromptTokens + baseTokens
 	}
-	return &g.reads[s.Kind], r.charge + r.ahead + baseTokens
+	return &g.reads[s.Kind], r.charge + r.queuedAhead + baseTokens
 }
 
 func (g *Gateway) started(e *Event) {
@@ -186,7 +191,7 @@
 
 // proceed takes a request with no attempt out on: to a writer with its state, or to a reader.
 func (g *Gateway) proceed(r *request) {
-	if r.reader != nil && g.reach(r) < g.leastReach() {
+	if r.reader != nil && g.sendWithin(r) < g.leastSendTime() {
 		r.reader = nil // too late to reach a writer with it: it is let go of, and the prompt read again
 		g.do(Action{Kind: Release, ID: r.ID})
 	}
@@ -234,9 +239,9 @@
 		if s.role != RoleWrite {
 			full = fullBacklog.Seconds() / g.readSeconds(s, 1)
 		}
-		s.abandoned.add(g.now, abandonedFade, math.Max(0, full-s.abandoned.value(g.now, abandonedFade)))
+		s.residualTokens.add(g.now, residualFade, math.Max(0, full-s.residualTokens.value(g.now, residualFade)))
 	case TimedOut, Cancelled:
-		s.abandoned.add(g.now, abandonedFade, r.charge)
+		s.residualTokens.add(g.now, residualFade, r.charge)
 		if e.Status == TimedOut || r.called {
 			g.unanswered(r, s)
 		}
--- a/logic/choice.go
+++ b/logic/choice.go
@@ -7,6 +7,9 @@
 	"slices"
 )
 
+// farWait is the wait at writers, in seconds, from which a cold one is worth a far move.
+const farWait = 0.2
+
 const never = math.MaxInt
 
 // pick returns the allowed server of the lowest class, and among those of the lowest cost. What was tried
@@ -40,7 +43,7 @@
 
 // allowed keeps the rules: drains, cold servers, and the group of a by-key request; proceed, its window.
 func (g *Gateway) allowed(r *request, s *server) bool {
-	if !s.usable() || s != r.invitedTo && !g.coldRoom(s) || s.role == RoleRead && r.reader != nil {
+	if !s.usable() || s != r.creditFreeServer && !g.coldRoom(s) || s.role == RoleRead && r.reader != nil {
 		return false
 	}
 	if r.mayHaveRun {
--- a/logic/deployments_test.go
+++ b/logic/deployments_test.go
@@ -41,7 +41,7 @@
 					if s := r.g.byID[1]; report {
 						r.g.takeReport(s, Load{HasUnread: true, UnreadToken: load})
 					} else {
-						s.unread = load
+						s.pendingTokens = load
 					}
 					if _, acts := r.arrive(Request{Class: class, PromptTokens: 500, Patience: 30 * time.Second}); find(acts, Refuse) != nil {
 						refused[class] = load
--- a/logic/endings.go
+++ b/logic/endings.go
@@ -8,6 +8,9 @@
 	"time"
 )
 
+// holdStep is after how long a held request is looked at again.
+const holdStep = 20 * time.Millisecond
+
 // hold keeps a request for a moment: no server may take it now.
 func (g *Gateway) hold(r *request) {
 	stateDue := r.reader != nil && r.unreached == 0 && after(r.idleSince, g.now) > g.set.ReleaseWithin/2
--- a/logic/guards_test.go
+++ b/logic/guards_test.go
@@ -192,7 +192,7 @@
 		r.wantSend(acts, room)
 		r.start(b, room)
 	}
-	r.wait(5 * abandonedFade)
+	r.wait(5 * residualFade)
 	_, acts = read()
 	r.wantSend(acts, full)
 }
@@ -285,11 +285,11 @@
 // Reads at a mixed server stop the answers that run there.
 func TestAnswersAreLoadAtMixedServers(t *testing.T) {
 	r := newRig(t, reader(1, 0), Member{Server: 2, Kind: 2}, writer(3, 0))
-	r.g.byID[1].unread = 3000
+	r.g.byID[1].pendingTokens = 3000
 	_, acts := r.arrive(Request{})
 	r.wantSend(acts, 2)
 	r.g.byID[2].tokens = 30000
-	r.g.byID[2].unread = 0
+	r.g.byID[2].pendingTokens = 0
 	_, acts = r.arrive(Request{})
 	r.wantSend(acts, 1)
 }
@@ -315,7 +315,7 @@
 	for range 40 { // 20 a second over two gateways, two seconds of burst and chance: the level is spent
 		r.g.inQuota(0)
 	}
-	r.g.byID[1].unread = 10000 // half a second by the aims' growth
+	r.g.byID[1].pendingTokens = 10000 // half a second by the aims' growth
 	for _, tc := range []struct {
 		name    string
 		q       Request
--- a/logic/health.go
+++ b/logic/health.go
@@ -4,6 +4,13 @@
 
 import (
 	"math"
+	"time"
+)
+
+const (
+	suspectScale = 3.0              // cost scale of a server after one bad sign
+	forgetSlow   = 10 * time.Second // a slowness not confirmed fades with this time constant
+	maxBackoff   = 8 * time.Second
 )
 
 // scale makes a token at s dearer by all that makes s slow: its observed pace, a bad sign, distance, cold.
--- a/logic/held.go
+++ b/logic/held.go
@@ -7,23 +7,29 @@
 // state is let go of, whether an attempt is out or not. That does not harm an attempt which a server has:
 // what is let go of is what no attempt waits for.
 
-import "time"
+import (
+	"time"
+)
 
-// leastReach is how much time to reach a writer makes a try worth while. So long before its time is over a
+// triesWithState is how many servers are tried with one held state where connections fail.
+const triesWithState = 3
+
+// leastSendTime is how much time to reach a writer makes a try worth while. So long before its time is over a
 // state is let go of.
-func (g *Gateway) leastReach() time.Duration { return g.set.ReleaseWithin / reachTries / 2 }
+func (g *Gateway) leastSendTime() time.Duration { return g.set.ReleaseWithin / triesWithState / 2 }
 
 // releaseDue is when the request's state has to be let go of unless a server has answered for it by then.
 func (g *Gateway) releaseDue(r *request) Time {
-	return r.heldSince + Time(g.set.ReleaseWithin-g.leastReach())
+	return r.heldSince + Time(g.set.ReleaseWithin-g.leastSendTime())
 }
 
-// reach: an attempt must reach its server within this. A state counts as held until then; a try gets a part.
-func (g *Gateway) reach(r *request) time.Duration {
+// sendWithin is how long an attempt may take to reach its server. A state counts as held until then; a try
+// gets a part.
+func (g *Gateway) sendWithin(r *request) time.Duration {
 	if r.reader == nil {
 		return 0
 	}
-	return min(g.set.ReleaseWithin/reachTries, after(g.now, g.releaseDue(r)))
+	return min(g.set.ReleaseWithin/triesWithState, after(g.now, g.releaseDue(r)))
 }
 
 // armRelease has the state looked at when it is due, once for each state however many attempts carry it.
--- a/logic/limits_test.go
+++ b/logic/limits_test.go
@@ -9,7 +9,7 @@
 )
 
 // The decisions stand in modules that can be read one by one: 260 lines each that are not blank, 110 characters a line, and
-// the deploy file lists all of them. Of the package's other files api.go is the interface and state.go decides nothing.
+// the deploy file lists all of them but api.go, which is the interface.
 //
 // Before there was one module, of 940 lines at most; the operators have withdrawn that bound on the whole.
 func TestModuleLimits(t *testing.T) {
@@ -23,7 +23,7 @@
 		t.Fatal(err)
 	}
 	for _, file := range files {
-		if strings.HasSuffix(file, "_test.go") || file == "api.go" || file == "state.go" {
+		if strings.HasSuffix(file, "_test.go") || file == "api.go" {
 			continue
 		}
 		if !strings.Contains(string(deploy), `"logic/`+file+`"`) {
--- a/logic/load.go
+++ b/logic/load.go
@@ -7,10 +7,15 @@
 	"time"
 )
 
+const (
+	waitFade  = 2 * time.Second // a wait not confirmed fades, so that servers are tried again
+	shareFade = 5 * time.Second // the same of its memory, which changes with its answers
+)
+
 // pending is the read load that this gateway put on s: what is out, and what time-outs left behind, or a
 // server that times out would look idle just when it is not.
 func (g *Gateway) pending(s *server) float64 {
-	return s.unread + s.abandoned.value(g.now, abandonedFade)
+	return s.pendingTokens + s.residualTokens.value(g.now, residualFade)
 }
 
 // trust in a server's own report falls with its age; none is as old as can be.
@@ -23,7 +28,7 @@
 
 // reported is the peers' part of the read load that s reports, or of the mean as the report ages.
 func (g *Gateway) reported(s *server) float64 {
-	mean := g.pools[s.role].unread.value(g.now, g.waitSpan())
+	mean := g.pools[s.role].readLoad.value(g.now, g.waitSpan())
 	return g.peerShare * (mean + g.trust(s, unreadFade)*(s.load.UnreadToken-mean))
 }
 
@@ -40,7 +45,7 @@
 	if l.HasMemory {
 		g.reports, p.share = true, p.share+a*(l.MemoryShare-p.share)
 	}
-	p.unread.average(g.now, g.waitSpan(), l.UnreadToken, fastLearn)
+	p.readLoad.average(g.now, g.waitSpan(), l.UnreadToken, fastLearn)
 }
 
 // share is the part of a server's memory that is held: its last report plus own tokens sent since, and
@@ -54,3 +59,28 @@
 	}
 	return s.turnedAway(g.now) + mean + g.trust(s, shareFade)*(s.load.MemoryShare-mean) + s.since/s.memory
 }
+
+// pool is what is known of all usable servers of one role together.
+type pool struct {
+	n        int
+	reports  int
+	share    float64 // mean part of the memory held, by reports or by own tokens and as many of each peer
+	readLoad fading  // mean of the reported read loads
+	wait     fading  // seconds that requests wait there beyond the usual
+	roomiest *server // of the usable ones by their reports; nil without any
+}
+
+// waitAt is how long, in seconds, requests have lately waited at the servers of a role beyond the usual.
+// It fades with time, or where this gateway sees little with a few of its arrivals.
+func (g *Gateway) waitAt(role Role) float64 { return g.pools[role].wait.value(g.now, g.waitSpan()) }
+
+// readSeconds is how long s takes for so many prompt tokens.
+func (g *Gateway) readSeconds(s *server, tokens float64) float64 {
+	return g.reads[s.Kind].seconds(tokens) * g.slowness(s)
+}
+
+func (g *Gateway) waited(role Role, sec float64) {
+	g.pools[role].wait.average(g.now, g.waitSpan(), math.Max(0, sec), 0.02)
+}
+
+func (g *Gateway) waitSpan() time.Duration { return max(waitFade, seconds(3*g.arrivalGap)) }
--- a/logic/readers.go
+++ b/logic/readers.go
@@ -7,6 +7,21 @@
 	"slices"
 )
 
+const (
+	overlapWeight = 1.0  // cost of a missing prompt token, in tokens of load (ours)
+	homeTrust     = 0.95 // part of a prefix expected at its homes
+	leastHomes    = 2    // readers that share the prompts of one prefix
+	mostHomes     = 8
+	tieTokens     = 150 // readers that differ by so little are alike to one of many gateways
+	mixedWeight   = 3.0 // of a mixed server's memory share against the writers'
+)
+
+// home is where the prompts of a prefix meet when all gateways hash alike.
+type home struct {
+	servers []*server
+	seen    fading
+}
+
 // findHomes finds the homes of the request's prefix by rendezvous hashing: with many gateways hardly any
 // table holds what peers had read, but all of them hash alike. A frequent prefix has more homes; the
 // first of them is the one where the request's session meets. So do sessions that share nothing, where
@@ -22,7 +37,7 @@
 			key = r.Session
 		}
 	}
-	if r.meets = key; key == 0 || g.peers == 0 {
+	if r.affinityKey = key; key == 0 || g.peers == 0 {
 		return
 	}
 	h := g.homes[key]
--- a/logic/servers.go
+++ b/logic/servers.go
@@ -5,6 +5,18 @@
 import (
 	"cmp"
 	"math"
+	"slices"
+	"time"
+)
+
+const (
+	pullLeast     = 0.5                   // of an average reader's part, in a cell without writers
+	pullMost      = 1.5                   // of an average reader's part in a cell of few readers
+	unknownMemory = 1e5                   // tokens; only shares against like servers count then
+	coldHomes     = 8.0                   // power of warmth in weights where little is seen of peers
+	shareSamples  = 60.0                  // stream seconds that the mean of own shares is taken over
+	surveyEvery   = 50 * time.Millisecond // age of the means over all servers
+	sweepEvery    = time.Second
 )
 
 func (g *Gateway) list(e *Event) {
@@ -24,7 +36,7 @@
 			g.servers = append(g.servers, s)
 		} else if m.Since != s.Since && m.Health != Gone {
 			// A restarted process keeps nothing, and what was held against the old one is void.
-			s.kept, s.abandoned, s.fails, s.suspectUntil = map[Key]entry{}, fading{}, 0, 0
+			s.kept, s.residualTokens, s.fails, s.suspectUntil = map[Key]entry{}, fading{}, 0, 0
 			s.slow, s.load, s.began, s.creditsGivenAt, s.coldCredits = fading{}, Load{}, g.began(m), g.now, 0
 		}
 		m.Kind = min(m.Kind, len(g.set.Kinds)-1)
@@ -109,3 +121,32 @@
 	g.unseenShare = g.peerShare / (1 + streams/servers)
 	g.surveyed = g.now
 }
+
+// sweep purges aged entries and servers that are gone with nothing out.
+func (g *Gateway) sweep() {
+	if after(g.swept, g.now) < sweepEvery {
+		return
+	}
+	g.swept = g.now
+	if g.warming {
+		g.balance()
+	}
+	old := func(used Time) bool { return after(used, g.now) >= keepFor }
+	for k, h := range g.homes {
+		if old(h.seen.at) {
+			delete(g.homes, k)
+		}
+	}
+	g.servers = slices.DeleteFunc(g.servers, func(s *server) bool {
+		for k, e := range s.kept {
+			if old(e.used) {
+				delete(s.kept, k)
+			}
+		}
+		gone := !s.listed && s.waiting == 0 && s.streams == 0
+		if gone {
+			delete(g.byID, s.Server)
+		}
+		return gone
+	})
+}
--- a/router/api.go
+++ b/router/api.go
@@ -40,10 +40,10 @@
 	Request *Request
 	Worker  *Worker
 	Wait    time.Duration // how long the core will wait for the answer to begin
-	// Reach is how long the request's last byte may take to go out, connecting
+	// SendWithin is how long the request's last byte may take to go out, connecting
 	// included; past it the attempt ends as one that never reached its worker. 0
 	// means no bound.
-	Reach time.Duration
+	SendWithin time.Duration
 }
 
 // Answer is a worker's answer that has begun.
--- a/router/history.go
+++ b/router/history.go
@@ -190,7 +190,7 @@
 func (l *historyLog) attemptBegins(a *attempt, waited time.Duration) {
 	if l.verbose {
 		l.log.WithFields(logrus.Fields{"request": a.ex.Name, "attempt": a.number, "worker": a.to.Name, "wait_ms": a.wait.Milliseconds(),
-			"reach_ms": a.reach.Milliseconds(), "waited_ms": waited.Milliseconds()}).Debug("attempt begins")
+			"reach_ms": a.sendWithin.Milliseconds(), "waited_ms": waited.Milliseconds()}).Debug("attempt begins")
 	}
 }
 
--- a/router/send.go
+++ b/router/send.go
@@ -18,25 +18,25 @@
 
 // attempt is one attempt that is out. It is the Sink of the transport.
 type attempt struct {
-	core    *Core
-	ex      *exchange
-	number  int
-	server  logic.ServerID
-	sentAt  time.Time
-	timer   *time.Timer
-	to      *Worker
-	wait    time.Duration
-	reach   time.Duration           // as of sentAt; 0: no bound
-	giveUp  func() <-chan struct{}  // nil until it has started
-	heard   atomic.Int64            // when something of its answer came last, in nanoseconds since sentAt
-	written atomic.Pointer[Written] // nil until its last byte has gone out
-	ended   bool
-	took    time.Duration // until it ended
+	core       *Core
+	ex         *exchange
+	number     int
+	server     logic.ServerID
+	sentAt     time.Time
+	timer      *time.Timer
+	to         *Worker
+	wait       time.Duration
+	sendWithin time.Duration           // as of sentAt; 0: no bound
+	giveUp     func() <-chan struct{}  // nil until it has started
+	heard      atomic.Int64            // when something of its answer came last, in nanoseconds since sentAt
+	written    atomic.Pointer[Written] // nil until its last byte has gone out
+	ended      bool
+	took       time.Duration // until it ended
 }
 
 func (s *sender) send(ex *exchange, act *logic.Action) {
 	w := s.core.workers.worker(act.Server)
-	a := &attempt{core: s.core, ex: ex, number: ex.sends, server: act.Server, sentAt: time.Now(), to: w, wait: act.After, reach: act.Reach}
+	a := &attempt{core: s.core, ex: ex, number: ex.sends, server: act.Server, sentAt: time.Now(), to: w, wait: act.After, sendWithin: act.SendWithin}
 	to := s.target(w)
 	switch v := ex.rules.MaySend(a.sentAt, to); v {
 	case rules.Allowed:
@@ -104,8 +104,8 @@
 	a.ex.history.add(step{kind: stepSend, attempt: a.number, worker: a.to, wait: a.wait - waited})
 	s.core.histories.attemptBegins(a, waited)
 	out := Attempt{Request: a.ex.Request, Worker: a.to, Wait: a.wait - waited}
-	if a.reach > 0 {
-		out.Reach = max(a.reach-waited, time.Nanosecond)
+	if a.sendWithin > 0 {
+		out.SendWithin = max(a.sendWithin-waited, time.Nanosecond)
 	}
 	a.giveUp = s.transport.Send(out, a)
 }
--- a/upstream/arrival.go
+++ b/upstream/arrival.go
@@ -11,8 +11,8 @@
 // state, and a connection whose other end has vanished takes what is written all the same. Sent again by the system, it would
 // arrive late, and tell its worker a time that is no longer left.
 func (x *attempt) watchArrival(c *conn) (stop func()) {
-	if !x.reach.IsZero() {
-		return x.watch(time.Until(confirmBy(c.wrote, x.reach)), func() time.Duration {
+	if !x.sendBy.IsZero() {
+		return x.watch(time.Until(confirmBy(c.wrote, x.sendBy)), func() time.Duration {
 			if unconfirmed(c) > 0 {
 				x.vanish(c)
 			}
@@ -69,11 +69,11 @@
 const confirmAfter = 100 * time.Millisecond
 
 // confirmBy is when a request that was written at a time, and had to be by another, must have been confirmed.
-func confirmBy(wrote, reach time.Time) time.Time {
-	if least := wrote.Add(confirmAfter); least.After(reach) {
+func confirmBy(wrote, sendBy time.Time) time.Time {
+	if least := wrote.Add(confirmAfter); least.After(sendBy) {
 		return least
 	}
-	return reach
+	return sendBy
 }
 
 // unconfirmed is how many bytes of what was written the other end's system has not confirmed; 0 where that can't be told.
--- a/upstream/attempt.go
+++ b/upstream/attempt.go
@@ -25,7 +25,7 @@
 	sink   router.Sink
 	cancel context.CancelFunc
 	until  time.Time // its answer is waited for
-	reach  time.Time // by which its worker must have it whole; zero: not stated
+	sendBy time.Time // by which its worker must have it whole; zero: not stated
 	// msg is the message as it was when the attempt began: the request lets go of it when an answer begins, which may be
 	// another attempt's than one that was given up and has not come to its end yet.
 	msg Message
@@ -193,10 +193,10 @@
 // write gets the request to the worker, whole. A nil connection means that it
 // never was: the worker has not run it.
 func (x *attempt) write(ctx context.Context) (*conn, logic.Status, error) {
-	if x.Reach > 0 {
+	if x.SendWithin > 0 {
 		var done context.CancelFunc
-		x.reach = time.Now().Add(x.Reach)
-		ctx, done = context.WithDeadline(ctx, x.reach)
+		x.sendBy = time.Now().Add(x.SendWithin)
+		ctx, done = context.WithDeadline(ctx, x.sendBy)
 		defer done()
 	}
 	body := x.msg.Body
@@ -225,7 +225,7 @@
 		// The time told is what is left now: a connection may have taken its time to come up.
 		head := x.head()
 		bufs := net.Buffers{head, body}
-		_ = c.SetWriteDeadline(x.reach) // a worker that has stopped may take a part and no more
+		_ = c.SetWriteDeadline(x.sendBy) // a worker that has stopped may take a part and no more
 		n, err := bufs.WriteTo(c.TCPConn)
 		c.wrote = time.Now()
 		if n == int64(len(head)+len(body)) {
--- a/upstream/crossings_test.go
+++ b/upstream/crossings_test.go
@@ -117,7 +117,7 @@
 	})
 	e := ends{make(chan router.Outcome, 1), make(chan router.Answer, 1)}
 	r := &router.Request{Payload: &Message{Method: "POST", URI: "/x", Body: make([]byte, 64<<20)}}
-	c.Send(router.Attempt{Request: r, Worker: w, Wait: time.Hour, Reach: 50 * time.Millisecond}, e)
+	c.Send(router.Attempt{Request: r, Worker: w, Wait: time.Hour, SendWithin: 50 * time.Millisecond}, e)
 	select {
 	case o := <-e.outcomes:
 		require.ErrorIs(t, o.Cause, os.ErrDeadlineExceeded)
