--- a/internal/standin/syscalls/syscalls.go
+++ b/internal/standin/syscalls/syscalls.go
@@ -83,6 +83,7 @@
 	mu     sync.Mutex
 	decide Decide
 	failed map[int]int
+	asked  map[int]int
 }
 
 // Set replaces what decides; nil lets all calls through.
@@ -99,9 +100,17 @@
 	return f.failed[call]
 }
 
+// Asked is how many calls of a number there have been.
+func (f *Faults) Asked(call int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.asked[call]
+}
+
 func (f *Faults) ask(call int) Fault {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.asked[call]++
 	if f.decide == nil {
 		return Fault{}
 	}
@@ -133,6 +142,20 @@
 	}
 }
 
+// hangs is longer than any test.
+const hangs = time.Hour
+
+// Hang returns a Decide that holds all calls of the numbers for longer than any test, as a disk does that no longer answers.
+// What has begun to hang goes on so when another Decide is set.
+func Hang(calls ...int) Decide {
+	return func(c int) Fault {
+		if slices.Contains(calls, c) {
+			return Fault{Delay: hangs}
+		}
+		return Fault{}
+	}
+}
+
 // Command is exec.Command for a program whose calls of the given numbers are handed to the returned Faults. The caller's
 // TestMain must call Launch. Its environment may be added to before it is started.
 func Command(calls []int, program string, args ...string) (*exec.Cmd, *Faults, error) {
@@ -151,7 +174,7 @@
 	cmd := exec.Command(self, append([]string{program}, args...)...)
 	cmd.Env = append(os.Environ(), launchVariable+"="+strings.Join(numbers, ","))
 	cmd.ExtraFiles = []*os.File{theirs}
-	f := &Faults{failed: map[int]int{}}
+	f := &Faults{failed: map[int]int{}, asked: map[int]int{}}
 	go f.follow(ours)
 	return cmd, f, nil
 }
