A store's leader whose disk does not answer gives way, and its router can be stopped

Cause: raft's heartbeats have a goroutine of their own (replication.go, heartbeat), so that a leader whose main goroutine hangs in a write leads on and takes nothing; Close and Open waited for the disk without a bound (store/replica.go, internal/daemon/store.go). Change: store/progress.go tells for how long no write has returned; the transport (voteless.go, now transport.go) sends no entries and no heartbeats once that is twice the heartbeat's time-out, so the others elect a leader. Ways not taken: handing the lead over (raft does that on the goroutine that hangs); ending the process (the router serves on without its store).

--- a/internal/daemon/store.go
+++ b/internal/daemon/store.go
@@ -67,18 +67,37 @@
 }
 
 // openReplica opens the replica. A disk that takes no writes for a while does not end the start: it is tried again, for
-// storeWait in all.
+// storeWait in all. One that does not answer is waited for as long; what hangs then is left behind by the process, which ends.
 func (d *daemon) openReplica(starting context.Context, cfg store.Config) (*store.Replica, error) {
 	ctx, cancel := context.WithTimeout(starting, storeWait)
 	defer cancel()
-	var r *store.Replica
-	err := transient.Retry(ctx, settleAgain, diskFault, func() (err error) {
-		if r, err = store.Open(cfg); err != nil && diskFault(err) {
-			d.log.WithError(err).Error("the store's folder can't be written, tried again")
-		}
-		return err
-	})
-	return r, err
+	type opened struct {
+		replica *store.Replica
+		err     error
+	}
+	done := make(chan opened, 1)
+	go func() {
+		var o opened
+		o.err = transient.Retry(ctx, settleAgain, diskFault, func() (err error) {
+			if o.replica, err = store.Open(cfg); err != nil && diskFault(err) {
+				d.log.WithError(err).Error("the store's folder can't be written, tried again")
+			}
+			return err
+		})
+		done <- o
+	}()
+	select {
+	case o := <-done:
+		return o.replica, o.err
+	case <-ctx.Done():
+	}
+	// A start that was ended just as the replica was open has a replica to close.
+	select {
+	case o := <-done:
+		return o.replica, o.err
+	case <-time.After(settleAgain):
+		return nil, fmt.Errorf("open the store's folder: %w", ctx.Err())
+	}
 }
 
 // diskFault tells whether an error is the disk's, and may pass.
--- a/store/disk.go
+++ b/store/disk.go
@@ -43,6 +43,7 @@
 	log     hclog.Logger
 	closing chan struct{}
 
+	writes   progress
 	mu       sync.Mutex
 	doubtful indexes // entries that may be in the file though writing them failed
 	cleared  bool    // the end of the log was deleted, and nothing has been written since
@@ -109,7 +110,7 @@
 	cleared := d.cleared
 	d.mu.Unlock()
 	if cleared {
-		return d.untilWritten(func() error { return d.store(logs) })
+		return d.untilDone(func() error { return d.store(logs) })
 	}
 	return d.store(logs)
 }
@@ -119,13 +120,13 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.doubtful != (indexes{}) {
-		if err := d.file.DeleteRange(d.doubtful.first, d.doubtful.last); err != nil {
+		if err := d.write(func() error { return d.file.DeleteRange(d.doubtful.first, d.doubtful.last) }); err != nil {
 			d.failed(err)
 			return err
 		}
 		d.doubtful = indexes{}
 	}
-	err := d.file.StoreLogs(logs)
+	err := d.write(func() error { return d.file.StoreLogs(logs) })
 	if err != nil {
 		d.doubtful = d.doubtful.with(indexes{logs[0].Index, logs[len(logs)-1].Index})
 		d.failed(err)
@@ -167,13 +168,24 @@
 // GetUint64 implements raft.StableStore.
 func (d *disk) GetUint64(key []byte) (uint64, error) { return d.file.GetUint64(key) }
 
-// untilWritten writes until it succeeds. Where the replica is closed before that, the calling goroutine, one of raft's own,
+// write makes one write to the file.
+func (d *disk) write(do func() error) error {
+	defer d.writes.begin(time.Now)()
+	return do()
+}
+
+// untilWritten writes to the file until it succeeds.
+func (d *disk) untilWritten(do func() error) error {
+	return d.untilDone(func() error { return d.write(do) })
+}
+
+// untilDone tries until it succeeds. Where the replica is closed before that, the calling goroutine, one of raft's own,
 // ends here: raft takes an error for a reason to end the process.
-func (d *disk) untilWritten(write func() error) error {
+func (d *disk) untilDone(do func() error) error {
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval, pause.MaxInterval = diskRetryLeast, diskRetryMost
 	for {
-		err := write()
+		err := do()
 		d.mu.Lock()
 		if err == nil {
 			d.succeeded()
--- a/store/replica.go
+++ b/store/replica.go
@@ -57,14 +57,22 @@
 	// entries any more, and the sender would never end. The entries of one message are as many as are due, up to raft's
 	// MaxAppendEntries.
 	raftCallsInFlight = 1
+	// stalledHeartbeats is for how many times the heartbeat's time-out a write may be under way before a leader gives way: with
+	// one, a disk that is slow for a moment would end as many leaders as it has moments.
+	stalledHeartbeats = 2
+	// closeWait is how long Close waits in all: for calls to other replicas, and some more.
+	closeWait = raftWait + time.Second
 )
 
+// ErrNotClosed says that a replica could not be closed in time: its disk, most likely, does not answer.
+var ErrNotClosed = errors.New("the replica does not end, its disk may not answer")
+
 // Replica is one member of the store.
 type Replica struct {
 	cfg      Config
 	machine  *machine
 	raft     *raft.Raft
-	network  *voteless
+	network  *transport
 	disk     *disk
 	recovery *recovery
 	peers    fasthttp.Client // to the leader's API
@@ -184,7 +192,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for replicas: %w", err)
 	}
-	r.network = newVoteless(network, r.recovery)
+	r.network = newTransport(network, r.recovery, r.disk, stalledHeartbeats*rc.HeartbeatTimeout)
 	var first raft.Configuration
 	for _, p := range r.cfg.Peers {
 		first.Servers = append(first.Servers, raft.Server{ID: raft.ServerID(p.ID), Address: raft.ServerAddress(p.Raft)})
@@ -200,8 +208,20 @@
 	return nil
 }
 
-// Close ends the replica; its data stay.
+// Close ends the replica; its data stay. It waits for some seconds at most, and is ErrNotClosed then: the process may end all the
+// same, what was acknowledged is on the disk.
 func (r *Replica) Close() error {
+	closed := make(chan error, 1)
+	go func() { closed <- r.close() }()
+	select {
+	case err := <-closed:
+		return err
+	case <-time.After(closeWait):
+		return ErrNotClosed
+	}
+}
+
+func (r *Replica) close() error {
 	r.stop()
 	<-r.stopped
 	r.disk.shut()
