--- a/fleet/solver/solver.go
+++ b/fleet/solver/solver.go
@@ -118,100 +118,16 @@
 	if err := s.check(); err != nil {
 		return nil, err
 	}
-	n, k := len(s.Zones), len(s.Demand)
 	total := 0.0
 	for _, d := range s.Demand {
 		total += d.Load
 	}
-	plan := &Plan{Read: square(n), Write: square(n), Shed: make([]float64, k)}
-	if total == 0 || n == 0 {
-		return plan, nil
+	if zones := len(s.Zones); total == 0 || zones == 0 {
+		return &Plan{Read: square(zones), Write: square(zones), Shed: make([]float64, len(s.Demand))}, nil
 	}
-	unit := total / Units
-	units := func(x float64) int { return int(math.Min(math.Floor(x/unit+1e-9), 4*Units)) }
-
-	// Nodes: the source, demands, entries, readers' zones in and out, writers' zones, the sink.
-	entry, in, out, write := 1+k, 1+k+n, 1+k+2*n, 1+k+3*n
-	g := newGraph(2 + k + 4*n)
-	sink := 1 + k + 4*n
-	loads, shed := make([]int, k), make([]int, k)
-	of := make([]int, n) // units of each entry
-	for i, d := range s.Demand {
-		loads[i] = int(math.Round(d.Load / unit))
-		of[d.Entry] += loads[i]
-		g.add(0, 1+i, loads[i], 0)
-		g.add(1+i, entry+d.Entry, loads[i], 0)
-		shed[i] = g.add(1+i, sink, loads[i], shedCost+int(d.Worth*worthCost))
-	}
-	reads, writes := make([][][2]int, n), make([][]int, n)
-	for a := range n {
-		reads[a], writes[a] = make([][2]int, n), make([]int, n)
-		for b := range n {
-			if s.Seen != nil && !s.Seen[a][b] {
-				reads[a][b] = [2]int{-1, -1}
-				continue
-			}
-			far, same := int(s.Far[a][b]*farCost), 0
-			if before != nil && a < len(before.Read) && b < len(before.Read[a]) {
-				same = int(math.Round(before.Read[a][b] * float64(of[a])))
-			}
-			reads[a][b] = [2]int{g.add(entry+a, in+b, min(same, of[a]), far), g.add(entry+a, in+b, max(of[a]-same, 0), far+moveCost)}
-		}
-	}
-	var over []int
-	zone := func(from, to int, capacity float64) {
-		safe := units(capacity * s.Safe)
-		g.add(from, to, safe, 0)
-		over = append(over, g.add(from, to, units(capacity)-safe, overCost))
-	}
-	for z := range n {
-		zone(in+z, out+z, s.Zones[z].Read)
-		zone(write+z, sink, s.Zones[z].Write)
-		for w := range n {
-			room := 4 * Units
-			if w != z && s.Room != nil && s.Room[z][w] >= 0 {
-				room = units(s.Room[z][w])
-			}
-			writes[z][w] = g.add(out+z, write+w, room, int(stateCost*s.Far[z][w]*farCost))
-		}
-	}
-	g.solve(0, sink)
-
-	far, moved := 0, 0
-	through := make([]int, n)
-	for a := range n {
-		for b := range n {
-			if reads[a][b][0] < 0 {
-				continue
-			}
-			kept, new := g.flow(reads[a][b][0]), g.flow(reads[a][b][1])
-			through[b] += kept + new
-			moved += new
-			if a != b {
-				far += kept + new
-			}
-			if of[a] > 0 {
-				plan.Read[a][b] = float64(kept+new) / float64(of[a])
-			}
-		}
-	}
-	for z := range n {
-		for w := range n {
-			if through[z] > 0 {
-				plan.Write[z][w] = float64(g.flow(writes[z][w])) / float64(through[z])
-			}
-		}
-	}
-	for i := range shed {
-		if loads[i] > 0 {
-			plan.Shed[i] = float64(g.flow(shed[i])) / float64(loads[i])
-		}
-	}
-	for _, e := range over {
-		plan.Over += float64(g.flow(e)) * unit
-	}
-	plan.Far, plan.Moved = float64(far)/Units, float64(moved)/Units
-	return plan, nil
+	net := newNetwork(&s, before, total/Units)
+	net.solve(source, net.sink)
+	return net.plan(), nil
 }
 
 func square(n int) [][]float64 {
