Failing test: a trail's file that hangs holds the end of the router

Need: the class of the store's disk that does not answer, at the other file that a stop waits for (internal/daemon/daemon.go, the deferred acts.close). Change: the test, on a full pipe in place of the file; Open in two steps for it.

--- a/fleet/eventlog/eventlog.go
+++ b/fleet/eventlog/eventlog.go
@@ -36,6 +36,9 @@
 	flushEvery = 500 * time.Millisecond
 )
 
+// ErrNotWritten says that the last records may not be on the disk, which does not answer.
+var ErrNotWritten = errors.New("trail: the last records are not written, the disk may not answer")
+
 // Config says where a trail is kept.
 type Config struct {
 	Dir    string
@@ -83,16 +86,25 @@
 	if err := os.MkdirAll(cfg.Dir, 0o700); err != nil {
 		return nil, fmt.Errorf("trail: %w", err)
 	}
-	w := &Writer{cfg: cfg, start: time.Now(), queue: make(chan audit.Record, mostQueue), sums: map[sum]*audit.Record{},
-		flushes: make(chan chan struct{}), stopped: make(chan struct{})}
+	w := newWriter(cfg)
 	if err := w.segment(); err != nil {
 		return nil, err
 	}
-	w.ended.Go(w.run)
-	w.Note(audit.Record{Kind: audit.Started, Router: cfg.Router, Life: cfg.Life, Wall: w.start.UnixMilli()})
+	w.begin()
 	return w, nil
 }
 
+func newWriter(cfg Config) *Writer {
+	return &Writer{cfg: cfg, start: time.Now(), queue: make(chan audit.Record, mostQueue), sums: map[sum]*audit.Record{},
+		flushes: make(chan chan struct{}), stopped: make(chan struct{})}
+}
+
+// begin starts the writing.
+func (w *Writer) begin() {
+	w.ended.Go(w.run)
+	w.Note(audit.Record{Kind: audit.Started, Router: w.cfg.Router, Life: w.cfg.Life, Wall: w.start.UnixMilli()})
+}
+
 // Now is the time on the trail's clock.
 func (w *Writer) Now() time.Duration { return time.Since(w.start) }
 
--- a/fleet/eventlog/eventlog_test.go
+++ b/fleet/eventlog/eventlog_test.go
@@ -1,6 +1,7 @@
 package eventlog
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"io"
@@ -243,3 +244,28 @@
 	}
 	require.NoError(b, w.Close())
 }
+
+// A file that takes nothing and returns no error, as on a disk that does not answer, keeps nobody waiting who closes the trail.
+func TestAFileThatHangsDoesNotHoldClose(t *testing.T) {
+	reader, writer, err := os.Pipe()
+	require.NoError(t, err)
+	defer reader.Close()
+	defer writer.Close() // which ends the write that hangs
+	require.NoError(t, writer.SetWriteDeadline(time.Now().Add(100*time.Millisecond)))
+	for err == nil { // until the pipe is full
+		_, err = writer.Write(make([]byte, 1<<10))
+	}
+	require.NoError(t, writer.SetWriteDeadline(time.Time{}))
+
+	w := newWriter(Config{Dir: t.TempDir(), Router: "r", Life: 1, Bytes: 1 << 20, Count: &metrics.Set{}})
+	w.file, w.buf = writer, bufio.NewWriter(writer)
+	w.begin()
+	closed := make(chan error, 1)
+	go func() { closed <- w.Close() }()
+	select {
+	case err := <-closed:
+		require.ErrorIs(t, err, ErrNotWritten)
+	case <-time.After(10 * time.Second):
+		t.Fatal("Close waits for the file")
+	}
+}
