A trail's file that hangs no longer holds the end of the router

Cause: eventlog.Writer.Close waited for its writing goroutine, which is in a write (fleet/eventlog/eventlog.go, run), and the daemon's end waits for Close. Way not taken: a deadline on the file; regular files have none.

--- a/fleet/eventlog/eventlog.go
+++ b/fleet/eventlog/eventlog.go
@@ -34,6 +34,7 @@
 	segments   = 8       // that the bound is divided over
 	suffix     = ".trail"
 	flushEvery = 500 * time.Millisecond
+	closeWait  = time.Second // for a disk that may not answer
 )
 
 // ErrNotWritten says that the last records may not be on the disk, which does not answer.
@@ -55,7 +56,6 @@
 	cfg   Config
 	start time.Time
 	queue chan audit.Record
-	ended sync.WaitGroup
 
 	flushes chan chan struct{} // who waits for all to be written
 	stopped chan struct{}      // closed when the writing has ended
@@ -101,7 +101,7 @@
 
 // begin starts the writing.
 func (w *Writer) begin() {
-	w.ended.Go(w.run)
+	go w.run()
 	w.Note(audit.Record{Kind: audit.Started, Router: w.cfg.Router, Life: w.cfg.Life, Wall: w.start.UnixMilli()})
 }
 
@@ -175,7 +175,7 @@
 	}
 }
 
-// Close writes what is left and ends the trail in good order.
+// Close writes what is left and ends the trail in good order. It waits for closeWait at most, and is ErrNotWritten then.
 func (w *Writer) Close() error {
 	w.mu.Lock()
 	if w.closed {
@@ -187,7 +187,11 @@
 	w.closed = true
 	close(w.queue)
 	w.mu.Unlock()
-	w.ended.Wait()
+	select {
+	case <-w.stopped:
+	case <-time.After(closeWait):
+		return ErrNotWritten
+	}
 	if w.file == nil {
 		return nil
 	}
