--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -622,6 +623,23 @@
 	return req
 }
 
+// askUntil has clients, each with connections of its own, ask again and again until ctx ends, with a pause after each time. The
+// returned group is done when all have ended.
+func askUntil(ctx context.Context, clients int, pause time.Duration, ask func(*http.Client)) *sync.WaitGroup {
+	var all sync.WaitGroup
+	for range clients {
+		all.Go(func() {
+			client := &http.Client{Transport: &http.Transport{}}
+			defer client.CloseIdleConnections()
+			for ctx.Err() == nil {
+				ask(client)
+				time.Sleep(pause)
+			}
+		})
+	}
+	return &all
+}
+
 func (p *program) ask(class, id string, patience time.Duration) answer {
 	return do(p.request(class, id, patience))
 }
--- a/test/log_test.go
+++ b/test/log_test.go
@@ -70,30 +70,24 @@
 	_ = log.Close() // the program has its own
 	asking, stop := context.WithTimeout(t.Context(), logTrouble)
 	defer stop()
-	var clients sync.WaitGroup
 	var mu sync.Mutex
 	answered, latest := 0, time.Duration(0)
-	for range 6 {
-		clients.Go(func() {
-			for asking.Err() == nil {
-				from := time.Now()
-				ctx, end := context.WithTimeout(t.Context(), 3*time.Second)
-				resp, err := http.DefaultClient.Do(p.request("query", newID(), 2*time.Second).WithContext(ctx))
-				if err == nil {
-					_, _ = io.Copy(io.Discard, resp.Body)
-					resp.Body.Close()
-				}
-				end()
-				mu.Lock()
-				latest = max(latest, time.Since(from))
-				if err == nil {
-					answered++
-				}
-				mu.Unlock()
-				time.Sleep(10 * time.Millisecond)
-			}
-		})
-	}
+	clients := askUntil(asking, 6, 10*time.Millisecond, func(client *http.Client) {
+		from := time.Now()
+		ctx, end := context.WithTimeout(t.Context(), 3*time.Second)
+		defer end()
+		resp, err := client.Do(p.request("query", newID(), 2*time.Second).WithContext(ctx))
+		if err == nil {
+			_, _ = io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		latest = max(latest, time.Since(from))
+		if err == nil {
+			answered++
+		}
+	})
 	time.AfterFunc(logTrouble/2, func() { _ = p.cmd.Process.Signal(syscall.SIGUSR1) })
 	clients.Wait()
 	time.Sleep(heldWithin)
--- a/test/starved_test.go
+++ b/test/starved_test.go
@@ -175,31 +175,23 @@
 	}
 	p, _ := platform(t, workers...)
 	asking, stop := context.WithCancel(t.Context())
-	var clients sync.WaitGroup
 	var mu sync.Mutex
 	var seen owed
 	var latest time.Duration
-	for range owedClients {
-		client := &http.Client{Transport: &http.Transport{}}
-		defer client.CloseIdleConnections()
-		clients.Go(func() {
-			for asking.Err() == nil {
-				id := newID()
-				resp, err := client.Do(p.request("query", id, 6*time.Second))
-				if err != nil {
-					continue
-				}
-				_, err = io.Copy(io.Discard, resp.Body)
-				resp.Body.Close()
-				if at, ok := ended.Load(id); ok && err == nil && resp.StatusCode == http.StatusOK {
-					mu.Lock()
-					seen.served, latest = seen.served+1, max(latest, time.Since(at.(time.Time)))
-					mu.Unlock()
-				}
-				time.Sleep(100 * time.Millisecond)
-			}
-		})
-	}
+	clients := askUntil(asking, owedClients, 100*time.Millisecond, func(client *http.Client) {
+		id := newID()
+		resp, err := client.Do(p.request("query", id, 6*time.Second))
+		if err != nil {
+			return
+		}
+		_, err = io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+		if at, ok := ended.Load(id); ok && err == nil && resp.StatusCode == http.StatusOK {
+			mu.Lock()
+			defer mu.Unlock()
+			seen.served, latest = seen.served+1, max(latest, time.Since(at.(time.Time)))
+		}
+	})
 	quota, err := cpushare.Hold(p.cmd.Process.Pid, crowdShare)
 	require.NoError(t, err)
 	time.Sleep(calmFor)
