A server that answers errors in a row is suspect, and asked by single trials

Cause: logic/attempts.go (judge) took an error for one slow sample; a writer that errs at once holds no memory and has no streams, so it was the best choice each time. Change: two errors with nothing between them make it suspect, as a lost connection does (trials after 1 s, then ever later, to the end of the list until then); the first answer that it serves ends that. What may run once only goes elsewhere after one error, for 8 s, where another is left: nothing could be tried after a second. None is ever left out. A rate of errors against the kind's needs more answers than one of many routers sees.

--- a/logic/attempts.go
+++ b/logic/attempts.go
@@ -93,7 +93,7 @@
 
 // learn compares an attempt's time with the pace of its kind. A wait for a writer is all of its time.
 func (g *Gateway) learn(r *request, s *server, took time.Duration) {
-	s.lastSignAt, s.fails, s.suspectUntil = g.now, 0, 0
+	s.served(g.now)
 	g.settleStage(r, true)
 	p, tok := g.stage(r, s)
 	sec, want := took.Seconds(), p.seconds(tok)
@@ -225,7 +225,7 @@
 		// still lead their sessions back to one reader instead of scattering them over all.
 		s.record(r, g.now)
 	case Served:
-		s.lastSignAt, s.fails, s.suspectUntil = g.now, 0, 0
+		s.served(g.now)
 	case Full, Rejected:
 		if e.Unreached { // it was not even asked
 			break
@@ -254,6 +254,6 @@
 		g.suspect(s)
 		s.missed(g.now, e.Status == ConnectFailed, g.set.FallAfter)
 	case ServerError:
-		g.sample(s, 2)
+		g.erred(s)
 	}
 }
--- a/logic/choice.go
+++ b/logic/choice.go
@@ -31,7 +31,7 @@
 		} else if few && s.fails == 0 && g.assumedWarmth(s) < 1 && (class == 0 || r.reader == nil || jam) {
 			class -= 32 // a credit that is not used lapses, and of many gateways each has few
 		}
-		if s.fails > 1 && (g.now < s.suspectUntil || r.failed > 0) {
+		if s.fails > 1 && (g.now < s.suspectUntil || r.failed > 0) || g.risky(r, s) {
 			class += 16
 		}
 		if class < bestClass || class == bestClass && cost < bestCost {
--- a/logic/errors_test.go
+++ b/logic/errors_test.go
@@ -93,3 +93,25 @@
 		}
 	}
 }
+
+// What may run once only goes elsewhere after a single error; others do not mind one, which may be the request's fault.
+func TestWhatMayRunOnceGoesElsewhereAfterAnError(t *testing.T) {
+	for class, elsewhere := range []bool{false, true, true} {
+		r := newRig(t, reader(1, 0), writer(2, 0), writer(3, 0))
+		read := func(class int) (RequestID, *Action) {
+			id, _ := r.arrive(Request{Class: class})
+			return id, find(r.end(id, 1, PromptRead, 0), Send)
+		}
+		id, first := read(0)
+		r.g.Handle(r.now, []Event{{Kind: AttemptEnded, ID: id, Server: first.Server, Status: ServerError, Closed: true}}, nil)
+		other := r.g.byID[5-first.Server]
+		other.tokens, other.streams = 0.5*other.memory, 20 // it looks the worse by far
+		if _, next := read(class); (next.Server == other.Server) != elsewhere {
+			t.Errorf("class %d goes to %d after an error of %d", class, next.Server, first.Server)
+		}
+		r.wait(maxBackoff)
+		if _, next := read(class); next.Server != first.Server {
+			t.Errorf("class %d still avoids %d after %v", class, first.Server, maxBackoff)
+		}
+	}
+}
--- a/logic/server.go
+++ b/logic/server.go
@@ -25,6 +25,8 @@
 	streams        int
 	waiting        int  // own attempts out that have not begun to answer
 	fails          int  // bad signs in a row
+	errors         int  // answers in a row that were errors
+	erredAt        Time // the latest of them
 	lastSignAt     Time // last sign of life, or the send that ended idleness
 	suspectUntil   Time // suspect until its trial at this time; 0: not suspect
 	unreachableAt  Time // when it could last not be reached; 0: it always could
--- a/logic/servers.go
+++ b/logic/servers.go
@@ -36,7 +36,7 @@
 			g.servers = append(g.servers, s)
 		} else if m.Since != s.Since && m.Health != Gone {
 			// A restarted process keeps nothing, and what was held against the old one is void.
-			s.kept, s.residualTokens, s.fails, s.suspectUntil = map[Key]entry{}, fading{}, 0, 0
+			s.kept, s.residualTokens, s.fails, s.errors, s.suspectUntil = map[Key]entry{}, fading{}, 0, 0, 0
 			s.slow, s.load, s.began, s.creditsGivenAt, s.coldCredits = fading{}, Load{}, g.began(m), g.now, 0
 		}
 		m.Kind = min(m.Kind, len(g.set.Kinds)-1)
--- /dev/null
+++ b/test/erring_worker_test.go
@@ -0,0 +1,55 @@
+package test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A writer that answers errors at once holds nothing and looks the best of all: it is asked by trials, not for each request, and
+// what may run once only fails by it no more than by those.
+func TestAWorkerThatErrsAtOnceIsAskedSeldom(t *testing.T) {
+	const askFor, mostTrials = 3 * time.Second, 8 // of each class: the first two errors, and trials 2 s and more apart
+	var erred atomic.Int64
+	streams := func(w http.ResponseWriter, _ *http.Request) {
+		begin(w)
+		time.Sleep(200 * time.Millisecond)
+		_, _ = io.WriteString(w, rest)
+	}
+	errs := func(w http.ResponseWriter, _ *http.Request) {
+		erred.Add(1)
+		w.WriteHeader(http.StatusInternalServerError)
+	}
+	p, _ := platform(t, newWorker(t, "s-r1", "reader", nil), newWorker(t, "s-w1", "writer", streams),
+		newWorker(t, "s-w2", "writer", streams), newWorker(t, "s-w3", "writer", errs))
+	asking, stop := context.WithTimeout(t.Context(), askFor)
+	defer stop()
+	var served, failed atomic.Int64
+	ask := func(class string) func(*http.Client) {
+		return func(client *http.Client) {
+			resp, err := client.Do(p.request(class, newID(), 2*time.Second))
+			require.NoError(t, err)
+			defer resp.Body.Close()
+			_, err = io.Copy(io.Discard, resp.Body)
+			require.NoError(t, err)
+			if resp.StatusCode == http.StatusOK {
+				served.Add(1)
+			} else {
+				failed.Add(1)
+			}
+		}
+	}
+	repeatable := askUntil(asking, 4, 10*time.Millisecond, ask("query"))
+	once := askUntil(asking, 2, 10*time.Millisecond, ask("file"))
+	repeatable.Wait()
+	once.Wait()
+	t.Logf("%d served, %d failed, %d errors", served.Load(), failed.Load(), erred.Load())
+	require.Less(t, erred.Load(), int64(2*mostTrials))
+	require.Less(t, failed.Load(), int64(mostTrials))
+	require.Greater(t, served.Load(), int64(20))
+}
