Count the calls of releases by their end

Cause: TestManyReleasesReachARunningWorker fails where a core is short, and nothing told its causes apart: "releases_tried_again" counts every end but an accepted one. Change: release_calls_accepted, _without_a_connection, _called_off, _timed_out and _failed count each call once.

--- a/upstream/release.go
+++ b/upstream/release.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"slices"
 	"time"
 
@@ -147,6 +148,7 @@
 	s.inFlight++
 	go func() {
 		err := s.client.release(s.ctx, s.name, w)
+		s.client.cfg.Counters.Add(s.endCounter(err), 1)
 		s.client.targets.settle(w, s.outcomeOf(err))
 		s.results <- releaseResult{w, err}
 	}()
@@ -165,6 +167,21 @@
 	return callFailed
 }
 
+// endCounter returns the name of the counter for calls that ended like this one.
+func (s *releaseSearch) endCounter(err error) string {
+	switch {
+	case err == nil:
+		return "release_calls_accepted"
+	case errors.Is(err, errFull):
+		return "release_calls_without_a_connection"
+	case s.ctx.Err() != nil:
+		return "release_calls_called_off"
+	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, os.ErrDeadlineExceeded):
+		return "release_calls_timed_out"
+	}
+	return "release_calls_failed"
+}
+
 // release calls one worker.
 func (c *Client) release(ctx context.Context, name string, w *router.Worker) error {
 	ctx, cancel := context.WithTimeout(ctx, c.releaseCallTimeout)
