Plan all open releases together, so that they reach a worker on a short core

Cause: each release searched by itself; nine calls in ten were started with no connection to be had, each with a goroutine, a context and a turn of its release's loop. Connections that came free went to silent workers again. Change: upstream/dispatch plans the calls of all open releases without I/O. A worker that is not known to run gets one call at a time; one that accepts gets the waiting releases, by a window that grows as it is used. A call takes its connection before it starts. The time that a worker may be silent follows the time that answers take, so that a router that reads late does not call others instead. A release is not given up at 0.6 s while workers accept others. The window and its test moved there: its checks are the same, but that the latest worker is named on a channel, which is gone; the pool keeps no empty entries and counts its idle connections.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -63,7 +63,7 @@
 	cfg                Config
 	pool               pool
 	releaseCallTimeout time.Duration
-	targets            releaseTargets
+	releases           *releaser
 }
 
 // idleShare is the share of ConnIdle for which an idle connection is kept: a request that is
@@ -74,7 +74,7 @@
 // New returns a Client.
 func New(cfg Config) *Client {
 	c := &Client{cfg: cfg, releaseCallTimeout: releaseCallTimeout}
-	c.targets.windows = map[*router.Worker]*window{}
+	c.releases = newReleaser(c)
 	c.pool.dialTimeout, c.pool.maxOpen, c.pool.shutdownWait, c.pool.reuseDelay = cfg.ConnectTimeout, cfg.MaxConns, maxShutdownWait, minReuseDelay
 	c.pool.idleTimeout = time.Duration(float64(cfg.ConnIdle) * idleShare)
 	c.pool.idle = map[*router.Worker][]*conn{}
@@ -84,7 +84,7 @@
 // Forget implements router.Transport.
 func (c *Client) Forget(w *router.Worker) {
 	c.pool.forget(w)
-	c.targets.forget(w)
+	c.releases.forget(w)
 }
 
 // Send implements router.Transport.
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -34,7 +34,8 @@
 
 	mu          sync.Mutex
 	open        int
-	idle        map[*router.Worker][]*conn
+	idle        map[*router.Worker][]*conn // only workers that have any
+	idleCount   int
 	idleLimit   time.Duration // longest idle time of a reusable connection, as of lastStaleAt
 	lastStaleAt time.Time     // when a connection last turned out stale; zero: never
 }
@@ -60,6 +61,16 @@
 
 // get returns an idle connection to the worker, or opens one.
 func (p *pool) get(ctx context.Context, w *router.Worker, n connRequirements) (*conn, error) {
+	c, err := p.take(w, n)
+	if c != nil || err != nil {
+		return c, err
+	}
+	return p.dial(ctx, w)
+}
+
+// take returns an idle connection to the worker. If there is none it reserves a slot for a new one,
+// which dial has to use, and returns nil. It does not wait.
+func (p *pool) take(w *router.Worker, n connRequirements) (*conn, error) {
 	if !n.fresh {
 		if c := p.takeIdle(w, n.reuseDelay); c != nil {
 			return c, nil
@@ -68,6 +79,11 @@
 	if !p.reserveSlot(n.spare) {
 		return nil, errFull
 	}
+	return nil, nil
+}
+
+// dial opens a connection to the worker in a slot that take has reserved.
+func (p *pool) dial(ctx context.Context, w *router.Worker) (*conn, error) {
 	d := net.Dialer{Timeout: p.dialTimeout, KeepAlive: -1}
 	nc, err := d.DialContext(ctx, "tcp", w.Addr)
 	if err != nil {
@@ -140,13 +156,23 @@
 	list := p.idle[w]
 	for i := len(list) - 1; i >= 0; i-- {
 		if c := list[i]; time.Since(c.idleSince) >= reuseDelay {
-			p.idle[w] = slices.Delete(list, i, i+1)
+			p.setIdle(w, slices.Delete(list, i, i+1))
 			return c
 		}
 	}
 	return nil
 }
 
+// setIdle sets the idle connections to a worker. The lock must be held.
+func (p *pool) setIdle(w *router.Worker, list []*conn) {
+	p.idleCount += len(list) - len(p.idle[w])
+	if len(list) == 0 {
+		delete(p.idle, w)
+		return
+	}
+	p.idle[w] = list
+}
+
 // put returns a connection to the pool after its answer was read to the end.
 func (p *pool) put(w *router.Worker, c *conn) {
 	// Bytes after the answer would be taken for the next request's answer.
@@ -158,14 +184,14 @@
 	defer p.mu.Unlock()
 	c.idleSince = time.Now()
 	c.idleTimer = time.AfterFunc(p.idleTimeout, func() { p.removeIdle(w, c) })
-	p.idle[w] = append(p.idle[w], c)
+	p.setIdle(w, append(p.idle[w], c))
 }
 
 func (p *pool) removeIdle(w *router.Worker, c *conn) {
 	p.mu.Lock()
 	for i, other := range p.idle[w] {
 		if other == c {
-			p.idle[w] = append(p.idle[w][:i], p.idle[w][i+1:]...)
+			p.setIdle(w, slices.Delete(p.idle[w], i, i+1))
 			break
 		}
 	}
@@ -177,7 +203,7 @@
 func (p *pool) forget(w *router.Worker) {
 	p.mu.Lock()
 	list := p.idle[w]
-	delete(p.idle, w)
+	p.setIdle(w, nil)
 	p.mu.Unlock()
 	for _, c := range list {
 		c.idleTimer.Stop()
@@ -198,7 +224,7 @@
 	for w, list := range p.idle {
 		if len(list) > 0 {
 			victim = list[0]
-			p.idle[w] = list[1:]
+			p.setIdle(w, list[1:])
 			break
 		}
 	}
@@ -217,6 +243,13 @@
 	p.mu.Unlock()
 }
 
+// room returns how many connections a caller could get now, be they new or idle.
+func (p *pool) room(spare int) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(p.maxOpen+spare-p.open+p.idleCount, 0)
+}
+
 // order sorts the workers by how likely they can be reached at once: those with an idle connection
 // first, the latest used before others, and draining ones last. Equal workers keep their order.
 func (p *pool) order(workers []*router.Worker) {
@@ -228,13 +261,19 @@
 		}
 	}
 	p.mu.Unlock()
-	slices.SortStableFunc(workers, func(a, b *router.Worker) int {
-		if a.MaySend() != b.MaySend() {
-			if a.MaySend() {
-				return -1
-			}
-			return 1
+	var connected, unconnected, draining []*router.Worker
+	for _, w := range workers {
+		switch _, isConnected := last[w]; {
+		case !w.MaySend():
+			draining = append(draining, w)
+		case isConnected:
+			connected = append(connected, w)
+		default:
+			unconnected = append(unconnected, w)
 		}
-		return last[b].Compare(last[a])
-	})
+	}
+	byLastUse := func(a, b *router.Worker) int { return last[b].Compare(last[a]) }
+	slices.SortStableFunc(connected, byLastUse)
+	slices.SortStableFunc(draining, byLastUse)
+	copy(workers, slices.Concat(connected, unconnected, draining))
 }
--- a/upstream/release.go
+++ b/upstream/release.go
@@ -5,31 +5,23 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"os"
-	"slices"
+	"net"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"lichenshelf/router"
+	"lichenshelf/upstream/dispatch"
 )
 
 const (
 	// releaseCallTimeout is how long one worker may take to answer a release. The release takes
 	// effect once it reaches a running worker, so the answer only shows which worker runs.
 	releaseCallTimeout = 250 * time.Millisecond
-	// releaseWaveInterval is how long the workers called so far may stay silent before further ones
-	// are called, twice as many each time. Half of those are drawn at random: the workers that
-	// answered latest may have failed together. With four in five of hundreds of workers
-	// unreachable, all of the 63 drawn within 120 ms are unreachable once in a million times.
-	releaseWaveInterval = 20 * time.Millisecond
-	// maxReleaseCalls bounds the concurrent calls of one release, apart from one to a worker that
-	// has just accepted another release.
-	maxReleaseCalls = 128
-	// releaseTimeout bounds a release as a whole. Workers that failed are called again after
-	// releaseRetryInterval.
-	releaseTimeout       = 600 * time.Millisecond
-	releaseRetryInterval = 50 * time.Millisecond
+	releaseTimeout     = dispatch.Timeout
+	// releaseCheckInterval is how often open releases are checked for calls that have become due.
+	releaseCheckInterval = 10 * time.Millisecond
 )
 
 // errNotReleased means that no worker accepted a release.
@@ -42,153 +34,152 @@
 		go done(nil, nil)
 		return
 	}
-	c.pool.order(workers)
 	go func() {
-		by := c.releaseAtAny(name, workers)
-		if by == nil {
-			c.cfg.Counters.Add("releases_nobody_took", 1)
-			done(nil, errNotReleased)
-			return
-		}
-		done(by, nil)
+		c.pool.order(workers)
+		c.releases.add(name, workers, done)
 	}()
 }
 
-// releaseSearch is the search of one release for a worker that accepts it.
-type releaseSearch struct {
-	client   *Client
-	ctx      context.Context
-	name     string
-	pending  []*router.Worker // not called yet, in their order
-	failed   []*router.Worker // to be called again
-	results  chan releaseResult
-	inFlight int
+// releaseCall is a call to one worker.
+type releaseCall = dispatch.Call[*router.Worker]
+
+// releaser makes the calls that a plan decides on, for all open releases.
+type releaser struct {
+	client *Client
+
+	mu    sync.Mutex
+	plan  *dispatch.Plan[*router.Worker]
+	open  map[*dispatch.Release[*router.Worker]]*openRelease
+	timer *time.Timer // fires while releases are open
 }
 
-// releaseResult is the result of one call of a release.
-type releaseResult struct {
-	worker *router.Worker
-	err    error
+// openRelease is a release that no worker has accepted yet.
+type openRelease struct {
+	name   string
+	ctx    context.Context // ends with the release
+	cancel context.CancelFunc
+	done   func(by *router.Worker, err error)
 }
 
-// releaseAtAny calls the workers in their order until one accepts the release. It returns nil if
-// none does.
-func (c *Client) releaseAtAny(name string, workers []*router.Worker) (by *router.Worker) {
-	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
-	defer cancel()
-	// The channel has room for the results of all calls that can be in flight.
-	search := &releaseSearch{client: c, ctx: ctx, name: name, pending: workers, results: make(chan releaseResult, len(workers))}
-	next, retry := time.NewTimer(0), time.NewTicker(releaseRetryInterval)
-	defer next.Stop()
-	defer retry.Stop()
-	// Many releases may run at once, as when workers fail together: a worker that accepts one of
-	// them is tried by all others.
-	_, nextAccepted := c.targets.latest()
-	for wave := 1; ; {
-		select {
-		case <-nextAccepted:
-			var w *router.Worker
-			w, nextAccepted = c.targets.latest()
-			search.prefer(w)
-		case result := <-search.results:
-			search.inFlight--
-			if result.err == nil {
-				return result.worker
-			}
-			c.cfg.Counters.Add("releases_tried_again", 1)
-			search.failed = append(search.failed, result.worker)
-			if !errors.Is(result.err, errFull) { // with errFull a connection must be freed first
-				search.callNext(1)
-			}
-		case <-next.C:
-			search.callNext(min(wave, maxReleaseCalls-search.inFlight))
-			wave = min(2*wave, maxReleaseCalls)
-			next.Reset(releaseWaveInterval)
-		case <-retry.C:
-			search.pending, search.failed = append(search.pending, search.failed...), nil
-		case <-ctx.Done():
-			return nil
-		}
-	}
+func newReleaser(c *Client) *releaser {
+	return &releaser{client: c, plan: dispatch.New[*router.Worker](rand.IntN), open: map[*dispatch.Release[*router.Worker]]*openRelease{}}
 }
 
-// callNext calls n of the pending workers, every second one drawn at random. Workers whose window
-// is full are called again later.
-func (s *releaseSearch) callNext(n int) {
-	for called := 0; called < n && len(s.pending) > 0; {
-		if called%2 == 1 {
-			drawn := rand.IntN(len(s.pending))
-			s.pending[0], s.pending[drawn] = s.pending[drawn], s.pending[0]
-		}
-		w := s.pending[0]
-		s.pending = s.pending[1:]
-		if s.call(w) {
-			called++
-		} else {
-			s.failed = append(s.failed, w)
-		}
-	}
+// add opens a release.
+func (r *releaser) add(name string, workers []*router.Worker, done func(by *router.Worker, err error)) {
+	ctx, cancel := context.WithCancel(context.Background())
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.open[r.plan.Add(time.Now(), workers)] = &openRelease{name: name, ctx: ctx, cancel: cancel, done: done}
+	r.startCalls()
 }
 
-// prefer calls a worker that has just accepted another release, unless a call to it is in flight.
-func (s *releaseSearch) prefer(w *router.Worker) {
-	for _, list := range []*[]*router.Worker{&s.pending, &s.failed} {
-		if i := slices.Index(*list, w); i >= 0 && s.call(w) {
-			*list = slices.Delete(*list, i, i+1)
-			return
-		}
+// startCalls starts the calls that are due and ends the releases whose time is over. The lock must
+// be held.
+func (r *releaser) startCalls() {
+	calls, expired := r.plan.Next(time.Now(), r.client.pool.room(releaseSpareConns))
+	for _, release := range expired {
+		r.client.cfg.Counters.Add("releases_nobody_took", 1)
+		r.end(release, nil, errNotReleased)
+	}
+	for _, call := range calls {
+		r.start(call)
+	}
+	if len(r.open) > 0 && r.timer == nil {
+		r.timer = time.AfterFunc(releaseCheckInterval, r.check)
 	}
 }
 
-// call starts a call to the worker. It returns false if the worker's window is full.
-func (s *releaseSearch) call(w *router.Worker) bool {
-	if !s.client.targets.acquire(w) {
-		return false
+// check runs while releases are open.
+func (r *releaser) check() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.timer = nil
+	r.startCalls()
+}
+
+// start starts one call, with its place among the connections already taken. The lock must be held.
+func (r *releaser) start(call releaseCall) {
+	release := r.open[call.Release]
+	cn, err := r.client.pool.take(call.Worker, connRequirements{reuseDelay: r.client.pool.reuseDelay, spare: releaseSpareConns})
+	if err != nil {
+		r.ended(call, release, err)
+		return
 	}
-	s.inFlight++
 	go func() {
-		err := s.client.release(s.ctx, s.name, w)
-		s.client.cfg.Counters.Add(s.endCounter(err), 1)
-		s.client.targets.settle(w, s.outcomeOf(err))
-		s.results <- releaseResult{w, err}
+		err := r.client.release(release.ctx, cn, release.name, call.Worker)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.ended(call, release, err)
+		if len(r.open) > 0 {
+			r.startCalls()
+		}
 	}()
-	return true
 }
 
-// outcomeOf returns what the end of a call says about its worker.
-func (s *releaseSearch) outcomeOf(err error) callOutcome {
-	switch {
-	case err == nil:
-		return callAccepted
-	// No connection was available, or another worker accepted the release.
-	case errors.Is(err, errFull), s.ctx.Err() != nil:
-		return callInconclusive
+// ended reports the end of a call to the plan. The lock must be held.
+func (r *releaser) ended(call releaseCall, release *openRelease, err error) {
+	r.client.cfg.Counters.Add(releaseCallCounter(release.ctx, err), 1)
+	if _, isOpen := r.open[call.Release]; isOpen && err != nil {
+		r.client.cfg.Counters.Add("releases_tried_again", 1)
+	}
+	if r.plan.Ended(time.Now(), call, releaseCallOutcome(release.ctx, err)) {
+		r.end(call.Release, call.Worker, nil)
 	}
-	return callFailed
 }
 
-// endCounter returns the name of the counter for calls that ended like this one.
-func (s *releaseSearch) endCounter(err error) string {
+// end ends a release and calls off its calls in flight. The lock must be held.
+func (r *releaser) end(release *dispatch.Release[*router.Worker], by *router.Worker, err error) {
+	ended := r.open[release]
+	delete(r.open, release)
+	ended.cancel()
+	go ended.done(by, err)
+}
+
+// forget drops what is known of a worker that has left or restarted.
+func (r *releaser) forget(w *router.Worker) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.plan.Forget(w)
+}
+
+// releaseCallOutcome returns what the end of a call says about its worker.
+func releaseCallOutcome(ctx context.Context, err error) dispatch.Outcome {
 	switch {
 	case err == nil:
-		return "release_calls_accepted"
+		return dispatch.Accepted
 	case errors.Is(err, errFull):
+		return dispatch.NoConnection
+	case ctx.Err() != nil:
+		return dispatch.CalledOff
+	}
+	return dispatch.Failed
+}
+
+// releaseCallCounter returns the name of the counter for calls that ended like this one.
+func releaseCallCounter(ctx context.Context, err error) string {
+	switch releaseCallOutcome(ctx, err) {
+	case dispatch.Accepted:
+		return "release_calls_accepted"
+	case dispatch.NoConnection:
 		return "release_calls_without_a_connection"
-	case s.ctx.Err() != nil:
+	case dispatch.CalledOff:
 		return "release_calls_called_off"
-	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, os.ErrDeadlineExceeded):
+	}
+	if timeout := net.Error(nil); errors.As(err, &timeout) && timeout.Timeout() {
 		return "release_calls_timed_out"
 	}
 	return "release_calls_failed"
 }
 
-// release calls one worker.
-func (c *Client) release(ctx context.Context, name string, w *router.Worker) error {
+// release calls one worker on the given connection, or on a new one if it is nil.
+func (c *Client) release(ctx context.Context, cn *conn, name string, w *router.Worker) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, c.releaseCallTimeout)
 	defer cancel()
-	cn, err := c.pool.get(ctx, w, connRequirements{reuseDelay: c.pool.reuseDelay, spare: releaseSpareConns})
-	if err != nil {
-		return err
+	if cn == nil {
+		if cn, err = c.pool.dial(ctx, w); err != nil {
+			return err
+		}
 	}
 	var h fasthttp.RequestHeader
 	h.SetMethod(fasthttp.MethodDelete)
