ZooKeeper source: results of reads that overtake each other leave no wrong workers

Callers saw: a worker that was removed was sent requests, one that serves was not, or a worker's drain was missed, until the next resync. Cause: results of reads in flight together are handled in any order. Change: one read of a path at a time; data of a node created before a list without it is dropped; a read that found nothing does not count against what was seen since it began, which is read again instead.

--- a/discovery/zkrule/tracker.go
+++ b/discovery/zkrule/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -16,8 +17,10 @@
 
 // Tracker tracks the nodes below one parent. It is not safe for concurrent use.
 //
-// Results of reads may be passed to it in any order: a result that is older than one already
-// processed is recognized by its zxid and ignored.
+// Reads of different nodes may be in flight together and their results may be passed to it in any
+// order; the reads of one node must not overlap. A result that is older than one already processed is
+// recognized by its zxid and ignored. A read that found nothing has no zxid: it is recognized by what
+// was processed since it began.
 type Tracker struct {
 	format     Format
 	template   membership.Entry
@@ -27,11 +30,18 @@
 	workers         map[string]*worker // by identity
 	recentlyRemoved []*worker          // by time of removal; may contain workers that have returned
 	listPzxid       int64              // pzxid of the parent in the latest list
+	processed       Sequence           // how many results have been processed
+	parentMissing   Sequence           // when the parent was last found missing
 }
 
+// Sequence is a position in the order in which results are processed.
+type Sequence int64
+
 // node is a child of the parent.
 type node struct {
 	name   string
+	gone   int64    // pzxid of a list without it; data of a node created until then is out of date
+	seen   Sequence // when a result last showed that it exists
 	read   bool
 	stat   Stat
 	worker *worker // nil: no valid data has been read yet
@@ -55,6 +65,14 @@
 	return &Tracker{format: format, template: template, flapWindow: flapWindow, nodes: map[string]*node{}, workers: map[string]*worker{}}
 }
 
+// Now returns the position that a read which begins now has to state with its result.
+func (t *Tracker) Now() Sequence { return t.processed }
+
+// IsOvertaken reports whether a read that began at the given position and found a node or a list may
+// be older than the latest read that found no parent. Its result must not be processed then; the read
+// has to be repeated.
+func (t *Tracker) IsOvertaken(began Sequence) bool { return began < t.parentMissing }
+
 // List processes a list of the parent's children; pzxid is the transaction that last changed the
 // children when the list was read. List returns the nodes that have to be read, and the membership
 // changes that result from removed nodes.
@@ -62,15 +80,18 @@
 	if pzxid < t.listPzxid {
 		return nil, nil // older than a list already processed
 	}
+	previous := t.listPzxid
 	t.listPzxid = pzxid
+	t.processed++
 	listed := make(map[string]bool, len(names))
 	for _, name := range names {
 		listed[name] = true
 		n := t.nodes[name]
 		if n == nil {
-			n = &node{name: name}
+			n = &node{name: name, gone: previous}
 			t.nodes[name] = n
 		}
+		n.seen = t.processed
 		if !n.read {
 			toRead = append(toRead, name)
 		}
@@ -84,27 +105,45 @@
 	return toRead, changes
 }
 
-// ParentRemoved processes a read that found no parent, in which case no node below it exists
-// either. It returns the resulting membership changes.
-func (t *Tracker) ParentRemoved(now time.Time) (changes []membership.Entry) {
+// ParentMissing processes a read that found no parent, in which case no node below it existed either.
+// It returns the resulting membership changes, and the nodes that were seen since the read began:
+// they may be newer, and have to be read.
+func (t *Tracker) ParentMissing(now time.Time, began Sequence) (toRead []string, changes []membership.Entry) {
 	t.listPzxid = 0
-	for name := range t.nodes {
+	t.processed++
+	t.parentMissing = t.processed
+	for name, n := range t.nodes {
+		if n.seen > began {
+			toRead = append(toRead, name)
+			continue
+		}
 		changes = append(changes, t.NodeRemoved(now, name)...)
 	}
+	slices.Sort(toRead)
+	return toRead, changes
+}
+
+// ParentRemoved processes a read that found no parent and was not overtaken by any other.
+func (t *Tracker) ParentRemoved(now time.Time) (changes []membership.Entry) {
+	_, changes = t.ParentMissing(now, t.Now())
 	return changes
 }
 
-// Names returns the names of all known nodes.
-func (t *Tracker) Names() []string {
-	out := make([]string, 0, len(t.nodes))
-	for name := range t.nodes {
-		out = append(out, name)
+// Names returns the names of all known nodes in order.
+func (t *Tracker) Names() []string { return slices.Sorted(maps.Keys(t.nodes)) }
+
+// NodeMissing processes a read that found no such node, and returns the resulting membership changes.
+// It returns false if the node was seen since the read began. Either result may be the newer one, so
+// the read has to be repeated.
+func (t *Tracker) NodeMissing(now time.Time, name string, began Sequence) (changes []membership.Entry, conclusive bool) {
+	if n := t.nodes[name]; n != nil && n.seen > began {
+		return nil, false
 	}
-	return out
+	return t.NodeRemoved(now, name), true
 }
 
-// NodeRemoved processes a read that found no such node, and returns the resulting membership
-// changes.
+// NodeRemoved processes a read that found no such node and was not overtaken by any other. It returns
+// the resulting membership changes.
 func (t *Tracker) NodeRemoved(now time.Time, name string) []membership.Entry {
 	n := t.nodes[name]
 	if n == nil {
@@ -119,9 +158,12 @@
 func (t *Tracker) Node(now time.Time, name string, data []byte, stat Stat) ([]membership.Entry, error) {
 	n := t.nodes[name]
 	if n == nil {
-		n = &node{name: name}
-		t.nodes[name] = n
+		n = &node{name: name, gone: t.listPzxid}
+	}
+	if stat.Czxid <= n.gone {
+		return nil, nil // removed since: a list that is not older lacks it
 	}
+	t.nodes[name] = n
 	if n.read && stat.Mzxid < n.stat.Mzxid {
 		return nil, nil // older than data already processed
 	}
@@ -130,9 +172,9 @@
 		// Recreated between two reads: the removal of the old node was not observed.
 		changes = t.detach(now, n)
 		*n = node{name: name}
-		t.nodes[name] = n
 	}
-	n.read, n.stat = true, stat
+	t.processed++
+	n.read, n.stat, n.seen = true, stat, t.processed
 	e, err := t.format.Parse(name, data, t.template)
 	if err != nil {
 		return changes, fmt.Errorf("node %s, data of zxid %d: %w", name, stat.Mzxid, err)
--- a/discovery/zkrule/zkrule_test.go
+++ b/discovery/zkrule/zkrule_test.go
@@ -295,3 +295,57 @@
 	require.NoError(t, err)
 	require.Empty(t, changes)
 }
+
+// A read that found no node carries no zxid. If the node was seen since that read began, either result
+// may be the newer one: the worker must stay, and the node has to be read again.
+func TestOvertakenReadThatFoundNoNodeIsRepeated(t *testing.T) {
+	for name, see := range map[string]func(*harness){
+		"by its data": func(p *harness) { p.create("n", `{"addr":"h:1"}`) },
+		"by a list":   func(p *harness) { p.tracker.List(p.now, []string{"n"}, p.zxid+1) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newHarness(t, JSON)
+			began := p.tracker.Now()
+			see(p)
+			changes, conclusive := p.tracker.NodeMissing(p.now, "n", began)
+			require.False(t, conclusive)
+			require.Empty(t, changes)
+			require.Equal(t, []string{"n"}, p.tracker.Names())
+			_, conclusive = p.tracker.NodeMissing(p.now, "n", p.tracker.Now())
+			require.True(t, conclusive)
+			require.Empty(t, p.tracker.Names())
+		})
+	}
+}
+
+// The same for a read that found no parent: nodes that were seen since it began stay and have to be
+// read, the others are removed. What was read before it ended may be older.
+func TestOvertakenReadThatFoundNoParentKeepsNewerNodes(t *testing.T) {
+	p := newHarness(t, JSON)
+	p.create("old", `{"addr":"h:1"}`)
+	began := p.tracker.Now()
+	p.create("new", `{"addr":"h:2"}`)
+	during := p.tracker.Now()
+	toRead, changes := p.tracker.ParentMissing(p.now, began)
+	require.Equal(t, []string{"new"}, toRead)
+	require.Equal(t, []membership.Entry{{Name: "old", Addr: "h:1", Status: membership.Gone}}, changes)
+	require.True(t, p.tracker.IsOvertaken(during))
+	require.False(t, p.tracker.IsOvertaken(p.tracker.Now()))
+}
+
+// A node is removed and created again while a read of it is in flight. The lists show that its data is
+// that of the removed one.
+func TestDataOfRecreatedNodesPredecessorIsDropped(t *testing.T) {
+	p := newHarness(t, JSON)
+	old := Stat{Czxid: 2, Mzxid: 2}
+	p.tracker.List(p.now, []string{"n"}, 2)
+	p.tracker.List(p.now, nil, 7)
+	toRead, _ := p.tracker.List(p.now, []string{"n"}, 8)
+	require.Equal(t, []string{"n"}, toRead)
+	changes, err := p.tracker.Node(p.now, "n", []byte(`{"addr":"h:1"}`), old)
+	require.NoError(t, err)
+	require.Empty(t, changes)
+	changes, err = p.tracker.Node(p.now, "n", []byte(`{"addr":"h:1"}`), Stat{Czxid: 8, Mzxid: 8})
+	require.NoError(t, err)
+	require.Len(t, changes, 1)
+}
--- a/discovery/zksource/source.go
+++ b/discovery/zksource/source.go
@@ -51,6 +51,7 @@
 
 	queue           []string                    // paths to read, in order
 	queued          map[string]bool             // the paths in queue, so that each is queued once
+	reading         map[string]bool             // paths with a read in flight, one each; true: to be read again
 	watched         map[string]bool             // paths whose watch is set and has not fired
 	inFlight        int                         // reads that have been started and not completed
 	initialReported bool                        // the whole list has been reported
@@ -64,13 +65,14 @@
 	b := backoff.NewExponentialBackOff()
 	b.InitialInterval, b.MaxInterval = retryMin, retryMax
 	return &Source{cfg: cfg, tracker: zkrule.New(cfg.Format, template, cfg.FlapWindow), retryBackoff: b,
-		queued: map[string]bool{}, watched: map[string]bool{}, initial: map[string]membership.Entry{},
+		queued: map[string]bool{}, reading: map[string]bool{}, watched: map[string]bool{}, initial: map[string]membership.Entry{},
 		events: eventQueue{ready: make(chan struct{}, 1)}}
 }
 
 // readResult is the result of one read.
 type readResult struct {
 	path  string
+	began zkrule.Sequence // what had been processed when it was started
 	names []string
 	data  []byte
 	stat  zk.Stat
@@ -134,6 +136,7 @@
 	var retry <-chan time.Time
 	s.queue = nil
 	clear(s.queued)
+	clear(s.reading)
 	clear(s.watched)
 	s.enqueueAll()
 	for {
@@ -142,7 +145,6 @@
 		}
 		select {
 		case a := <-results:
-			s.inFlight--
 			if !s.handleResult(a, sink) {
 				retry = time.After(s.retryBackoff.NextBackOff())
 			}
@@ -162,8 +164,14 @@
 	}
 }
 
-// enqueue schedules a read of a path unless one is already queued.
+// enqueue schedules a read of a path unless one is already queued. While a read of the path is in
+// flight, the next one waits for its result: the results of two reads could be processed in the wrong
+// order.
 func (s *Source) enqueue(path string) {
+	if _, inFlight := s.reading[path]; inFlight {
+		s.reading[path] = true
+		return
+	}
 	if !s.queued[path] {
 		s.queued[path] = true
 		s.queue = append(s.queue, path)
@@ -173,26 +181,37 @@
 // enqueueAll schedules reads of the parent and of all known nodes.
 func (s *Source) enqueueAll() {
 	s.enqueue(s.cfg.Path)
-	for _, name := range s.tracker.Names() {
+	s.enqueueNodes(s.tracker.Names())
+}
+
+// enqueueNodes schedules reads of the named nodes.
+func (s *Source) enqueueNodes(names []string) {
+	for _, name := range names {
 		s.enqueue(path.Join(s.cfg.Path, name))
 	}
 }
 
-// startRead starts the read of the first queued path. The read also sets a watch unless the path
-// has one already; the library would keep every additional watch until the event.
+// startRead starts the read of the first queued path.
 func (s *Source) startRead(conn *zk.Conn, results chan<- readResult) {
-	a := readResult{path: s.queue[0], watch: !s.watched[s.queue[0]]}
-	s.queue = s.queue[1:]
-	// An event that arrives while this read is in flight must cause another read.
-	delete(s.queued, a.path)
-	s.watched[a.path] = true
-	s.inFlight++
+	a := s.nextRead()
 	go func() {
 		a.fetch(conn, s.cfg.Path)
 		results <- a
 	}()
 }
 
+// nextRead takes the first queued path. The read also sets a watch unless the path has one already;
+// the library would keep every additional watch until the event.
+func (s *Source) nextRead() readResult {
+	a := readResult{path: s.queue[0], began: s.tracker.Now(), watch: !s.watched[s.queue[0]]}
+	s.queue = s.queue[1:]
+	delete(s.queued, a.path)
+	s.reading[a.path] = false
+	s.watched[a.path] = true
+	s.inFlight++
+	return a
+}
+
 func (a *readResult) fetch(conn *zk.Conn, parent string) {
 	var stat *zk.Stat
 	switch {
@@ -225,29 +244,20 @@
 var errParentCreated = errors.New("parent node was created during the read")
 
 // handleResult processes the result of a read. It returns false if reads have to pause before a
-// retry.
+// retry. Results of different paths may come in any order.
 func (s *Source) handleResult(a readResult, sink Sink) bool {
-	now := time.Now()
+	s.inFlight--
+	readAgain := s.reading[a.path]
+	delete(s.reading, a.path)
+	if readAgain {
+		s.enqueue(a.path)
+	}
 	var changes []membership.Entry
-	var err error
-	isParent := a.path == s.cfg.Path
 	switch {
-	case a.err == nil && isParent:
-		var toRead []string
-		toRead, changes = s.tracker.List(now, a.names, a.stat.Pzxid)
-		for _, name := range toRead {
-			s.enqueue(path.Join(s.cfg.Path, name))
-		}
 	case a.err == nil:
-		changes, err = s.tracker.Node(now, path.Base(a.path), a.data, zkrule.Stat{Czxid: a.stat.Czxid, Mzxid: a.stat.Mzxid, Ctime: a.stat.Ctime})
-		if err != nil {
-			sink.Warn(err)
-		}
-	case errors.Is(a.err, zk.ErrNoNode) && isParent:
-		changes = s.tracker.ParentRemoved(now)
+		changes = s.handleFound(a, sink)
 	case errors.Is(a.err, zk.ErrNoNode):
-		delete(s.watched, a.path) // the service sets no watch on a node that does not exist
-		changes = s.tracker.NodeRemoved(now, path.Base(a.path))
+		changes = s.handleMissing(a)
 	default:
 		if a.watch {
 			delete(s.watched, a.path)
@@ -264,6 +274,39 @@
 	return true
 }
 
+// handleFound processes a list or the data of a node.
+func (s *Source) handleFound(a readResult, sink Sink) (changes []membership.Entry) {
+	if s.tracker.IsOvertaken(a.began) {
+		s.enqueue(a.path)
+		return nil
+	}
+	if a.path == s.cfg.Path {
+		toRead, changes := s.tracker.List(time.Now(), a.names, a.stat.Pzxid)
+		s.enqueueNodes(toRead)
+		return changes
+	}
+	changes, err := s.tracker.Node(time.Now(), path.Base(a.path), a.data, zkrule.Stat{Czxid: a.stat.Czxid, Mzxid: a.stat.Mzxid, Ctime: a.stat.Ctime})
+	if err != nil {
+		sink.Warn(err)
+	}
+	return changes
+}
+
+// handleMissing processes a read that found no parent or no node.
+func (s *Source) handleMissing(a readResult) []membership.Entry {
+	if a.path == s.cfg.Path {
+		toRead, changes := s.tracker.ParentMissing(time.Now(), a.began)
+		s.enqueueNodes(toRead)
+		return changes
+	}
+	delete(s.watched, a.path) // the service sets no watch on a node that does not exist
+	changes, conclusive := s.tracker.NodeMissing(time.Now(), path.Base(a.path), a.began)
+	if !conclusive {
+		s.enqueue(a.path)
+	}
+	return changes
+}
+
 // report sends membership changes to the sink. The first report is held back until everything has
 // been read. After a failure a report is sent even without changes, to show that the service
 // answers again.
