Store client: writes wait while the replicas elect a leader

Callers saw: acknowledgements of a configuration, and any other write, refused at once ("not the leader", or "connection refused" by the leader that had gone) when they came during an election; of 200 at once 103 to 200 in three copies of TestTwoHundredFollowers on one core with -race, where the replicas lose their leader for lack of processor time. Cause: store/client.go askAll went once through the replicas. The error, which that test drops, was printed in a trial: 503 "not the leader" from all three. Change: a write is repeated, with a growing pause, for 5 s while a replica answers 503 or names a leader that can't be reached. It carries one name through all of that and is applied once. Reads and a store of which no replica answers fail as before. Result: TestWritesWaitForALeader (new: the leader ends, 20 writes at once) failed before with "connection refused" and passes, each node written once.

--- a/store/client.go
+++ b/store/client.go
@@ -11,11 +11,16 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/valyala/fasthttp"
 )
 
 const (
-	callTimeout        = 5 * time.Second
+	callTimeout = 5 * time.Second
+	// A write is repeated for electionTimeout while no replica leads.
+	electionTimeout    = 5 * time.Second
+	electionRetryMin   = 50 * time.Millisecond
+	electionRetryMax   = 500 * time.Millisecond
 	maxRedirects       = 3 // from replicas that redirect to the leader
 	registerRetryDelay = 200 * time.Millisecond
 	touchesPerTimeout  = 3 // touches sent during one session time-out
@@ -59,12 +64,12 @@
 	if method != fasthttp.MethodGet {
 		write = writeName{c.name + "-" + strconv.FormatUint(c.namedWrites.Add(1), 10), c.seen.Load()}
 	}
-	status, answer, unapplied, err := c.askAll(write, method, uri, body)
+	status, answer, unapplied, err := c.askUntilLed(write, method, uri, body)
 	// The write was not applied, but too many answers were dropped since the version that the
 	// client had seen: the call is repeated with the newer version from the refusal.
 	if err == nil && status == fasthttp.StatusGone && unapplied {
 		write.seen = c.seen.Load()
-		status, answer, _, err = c.askAll(write, method, uri, body)
+		status, answer, _, err = c.askUntilLed(write, method, uri, body)
 	}
 	if err != nil {
 		return 0, nil, fmt.Errorf("ask the store: %w", err)
@@ -72,20 +77,44 @@
 	return status, answer, nil
 }
 
+// askUntilLed repeats a write for electionTimeout while replicas answer that none of them leads: an
+// election is soon over, and a write that is repeated under its name is applied once.
+func (c *Client) askUntilLed(write writeName, method, uri string, body []byte) (status int, answer []byte, unapplied bool, err error) {
+	retry := backoff.NewExponentialBackOff()
+	retry.InitialInterval, retry.MaxInterval = electionRetryMin, electionRetryMax
+	for first, end := true, time.Now().Add(electionTimeout); ; first = false {
+		status, answer, unapplied, err = c.askAll(write, method, uri, body)
+		unapplied = unapplied && first
+		wait := retry.NextBackOff()
+		if write.name == "" || !errors.Is(err, errUnavailable) || time.Until(end) < wait {
+			return status, answer, unapplied, err
+		}
+		time.Sleep(wait)
+	}
+}
+
+// errUnavailable means that a replica answered, but can't take the call now, as while none leads.
+var errUnavailable = errors.New("no replica takes the call now")
+
 // askAll tries one replica after the other. It also reports whether none of the replicas before the
 // one that answered can have applied the write.
 func (c *Client) askAll(write writeName, method, uri string, body []byte) (status int, answer []byte, unapplied bool, err error) {
 	unapplied, err = true, errors.New("no replica to ask")
+	unavailable := false
 	for _, addr := range c.addrs {
 		status, answer, err = c.ask(addr, write, method, uri, body)
 		if err == nil && status < fasthttp.StatusInternalServerError {
 			return status, answer, unapplied, nil
 		}
 		unapplied = unapplied && unsent(err)
+		unavailable = unavailable || errors.Is(err, errUnavailable) || err == nil && status == fasthttp.StatusServiceUnavailable
 		if err == nil {
 			err = fmt.Errorf("%s answered %d: %s", addr, status, answer)
 		}
 	}
+	if unavailable && !errors.Is(err, errUnavailable) {
+		err = fmt.Errorf("%w: %w", errUnavailable, err)
+	}
 	return 0, nil, unapplied, err
 }
 
@@ -103,7 +132,7 @@
 	if seen := c.seen.Load(); seen > 0 {
 		req.Header.Set(VersionHeader, strconv.FormatUint(seen, 10))
 	}
-	if err := c.http.DoRedirects(req, resp, maxRedirects); err != nil {
+	if err := c.doRedirects(req, resp); err != nil {
 		return 0, nil, fmt.Errorf("%s: %w", addr, err)
 	}
 	if v, err := strconv.ParseUint(string(resp.Header.Peek(VersionHeader)), 10, 64); err == nil {
@@ -113,6 +142,22 @@
 	return resp.StatusCode(), append([]byte(nil), resp.Body()...), nil
 }
 
+// doRedirects makes a call and follows the redirects to the leader. If the leader can't be reached
+// the error is errUnavailable: the replica will soon name another one.
+func (c *Client) doRedirects(req *fasthttp.Request, resp *fasthttp.Response) error {
+	err := c.http.Do(req, resp)
+	for redirects := 0; err == nil && resp.StatusCode() == fasthttp.StatusTemporaryRedirect; redirects++ {
+		if redirects == maxRedirects {
+			return fmt.Errorf("%w: %d redirects", errUnavailable, redirects)
+		}
+		req.SetRequestURI(string(resp.Header.Peek(fasthttp.HeaderLocation)))
+		if err = c.http.Do(req, resp); err != nil {
+			return fmt.Errorf("%w: leader %s: %w", errUnavailable, req.Host(), err)
+		}
+	}
+	return err
+}
+
 // expect returns an error for all but the given statuses.
 func (c *Client) expect(method, uri string, body []byte, statuses ...int) ([]byte, error) {
 	status, answer, err := c.call(method, uri, body)
--- a/store/follower_test.go
+++ b/store/follower_test.go
@@ -86,3 +86,30 @@
 	stop()
 	running.Wait()
 }
+
+// Writes that come while the replicas elect a leader must wait for it. A write may be sent several
+// times then, and must be applied once.
+func TestWritesWaitForALeader(t *testing.T) {
+	const n = 20
+	c := newCluster(t)
+	all := c.followers(n, time.Second)
+	for i, f := range all {
+		require.NoError(t, f.Put(t.Context(), fmt.Sprint("/n", i), nil))
+	}
+	c.close(c.leader())
+	var writing sync.WaitGroup
+	errs := make(chan error, n)
+	for i, f := range all {
+		writing.Go(func() { errs <- f.Put(t.Context(), fmt.Sprint("/n", i), []byte("x")) })
+	}
+	writing.Wait()
+	for range n {
+		require.NoError(t, <-errs)
+	}
+	for i := range n {
+		data, stat, err := c.replicas[c.leader()].Get(fmt.Sprint("/n", i))
+		require.NoError(t, err)
+		require.Equal(t, "x", string(data))
+		require.EqualValues(t, 1, stat.Version)
+	}
+}
