Store: opening a session is repeated while its outcome is not known

The id is new and secret until the answer is sent, so that the command has the same effect however often it is applied. A late duplicate of a session that was closed expires by itself.

--- a/front/zkfront/hard_test.go
+++ b/front/zkfront/hard_test.go
@@ -66,16 +66,21 @@
 	}
 }
 
-// The leader's answer to a forwarded create is lost after the commit. The client must learn that
-// the outcome is unknown, not that the create failed, and the node exists once.
-func TestAnswerOfCreateIsLost(t *testing.T) {
-	c := newClusterWith(t, func(c *cluster) {
-		for i := range c.peers { // replicas reach each other's API through the proxies
+// newProxiedCluster starts a cluster whose replicas reach each other's API through proxies.
+func newProxiedCluster(t testing.TB) *cluster {
+	return newClusterWith(t, func(c *cluster) {
+		for i := range c.peers {
 			real := freeAddr(t)
 			c.proxies = append(c.proxies, newMuteProxy(t, c.peers[i].API, real))
 			c.apis[i] = real
 		}
 	})
+}
+
+// The leader's answer to a forwarded create is lost after the commit. The client must learn that
+// the outcome is unknown, not that the create failed, and the node exists once.
+func TestAnswerOfCreateIsLost(t *testing.T) {
+	c := newProxiedCluster(t)
 	leader := c.leader()
 	follower := (leader + 1) % 3
 	conn := c.dial(8*time.Second, follower)
@@ -195,6 +200,30 @@
 	}
 }
 
+// A session whose opening has an unknown outcome, because the leader's answer was lost, is still opened
+// on the same connection.
+func TestSessionOpensAfterLostAnswer(t *testing.T) {
+	c := newProxiedCluster(t)
+	leader := c.leader()
+	c.proxies[leader].muted.Store(true)
+	raw, err := net.Dial("tcp", c.addrs[(leader+1)%3])
+	require.NoError(t, err)
+	defer raw.Close()
+	_, err = raw.Write(zkwire.Append(nil, &zkwire.ConnectRequest{TimeoutMs: 4000, Password: make([]byte, 16)}))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return c.proxies[leader].dropped.Load() > 0 }, testTimeout, time.Millisecond)
+	c.proxies[leader].muted.Store(false)
+	require.NoError(t, raw.SetReadDeadline(time.Now().Add(testTimeout)))
+	body, err := zkwire.ReadFrame(raw, zkwire.MaxFrame)
+	require.NoError(t, err)
+	var answer zkwire.ConnectResponse
+	require.NoError(t, zkwire.DecodeAll(body, &answer))
+	require.NotZero(t, answer.SessionID)
+	sessions := 0
+	c.nodes[leader].replica.View(func(v store.View) { sessions = v.Sessions() })
+	require.Equal(t, 1, sessions)
+}
+
 // Beyond the limit on connections, new ones are closed and the others are still served.
 func TestConnectionLimit(t *testing.T) {
 	c := newClusterWith(t, func(c *cluster) { c.conns = 1 })
--- a/store/forward.go
+++ b/store/forward.go
@@ -78,11 +78,17 @@
 	return result, nil
 }
 
+// newSubmitBackoff returns the pauses between attempts to have a command applied.
+func newSubmitBackoff() *backoff.ExponentialBackOff {
+	retry := backoff.NewExponentialBackOff()
+	retry.InitialInterval, retry.MaxInterval = 20*time.Millisecond, 500*time.Millisecond
+	return retry
+}
+
 // submit has the leader apply a command. It retries after ErrNotLeader, which means that the
 // command was not applied, as during an election.
 func (r *Replica) submit(ctx context.Context, c command) (*Result, error) {
-	retry := backoff.NewExponentialBackOff()
-	retry.InitialInterval, retry.MaxInterval = 20*time.Millisecond, 500*time.Millisecond
+	retry := newSubmitBackoff()
 	for {
 		c.TimeMs = time.Now().UnixMilli()
 		var result *Result
@@ -226,9 +232,22 @@
 	return r.askLeader(ctx, touchesPath, text, &struct{}{})
 }
 
-// OpenSession starts a session with a password and a holder.
+// OpenSession starts a session with a password and a holder. The id must be new. While the outcome is
+// not known, as when the leader is lost, it is repeated until ctx ends: applied twice it has the same
+// effect.
 func (r *Replica) OpenSession(ctx context.Context, id string, password []byte, holder string, timeout time.Duration) error {
-	return resultError(r.propose(ctx, command{Op: opSession, Session: id, Timeout: timeout, Claim: &claim{password, holder}}))
+	retry := newSubmitBackoff()
+	for {
+		err := resultError(r.propose(ctx, command{Op: opSession, Session: id, Timeout: timeout, Claim: &claim{password, holder}}))
+		if !errors.Is(err, ErrUnknown) {
+			return err
+		}
+		select {
+		case <-time.After(retry.NextBackOff()):
+		case <-ctx.Done():
+			return err
+		}
+	}
 }
 
 // AttachSession makes another connection the holder of a session. ErrNoSession means that the
