One constructor for the pauses between attempts

Change: transient.NewBackoff(first, longest). The three whose pauses are not drawn (agentrule, dnsrule, link) keep their own fields. Result: pauses are the same; tests of transient, discovery, fleet/link, logwriter and store pass.

--- a/discovery/storesource/source.go
+++ b/discovery/storesource/source.go
@@ -10,10 +10,9 @@
 	"slices"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
-
 	"lichenshelf/discovery/membership"
 	"lichenshelf/discovery/zkrule"
+	"lichenshelf/internal/transient"
 	"lichenshelf/store"
 )
 
@@ -128,8 +127,7 @@
 			stop()
 		}
 	}()
-	retryBackoff := backoff.NewExponentialBackOff()
-	retryBackoff.InitialInterval, retryBackoff.MaxInterval = retryMin, retryMax
+	retryBackoff := transient.NewBackoff(retryMin, retryMax)
 	changed := make(chan string)
 	report := map[string]membership.Entry{} // the next report, by name
 	for whole, paths := true, []string{s.parent}; ctx.Err() == nil; {
--- a/discovery/zksource/register.go
+++ b/discovery/zksource/register.go
@@ -8,8 +8,9 @@
 	"strings"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/go-zookeeper/zk"
+
+	"lichenshelf/internal/transient"
 )
 
 // Register maintains an ephemeral node with the given data until ctx ends, and removes it then. It
@@ -22,8 +23,7 @@
 		return fmt.Errorf("servers %v: %w", servers, err)
 	}
 	defer conn.Close() // ends the session, and the node with it
-	retryBackoff := backoff.NewExponentialBackOff()
-	retryBackoff.InitialInterval, retryBackoff.MaxInterval = retryMin, retryMax
+	retryBackoff := transient.NewBackoff(retryMin, retryMax)
 	check := time.NewTicker(timeout / 2) // polls instead of watching; for the reason see Source.Run
 	defer check.Stop()
 	for {
--- a/discovery/zksource/source.go
+++ b/discovery/zksource/source.go
@@ -17,6 +17,7 @@
 
 	"lichenshelf/discovery/membership"
 	"lichenshelf/discovery/zkrule"
+	"lichenshelf/internal/transient"
 )
 
 // Config configures a Source. All fields must be set.
@@ -62,8 +63,7 @@
 
 // New returns a source. Fields that nodes omit are taken from the template.
 func New(cfg Config, template membership.Entry) *Source {
-	b := backoff.NewExponentialBackOff()
-	b.InitialInterval, b.MaxInterval = retryMin, retryMax
+	b := transient.NewBackoff(retryMin, retryMax)
 	return &Source{cfg: cfg, tracker: zkrule.New(cfg.Format, template, cfg.FlapWindow), retryBackoff: b,
 		queued: map[string]bool{}, reading: map[string]bool{}, watched: map[string]bool{}, initial: map[string]membership.Entry{},
 		events: eventQueue{ready: make(chan struct{}, 1)}}
--- a/fleet/link/link.go
+++ b/fleet/link/link.go
@@ -27,12 +27,12 @@
 	"sync"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 
 	"lichenshelf/fleet/node"
 	accepting "lichenshelf/internal/listener"
+	"lichenshelf/internal/transient"
 )
 
 // Version is the version of the messages that this program writes.
@@ -228,8 +228,8 @@
 // to send, and after a failure no sooner than the backoff allows.
 func (l *Link) sendLoop(ctx context.Context, p *peer) {
 	rng := rand.New(rand.NewPCG(l.cfg.Seed, uint64(crc32.ChecksumIEEE([]byte(p.Name)))))
-	retry := backoff.NewExponentialBackOff()
-	retry.InitialInterval, retry.MaxInterval, retry.Multiplier, retry.RandomizationFactor = minBackoff, maxBackoff, 2, 0
+	retry := transient.NewBackoff(minBackoff, maxBackoff)
+	retry.Multiplier, retry.RandomizationFactor = 2, 0
 	retry.Reset()
 	var conn net.Conn
 	defer func() {
--- a/internal/logwriter/logwriter.go
+++ b/internal/logwriter/logwriter.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
+	"lichenshelf/internal/transient"
 )
 
 // minRetryDelay and maxRetryDelay bound the pause after a failed write.
@@ -124,8 +124,7 @@
 
 // writeAll retries until the whole batch is written: lost bytes would mix up lines.
 func (w *Writer) writeAll(batch []byte) {
-	pause := backoff.NewExponentialBackOff()
-	pause.InitialInterval, pause.MaxInterval = minRetryDelay, maxRetryDelay
+	pause := transient.NewBackoff(minRetryDelay, maxRetryDelay)
 	for len(batch) > 0 {
 		n, err := w.dst.Write(batch)
 		batch = batch[n:]
--- a/store/client.go
+++ b/store/client.go
@@ -11,8 +11,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/valyala/fasthttp"
+
+	"lichenshelf/internal/transient"
 )
 
 const (
@@ -80,8 +81,7 @@
 // askUntilLed repeats a write for electionTimeout while replicas answer that none of them leads: an
 // election is soon over, and a write that is repeated under its name is applied once.
 func (c *Client) askUntilLed(write writeName, method, uri string, body []byte) (status int, answer []byte, unapplied bool, err error) {
-	retry := backoff.NewExponentialBackOff()
-	retry.InitialInterval, retry.MaxInterval = electionRetryMin, electionRetryMax
+	retry := transient.NewBackoff(electionRetryMin, electionRetryMax)
 	for first, end := true, time.Now().Add(electionTimeout); ; first = false {
 		status, answer, unapplied, err = c.askAll(write, method, uri, body)
 		unapplied = unapplied && first
--- a/store/disk.go
+++ b/store/disk.go
@@ -6,9 +6,10 @@
 	"sync"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/hashicorp/go-hclog"
 	"github.com/hashicorp/raft"
+
+	"lichenshelf/internal/transient"
 )
 
 // minDiskRetryPause and maxDiskRetryPause bound the pause between retries of a failed write.
@@ -186,8 +187,7 @@
 // retryUntilDone repeats a call until it succeeds. If the replica is closed first, the calling
 // goroutine, which is raft's, ends here: raft would end the process on an error.
 func (d *disk) retryUntilDone(do func() error) error {
-	pause := backoff.NewExponentialBackOff()
-	pause.InitialInterval, pause.MaxInterval = minDiskRetryPause, maxDiskRetryPause
+	pause := transient.NewBackoff(minDiskRetryPause, maxDiskRetryPause)
 	for {
 		err := do()
 		d.mu.Lock()
--- a/store/forward.go
+++ b/store/forward.go
@@ -8,9 +8,10 @@
 	"net"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/hashicorp/raft"
 	"github.com/valyala/fasthttp"
+
+	"lichenshelf/internal/transient"
 )
 
 // Paths on which replicas forward commands and touches to the leader.
@@ -19,6 +20,12 @@
 	touchesPath  = "/v1/touches"
 )
 
+// The pauses between attempts to have a command applied.
+const (
+	minSubmitPause = 20 * time.Millisecond
+	maxSubmitPause = 500 * time.Millisecond
+)
+
 // ErrUnknown means that a command may or may not have been applied.
 var ErrUnknown = errors.New("the outcome is not known")
 
@@ -78,17 +85,10 @@
 	return result, nil
 }
 
-// newSubmitBackoff returns the pauses between attempts to have a command applied.
-func newSubmitBackoff() *backoff.ExponentialBackOff {
-	retry := backoff.NewExponentialBackOff()
-	retry.InitialInterval, retry.MaxInterval = 20*time.Millisecond, 500*time.Millisecond
-	return retry
-}
-
 // submit has the leader apply a command. It retries after ErrNotLeader, which means that the
 // command was not applied, as during an election.
 func (r *Replica) submit(ctx context.Context, c command) (*Result, error) {
-	retry := newSubmitBackoff()
+	retry := transient.NewBackoff(minSubmitPause, maxSubmitPause)
 	for {
 		c.TimeMs = time.Now().UnixMilli()
 		var result *Result
@@ -236,7 +236,7 @@
 // not known, as when the leader is lost, it is repeated until ctx ends: applied twice it has the same
 // effect.
 func (r *Replica) OpenSession(ctx context.Context, id string, password []byte, holder string, timeout time.Duration) error {
-	retry := newSubmitBackoff()
+	retry := transient.NewBackoff(minSubmitPause, maxSubmitPause)
 	for {
 		err := resultError(r.propose(ctx, command{Op: opSession, Session: id, Timeout: timeout, Claim: &claim{password, holder}}))
 		if !errors.Is(err, ErrUnknown) {
--- a/store/reads.go
+++ b/store/reads.go
@@ -9,8 +9,9 @@
 	"sync"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/valyala/fasthttp"
+
+	"lichenshelf/internal/transient"
 )
 
 // Reads are linearizable at every replica: none returns a state older than what was acknowledged
@@ -169,8 +170,7 @@
 	return r.reads.do(ctx, func() (uint64, error) {
 		ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
 		defer cancel()
-		retry := backoff.NewExponentialBackOff()
-		retry.InitialInterval, retry.MaxInterval = 20*time.Millisecond, 200*time.Millisecond
+		retry := transient.NewBackoff(20*time.Millisecond, 200*time.Millisecond)
 		for {
 			var index uint64
 			var err error
@@ -211,8 +211,7 @@
 
 // catchUpAfterStart enables local reads once this replica has caught up after its start.
 func (r *Replica) catchUpAfterStart(ctx context.Context) {
-	retry := backoff.NewExponentialBackOff()
-	retry.InitialInterval, retry.MaxInterval = 10*time.Millisecond, time.Second
+	retry := transient.NewBackoff(10*time.Millisecond, time.Second)
 	for ctx.Err() == nil {
 		if r.CatchUp(ctx) == nil {
 			r.endRecovery()
