--- a/discovery/zksource/source_test.go
+++ b/discovery/zksource/source_test.go
@@ -72,6 +72,16 @@
 	require.Eventually(t, func() bool { return slices.Equal(names, h.names()) }, 20*time.Second, time.Millisecond, "want %v", names)
 }
 
+func (h *recorder) waitForEntry(t *testing.T, name string, matches func(membership.Entry) bool) {
+	t.Helper()
+	entry := func() membership.Entry {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		return h.set[name]
+	}
+	require.Eventually(t, func() bool { return matches(entry()) }, 20*time.Second, time.Millisecond)
+}
+
 func testConfig(s *zk.Server) Config {
 	return Config{Servers: []string{s.Addr()}, Path: "/w", Session: 2 * time.Second, Resync: time.Hour, FlapWindow: 10 * time.Second,
 		Format: zkrule.JSON, Parallel: 4}
@@ -112,7 +122,7 @@
 	require.Eventually(t, func() bool { _, _, warns := h.count(); return warns == 1 }, 20*time.Second, time.Millisecond)
 	h.waitForNames(t, "a", "b", "c")
 	s.Set("/w/c", `{"addr":"h:4"}`)
-	require.Eventually(t, func() bool { h.mu.Lock(); defer h.mu.Unlock(); return h.set["c"].Addr == "h:4" }, 20*time.Second, time.Millisecond)
+	h.waitForEntry(t, "c", func(e membership.Entry) bool { return e.Addr == "h:4" })
 	s.Expire(1, 3)
 	h.waitForNames(t, "b")
 	s.Expire(2) // all sessions at once
@@ -159,7 +169,7 @@
 	s.Create("/w/b", workerData(2), 2)
 	h.waitForNames(t, "b")
 	s.Set("/w/b", `{"addr":"h:2","draining":true}`)
-	require.Eventually(t, func() bool { h.mu.Lock(); defer h.mu.Unlock(); return h.set["b"].Status == membership.Draining }, 20*time.Second, time.Millisecond)
+	h.waitForEntry(t, "b", func(e membership.Entry) bool { return e.Status == membership.Draining })
 }
 
 // A lost connection must not change the set of workers. After an expired session everything is read
@@ -191,7 +201,7 @@
 	h.waitForNames(t, "n0", "n2", "n3", "n4", "n9")
 	// Concurrent reads may complete in any order: that of n9 may complete before that of n0's new
 	// data.
-	require.Eventually(t, func() bool { h.mu.Lock(); defer h.mu.Unlock(); return h.set["n0"].Since == 9e6 }, 20*time.Second, time.Millisecond)
+	h.waitForEntry(t, "n0", func(e membership.Entry) bool { return e.Since == 9e6 })
 	h.waitForNames(t, "n0", "n2", "n3", "n4", "n9")
 	s.Expire(3) // the watches are set again
 	h.waitForNames(t, "n0", "n3", "n4", "n9")
