Open requests keep their classes when a decider gets fewer of them

The program itself does not come to that: the platform's front only appends classes, the model API always has three. Cause: a request kept the index of its class alone, and looked it up in the classes of the moment. Change: it keeps the classes of its arrival too. TestRefusalReasons builds its requests by hand and gives them the classes now; its checks are as they were. Result: TestOpenRequestKeepsItsDroppedClass (new) panicked before ("index out of range [2] with length 1"). Tests of logic, router and front/platform and the recordings in lab/replay pass: no action differs.

--- a/logic/admission.go
+++ b/logic/admission.go
@@ -34,8 +34,9 @@
 	r.Patience = min(max(q.Patience, 0), time.Hour)
 	r.deadline = g.now + Time(r.Patience)
 	r.maxAttempts = g.settings.MaxAttempts
-	r.Class = min(max(q.Class, 0), len(g.settings.Classes)-1)
-	c := g.class(r)
+	r.classes = g.settings.Classes
+	r.Class = min(max(q.Class, 0), len(r.classes)-1)
+	c := r.class()
 	r.aim = min(c.Aim+time.Duration(float64(c.AimPer1000)*r.PromptTokens/1000), r.Patience)
 	r.relativeValue = 1
 	if g.maxPoints > 0 {
@@ -114,7 +115,7 @@
 func (g *Gateway) queueWaitLimit(r *request) float64 {
 	aim := r.aim
 	for _, c := range g.settings.Classes {
-		if c.Points > g.class(r).Points {
+		if c.Points > r.class().Points {
 			aim = min(aim, c.Aim)
 		}
 	}
--- a/logic/attempts.go
+++ b/logic/attempts.go
@@ -57,7 +57,7 @@
 	}
 	d = max(d, time.Duration(minAttemptAimShare*float64(r.aim)))
 	// A request that must not run twice is not cancelled where it may run: no attempt could follow.
-	last := r.sends-r.unreached >= r.maxAttempts || s.role != RoleRead && g.class(r).Effect == EffectOnce
+	last := r.sends-r.unreached >= r.maxAttempts || s.role != RoleRead && r.class().Effect == EffectOnce
 	if d > left/2 || last {
 		d = left
 	} else if g.settings.CancelAllowed {
@@ -180,7 +180,7 @@
 
 // refusalReason returns why no further attempt can be made for a request, or WhyNone.
 func (g *Gateway) refusalReason(r *request) Why {
-	c := g.class(r)
+	c := r.class()
 	switch {
 	case g.closing:
 		return WhyClosing
--- a/logic/choice.go
+++ b/logic/choice.go
@@ -50,7 +50,7 @@
 		return false
 	}
 	if r.mayHaveRun {
-		switch c := g.class(r); {
+		switch c := r.class(); {
 		case c.Effect == EffectByKey && c.Group == GroupZone:
 			return s.Zone == r.ranServer.Zone
 		case c.Effect == EffectByKey && c.Group == GroupCell:
--- a/logic/endings.go
+++ b/logic/endings.go
@@ -47,7 +47,7 @@
 // refuseOrFail ends a request at once: with a refusal and advice when to retry where the rules
 // allow one, otherwise with a failure.
 func (g *Gateway) refuseOrFail(r *request, why Why) {
-	a, c := Action{Kind: Refuse, ID: r.ID, Why: why}, g.class(r)
+	a, c := Action{Kind: Refuse, ID: r.ID, Why: why}, r.class()
 	if r.mayHaveRun && (c.Effect == EffectOnce || c.Effect == EffectByKey && c.Group != GroupAll) {
 		a.Kind = Fail
 	} else if g.settings.RetryAfter {
--- a/logic/guards_test.go
+++ b/logic/guards_test.go
@@ -734,3 +734,26 @@
 		}
 	}
 }
+
+// A request that may run once only is open when its class is dropped. It keeps its class's rules: an
+// attempt that may have run must not be repeated.
+func TestOpenRequestKeepsItsDroppedClass(t *testing.T) {
+	for _, left := range []int{0, 1, 2} {
+		r := newTestGateway(t, reader(1, 0), writer(2, 0), writer(3, 0))
+		once := Class{Aim: time.Second, Points: 1, Effect: EffectOnce}
+		repeatable := Class{Aim: time.Second, Points: 1, Effect: EffectRepeatable}
+		r.g.Retune([]Class{repeatable, repeatable, once}, 4)
+		id, acts := r.arrive(Request{Class: 2})
+		r.wantSend(acts, 1)
+		acts = r.end(id, 1, PromptRead, 0)
+		writer := find(acts, Send)
+		if writer == nil {
+			t.Fatalf("actions %+v, want a send to a writer", acts)
+		}
+		r.g.Retune([]Class{repeatable, repeatable}[:left], 4)
+		acts = r.end(id, writer.Server, ConnectionReset, 0)
+		if find(acts, Fail) == nil {
+			t.Errorf("with %d classes left: actions %+v, want the request to fail", left, acts)
+		}
+	}
+}
--- a/logic/health.go
+++ b/logic/health.go
@@ -50,7 +50,7 @@
 // risky reports whether a request that may run only once should rather go elsewhere: the server's
 // latest answer was an error, and no attempt could follow another one.
 func (g *Gateway) risky(r *request, s *server) bool {
-	once := g.class(r).Effect != EffectRepeatable
+	once := r.class().Effect != EffectRepeatable
 	return once && s.consecutiveErrors > 0 && between(s.lastErrorAt, g.now) < maxBackoff
 }
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -99,8 +99,8 @@
 }
 
 // Retune replaces the classes, by index, and the maximum number of attempts for requests that
-// arrive from now on. Open requests keep the aim, the value and the maximum number of attempts that
-// they got at their arrival.
+// arrive from now on. Open requests keep the class, the aim, the value and the maximum number of
+// attempts that they got at their arrival.
 func (g *Gateway) Retune(classes []Class, maxAttempts int) {
 	g.settings.Classes = append(slices.Clone(classes), Class{Aim: time.Second})
 	g.settings.MaxAttempts = maxAttempts
--- a/logic/refusal_test.go
+++ b/logic/refusal_test.go
@@ -43,7 +43,7 @@
 		t.Run(name, func(t *testing.T) {
 			g := New(set, 1)
 			g.now = now
-			r := &request{maxAttempts: attempts, deadline: now + Time(time.Second)}
+			r := &request{classes: g.settings.Classes, maxAttempts: attempts, deadline: now + Time(time.Second)}
 			c.change(r, g)
 			if got := g.refusalReason(r); got != c.want {
 				t.Errorf("%v, want %v", got, c.want)
--- a/logic/request.go
+++ b/logic/request.go
@@ -19,7 +19,8 @@
 type request struct {
 	Request
 	arrived, deadline Time
-	maxAttempts       int // by the settings at its arrival
+	classes           []Class // of the settings at its arrival
+	maxAttempts       int     // likewise
 	aim               time.Duration
 	relativeValue     float64 // 0 to 1: points relative to the best class, reduced past a quota
 	phase             attemptPhase
@@ -76,7 +77,7 @@
 	r.server.pendingTokens = math.Max(0, r.server.pendingTokens-r.charge)
 }
 
-func (g *Gateway) class(r *request) *Class { return &g.settings.Classes[r.Class] }
+func (r *request) class() *Class { return &r.classes[r.Class] }
 
 func (g *Gateway) setTimer(r *request, d time.Duration) {
 	g.emit(Action{Kind: SetTimer, After: d, Token: uint64(r.ID)})
