Releases call further workers in waves also while some are known to run

Callers could see: a release whose calls to running workers get lost (connections that come up late or never) over after 324 ms, where 300 are owed. Cause: the plan's first form called one further worker after 40 ms, then after 80, 160 while workers ran. Change: waves of 1, 2, 4 and so on go on, spaced by the time that answers take; what that may cost on a short core is bounded by 128 calls in flight beyond one for each open release. A release that had no call to a running worker goes first.

--- a/upstream/dispatch/dispatch_test.go
+++ b/upstream/dispatch/dispatch_test.go
@@ -22,6 +22,7 @@
 	silent      func(worker int) bool
 	silentFrom  time.Time // since when; before, these workers accepted releases
 	answerAfter time.Duration
+	loses       func() bool // whether the answer of a call is lost; nil: never
 	connections int
 	inFlight    map[int]int // by worker
 	calls       []simulatedCall
@@ -81,6 +82,9 @@
 			require.True(f.t, f.inFlight[c.Worker] == 1 || !f.silentFrom.IsZero(), "calls at a time to a worker that never accepted one")
 			call.endsAt, call.outcome = f.now.Add(callTimeout), Failed
 		}
+		if f.loses != nil && f.loses() {
+			call.endsAt, call.outcome = f.now.Add(callTimeout), Failed
+		}
 		f.calls = append(f.calls, call)
 	}
 	require.LessOrEqual(f.t, f.plan.probes, maxProbes)
@@ -155,6 +159,24 @@
 	}
 }
 
+// Workers run, but three in ten connections to them never come up. Releases must not wait for one
+// call: what is held has 300 ms.
+func TestLostCallsAreReplacedInTime(t *testing.T) {
+	const heldFor = 300 * time.Millisecond
+	for _, releases := range []int{1, 200} {
+		for seed := range uint64(200) {
+			random := rand.New(rand.NewPCG(seed, 2))
+			f := newFleet(t, seed, 316, func(int) bool { return false })
+			f.loses = func() bool { return random.IntN(10) < 3 }
+			f.add(releases, 100, seed)
+			for f.plan.Open() > 0 {
+				f.step()
+			}
+			require.Less(t, f.now.Sub(time.Unix(0, 0)), heldFor, "%d releases, seed %d", releases, seed)
+		}
+	}
+}
+
 // A release that no worker accepts ends at its timeout. While workers are known to run it stays
 // open, because one of them is about to accept it, but not for ever.
 func TestTimeoutDependsOnRunningWorkers(t *testing.T) {
--- a/upstream/dispatch/plan.go
+++ b/upstream/dispatch/plan.go
@@ -29,6 +29,9 @@
 	// is initialProbes; it doubles after each waveInterval in which no worker accepted a release.
 	initialProbes = 32
 	maxProbes     = 128
+	// maxExtraCalls bounds the calls in flight beyond one for each open release. Where answers are late
+	// because this process gets little processor time, more calls make them later.
+	maxExtraCalls = 128
 	// maxDraws bounds how many workers are considered for one call of a wave.
 	maxDraws = 16
 	// noConnectionPause is how long no call is started after one found no connection.
@@ -57,16 +60,15 @@
 // Release is one release.
 type Release[W comparable] struct {
 	openedAt   time.Time
-	candidates []W       // the workers that may be called, in order of preference
-	next       int       // index of the next candidate that is taken in order
-	drawNext   bool      // the next candidate is drawn at random
+	closed     bool
+	candidates []W  // the workers that may be called, in order of preference
+	next       int  // index of the next candidate that is taken in order
+	drawNext   bool // the next candidate is drawn at random
+	inFlight   int
 	due        int       // calls that may be started now
-	wave       int       // how many calls become due at nextWaveAt
-	nextWaveAt time.Time // when the workers called so far will have been silent for too long
-	offeredAt  time.Time // when it was last offered to a running worker; zero: never
-	offeredTo  *target   // the worker that it was last offered to
-	offers     int
-	answerWait time.Duration // how long the first offer may be unanswered
+	wave       int       // how many calls become due next
+	waveAt     time.Time // when calls last became due
+	offeredTo  *target   // the running worker that was last called for it and has not failed; nil: none
 }
 
 // Call is a call to one worker for one release.
@@ -87,6 +89,7 @@
 	targets     map[W]*target
 	running     []W           // workers that accepted a release lately, in no order
 	probes      int           // calls in flight to workers that are not known to run
+	extraCalls  int           // calls in flight for open releases, beyond one for each
 	answerTime  time.Duration // smoothed time from the start of a call to its acceptance
 	probeLimit  int           // the bound on probes
 	raiseAt     time.Time     // when probeLimit doubles
@@ -106,7 +109,7 @@
 		p.running, p.answerTime = nil, 0
 		p.lowerProbeLimit(now)
 	}
-	r := &Release[W]{openedAt: now, candidates: workers, wave: 1, nextWaveAt: now}
+	r := &Release[W]{openedAt: now, candidates: workers, due: 1, wave: 2, waveAt: now}
 	p.open = append(p.open, r)
 	return r
 }
@@ -123,21 +126,57 @@
 		return nil, expired
 	}
 	p.raiseProbeLimit(now)
-	calls = p.offer(now, limit)
 	for _, r := range p.open {
-		r.advanceWave(now)
-		for r.due > 0 && !r.isOffered(now) && len(calls) < limit && p.probes < p.probeLimit {
-			w, ok := p.pickProbe(now, r)
+		p.advanceWave(now, r)
+	}
+	calls = p.offerFirst(now, limit)
+	for _, r := range p.open {
+		for r.due > 0 && len(calls) < limit {
+			call, ok := p.nextCall(now, r)
 			if !ok {
 				break
 			}
-			r.due--
-			calls = append(calls, p.start(now, r, w))
+			calls = append(calls, call)
 		}
 	}
 	return calls, expired
 }
 
+// offerFirst starts a call to a running worker for each release that had none so far: they go before
+// further calls for the others.
+func (p *Plan[W]) offerFirst(now time.Time, limit int) (calls []Call[W]) {
+	for _, r := range p.open {
+		if len(calls) == limit || !p.hasRunningRoom() {
+			break
+		}
+		if r.due == 0 || r.offeredTo != nil {
+			continue
+		}
+		if w, ok := p.pickRunning(r); ok {
+			calls = append(calls, p.start(now, r, w))
+		}
+	}
+	return calls
+}
+
+// nextCall starts a call for a release that has one due: to a running worker if there is one for it,
+// else to one that is not known to run. It returns false if neither may be called.
+func (p *Plan[W]) nextCall(now time.Time, r *Release[W]) (call Call[W], ok bool) {
+	if r.inFlight > 0 && p.extraCalls >= maxExtraCalls {
+		return call, false
+	}
+	if w, ok := p.pickRunning(r); ok {
+		return p.start(now, r, w), true
+	}
+	if p.probes >= p.probeLimit {
+		return call, false
+	}
+	if w, ok := p.pickProbe(now, r); ok {
+		return p.start(now, r, w), true
+	}
+	return call, false
+}
+
 // lowerProbeLimit sets the bound on probes to its initial value.
 func (p *Plan[W]) lowerProbeLimit(now time.Time) {
 	p.probeLimit, p.raiseAt = initialProbes, now.Add(waveInterval)
@@ -157,50 +196,25 @@
 		timeout = maxTimeout
 	}
 	for len(p.open) > 0 && now.Sub(p.open[0].openedAt) >= timeout {
-		expired = append(expired, p.open[0])
-		p.open = p.open[1:]
+		r := p.open[0]
+		p.closeRelease(r)
+		expired = append(expired, r)
 	}
 	return expired
 }
 
-// advanceWave makes the next calls due once the previous ones have been unanswered for waveInterval.
-// A release that a running worker was called for lately needs no other call.
-func (r *Release[W]) advanceWave(now time.Time) {
-	if now.Before(r.nextWaveAt) || r.isOffered(now) {
+// advanceWave makes the next calls due once the previous ones have been unanswered for too long.
+func (p *Plan[W]) advanceWave(now time.Time, r *Release[W]) {
+	wait := waveInterval
+	if len(p.running) > 0 {
+		wait = p.answerWait()
+	}
+	if now.Sub(r.waveAt) < wait {
 		return
 	}
 	r.due = min(r.due+r.wave, maxProbes)
 	r.wave = min(2*r.wave, maxProbes)
-	r.nextWaveAt = now.Add(waveInterval)
-}
-
-// isOffered reports whether a call to a running worker is in flight for the release that may still
-// be answered. Each further offer is waited for twice as long.
-func (r *Release[W]) isOffered(now time.Time) bool {
-	return r.offeredTo != nil && r.offeredTo.running && now.Sub(r.offeredAt) < r.answerWait<<(r.offers-1)
-}
-
-// offer starts calls to running workers, first for the releases that were never offered to one.
-func (p *Plan[W]) offer(now time.Time, limit int) (calls []Call[W]) {
-	for _, again := range []bool{false, true} {
-		for _, r := range p.open {
-			if len(calls) == limit || !p.hasRunningRoom() {
-				return calls
-			}
-			if again == r.offeredAt.IsZero() || r.isOffered(now) {
-				continue
-			}
-			w, ok := p.pickRunning(r)
-			if !ok {
-				continue
-			}
-			r.offeredAt, r.answerWait = now, p.answerWait()
-			r.offers++
-			r.due = max(r.due-1, 0)
-			calls = append(calls, p.start(now, r, w))
-		}
-	}
-	return calls
+	r.waveAt = now
 }
 
 // hasRunningRoom reports whether a running worker may be called.
@@ -220,6 +234,14 @@
 		p.probes++
 	}
 	t.start(now)
+	r.due--
+	r.inFlight++
+	if r.inFlight > 1 {
+		p.extraCalls++
+	}
+	if t.running {
+		r.offeredTo = t
+	}
 	return Call[W]{Release: r, Worker: w, target: t, probe: probe, startedAt: now}
 }
 
@@ -233,11 +255,7 @@
 			w, best = candidate, t
 		}
 	}
-	if best == nil {
-		return w, false
-	}
-	r.offeredTo = best
-	return w, true
+	return w, best != nil
 }
 
 // pickProbe returns a candidate of the release that is not known to run and may be called now, every
@@ -286,9 +304,16 @@
 		p.accepted(now, call)
 	}
 	t.inFlight--
+	if outcome == Accepted && p.closeRelease(r) {
+		return true
+	}
+	r.inFlight--
+	if r.inFlight > 0 && !r.closed {
+		p.extraCalls--
+	}
 	switch outcome {
 	case Accepted:
-		return p.closeRelease(r)
+		return false
 	case Failed:
 		t.stop()
 		t.retryAt = now.Add(retryInterval)
@@ -302,7 +327,7 @@
 	}
 	r.due++
 	if r.offeredTo == t {
-		r.offeredAt, r.offeredTo = time.Time{}, nil
+		r.offeredTo = nil
 	}
 	return false
 }
@@ -329,6 +354,8 @@
 		return false
 	}
 	p.open = slices.Delete(p.open, i, i+1)
+	p.extraCalls -= max(r.inFlight-1, 0)
+	r.closed = true
 	return true
 }
 
