A release stays open for up to 3 s while workers accept others

Callers could see: with -race on a core shared with three other processes (load 15) 10 of some 26 plays of TestManyReleasesReachARunningWorker had 134 to 199 of 200 releases accepted, the last of them just before the 1.2 s at which the rest was given up; these are asked for again 0.25 s later, from the start. Cause: 200 new connections, with the stand-ins on the same third of a core, take more than 1.2 s there; no time-out of the search can help. Change: the longest time of a release is 3 s while others are accepted; it was 1.2 s. Where no worker accepts any it is 0.6 s as before.

--- a/upstream/dispatch/plan.go
+++ b/upstream/dispatch/plan.go
@@ -17,7 +17,7 @@
 	// Timeout bounds a release as a whole if no worker has accepted any for as long.
 	Timeout = 600 * time.Millisecond
 	// maxTimeout bounds a release while workers accept others: one of them will accept it soon.
-	maxTimeout = 2 * Timeout
+	maxTimeout = 5 * Timeout
 	// waveInterval is how long the workers called so far may stay silent before further ones are
 	// called, twice as many each time. Half of those are drawn at random: the workers that answered
 	// latest may have failed together. With four in five of hundreds of workers unreachable, all of
