--- a/review/driver/fronts.go
+++ b/review/driver/fronts.go
@@ -65,7 +65,7 @@
 	for i, p := range replicas {
 		config, err := r.file("config-"+p.id+".json", fmt.Sprintf(`{"name":%q,"listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
  "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":{"generation":0,"reset":true,"instances":[]},"settings":%s}`,
-			p.id, addrs[i], discovery, fmt.Sprintf(settings, 5*time.Second.Nanoseconds())))
+			p.id, addrs[i], discovery, strings.Replace(fmt.Sprintf(settings, 5*time.Second.Nanoseconds()), `"balancers":1`, `"balancers":3`, 1)))
 		if err != nil {
 			return err
 		}
--- a/review/driver/rig.go
+++ b/review/driver/rig.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -124,11 +125,15 @@
 	return path, os.WriteFile(path, []byte(text), 0o600)
 }
 
-// freeAddrs returns loopback addresses that nothing listens on.
+var lastAddr atomic.Int32
+
+// freeAddrs returns loopback addresses that nothing listens on. Each has an IP address of its own,
+// so that no connection of a client takes the port while a program is not running.
 func freeAddrs(n int) ([]string, error) {
 	var out []string
 	for range n {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		own, pid := lastAddr.Add(1), os.Getpid()
+		l, err := net.Listen("tcp4", fmt.Sprintf("127.%d.%d.%d:0", 64+pid%64, pid/64%250, 1+own%250))
 		if err != nil {
 			return nil, err
 		}
