Store: a forwarded write is sent again only if the leader says it was not applied

Cause: the leader answers the forwarded write with ErrUnknown (leadership lost while committing log); API.replyError made 503 of it, as of ErrNotLeader, and Replica.askLeader read every 503 as ErrNotLeader, "not applied": submit sent the command again while the first entry was in the logs of both survivors. Commands that replicas forward have no names. Change: an unknown outcome of a command is 504, "not applied" is 503 with X-Store-Outcome; a follower repeats after that or 307 alone. Errors of raft that mean "not in the log" are one list, a leadership transfer under way among them. Named writes and publications keep 503, which store.Client repeats under the name. Why it works: nothing is sent again that may be in a log. While releases mix: an older follower takes 504 for unknown; 503 without the header, an older leader's, is taken for unknown.

--- a/store/api.go
+++ b/store/api.go
@@ -179,6 +179,9 @@
 		return nil, err
 	}
 	result, err := a.replica.apply(c)
+	if err != nil && c.Write != "" {
+		err = withName(err)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -250,14 +253,15 @@
 	case errors.Is(err, ErrLagging):
 		status = fasthttp.StatusServiceUnavailable
 		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, "1")
+	case errors.Is(err, ErrUnknown):
+		status = setUnknown(&ctx.Response, err)
 	case errors.Is(err, ErrNotLeader):
 		status = fasthttp.StatusServiceUnavailable
+		ctx.Response.Header.Set(OutcomeHeader, OutcomeNotApplied)
 		if p, ok := a.replica.Leader(); ok && p.ID != a.replica.cfg.ID {
 			status = fasthttp.StatusTemporaryRedirect
 			ctx.Response.Header.Set(fasthttp.HeaderLocation, "http://"+p.API+string(ctx.RequestURI()))
 		}
-	case errors.Is(err, ErrUnknown):
-		status = fasthttp.StatusServiceUnavailable
 	case errors.Is(err, ErrNoNode), errors.Is(err, ErrNoSession), errors.Is(err, errNoPath), errors.Is(err, ErrNoRevision),
 		errors.Is(err, ErrNoReplica):
 		status = fasthttp.StatusNotFound
--- a/store/forward.go
+++ b/store/forward.go
@@ -8,7 +8,6 @@
 	"net"
 	"time"
 
-	"github.com/hashicorp/raft"
 	"github.com/valyala/fasthttp"
 
 	"lichenshelf/internal/transient"
@@ -26,9 +25,6 @@
 	maxSubmitPause = 500 * time.Millisecond
 )
 
-// ErrUnknown means that a command may or may not have been applied.
-var ErrUnknown = errors.New("the outcome is not known")
-
 // faults maps the names under which errors of operations pass between replicas to the errors.
 var faults = map[string]error{"no-node": ErrNoNode, "node-exists": ErrNodeExists, "bad-version": ErrBadVersion,
 	"not-empty": ErrNotEmpty, "no-session": ErrNoSession, "ephemeral": ErrEphemeral, "bad-path": ErrBadPath, "moved": ErrMoved,
@@ -116,11 +112,8 @@
 		return nil, fmt.Errorf("encode command: %w", err)
 	}
 	future := r.raft.Apply(text, applyTimeout)
-	switch err := future.Error(); {
-	case errors.Is(err, raft.ErrNotLeader), errors.Is(err, raft.ErrEnqueueTimeout):
-		return nil, fmt.Errorf("%w: %w", ErrNotLeader, err)
-	case err != nil:
-		return nil, fmt.Errorf("%w: %w", ErrUnknown, err)
+	if err := future.Error(); err != nil {
+		return nil, applyError(err)
 	}
 	return toResult(future.Index(), future.Response()), nil
 }
@@ -145,6 +138,8 @@
 	return errors.As(err, &dial) && dial.Op == "dial"
 }
 
+// askLeader sends a call to the leader and decodes the answer. ErrNotLeader means that the call was
+// not carried out, ErrUnknown that it may have been.
 func (r *Replica) askLeader(ctx context.Context, path string, body []byte, into any) error {
 	leader, ok := r.Leader()
 	if !ok || leader.ID == r.cfg.ID || leader.API == "" {
@@ -166,12 +161,8 @@
 		}
 		return fmt.Errorf("%w: ask the leader %s: %w", ErrUnknown, leader.ID, err)
 	}
-	switch resp.StatusCode() {
-	case fasthttp.StatusOK:
-	case fasthttp.StatusTemporaryRedirect, fasthttp.StatusServiceUnavailable:
-		return fmt.Errorf("%w: %s no longer is", ErrNotLeader, leader.ID)
-	default:
-		return fmt.Errorf("%w: the leader %s answered %d", ErrUnknown, leader.ID, resp.StatusCode())
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return leaderError(leader, resp)
 	}
 	if err := json.Unmarshal(resp.Body(), into); err != nil {
 		return fmt.Errorf("%w: what the leader %s says makes no sense: %w", ErrUnknown, leader.ID, err)
--- a/store/publish.go
+++ b/store/publish.go
@@ -277,7 +277,7 @@
 	defer cancel()
 	r, err := a.replica.publish(wait, name, text, q)
 	if err != nil {
-		return err
+		return withName(err)
 	}
 	setVersion(ctx, a.replica.machine.appliedIndex())
 	r.Text = ""
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
 )
 
 const (
@@ -19,18 +20,23 @@
 	pollInterval = 5 * time.Millisecond
 )
 
-// cluster is a cluster of three replicas on loopback addresses.
+// cluster is a cluster of replicas on loopback addresses.
 type cluster struct {
 	t        testing.TB
 	cfg      []Config
 	replicas []*Replica
 	apis     []*API
+	// intercept, if it is set, handles the calls of the APIs; next is the API's own handler.
+	intercept atomic.Pointer[func(ctx *fasthttp.RequestCtx, next fasthttp.RequestHandler)]
 }
 
 var lastHost atomic.Int32
 
-func newCluster(t testing.TB) *cluster {
-	c := &cluster{t: t, replicas: make([]*Replica, 3), apis: make([]*API, 3)}
+// newCluster starts a cluster of three replicas.
+func newCluster(t testing.TB) *cluster { return newClusterOf(t, 3) }
+
+func newClusterOf(t testing.TB, size int) *cluster {
+	c := &cluster{t: t, replicas: make([]*Replica, size), apis: make([]*API, size)}
 	var peers []Peer
 	for i := range c.replicas {
 		// Each replica has an address of its own: the ports are closed until the replica starts,
@@ -62,6 +68,14 @@
 	r, err := Open(c.cfg[i])
 	require.NoError(c.t, err)
 	c.replicas[i], c.apis[i] = r, NewAPI(r, checks)
+	next := c.apis[i].server.Handler
+	c.apis[i].server.Handler = func(ctx *fasthttp.RequestCtx) {
+		if f := c.intercept.Load(); f != nil {
+			(*f)(ctx, next)
+			return
+		}
+		next(ctx)
+	}
 	l, err := net.Listen("tcp", c.cfg[i].Self().API)
 	require.NoError(c.t, err)
 	go func(a *API) { _ = a.Serve(l) }(c.apis[i])
