Straggler slots: a claim or release without an answer is read back before it counts

Cause: claimSlot took an error of CreateAll for "no slot": a claim that was applied all the same was returned by nobody until the router's next start. releaseSlot repeated DeleteIfExists after an error: where the first one had been applied and another router had claimed the slot since, it freed that one's; until then the router counted the slot as held, and could be shut out by it. After a call without an answer the router holds no slot until it has read the slots back, behind everything in the log; its own are taken and returned. The start looks for slots of the process before by the same way. Why it works: the holder is whom the node names, after all entries that a lost call may have left. Open (in the design): a release that arrives after its own repeat and another router's claim.

--- a/internal/daemon/straggler.go
+++ b/internal/daemon/straggler.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
-	"path"
 	"strings"
 	"sync"
 	"time"
@@ -15,12 +13,9 @@
 	"lichenshelf/fleet/straggler"
 	"lichenshelf/fleet/version"
 	"lichenshelf/front/modelapi"
-	"lichenshelf/store"
 )
 
 const (
-	// shutPath is the parent of one node for each slot, which holds the name of its owner.
-	shutPath        = "/shut"
 	pollsPerGrace   = 8 // polls for the newest versions in a grace
 	actionTimeout   = 2 * time.Second
 	minPollInterval = 50 * time.Millisecond
@@ -70,9 +65,9 @@
 	interval      time.Duration
 	start         time.Time
 	view          straggler.View
-	slot          string // the node of the held slot
-	storeVersion  uint64 // the newest configuration version read from the store
-	storeAnswered bool   // whether the store answered the last poll
+	slots         *shutSlots // nil without a store
+	storeVersion  uint64     // the newest configuration version read from the store
+	storeAnswered bool       // whether the store answered the last poll
 }
 
 // startStragglerMonitor starts the monitor if the fleet's file sets a grace.
@@ -88,14 +83,14 @@
 	if s.machine, err = straggler.New(s.cfg, rand.New(rand.NewPCG(uint64(s.start.UnixNano()), uint64(s.cfg.Rank)))); err != nil {
 		return fmt.Errorf("%s: %w", d.files.Fleet, err)
 	}
+	if d.storeClient != nil {
+		s.slots = newShutSlots(d.storeClient, s.cfg.Slots(), s.start)
+	}
 	go s.run(ctx)
 	return nil
 }
 
 func (s *stragglerMonitor) run(ctx context.Context) {
-	// A previous process of this name may have left slots. They are no longer needed, since its
-	// shut-out ended with it.
-	s.releaseOwnSlots(ctx)
 	tick := time.NewTicker(s.interval)
 	defer tick.Stop()
 	for {
@@ -105,6 +100,11 @@
 			return
 		}
 		s.poll(ctx)
+		if s.slots.settleDue(time.Now()) {
+			// This may delay the next poll by actionTimeout, and so may the machine's actions.
+			s.updateSlots(ctx, "straggler slots not settled yet", s.slots.settle)
+			continue
+		}
 		now := straggler.Time(time.Since(s.start))
 		for _, a := range s.machine.Step(s.view, now) {
 			s.act(ctx, a)
@@ -142,57 +142,18 @@
 	s.d.fence.recordPoll(s.view.Held.Lag(s.view.Newest), answered, began)
 }
 
-func (s *stragglerMonitor) slotPath(i int) string {
-	return path.Join(shutPath, fmt.Sprintf("slot-%d", i))
-}
-
-// releaseOwnSlots releases the slots that a previous process of this name has left.
-func (s *stragglerMonitor) releaseOwnSlots(ctx context.Context) {
-	if s.d.storeClient == nil {
+// updateSlots calls a method of the slots within actionTimeout. Without a store there are no slots;
+// routers are shut out by rank alone.
+func (s *stragglerMonitor) updateSlots(ctx context.Context, failure string, update func(context.Context, time.Time) error) {
+	if s.slots == nil {
 		return
 	}
-	for i := range s.cfg.Slots() {
-		text, _, err := s.d.storeClient.Get(s.slotPath(i))
-		if err == nil && string(text) == s.d.storeClient.ID() {
-			s.releaseSlot(ctx, s.slotPath(i))
-		}
-	}
-}
-
-func (s *stragglerMonitor) releaseSlot(ctx context.Context, node string) bool {
 	ctx, cancel := context.WithTimeout(ctx, actionTimeout)
 	defer cancel()
-	if err := s.d.storeClient.DeleteIfExists(ctx, node); err != nil {
-		s.d.log.WithError(err).WithField("slot", node).Warn("straggler slot not released yet")
-		return false
-	}
-	return true
-}
-
-// claimSlot claims a free slot, or finds the one that this router already owns.
-func (s *stragglerMonitor) claimSlot(ctx context.Context) {
-	// Without a store there are no slots; routers are shut out by rank alone.
-	if s.d.storeClient == nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, actionTimeout)
-	defer cancel()
-	for i := range s.cfg.Slots() {
-		node := s.slotPath(i)
-		err := s.d.storeClient.CreateAll(ctx, node, []byte(s.d.storeClient.ID()))
-		if errors.Is(err, store.ErrNodeExists) {
-			if text, _, e := s.d.storeClient.Get(node); e == nil && string(text) == s.d.storeClient.ID() {
-				err = nil // claimed by an earlier call whose answer was lost
-			}
-		}
-		if err == nil {
-			s.slot, s.view.Slot = node, true
-			return
-		}
-		if !errors.Is(err, store.ErrNodeExists) {
-			return
-		}
+	if err := update(ctx, time.Now()); err != nil {
+		s.d.log.WithError(err).WithField("slot", s.slots.held).Warn(failure)
 	}
+	s.view.Slot = s.slots.held != ""
 }
 
 // catchUp requests the versions that this router lacks: it retries a refused configuration and asks
@@ -223,11 +184,9 @@
 	case straggler.CatchUp:
 		s.catchUp()
 	case straggler.RequestSlot:
-		s.claimSlot(ctx)
+		s.updateSlots(ctx, "straggler slot not claimed yet", s.slots.claim)
 	case straggler.ReturnSlot:
-		if s.releaseSlot(ctx, s.slot) {
-			s.slot, s.view.Slot = "", false
-		}
+		s.updateSlots(ctx, "straggler slot not released yet", s.slots.release)
 	case straggler.Shut:
 		log.WithField("why", a.Why).Error("shut out: this router takes nothing new until it has caught up")
 		s.setShut(true)
