Store client: a failed write says whether it may have been applied

Callers saw: "ask the store: no replica takes the call now" from `lichenshelf store set`, slots and acknowledgements of routers without a replica, whether or not a replica had the write in its log or its answer had been lost. Change: Client.call returns ErrUnknown unless each replica that the write was sent to says that it did not apply it (X-Store-Outcome, 307, or the connection was never open); an older replica's 503 counts as unknown. The retry after 410 goes by the same.

--- a/store/client.go
+++ b/store/client.go
@@ -18,7 +18,7 @@
 
 const (
 	callTimeout = 5 * time.Second
-	// A write is repeated for electionTimeout while no replica leads.
+	// electionTimeout is how long a write is repeated while no replica leads.
 	electionTimeout    = 5 * time.Second
 	electionRetryMin   = 50 * time.Millisecond
 	electionRetryMax   = 500 * time.Millisecond
@@ -35,11 +35,12 @@
 	seen        atomic.Uint64 // the highest version of any answer
 	name        string        // unique among all clients that write
 	namedWrites atomic.Uint64 // number of writes named so far
+	repeatFor   time.Duration // how long a write is repeated while no replica leads
 }
 
 // NewClient returns a client that tries the replicas in the given order.
 func NewClient(addrs ...string) *Client {
-	return &Client{addrs: addrs, http: newSingleAttemptClient(), name: rand.Text()}
+	return &Client{addrs: addrs, http: newSingleAttemptClient(), name: rand.Text(), repeatFor: electionTimeout}
 }
 
 // newSingleAttemptClient returns an HTTP client that never repeats a request by itself: a create
@@ -59,7 +60,8 @@
 }
 
 // call tries one replica after the other until one gives a conclusive answer. A write has the same
-// name at all of them, and is applied once.
+// name at all of them, and is applied once. After ErrUnknown it may have been applied, after any
+// other error it was not.
 func (c *Client) call(method, uri string, body []byte) (status int, answer []byte, err error) {
 	var write writeName
 	if method != fasthttp.MethodGet {
@@ -70,21 +72,27 @@
 	// client had seen: the call is repeated with the newer version from the refusal.
 	if err == nil && status == fasthttp.StatusGone && unapplied {
 		write.seen = c.seen.Load()
-		status, answer, _, err = c.askUntilLed(write, method, uri, body)
+		status, answer, unapplied, err = c.askUntilLed(write, method, uri, body)
 	}
-	if err != nil {
+	switch {
+	case err != nil && write.name != "" && !unapplied:
+		return 0, nil, fmt.Errorf("ask the store: %w: %w", ErrUnknown, err)
+	case err != nil:
 		return 0, nil, fmt.Errorf("ask the store: %w", err)
 	}
 	return status, answer, nil
 }
 
-// askUntilLed repeats a write for electionTimeout while replicas answer that none of them leads: an
-// election is soon over, and a write that is repeated under its name is applied once.
+// askUntilLed repeats a write while replicas answer that none of them leads: an election is soon
+// over, and a write that is repeated under its name is applied once. It also reports whether no
+// replica but the one that answered can have applied the write.
 func (c *Client) askUntilLed(write writeName, method, uri string, body []byte) (status int, answer []byte, unapplied bool, err error) {
 	retry := transient.NewBackoff(electionRetryMin, electionRetryMax)
-	for first, end := true, time.Now().Add(electionTimeout); ; first = false {
-		status, answer, unapplied, err = c.askAll(write, method, uri, body)
-		unapplied = unapplied && first
+	unapplied = true
+	for end := time.Now().Add(c.repeatFor); ; {
+		var unappliedNow bool
+		status, answer, unappliedNow, err = c.askAll(write, method, uri, body)
+		unapplied = unapplied && unappliedNow
 		wait := retry.NextBackOff()
 		if write.name == "" || !errors.Is(err, errUnavailable) || time.Until(end) < wait {
 			return status, answer, unapplied, err
@@ -96,8 +104,8 @@
 // errUnavailable means that a replica answered, but can't take the call now, as while none leads.
 var errUnavailable = errors.New("no replica takes the call now")
 
-// askAll tries one replica after the other. It also reports whether none of the replicas before the
-// one that answered can have applied the write.
+// askAll tries one replica after the other. It also reports whether no replica but the one that
+// answered can have applied the write.
 func (c *Client) askAll(write writeName, method, uri string, body []byte) (status int, answer []byte, unapplied bool, err error) {
 	unapplied, err = true, errors.New("no replica to ask")
 	unavailable := false
@@ -106,7 +114,7 @@
 		if err == nil && status < fasthttp.StatusInternalServerError {
 			return status, answer, unapplied, nil
 		}
-		unapplied = unapplied && unsent(err)
+		unapplied = unapplied && (unsent(err) || errors.Is(err, ErrNotLeader))
 		unavailable = unavailable || errors.Is(err, errUnavailable) || err == nil && status == fasthttp.StatusServiceUnavailable
 		if err == nil {
 			err = fmt.Errorf("%s answered %d: %s", addr, status, answer)
@@ -139,6 +147,9 @@
 		for seen := c.seen.Load(); v > seen && !c.seen.CompareAndSwap(seen, v); seen = c.seen.Load() {
 		}
 	}
+	if notApplied(resp) {
+		return 0, nil, fmt.Errorf("%w: %s: %w: %s", errUnavailable, addr, ErrNotLeader, resp.Body())
+	}
 	return resp.StatusCode(), append([]byte(nil), resp.Body()...), nil
 }
 
@@ -148,7 +159,7 @@
 	err := c.http.Do(req, resp)
 	for redirects := 0; err == nil && resp.StatusCode() == fasthttp.StatusTemporaryRedirect; redirects++ {
 		if redirects == maxRedirects {
-			return fmt.Errorf("%w: %d redirects", errUnavailable, redirects)
+			return fmt.Errorf("%w: %w: %d redirects", errUnavailable, ErrNotLeader, redirects)
 		}
 		req.SetRequestURI(string(resp.Header.Peek(fasthttp.HeaderLocation)))
 		if err = c.http.Do(req, resp); err != nil {
--- a/store/outcome.go
+++ b/store/outcome.go
@@ -67,10 +67,14 @@
 // leaderError converts a leader's answer other than 200 to ErrNotLeader, if the leader says that it
 // did not carry out the call, and to ErrUnknown otherwise.
 func leaderError(leader Peer, resp *fasthttp.Response) error {
-	status, outcome := resp.StatusCode(), string(resp.Header.Peek(OutcomeHeader))
-	refused := status == fasthttp.StatusServiceUnavailable && outcome == OutcomeNotApplied
-	if refused || status == fasthttp.StatusTemporaryRedirect {
+	status := resp.StatusCode()
+	if status == fasthttp.StatusTemporaryRedirect || notApplied(resp) {
 		return fmt.Errorf("%w: %s no longer is", ErrNotLeader, leader.ID)
 	}
 	return fmt.Errorf("%w: the leader %s answered %d", ErrUnknown, leader.ID, status)
 }
+
+// notApplied reports whether a replica that can't take a write says that it did not apply it.
+func notApplied(resp *fasthttp.Response) bool {
+	return resp.StatusCode() == fasthttp.StatusServiceUnavailable && string(resp.Header.Peek(OutcomeHeader)) == OutcomeNotApplied
+}
