--- a/test/store_forwarded_test.go
+++ b/test/store_forwarded_test.go
@@ -106,15 +106,20 @@
 }
 
 // sequentialWriter is a ZooKeeper client that creates sequential nodes below sequenceParent at one
-// replica, one after the other, and never repeats a create.
+// replica, one after the other, each followed by a change of a node of its own that counts them. It
+// never repeats a call.
 type sequentialWriter struct {
 	name string
 	conn *zk.Conn
 
 	mu       sync.Mutex
 	appended []appendedNode
+	counted  callCount
 }
 
+// callCount counts the calls of a writer that change its counter.
+type callCount struct{ acknowledged, unknown int64 }
+
 const (
 	sequenceParent  = "/sequence"
 	sequencePause   = 5 * time.Millisecond // between two creates of a writer
@@ -125,14 +130,20 @@
 	conn, _, err := zk.Connect([]string{at.zooKeeper}, sequenceTimeout, zk.WithLogger(discardLog{}), zk.WithLogInfo(false))
 	require.NoError(t, err)
 	t.Cleanup(conn.Close)
-	return &sequentialWriter{name: name, conn: conn}
+	w := &sequentialWriter{name: name, conn: conn}
+	_, err = conn.Create(w.counter(), nil, 0, zk.WorldACL(zk.PermAll))
+	require.NoError(t, err)
+	return w
 }
 
+// counter is the path of the node whose version counts the writer's changes.
+func (w *sequentialWriter) counter() string { return "/counter-" + w.name }
+
 type discardLog struct{}
 
 func (discardLog) Printf(string, ...any) {}
 
-// run creates nodes until ctx ends. It returns once the last create has ended.
+// run creates nodes until ctx ends. It returns once the last call has ended.
 func (w *sequentialWriter) run(ctx context.Context) {
 	for n := 0; ctx.Err() == nil; n++ {
 		data := fmt.Sprint(w.name, "-", n)
@@ -140,6 +151,11 @@
 		w.mu.Lock()
 		w.appended = append(w.appended, appendedNode{data, err})
 		w.mu.Unlock()
+		if _, err := w.conn.Set(w.counter(), nil, store.AnyVersion); err == nil {
+			w.counted.acknowledged++
+		} else {
+			w.counted.unknown++
+		}
 		time.Sleep(sequencePause)
 	}
 }
@@ -181,6 +197,9 @@
 		sent += len(w.appended)
 		unknown += len(w.appended) - w.acknowledged()
 		require.Empty(c.t, sequenceFaults(w.appended, nodes))
+		counter, err := c.client.Node(w.counter())
+		require.NoError(c.t, err)
+		require.Empty(c.t, counterFault(w.counted, counter.Stat.Version), w.name)
 	}
 	c.t.Logf("%d nodes created, %d of them with an unknown outcome", sent, unknown)
 }
@@ -199,8 +218,21 @@
 	return faults
 }
 
-// The check finds creates that were applied twice, with and without an answer, and lost ones.
+// counterFault returns how the version of a counter contradicts the calls that changed it; empty if
+// it does not.
+func counterFault(calls callCount, version int64) string {
+	if most := calls.acknowledged + calls.unknown; version < calls.acknowledged || version > most {
+		return fmt.Sprintf("%d changes were acknowledged and %d sent, the counter is at %d", calls.acknowledged, most, version)
+	}
+	return ""
+}
+
+// The checks find writes that were applied twice, with and without an answer, and lost ones.
 func TestSequenceFaults(t *testing.T) {
+	require.Empty(t, counterFault(callCount{4, 1}, 4))
+	require.Empty(t, counterFault(callCount{4, 1}, 5))
+	require.NotEmpty(t, counterFault(callCount{4, 1}, 3))
+	require.NotEmpty(t, counterFault(callCount{4, 1}, 6))
 	appended := []appendedNode{{"a", nil}, {"b", nil}, {"c", zk.ErrConnectionClosed}, {"d", zk.ErrConnectionClosed}, {"e", nil}}
 	require.Empty(t, sequenceFaults(appended, map[string][]string{"a": {"1"}, "b": {"2"}, "c": {"3"}, "e": {"4"}}))
 	require.Len(t, sequenceFaults(appended, map[string][]string{"a": {"1", "2"}, "b": {"3"}, "c": {"4", "5"}}), 3)
--- a/test/store_test.go
+++ b/test/store_test.go
@@ -1,25 +1,19 @@
 package test
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
-	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
-	"github.com/anishathalye/porcupine"
 	"github.com/stretchr/testify/require"
 
 	relay "lichenshelf/internal/standin/link"
-	"lichenshelf/lab/history"
 )
 
 // replicas starts three routers that share a store; the first has the model API.
@@ -231,100 +225,3 @@
 	status, _ = storeCall(t, http.MethodPut, at+"/m-b?version=0", "{}")
 	require.Equal(t, 409, status, "the version has changed")
 }
-
-// TestStoreSoak stops and kills replicas at random, also a majority of them, for the time given by
-// -soak, while clients read and write at all replicas. It logs its seed. The clients' history must
-// be linearizable, and no acknowledged node may be missing.
-func TestStoreSoak(t *testing.T) {
-	if *soakFor <= 0 {
-		t.Skip("needs -soak with a duration")
-	}
-	seed := uint64(time.Now().UnixNano())
-	t.Logf("seed %d", seed)
-	programs, apis, _ := replicas(t, "")
-	names := []string{"/a", "/b", "/c", "/d"}
-	for _, name := range names {
-		status, _ := storeCall(t, http.MethodPost, "http://"+apis[0]+"/v1/nodes"+name, "0")
-		require.Equal(t, 201, status)
-	}
-	h := history.New()
-	var last, notFound, refused atomic.Int64
-	ctx, stop := context.WithCancel(t.Context())
-	var all sync.WaitGroup
-	client := &http.Client{Timeout: 4 * time.Second}
-	ask := func(method, url, body string) (status int, data string, err error) {
-		req, err := http.NewRequest(method, url, strings.NewReader(body))
-		if err != nil {
-			return 0, "", err
-		}
-		resp, err := client.Do(req)
-		if err != nil {
-			return 0, "", err
-		}
-		defer resp.Body.Close()
-		var n struct{ Data string }
-		if resp.StatusCode == http.StatusOK {
-			err = json.NewDecoder(resp.Body).Decode(&n)
-		}
-		return resp.StatusCode, n.Data, err
-	}
-	for id := range 6 {
-		rng := rand.New(rand.NewPCG(seed, uint64(id)))
-		all.Go(func() {
-			for ctx.Err() == nil {
-				name, called := names[rng.IntN(len(names))], h.Now()
-				url := "http://" + apis[rng.IntN(3)] + "/v1/nodes" + name
-				if rng.IntN(3) == 0 {
-					value := fmt.Sprint(last.Add(1))
-					status, _, err := ask(http.MethodPut, url, value)
-					h.Wrote(id, name, value, called, err == nil && status == http.StatusNoContent)
-				} else {
-					switch status, value, err := ask(http.MethodGet, url, ""); {
-					case err == nil && status == http.StatusOK:
-						h.Read(id, name, value, called)
-					case status == http.StatusNotFound:
-						notFound.Add(1)
-					default:
-						refused.Add(1)
-					}
-				}
-				time.Sleep(time.Duration(rng.IntN(20)) * time.Millisecond)
-			}
-		})
-	}
-	rng := rand.New(rand.NewPCG(seed, 99))
-	faults := map[string]int{}
-	for end := time.Now().Add(*soakFor); time.Now().Before(end); time.Sleep(time.Duration(rng.IntN(int(2 * time.Second)))) {
-		var picked []int
-		for i := range programs {
-			if rng.IntN(2) == 0 {
-				picked = append(picked, i)
-			}
-		}
-		if rng.IntN(2) == 0 {
-			faults[fmt.Sprint(len(picked), " stopped")]++
-			for _, i := range picked {
-				programs[i].signal(syscall.SIGSTOP)
-			}
-			time.Sleep(time.Duration(rng.IntN(int(4 * time.Second))))
-			for _, i := range picked {
-				programs[i].signal(syscall.SIGCONT)
-			}
-			continue
-		}
-		faults[fmt.Sprint(len(picked), " killed")]++
-		for _, i := range picked {
-			programs[i].signal(syscall.SIGKILL)
-			<-programs[i].exit
-		}
-		for _, i := range picked {
-			programs[i] = start(t, programs[i].addr, nil, programs[i].cmd.Args[1:]...)
-		}
-	}
-	stop()
-	all.Wait()
-	result, n := h.Check(5 * time.Minute)
-	t.Logf("%d operations, %d refused or unanswered reads, %d not found; faults %v; %s", n, refused.Load(), notFound.Load(), faults, result)
-	require.Equal(t, porcupine.Ok, result)
-	require.Zero(t, notFound.Load())
-}
