test: one layout of a store's replicas for the ZooKeeper tests

Cause: TestWorkersRegisterOverZooKeeper wrote the files of its replicas itself, as layOutReplicas does now. Change: it calls layOutReplicas; its assertions are the same. Result: the test passes with -race.

--- a/test/zk_test.go
+++ b/test/zk_test.go
@@ -7,7 +7,6 @@
 	"os"
 	"path/filepath"
 	"slices"
-	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -123,10 +122,10 @@
 // router takes its workers from there. A replica is killed meanwhile.
 func TestWorkersRegisterOverZooKeeper(t *testing.T) {
 	a, b := newWorker(t, "a", "model", model), newWorker(t, "b", "model", model)
-	var peers, zkAddrs, apis []string
-	for i := range 3 {
-		apis, zkAddrs = append(apis, ownAddr(t)), append(zkAddrs, ownAddr(t))
-		peers = append(peers, fmt.Sprintf("[[peer]]\nid = \"r%d\"\nraft = %q\napi = %q\n", i, ownAddr(t), apis[i]))
+	replicas := layOutReplicas(t, 3)
+	var zkAddrs, apis []string
+	for _, r := range replicas {
+		zkAddrs, apis = append(zkAddrs, r.zooKeeper), append(apis, r.api)
 	}
 	listen, dir := ownAddr(t), t.TempDir()
 	file, sources := filepath.Join(dir, "modelapi.toml"), filepath.Join(dir, "sources.toml")
@@ -134,11 +133,8 @@
 	require.NoError(t, os.WriteFile(sources, []byte(fmt.Sprintf("[[source]]\nname = \"zk\"\nkind = \"zookeeper\"\nservers = [%q, %q, %q]\npath = \"/service/chat\"\nsession = \"4s\"\n",
 		zkAddrs[0], zkAddrs[1], zkAddrs[2])), 0o600))
 	var programs []*program
-	for i := range 3 {
-		own := filepath.Join(dir, fmt.Sprint("store", i, ".toml"))
-		text := fmt.Sprintf("id = \"r%d\"\ndata_dir = %q\nzookeeper = %q\n%s", i, filepath.Join(dir, fmt.Sprint("data", i)), zkAddrs[i], strings.Join(peers, ""))
-		require.NoError(t, os.WriteFile(own, []byte(text), 0o600))
-		args := []string{"serve", "--store", own}
+	for i, r := range replicas {
+		args := []string{"serve", "--store", r.file}
 		if i == 0 {
 			args = append(args, "--modelapi", file, "--sources", sources)
 		}
