Model API: a published text no longer changes the accounts of other configurations

Cause: Config.Override decoded the text into a copy that shares the array of accounts with the file's configuration and the one in use; the decoder writes list elements in place and keeps the fields that the text does not set (quota_per_s of the file's account). Change: the lists are decoded into new arrays; the old list stays only where the text has no account. Why it works: nothing that was decoded before is written to again.

--- a/front/modelapi/config.go
+++ b/front/modelapi/config.go
@@ -224,12 +224,20 @@
 }
 
 // Override applies the text of another configuration file over c, except for the listen address and
-// the backends.
+// the backends. Accounts in the text replace all of c's; without any, c's remain. Copies of c that
+// were made before don't change.
 func (c *Config) Override(text string) error {
 	next := *c
-	if _, err := toml.Decode(text, &next); err != nil {
+	// The decoder would write into the slices' arrays, which copies of c share, and would keep the
+	// fields that the text does not set.
+	next.Accounts, next.Backends = nil, nil
+	meta, err := toml.Decode(text, &next)
+	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
 	}
+	if !meta.IsDefined("account") {
+		next.Accounts = c.Accounts
+	}
 	next.Listen, next.Backends = c.Listen, c.Backends
 	if err := next.check(); err != nil {
 		return fmt.Errorf("configuration: %w", err)
--- a/test/config_test.go
+++ b/test/config_test.go
@@ -54,6 +54,46 @@
 	return out
 }
 
+// Guards against routers that acknowledge a version and serve the accounts of another one: after a
+// rollback they went on with those of the version before it.
+func TestAccountsAreThoseOfTheAcknowledgedVersion(t *testing.T) {
+	t.Parallel()
+	const fileKey, publishedKey, routers = "key-of-the-file", "key-published", 2
+	account := func(name, key string) string {
+		return fmt.Sprintf("[[account]]\nname = %q\nkey = %q\nquota_per_s = 1000\n", name, key)
+	}
+	f := newFollowersWith(t, routers, "", account("first", fileKey))
+	check := func(version int, known, unknown string) {
+		t.Helper()
+		for i, router := range f.routers {
+			f.waitForLine(0, fmt.Sprint(f.names[i], " ", version))
+			a := &api{program: router}
+			require.Equal(t, 200, a.post(embedPath, known, embedBody).status, "%s, version %d, %s", f.names[i], version, known)
+			require.Equal(t, 401, a.post(embedPath, unknown, embedBody).status, "%s, version %d, %s", f.names[i], version, unknown)
+		}
+	}
+	for i, step := range []struct {
+		text           string
+		rollback       string // to this version, in place of a text
+		known, unknown string
+	}{
+		{text: "max_open = 50\n", known: fileKey, unknown: publishedKey},
+		{text: account("second", publishedKey), known: publishedKey, unknown: fileKey},
+		{rollback: "1", known: fileKey, unknown: publishedKey},
+		{rollback: "2", known: publishedKey, unknown: fileKey},
+	} {
+		var out string
+		var err error
+		if step.rollback != "" {
+			out, err = f.command(0, "rollback", step.rollback)
+		} else {
+			out, err = f.publish(0, step.text)
+		}
+		require.NoError(t, err, out)
+		check(i+1, step.known, step.unknown)
+	}
+}
+
 // A running router applies a published configuration as far as its keys allow, names the keys that
 // take effect at its next start, keeps its configuration when a text is refused, and follows a
 // rollback. A restart of all replicas loses nothing.
--- a/test/straggler_test.go
+++ b/test/straggler_test.go
@@ -39,6 +39,11 @@
 
 // newFollowers starts n routers with one backend; fleetSettings is appended to their fleet files.
 func newFollowers(t *testing.T, n int, fleetSettings string) *followers {
+	return newFollowersWith(t, n, fleetSettings, "")
+}
+
+// newFollowersWith is newFollowers with modelSettings at the end of the routers' model API files.
+func newFollowersWith(t *testing.T, n int, fleetSettings, modelSettings string) *followers {
 	backend := newWorker(t, "m-a", "model", nil)
 	backend.serve = model
 	api := fmt.Sprintf("[[backend]]\nname = \"m-a\"\naddr = %q\n", backend.Listener.Addr())
@@ -73,7 +78,7 @@
 		}
 		f.routerLinks = append(f.routerLinks, relays)
 		f.routers = append(f.routers, start(t, listen, nil, "serve",
-			"--modelapi", write("modelapi.toml", fmt.Sprintf("listen = %q\n%s", listen, api)),
+			"--modelapi", write("modelapi.toml", fmt.Sprintf("listen = %q\n%s%s", listen, api, modelSettings)),
 			"--store", write("store.toml", fmt.Sprintf("follow = [%s]\nname = %q\n", strings.Join(follow, ", "), f.names[i])),
 			"--fleet", write("fleet.toml", fmt.Sprintf("fleet = \"f\"\nself = %q\nperiod = \"100ms\"\ntrail = %q\n%s%s", f.names[i], f.trails, members.String(), fleetSettings))))
 	}
