A router no longer ends, or cuts requests off, since its model API can't start

Found beside: SIGTERM while the model API waited cut the platform's streams off; an invalid model API file or an address in use ended a router after its platform front had begun to serve. Cause: daemon.start ran the platform's front and then the model API in one sequence, and each error of the latter ended the process. Change: files are read and checked first, clients' addresses opened last; with a store the model API starts beside the rest and tries again; a version that the file does not go with is refused at a start too, and the acknowledged one before it, or the file, serves; servers beside the fronts are logged when they end. daemon.mu guards what the late start changes.

--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -49,6 +49,8 @@
 	CatchUp(ctx context.Context, config string) error
 	// Follow returns a channel that is closed at the next version of a configuration.
 	Follow(config string) (changed <-chan struct{}, stop func(), err error)
+	// Revisions returns the retained versions of a configuration, oldest first.
+	Revisions(config string) ([]store.Revision, error)
 	Get(path string) ([]byte, store.Stat, error)
 	CompareAndSet(ctx context.Context, path string, data []byte, version int64) error
 	CreateAll(ctx context.Context, path string, data []byte) error
@@ -60,6 +62,10 @@
 
 func (r ownReplica) CatchUp(ctx context.Context, _ string) error { return r.Replica.CatchUp(ctx) }
 
+func (r ownReplica) Revisions(config string) ([]store.Revision, error) {
+	return r.Published(config), nil
+}
+
 func (r ownReplica) Follow(config string) (<-chan struct{}, func(), error) {
 	w, err := r.Watch(path.Join("/config", config))
 	if err != nil {
@@ -86,44 +92,121 @@
 
 const configPart = "config/" + modelapi.ConfigName
 
-// newConfigFollower overrides the file's configuration with the one in the store, if there is one,
-// and reads this router's last acknowledgement before the start. The router does not use a lower
-// version than it has acknowledged: that would contradict its acknowledgement.
-func (d *daemon) newConfigFollower(ctx context.Context, cfg *modelapi.Config) (*configFollower, error) {
+// newConfigFollower returns a follower whose configuration is the file's, overridden by the one in
+// the store if there is one. It reads this router's last acknowledgement first: the router does not
+// use a lower version than it has acknowledged, which would contradict it.
+func (d *daemon) newConfigFollower(ctx context.Context, file *modelapi.Config) (*configFollower, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeStartTimeout)
 	defer cancel()
-	p := &configFollower{d: d, fileConfig: *cfg, cfg: cfg, ackPath: AckPath(modelapi.ConfigName, d.storeClient.ID()), ack: Ack{Router: d.storeClient.ID()}, retry: make(chan struct{}, 1), received: make(chan node.Text, 1)}
-	var previous Ack
-	text, err := d.readNode(ctx, p.ackPath)
+	p := &configFollower{d: d, fileConfig: *file, ackPath: AckPath(modelapi.ConfigName, d.storeClient.ID()), ack: Ack{Router: d.storeClient.ID()}, retry: make(chan struct{}, 1), received: make(chan node.Text, 1)}
+	acknowledged, err := p.readAck(ctx)
 	if err != nil {
 		return nil, err
 	}
-	if text != nil {
-		if err := json.Unmarshal(text, &previous); err != nil {
-			d.log.WithError(err).WithField("node", p.ackPath).Warn("own acknowledgement is malformed, ignored")
-		}
+	latest, err := d.readLatest(ctx, acknowledged)
+	if err != nil {
+		return nil, err
+	}
+	d.versionLog.setFloor(configPart, acknowledged)
+	first, err := p.selectFirst(latest, acknowledged)
+	if err != nil {
+		return nil, err
+	}
+	if p.ack.Number, err = d.versionLog.activate(configPart, first.Version); err != nil {
+		return nil, fmt.Errorf("configuration %s in the store: %w: the store's data may be older than this router", modelapi.ConfigName, err)
 	}
+	p.ack.Version = first.Version
+	return p, nil
+}
+
+// readAck returns the version that a previous process of this router has acknowledged; 0 means none.
+func (p *configFollower) readAck(ctx context.Context) (uint64, error) {
+	text, err := p.d.readNode(ctx, p.ackPath)
+	if err != nil || text == nil {
+		return 0, err
+	}
+	var previous Ack
+	if err := json.Unmarshal(text, &previous); err != nil {
+		p.d.log.WithError(err).WithField("node", p.ackPath).Warn("own acknowledgement is malformed, ignored")
+	}
+	return previous.Version, nil
+}
+
+// readLatest returns the newest configuration in the store. One that was never published has
+// version 0.
+func (d *daemon) readLatest(ctx context.Context, acknowledged uint64) (store.Revision, error) {
 	latest := d.storeClient.Latest(modelapi.ConfigName)
 	// The previous process acknowledged a version that was published after the store was read.
-	if latest.Version < previous.Version {
+	if latest.Version < acknowledged {
 		if err := askStore(ctx, func() error { return d.storeClient.CatchUp(ctx, modelapi.ConfigName) }); err != nil {
-			return nil, err
+			return latest, err
 		}
 		latest = d.storeClient.Latest(modelapi.ConfigName)
 	}
 	if latest.Version == 0 { // never published: the node may have been set by hand
 		text, err := d.readNode(ctx, modelapi.ConfigPath)
 		if err != nil {
-			return nil, err
+			return latest, err
 		}
 		latest.Text = string(text)
 	}
-	d.versionLog.setFloor(configPart, previous.Version)
-	if p.ack.Number, err = d.versionLog.activate(configPart, latest.Version); err != nil {
-		return nil, fmt.Errorf("configuration %s in the store: %w: the store's data may be older than this router", modelapi.ConfigName, err)
+	return latest, nil
+}
+
+// selectFirst sets the configuration to start with, and returns its version: the latest, or if this
+// router's file does not go with it the one that the router has acknowledged, or the file's if it
+// has acknowledged none.
+func (p *configFollower) selectFirst(latest store.Revision, acknowledged uint64) (store.Revision, error) {
+	cfg, refused := p.override(latest.Text)
+	if refused == nil {
+		p.cfg = cfg
+		return latest, nil
 	}
-	p.ack.Version = latest.Version
-	return p, cfg.Override(latest.Text)
+	p.refuse(latest.Version, refused)
+	if acknowledged == 0 {
+		p.cfg, _ = p.override("")
+		return store.Revision{}, nil
+	}
+	if acknowledged < latest.Version {
+		revision, err := p.d.readRevision(acknowledged)
+		if err != nil {
+			return revision, err
+		}
+		if p.cfg, err = p.override(revision.Text); err == nil {
+			return revision, nil
+		}
+	}
+	return store.Revision{}, fmt.Errorf("neither version %d nor the acknowledged version %d goes with this router's file: %w", latest.Version, acknowledged, refused)
+}
+
+// override returns the file's configuration, overridden by a text.
+func (p *configFollower) override(text string) (*modelapi.Config, error) {
+	cfg := p.fileConfig
+	if err := cfg.Override(text); err != nil {
+		return nil, err
+	}
+	return &cfg, nil
+}
+
+// refuse records that a version was not applied.
+func (p *configFollower) refuse(version uint64, why error) {
+	p.d.log.WithError(why).WithField("configuration", modelapi.ConfigName).WithField("version", version).Error("published configuration not applied, the previous one stays in use")
+	p.updateAck(func(a *Ack) { a.Fault, a.Refused = why.Error(), version })
+	p.d.versionLog.recordRefusal(configPart, version, why)
+}
+
+// readRevision returns a retained version of the configuration.
+func (d *daemon) readRevision(version uint64) (store.Revision, error) {
+	revisions, err := d.storeClient.Revisions(modelapi.ConfigName)
+	if err != nil {
+		return store.Revision{}, err
+	}
+	for _, r := range revisions {
+		if r.Version == version {
+			return r, nil
+		}
+	}
+	return store.Revision{}, fmt.Errorf("%w: %s, version %d", store.ErrNoRevision, modelapi.ConfigName, version)
 }
 
 // readNode reads a node, with retries until ctx ends. It returns nil if the node does not exist.
@@ -173,7 +256,7 @@
 // run applies published versions until ctx ends.
 func (p *configFollower) run(ctx context.Context) {
 	log := p.d.log.WithField("configuration", modelapi.ConfigName)
-	for acknowledged := p.ack.Version == 0; ctx.Err() == nil; {
+	for acknowledged := p.ack.Version == 0 && p.ack.Refused == 0; ctx.Err() == nil; {
 		changed, stop, err := p.d.storeClient.Follow(modelapi.ConfigName)
 		if err != nil {
 			log.WithError(err).Error("cannot follow published configurations")
@@ -214,11 +297,9 @@
 // recorded.
 func (p *configFollower) apply(r store.Revision) {
 	log := p.d.log.WithField("configuration", modelapi.ConfigName).WithField("version", r.Version)
-	next := p.fileConfig
-	if err := next.Override(r.Text); err != nil {
-		log.WithError(err).Error("published configuration not applied, the previous one stays in use")
-		p.updateAck(func(a *Ack) { a.Fault, a.Refused = err.Error(), r.Version })
-		p.d.versionLog.recordRefusal(configPart, r.Version, err)
+	next, err := p.override(r.Text)
+	if err != nil {
+		p.refuse(r.Version, err)
 		return
 	}
 	number, err := p.d.versionLog.activate(configPart, r.Version)
@@ -228,7 +309,7 @@
 		return
 	}
 	var restart []string
-	p.cfg, restart = p.cfg.Applied(&next, p.d.fleet != nil)
+	p.cfg, restart = p.cfg.Applied(next, p.d.fleet != nil)
 	if p.d.fleet != nil {
 		p.d.setQuotas(p.cfg)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"os/signal"
 	"sync"
 	"sync/atomic"
@@ -27,22 +28,13 @@
 	"lichenshelf/store"
 )
 
-// Files holds the paths of the router's configuration files; an empty path is not used.
-type Files struct {
-	Platform, ModelAPI, Store, Sources, Fleet string
-}
-
 // daemon holds the running components: fronts, each with its own core, and the store.
 type daemon struct {
 	log                   *logrus.Logger
 	counters              *metrics.Set
 	files                 Files
-	fronts                []front
-	frontsMu              sync.RWMutex // guards fronts, which other goroutines read during the start
 	watch                 *platform.Watch
-	sources               *sources.Config          // nil without a file
-	feeds                 map[string]*sources.Feed // by front, for fronts that take sources
-	ctx                   context.Context          // ends with the program; for goroutines of a reload
+	ctx                   context.Context // ends with the program; for goroutines of a reload
 	replica               *store.Replica
 	storeClient           storeClient // nil without a store
 	api                   *store.API
@@ -56,14 +48,23 @@
 	shutdownTiming  *currentShutdownTiming
 	fleet           *agent.Agent // nil if this router shares nothing with others
 	fleetSize       int          // number of routers in the fleet
-	fleetCfg        *agent.Config
-	fence           *fence // nil if this router may always send
-	configFollower  *configFollower
-	shuttableFronts []shuttableFront
+	fence           *fence       // nil if this router may always send
 	versionLog      versionLog
 	failed          chan error
 	stopping        atomic.Bool
+	modelAPIServing atomic.Bool
 	lastListAddr    atomic.Pointer[string] // address of the discovery whose list was used last
+
+	// The model API starts once the store can be read, beside all other components; mu guards what
+	// its start changes.
+	mu              sync.RWMutex
+	configs         configs // as read at the start; the model API's as last read
+	fronts          []front
+	sources         *sources.Config          // nil without a file
+	feeds           map[string]*sources.Feed // by front, for fronts that take sources
+	configFollower  *configFollower
+	shuttableFronts []shuttableFront
+	shut            bool // the fronts refuse new requests
 }
 
 // shuttableFront is a front that can be made to refuse new requests.
@@ -116,40 +117,63 @@
 // receives a stop signal during the start.
 func (d *daemon) start(ctx, starting context.Context) error {
 	d.ctx = ctx
-	if d.files.Sources != "" {
-		var err error
-		if d.sources, err = sources.LoadConfig(d.files.Sources); err != nil {
-			return fmt.Errorf("sources: %w", err)
-		}
+	var err error
+	if d.configs, err = d.files.load(); err != nil {
+		return err
 	}
-	if d.files.Store != "" {
-		if err := d.startStore(starting); err != nil {
+	d.sources = d.configs.sources
+	if c := d.configs.store; c != nil {
+		if err := d.startStore(starting, c); err != nil {
 			return fmt.Errorf("start the store: %w", err)
 		}
 	}
-	if d.files.Fleet != "" {
-		if err := d.startFleet(ctx, starting); err != nil {
+	if c := d.configs.fleet; c != nil {
+		if err := d.startFleet(ctx, starting, c); err != nil {
 			return fmt.Errorf("start the fleet agent: %w", err)
 		}
 	}
-	if d.files.Platform != "" {
-		if err := d.startPlatform(ctx, starting); err != nil {
-			return fmt.Errorf("start the platform's front: %w", err)
+	monitor, err := d.newStragglerMonitor()
+	if err != nil {
+		return err
+	}
+	if err := d.startFronts(ctx, starting); err != nil {
+		return err
+	}
+	if monitor != nil {
+		go monitor.run(ctx)
+	}
+	return nil
+}
+
+// startFronts starts the fronts. All that can fail the start comes before the first front serves:
+// from then on there are requests that would be lost.
+func (d *daemon) startFronts(ctx, starting context.Context) error {
+	api := d.configs.modelAPI
+	if api != nil {
+		if err := d.checkSources(sources.ModelAPI, nil); err != nil {
+			return fmt.Errorf("start the model API: %w", err)
 		}
 	}
-	if d.files.ModelAPI != "" {
-		if err := d.startModelAPI(ctx, starting); err != nil {
+	var apiListener net.Listener
+	if api != nil && d.storeClient == nil {
+		var err error
+		if apiListener, err = d.openForClients(starting, api.Listen); err != nil {
 			return fmt.Errorf("start the model API: %w", err)
 		}
 	}
-	if d.fleetCfg != nil && len(d.fronts) > 0 {
-		if err := d.startStragglerMonitor(ctx, d.fleetCfg); err != nil {
-			return err
+	if c := d.configs.platform; c != nil {
+		if err := d.startPlatform(ctx, starting, c); err != nil {
+			return fmt.Errorf("start the platform's front: %w", err)
 		}
 	}
-	if len(d.fronts) == 0 && d.replica == nil {
-		return errors.New("nothing to serve: --config FILE (or ROUTER_CONFIG) starts the platform's front, " +
-			"--modelapi FILE with listen set the model API, --store FILE with id set the store")
+	switch {
+	case api == nil:
+	case apiListener != nil:
+		if err := d.serveModelAPI(ctx, api, nil, apiListener); err != nil {
+			return fmt.Errorf("start the model API: %w", err)
+		}
+	default:
+		go d.startModelAPIFromStore(ctx)
 	}
 	return nil
 }
@@ -164,12 +188,15 @@
 // stop finishes the open requests, at all fronts at once.
 func (d *daemon) stop(ctx context.Context) error {
 	began := time.Now()
-	d.stopping.Store(true)
+	d.mu.Lock()
+	d.stopping.Store(true) // no front is added from now on
+	fronts := d.fronts
+	d.mu.Unlock()
 	if d.fleet != nil {
 		d.fleet.Leave()
 	}
-	results := make(chan error, len(d.fronts))
-	for _, f := range d.fronts {
+	results := make(chan error, len(fronts))
+	for _, f := range fronts {
 		d.log.WithField("open", f.core.Open()).Info("stopping: finishing open requests")
 		go func() {
 			stopped := make(chan struct{})
@@ -183,7 +210,7 @@
 		}()
 	}
 	var all error
-	for range d.fronts {
+	for range fronts {
 		all = errors.Join(all, <-results)
 	}
 	return all
--- /dev/null
+++ b/internal/daemon/files.go
@@ -0,0 +1,71 @@
+package daemon
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"lichenshelf/discovery/sources"
+	"lichenshelf/fleet/agent"
+	"lichenshelf/front/modelapi"
+	"lichenshelf/front/platform"
+	"lichenshelf/store"
+)
+
+// Files holds the paths of the router's configuration files; an empty path is not used.
+type Files struct {
+	Platform, ModelAPI, Store, Sources, Fleet string
+}
+
+// configs are the configuration files as read at the start. Each is nil if its path is empty or the
+// file leaves the component off.
+type configs struct {
+	platform *platform.Config
+	modelAPI *modelapi.Config
+	store    *store.Config
+	fleet    *agent.Config
+	sources  *sources.Config
+}
+
+// load reads and checks all files, so that an invalid one ends the start before anything is started.
+func (f *Files) load() (c configs, err error) {
+	if f.Sources != "" {
+		if c.sources, err = sources.LoadConfig(f.Sources); err != nil {
+			return c, fmt.Errorf("sources: %w", err)
+		}
+	}
+	if f.Store != "" {
+		if c.store, err = store.LoadConfig(f.Store); err != nil {
+			return c, fmt.Errorf("start the store: %w", err)
+		}
+		if c.store.ID == "" && len(c.store.Follow) == 0 {
+			c.store = nil
+		}
+	}
+	if f.Fleet != "" {
+		if c.fleet, err = agent.LoadConfig(f.Fleet); err != nil {
+			return c, fmt.Errorf("start the fleet agent: %w", err)
+		}
+		if c.fleet.Fleet == "" {
+			c.fleet = nil
+		}
+	}
+	if f.Platform != "" {
+		if c.platform, err = platform.LoadConfig(f.Platform, os.Getenv); err != nil {
+			return c, fmt.Errorf("start the platform's front: %w", err)
+		}
+	}
+	if f.ModelAPI != "" {
+		if c.modelAPI, err = modelapi.LoadConfig(f.ModelAPI); err != nil {
+			return c, fmt.Errorf("start the model API: %w", err)
+		}
+		if c.modelAPI.Listen == "" {
+			c.modelAPI = nil
+		}
+	}
+	if c.platform == nil && c.modelAPI == nil && (c.store == nil || c.store.ID == "") {
+		return c, errors.New("nothing to serve: --config FILE (or ROUTER_CONFIG) starts the platform's front, " +
+			"--modelapi FILE with listen set the model API, --store FILE with id set the store")
+	}
+	return c, nil
+}
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -18,12 +18,8 @@
 	"lichenshelf/router"
 )
 
-// startFleet starts this router's fleet agent if the file names a fleet.
-func (d *daemon) startFleet(ctx, starting context.Context) error {
-	cfg, err := agent.LoadConfig(d.files.Fleet)
-	if err != nil || cfg.Fleet == "" {
-		return err
-	}
+// startFleet starts this router's fleet agent.
+func (d *daemon) startFleet(ctx, starting context.Context, cfg *agent.Config) error {
 	life := uint64(time.Now().UnixNano())
 	if err := d.openEventLog(cfg, life); err != nil {
 		return err
@@ -36,17 +32,13 @@
 	if err != nil {
 		return fmt.Errorf("listen for the fleet: %w", err)
 	}
-	d.fleet, d.fleetSize, d.fleetCfg = a, len(cfg.Routers), cfg
+	d.fleet, d.fleetSize = a, len(cfg.Routers)
 	d.versionLog.advanceLocal("fleet/terms", a.Terms())
 	d.versionLog.setOnChange(a.SetVersions)
 	if g := cfg.Straggler.Grace.Duration; g > 0 {
 		d.fence = newFence(g)
 	}
-	go func() {
-		if err := a.Serve(l); err != nil {
-			d.failed <- err
-		}
-	}()
+	d.serveBeside("fleet", func() error { return a.Serve(l) })
 	go func() {
 		defer l.Close()
 		a.Run(ctx)
@@ -55,7 +47,12 @@
 	if cfg.Operator == "" {
 		return nil
 	}
-	return d.serveConsole(starting, cfg.Operator, console.New(func() bool { return !d.stopping.Load() }, nil).WithFleet(fleetPages{a, &d.versionLog}))
+	operators, err := d.openConsole(starting, cfg.Operator)
+	if err != nil {
+		return err
+	}
+	d.serveConsole(operators, console.New(func() bool { return !d.stopping.Load() }, nil).WithFleet(fleetPages{a, &d.versionLog}))
+	return nil
 }
 
 // setQuotas makes the quotas of accounts limits over all routers. They are a separate version in
--- a/internal/daemon/modelapi.go
+++ b/internal/daemon/modelapi.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"net"
 	"time"
 
 	"lichenshelf/discovery/sources"
@@ -15,20 +17,49 @@
 // modelAPIAcceptFor is how long after SIGTERM the model API accepts new client connections.
 const modelAPIAcceptFor = 30 * time.Second
 
-func (d *daemon) startModelAPI(ctx, starting context.Context) error {
-	cfg, err := modelapi.LoadConfig(d.files.ModelAPI)
-	if err != nil || cfg.Listen == "" {
-		return err
-	}
-	var follower *configFollower
-	if d.storeClient != nil {
-		if err := d.waitForStore(starting); err != nil {
-			return err
+// The pauses between attempts to start the model API.
+const (
+	minModelAPIRetry = time.Second
+	maxModelAPIRetry = 30 * time.Second
+)
+
+// startModelAPIFromStore starts the model API with the newest configuration in the store. Until the
+// store can be read, and after any error, it tries again: the other components need no model API.
+func (d *daemon) startModelAPIFromStore(ctx context.Context) {
+	retry := transient.NewBackoff(minModelAPIRetry, maxModelAPIRetry)
+	for {
+		err := d.tryModelAPIFromStore(ctx)
+		if err == nil || ctx.Err() != nil || errors.Is(err, errStopping) {
+			return
 		}
-		if follower, err = d.newConfigFollower(starting, cfg); err != nil {
-			return err
+		d.log.WithError(err).Error("model API not started yet, retrying")
+		select {
+		case <-time.After(retry.NextBackOff()):
+		case <-ctx.Done():
+			return
 		}
 	}
+}
+
+func (d *daemon) tryModelAPIFromStore(ctx context.Context) error {
+	if err := d.waitForStore(ctx); err != nil {
+		return err
+	}
+	file := d.modelAPIFile()
+	follower, err := d.newConfigFollower(ctx, file)
+	if err != nil {
+		return err
+	}
+	l, err := d.openForClients(ctx, file.Listen)
+	if err != nil {
+		return err
+	}
+	return d.serveModelAPI(ctx, follower.cfg, follower, l)
+}
+
+// serveModelAPI starts the model API with a configuration, which a follower then keeps up to date
+// unless it is nil.
+func (d *daemon) serveModelAPI(ctx context.Context, cfg *modelapi.Config, follower *configFollower, l net.Listener) error {
 	workers, clients := divideSockets(defaultSockets)
 	var budgets modelapi.Budgets
 	if d.fleet != nil {
@@ -45,23 +76,25 @@
 	core := d.startCore(ctx, logic.New(settings, uint64(time.Now().UnixNano())), sharing.wrapTransport(modelapi.NewTransport(cfg, workers, d.counters)), sharing,
 		settings, cfg.MaxOpen)
 	feed, err := d.startFeed(sources.ModelAPI, sharing.memberReceiver(core), nil)
-	if err != nil {
-		return err
+	if err == nil {
+		err = d.reportModelAPIBackends(nil)
 	}
-	if err := reportBackends(feed, cfg); err != nil {
-		return err
+	if err != nil {
+		return errors.Join(err, l.Close())
 	}
 	ready := func() bool { return feed.Ready() && !d.stopping.Load() }
 	models := modelapi.NewFront(cfg, ready, budgets)
-	d.shuttableFronts = append(d.shuttableFronts, models)
+	d.addShuttable(models)
 	if follower != nil {
 		follower.front, follower.core = models, core
-		d.configFollower = follower
+		d.setFollower(follower)
 		go follower.run(ctx)
 	}
-	return d.listen(starting, cfg.Listen, front{core: core, shutdownTiming: newCurrentShutdownTiming(shutdownTiming{acceptFor: modelAPIAcceptFor})}, downstream.Config{Handler: models.Handle,
+	err = d.serve(l, front{core: core, shutdownTiming: newCurrentShutdownTiming(shutdownTiming{acceptFor: modelAPIAcceptFor})}, downstream.Config{Handler: models.Handle,
 		Problem: modelapi.Problem, MaxBody: cfg.MaxBody,
 		MaxBytes: cfg.MaxBytes, MaxConns: clients})
+	d.modelAPIServing.Store(err == nil)
+	return err
 }
 
 // waitForStore waits until the newest configuration can be read from the store. Otherwise a router
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math"
+	"net"
 	"os"
 	"runtime"
 	"runtime/debug"
@@ -74,12 +75,9 @@
 	return memory
 }
 
-// startPlatform starts the platform's front, its list of workers and the operators' address.
-func (d *daemon) startPlatform(ctx, starting context.Context) error {
-	cfg, err := platform.LoadConfig(d.files.Platform, os.Getenv)
-	if err != nil {
-		return err
-	}
+// startPlatform starts the platform's front, its list of workers and the operators' address. The
+// clients' address is opened last, when nothing can fail any more.
+func (d *daemon) startPlatform(ctx, starting context.Context, cfg *platform.Config) error {
 	for _, warning := range ConfigWarnings(cfg) {
 		d.log.Warn(warning)
 	}
@@ -114,18 +112,27 @@
 		return settled && !d.stopping.Load()
 	}
 	d.platform, d.platformCore = platform.NewFront(cfg, ready), core
-	d.shuttableFronts = append(d.shuttableFronts, d.platform)
+	d.addShuttable(d.platform)
 	d.initialShutdownTiming = platformShutdownTiming(cfg)
 	d.shutdownTiming = newCurrentShutdownTiming(d.initialShutdownTiming)
-	if err := d.listen(starting, cfg.Listen, front{core: core, shutdownTiming: d.shutdownTiming}, downstream.Config{Handler: d.countArrivals(d.platform.Handle),
-		Problem: downstream.TextProblem, MaxBody: platform.MaxBody,
-		MaxBytes: int64(float64(memory) * bodyMemoryShare), MaxConns: clients}); err != nil {
+	var operators net.Listener
+	if cfg.Console != "" {
+		var err error
+		if operators, err = d.openConsole(starting, cfg.Console); err != nil {
+			return err
+		}
+	}
+	l, err := d.openForClients(starting, cfg.Listen)
+	if err != nil {
 		return err
 	}
-	if cfg.Console == "" {
-		return nil
+	err = d.serve(l, front{core: core, shutdownTiming: d.shutdownTiming}, downstream.Config{Handler: d.countArrivals(d.platform.Handle),
+		Problem: downstream.TextProblem, MaxBody: platform.MaxBody,
+		MaxBytes: int64(float64(memory) * bodyMemoryShare), MaxConns: clients})
+	if err == nil && operators != nil {
+		d.serveConsole(operators, console.New(ready, d.cordon))
 	}
-	return d.serveConsole(starting, cfg.Console, console.New(ready, d.cordon))
+	return err
 }
 
 // recordList records the discovery and the version of the list that the router acts on.
@@ -137,18 +144,17 @@
 	d.versionLog.observe(discoveryPart+addr, uint64(max(generation, 0)))
 }
 
-// serveConsole opens an operators' address, which is served until the process ends.
-func (d *daemon) serveConsole(starting context.Context, addr string, c *console.Console) error {
+// openConsole opens an operators' address.
+func (d *daemon) openConsole(starting context.Context, addr string) (net.Listener, error) {
 	l, err := d.open(starting, addr, listenTCP)
 	if err != nil {
-		return fmt.Errorf("listen for the console: %w", err)
+		return nil, fmt.Errorf("listen for the console: %w", err)
 	}
-	server := d.withMetrics(c).Server(l, d.counters)
-	go func() {
-		if err := server.Serve(); err != nil {
-			d.failed <- err
-		}
-	}()
-	d.log.WithField("console", addr).Info("serving the console")
-	return nil
+	return l, nil
+}
+
+// serveConsole serves an operators' address until the process ends.
+func (d *daemon) serveConsole(l net.Listener, c *console.Console) {
+	d.serveBeside("console", d.withMetrics(c).Server(l, d.counters).Serve)
+	d.log.WithField("console", l.Addr().String()).Info("serving the console")
 }
--- a/internal/daemon/signals.go
+++ b/internal/daemon/signals.go
@@ -71,10 +71,10 @@
 			d.log.WithError(err).Error("sources not reloaded, the previous ones stay in use")
 		}
 	}
-	if feed := d.feeds[sources.ModelAPI]; feed != nil {
+	if d.modelAPIFile() != nil {
 		cfg, err := modelapi.LoadConfig(d.files.ModelAPI)
 		if err == nil {
-			err = reportBackends(feed, cfg)
+			err = d.reportModelAPIBackends(cfg)
 		}
 		if err != nil {
 			d.log.WithError(err).Error("backends not reloaded, the previous list stays in use")
@@ -90,6 +90,8 @@
 	if err != nil {
 		return err
 	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	if c.HasSourcesFor(sources.Platform) && d.watch != nil && d.feeds[sources.Platform] == nil {
 		return fmt.Errorf("%s: the platform's front was started without sources; a restart is needed to add them", d.files.Sources)
 	}
--- a/internal/daemon/sources.go
+++ b/internal/daemon/sources.go
@@ -9,13 +9,22 @@
 	"lichenshelf/router"
 )
 
+// registry returns the access of sources to this router's replica, nil if it holds none.
+func (d *daemon) registry() storesource.Registry {
+	if d.replica == nil {
+		return nil
+	}
+	return storesource.Replica{Replica: d.replica}
+}
+
+// checkSources checks the sources of a front that has not started.
+func (d *daemon) checkSources(front string, names sources.Names) error {
+	return sources.NewFeed(front, discardCore{}, d.registry(), names, d.log).Check(d.configs.sources, d.sourcesOf(front, d.configs.sources))
+}
+
 // startFeed starts the sources of a front, which report to its core.
 func (d *daemon) startFeed(front string, core sources.Core, names sources.Names) (*sources.Feed, error) {
-	var registry storesource.Registry
-	if d.replica != nil {
-		registry = storesource.Replica{Replica: d.replica}
-	}
-	f := sources.NewFeed(front, core, registry, names, d.log)
+	f := sources.NewFeed(front, core, d.registry(), names, d.log)
 	f.OnReport = func(source string, v uint64, own bool) {
 		part := "workers/" + front + "/" + source
 		if !own {
@@ -23,6 +32,9 @@
 		}
 		d.versionLog.observe(part, v)
 	}
+	// The lock keeps a reload from replacing the sources meanwhile.
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	if err := f.Apply(d.ctx, d.sources, d.sourcesOf(front, d.sources)); err != nil {
 		return nil, err
 	}
--- a/internal/daemon/store.go
+++ b/internal/daemon/store.go
@@ -23,16 +23,15 @@
 
 // startStore starts this router's replica, or follows those of others. starting ends when the
 // program receives a stop signal during the start.
-func (d *daemon) startStore(starting context.Context) error {
-	cfg, err := store.LoadConfig(d.files.Store)
-	if err == nil && len(cfg.Follow) > 0 {
+func (d *daemon) startStore(starting context.Context, cfg *store.Config) error {
+	if len(cfg.Follow) > 0 {
 		f := store.NewFollower(cfg.Name, followPollInterval, cfg.Follow...)
 		d.storeClient = f
 		go f.Run(d.ctx, modelapi.ConfigName)
 		d.log.WithField("name", cfg.Name).WithField("follow", cfg.Follow).Info("following the store")
 	}
-	if err != nil || cfg.ID == "" {
-		return err
+	if cfg.ID == "" {
+		return nil
 	}
 	cfg.Log = d.log.Out
 	l, err := d.open(starting, cfg.Self().API, listenTCP)
@@ -44,11 +43,7 @@
 	}
 	d.storeClient = ownReplica{d.replica}
 	d.api = store.NewAPI(d.replica, storeChecks)
-	go func() {
-		if err := d.api.Serve(l); err != nil {
-			d.failed <- err
-		}
-	}()
+	d.serveBeside("store", func() error { return d.api.Serve(l) })
 	d.log.WithFields(logrus.Fields{"id": cfg.ID, "api": cfg.Self().API}).Info("store open")
 	if cfg.ZooKeeper == "" {
 		return nil
@@ -58,11 +53,7 @@
 		return fmt.Errorf("listen for ZooKeeper clients: %w", err)
 	}
 	d.zk = zkfront.New(d.replica, zkfront.Config{Self: cfg.ID, Log: d.log})
-	go func() {
-		if err := d.zk.Serve(clients); err != nil {
-			d.failed <- err
-		}
-	}()
+	d.serveBeside("zookeeper", func() error { return d.zk.Serve(clients) })
 	d.log.WithField("zookeeper", cfg.ZooKeeper).Info("serving ZooKeeper clients")
 	return nil
 }
--- a/internal/daemon/straggler.go
+++ b/internal/daemon/straggler.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"lichenshelf/fleet/agent"
 	"lichenshelf/fleet/audit"
 	"lichenshelf/fleet/straggler"
 	"lichenshelf/fleet/version"
@@ -70,24 +69,25 @@
 	storeAnswered bool       // whether the store answered the last poll
 }
 
-// startStragglerMonitor starts the monitor if the fleet's file sets a grace.
-func (d *daemon) startStragglerMonitor(ctx context.Context, cfg *agent.Config) error {
-	c := cfg.Straggler
-	if c.Grace.Duration == 0 {
-		return nil
+// newStragglerMonitor returns the monitor, or nil if there is no front or the fleet's file sets no
+// grace.
+func (d *daemon) newStragglerMonitor() (*stragglerMonitor, error) {
+	cfg := d.configs.fleet
+	if cfg == nil || cfg.Straggler.Grace.Duration == 0 || d.configs.platform == nil && d.configs.modelAPI == nil {
+		return nil, nil
 	}
+	c := cfg.Straggler
 	s := &stragglerMonitor{d: d, start: time.Now(), interval: max(c.Grace.Duration/pollsPerGrace, minPollInterval),
 		cfg: straggler.Config{Routers: len(cfg.Routers), Rank: cfg.Rank(), Versions: 1, Grace: c.Grace.Duration, MaxAge: c.MaxAge.Duration,
 			MaxShut: c.MaxShut, Rate: c.Rate, Steady: c.Steady.Duration}}
 	var err error
 	if s.machine, err = straggler.New(s.cfg, rand.New(rand.NewPCG(uint64(s.start.UnixNano()), uint64(s.cfg.Rank)))); err != nil {
-		return fmt.Errorf("%s: %w", d.files.Fleet, err)
+		return nil, fmt.Errorf("%s: %w", d.files.Fleet, err)
 	}
 	if d.storeClient != nil {
 		s.slots = newShutSlots(d.storeClient, s.cfg.Slots(), s.start)
 	}
-	go s.run(ctx)
-	return nil
+	return s, nil
 }
 
 func (s *stragglerMonitor) run(ctx context.Context) {
@@ -120,9 +120,10 @@
 	began, answered := time.Now(), false
 	at := straggler.Time(began.Sub(s.start))
 	s.view.Held = s.d.versionLog.held()
-	if s.d.configFollower != nil {
+	follower := s.d.follower()
+	if follower != nil {
 		// Set even if this router uses no published version; the version is 0 then.
-		s.view.Held[configPart] = s.d.configFollower.version()
+		s.view.Held[configPart] = follower.version()
 	}
 	newest, age, known := s.d.fleet.Newest()
 	if known && age < s.cfg.Grace {
@@ -130,12 +131,12 @@
 	} else if s.view.Newest == nil {
 		s.view.Newest = version.Vector{}
 	}
-	if s.d.configFollower != nil && s.d.storeClient.CatchUp(ctx, modelapi.ConfigName) == nil {
+	if follower != nil && s.d.storeClient.CatchUp(ctx, modelapi.ConfigName) == nil {
 		answered = true
 		s.storeVersion, s.view.ConfirmedAt = s.d.storeClient.Latest(modelapi.ConfigName).Version, at
 	}
 	// The version read from the store remains valid while the store cannot be reached.
-	if s.d.configFollower != nil {
+	if follower != nil {
 		s.view.Newest[configPart] = max(s.view.Newest[configPart], s.storeVersion)
 	}
 	s.storeAnswered = answered
@@ -159,10 +160,10 @@
 // catchUp requests the versions that this router lacks: it retries a refused configuration and asks
 // discovery for the missing changes.
 func (s *stragglerMonitor) catchUp() {
-	if s.d.configFollower != nil && s.view.Held[configPart] < s.view.Newest[configPart] {
-		s.d.configFollower.retryRefused()
+	if follower := s.d.follower(); follower != nil && s.view.Held[configPart] < s.view.Newest[configPart] {
+		follower.retryRefused()
 		if !s.storeAnswered { // other routers may have reached the store and have the text
-			s.d.fleet.RequestText(configPart, s.view.Held[configPart], s.d.configFollower.offer)
+			s.d.fleet.RequestText(configPart, s.view.Held[configPart], follower.offer)
 		}
 	}
 	for part, v := range s.view.Newest {
@@ -172,12 +173,6 @@
 	}
 }
 
-func (s *stragglerMonitor) setShut(shut bool) {
-	for _, f := range s.d.shuttableFronts {
-		f.Shut(shut)
-	}
-}
-
 func (s *stragglerMonitor) act(ctx context.Context, a straggler.Action) {
 	log := s.d.log.WithField("newest", s.view.Newest).WithField("held", s.view.Held)
 	switch a.Kind {
@@ -189,12 +184,12 @@
 		s.updateSlots(ctx, "straggler slot not released yet", s.slots.release)
 	case straggler.Shut:
 		log.WithField("why", a.Why).Error("shut out: this router takes nothing new until it has caught up")
-		s.setShut(true)
+		s.d.setShut(true)
 		s.d.versionLog.recordShut(audit.ShutOut, a.Why)
 	case straggler.Readmit:
 		log.Warn("let in again")
 		s.d.versionLog.recordShut(audit.Readmitted, "")
 		s.d.fleet.Renew()
-		s.setShut(false)
+		s.d.setShut(false)
 	}
 }
--- a/store/follower.go
+++ b/store/follower.go
@@ -120,6 +120,9 @@
 	return f.latest[name]
 }
 
+// Revisions returns the retained versions of a configuration, oldest first.
+func (f *Follower) Revisions(name string) ([]Revision, error) { return f.client.Published(name) }
+
 // Follow returns a channel that is closed at the next version of a configuration, and a function
 // that cancels the wait.
 func (f *Follower) Follow(name string) (changed <-chan struct{}, stop func(), err error) {
