Store: a session's takeover without an answer is read back, and repeated if nothing changed

Cause: AttachSession returned ErrUnknown at once; OpenSession repeats. A plain repeat could take the session back from a connection that the client has opened elsewhere meanwhile. Change: after an unknown outcome the replica catches up and reads the holder: itself, done; the one before, repeat; another one, ErrMoved.

--- a/front/zkfront/hard_test.go
+++ b/front/zkfront/hard_test.go
@@ -224,6 +224,29 @@
 	require.Equal(t, 1, sessions)
 }
 
+// A session is resumed although the answer of the leader to its command is lost.
+func TestSessionResumesAfterLostAnswer(t *testing.T) {
+	c := newProxiedCluster(t)
+	leader := c.leader()
+	follower := (leader + 1) % 3
+	raw, opened := c.hello(follower, zkwire.ConnectRequest{TimeoutMs: 20_000, Password: make([]byte, 16)})
+	require.NoError(t, raw.Close())
+	c.proxies[leader].muted.Store(true)
+	again, err := net.Dial("tcp", c.addrs[follower])
+	require.NoError(t, err)
+	defer again.Close()
+	_, err = again.Write(zkwire.Append(nil, &zkwire.ConnectRequest{TimeoutMs: 20_000, SessionID: opened.SessionID, Password: opened.Password}))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return c.proxies[leader].dropped.Load() > 0 }, testTimeout, time.Millisecond)
+	c.proxies[leader].muted.Store(false)
+	require.NoError(t, again.SetReadDeadline(time.Now().Add(testTimeout)))
+	body, err := zkwire.ReadFrame(again, zkwire.MaxFrame)
+	require.NoError(t, err)
+	var answer zkwire.ConnectResponse
+	require.NoError(t, zkwire.DecodeAll(body, &answer))
+	require.Equal(t, opened.SessionID, answer.SessionID)
+}
+
 // Beyond the limit on connections, new ones are closed and the others are still served.
 func TestConnectionLimit(t *testing.T) {
 	c := newClusterWith(t, func(c *cluster) { c.conns = 1 })
--- a/store/forward.go
+++ b/store/forward.go
@@ -242,9 +242,41 @@
 }
 
 // AttachSession makes another connection the holder of a session. ErrNoSession means that the
-// session has ended or that the password does not match.
+// session has ended or that the password does not match. While the outcome is not known, the holder
+// is read back until ctx ends, and the command is repeated if nothing has changed. ErrMoved means
+// that yet another connection has become the holder meanwhile: a repeat would take the session from
+// it.
 func (r *Replica) AttachSession(ctx context.Context, id string, password []byte, holder string) error {
-	return resultError(r.propose(ctx, command{Op: opAttach, Session: id, Claim: &claim{password, holder}}))
+	before, _ := r.sessionHolder(id)
+	retry := transient.NewBackoff(minSubmitPause, maxSubmitPause)
+	for {
+		err := resultError(r.propose(ctx, command{Op: opAttach, Session: id, Claim: &claim{password, holder}}))
+		if !errors.Is(err, ErrUnknown) {
+			return err
+		}
+		for r.CatchUp(ctx) != nil {
+			select {
+			case <-time.After(retry.NextBackOff()):
+			case <-ctx.Done():
+				return err
+			}
+		}
+		switch current, exists := r.sessionHolder(id); {
+		case !exists:
+			return fmt.Errorf("%w: %s", ErrNoSession, id)
+		case current == holder:
+			return nil
+		case current != before:
+			return fmt.Errorf("%w: %s", ErrMoved, id)
+		}
+	}
+}
+
+// sessionHolder returns the holder of a session as this replica has it, and false if there is no
+// such session.
+func (r *Replica) sessionHolder(id string) (holder string, exists bool) {
+	r.View(func(v View) { holder, exists = v.Holder(id) })
+	return holder, exists
 }
 
 // CloseSession ends a session on behalf of its holder.
--- a/store/outcome_test.go
+++ b/store/outcome_test.go
@@ -209,6 +209,47 @@
 	ctx.SetBodyString(fmt.Sprintf(`{"error":%q}`, s.answer.text))
 }
 
+// A connection takes over a session although the answer to its command is lost, unless yet another
+// connection has taken the session over meanwhile.
+func TestAttachIsReadBackAfterAnUnknownOutcome(t *testing.T) {
+	const other = "other-holder"
+	for _, test := range []struct {
+		name           string
+		applied, moved bool
+		want           error
+		holder         string
+	}{
+		{"applied", true, false, nil, "next-holder"},
+		{"not applied", false, false, nil, "next-holder"},
+		{"moved meanwhile", false, true, ErrMoved, other},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := newCluster(t)
+			leader := c.leader()
+			follower := c.replicas[(leader+1)%3]
+			newAppender(t, follower, "/log")
+			standIn := &leaderStandIn{answer: leaderAnswer{status: fasthttp.StatusGatewayTimeout, outcome: OutcomeUnknown, text: ErrUnknown.Error(), applied: test.applied}}
+			handle := func(ctx *fasthttp.RequestCtx, next fasthttp.RequestHandler) {
+				if test.moved && string(ctx.Path()) == commandsPath && standIn.answered.Load() == 0 {
+					_, err := c.replicas[leader].apply(command{Op: opAttach, Session: testSession, Claim: &claim{Holder: other}})
+					if err != nil {
+						t.Error(err)
+					}
+				}
+				standIn.handle(ctx, next)
+			}
+			c.intercept.Store(&handle)
+			err := follower.AttachSession(t.Context(), testSession, nil, "next-holder")
+			c.intercept.Store(nil)
+			require.ErrorIs(t, err, test.want)
+			require.NotZero(t, standIn.answered.Load())
+			holder, exists := follower.sessionHolder(testSession)
+			require.True(t, exists)
+			require.Equal(t, test.holder, holder)
+		})
+	}
+}
+
 // Guards against the same where the follower is of an earlier release, which sends a command again
 // after 307 and 503: an unknown outcome must have another status. It also guards what other callers
 // rely on.
