test: the idle sessions of a ZooKeeper front are pinged in time on a busy machine

Trace (the front's log at debug): 120 connections ended with "i/o timeout", the front having read nothing for the session's time-out of 6 s: connecting the next 500 sessions took longer than that. Such an end is right. Change: 100 sessions are connected at a time, and those whose last frame is a sixth of the time-out old are pinged in between. All sessions still have to stay connected and to answer, over the same time.

--- a/front/zkfront/hard_test.go
+++ b/front/zkfront/hard_test.go
@@ -153,6 +153,7 @@
 		}
 	}
 	const timeout = 6 * time.Second
+	lastFrames := make([]time.Time, idle) // when each session's last frame was answered
 	ping := zkwire.Append(nil, &zkwire.RequestHeader{Xid: zkwire.XidPing, Op: zkwire.OpPing})
 	pinged := func(i int) error {
 		if _, err := conns[i].Write(ping); err != nil {
@@ -162,6 +163,7 @@
 			return err
 		}
 		_, err := zkwire.ReadFrame(conns[i], zkwire.MaxFrame)
+		lastFrames[i] = time.Now()
 		return err
 	}
 	connect := func(i int) error {
@@ -174,8 +176,15 @@
 			return err
 		}
 		_, err = zkwire.ReadFrame(raw, zkwire.MaxFrame)
+		lastFrames[i] = time.Now()
 		return err
 	}
+	pingDue := func(i int) error {
+		if time.Since(lastFrames[i]) < timeout/6 {
+			return nil
+		}
+		return pinged(i)
+	}
 	defer func() {
 		for _, raw := range conns {
 			if raw != nil {
@@ -183,14 +192,15 @@
 			}
 		}
 	}()
-	// On a busy machine, connecting all sessions may take longer than the session timeout, so the
-	// connected ones are pinged in between.
-	const part = 500
+	// On a busy machine, connecting some hundred sessions may take longer than the session timeout,
+	// so the connected ones are pinged in between, before a sixth of it has passed for them.
+	const part = 100
 	for from := 0; from < idle; from += part {
 		to := min(from+part, idle)
 		each(from, to, connect)
-		each(0, to, pinged)
+		each(0, to, pingDue)
 	}
+	each(0, idle, pinged)
 	busy := c.dial(10*time.Second, 0)
 	for from, round := time.Now(), 0; time.Since(from) < timeout+2*time.Second; round++ {
 		each(0, idle, pinged)
