--- a/front/zkfront/hard_test.go
+++ b/front/zkfront/hard_test.go
@@ -153,6 +153,7 @@
 		}
 	}
 	const timeout = 6 * time.Second
+	lastFrames := make([]time.Time, idle) // when each session's last frame was answered
 	ping := zkwire.Append(nil, &zkwire.RequestHeader{Xid: zkwire.XidPing, Op: zkwire.OpPing})
 	pinged := func(i int) error {
 		if _, err := conns[i].Write(ping); err != nil {
@@ -162,6 +163,7 @@
 			return err
 		}
 		_, err := zkwire.ReadFrame(conns[i], zkwire.MaxFrame)
+		lastFrames[i] = time.Now()
 		return err
 	}
 	connect := func(i int) error {
@@ -174,8 +176,15 @@
 			return err
 		}
 		_, err = zkwire.ReadFrame(raw, zkwire.MaxFrame)
+		lastFrames[i] = time.Now()
 		return err
 	}
+	pingDue := func(i int) error {
+		if time.Since(lastFrames[i]) < timeout/6 {
+			return nil
+		}
+		return pinged(i)
+	}
 	defer func() {
 		for _, raw := range conns {
 			if raw != nil {
@@ -183,14 +192,15 @@
 			}
 		}
 	}()
-	// On a busy machine, connecting all sessions may take longer than the session timeout, so the
-	// connected ones are pinged in between.
-	const part = 500
+	// On a busy machine, connecting some hundred sessions may take longer than the session timeout,
+	// so the connected ones are pinged in between, before a sixth of it has passed for them.
+	const part = 100
 	for from := 0; from < idle; from += part {
 		to := min(from+part, idle)
 		each(from, to, connect)
-		each(0, to, pinged)
+		each(0, to, pingDue)
 	}
+	each(0, idle, pinged)
 	busy := c.dial(10*time.Second, 0)
 	for from, round := time.Now(), 0; time.Since(from) < timeout+2*time.Second; round++ {
 		each(0, idle, pinged)
@@ -224,6 +234,29 @@
 	require.Equal(t, 1, sessions)
 }
 
+// A session is resumed although the answer of the leader to its command is lost.
+func TestSessionResumesAfterLostAnswer(t *testing.T) {
+	c := newProxiedCluster(t)
+	leader := c.leader()
+	follower := (leader + 1) % 3
+	raw, opened := c.hello(follower, zkwire.ConnectRequest{TimeoutMs: 20_000, Password: make([]byte, 16)})
+	require.NoError(t, raw.Close())
+	c.proxies[leader].muted.Store(true)
+	again, err := net.Dial("tcp", c.addrs[follower])
+	require.NoError(t, err)
+	defer again.Close()
+	_, err = again.Write(zkwire.Append(nil, &zkwire.ConnectRequest{TimeoutMs: 20_000, SessionID: opened.SessionID, Password: opened.Password}))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return c.proxies[leader].dropped.Load() > 0 }, testTimeout, time.Millisecond)
+	c.proxies[leader].muted.Store(false)
+	require.NoError(t, again.SetReadDeadline(time.Now().Add(testTimeout)))
+	body, err := zkwire.ReadFrame(again, zkwire.MaxFrame)
+	require.NoError(t, err)
+	var answer zkwire.ConnectResponse
+	require.NoError(t, zkwire.DecodeAll(body, &answer))
+	require.Equal(t, opened.SessionID, answer.SessionID)
+}
+
 // Beyond the limit on connections, new ones are closed and the others are still served.
 func TestConnectionLimit(t *testing.T) {
 	c := newClusterWith(t, func(c *cluster) { c.conns = 1 })
