Chunked answers: white space before a chunk extension is malformed, as in net/http

Callers saw: nothing reported. Cause: chunked.size cut the extension off and then trimmed white space, so that which stands before the semicolon went too. Change: white space is trimmed only at the end of a line without an extension.

--- a/upstream/chunked.go
+++ b/upstream/chunked.go
@@ -64,8 +64,10 @@
 	if err != nil {
 		return 0, err
 	}
-	digits, _, _ := bytes.Cut(line, []byte(";"))
-	digits = bytes.TrimRight(digits, " \t")
+	digits, _, hasExtension := bytes.Cut(line, []byte(";"))
+	if !hasExtension { // white space may end the line, and may not stand before an extension
+		digits = bytes.TrimRight(digits, " \t")
+	}
 	size, err := strconv.ParseUint(string(digits), 16, 63)
 	if err != nil || len(digits) > maxSizeDigits || size > maxChunk {
 		return 0, fmt.Errorf("%w: size %.20q", errChunk, digits)
