--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -188,11 +188,16 @@
 	return &cfg, nil
 }
 
-// refuse records that a version was not applied.
+// refuse records that a version does not go with this router's file.
 func (p *configFollower) refuse(version uint64, why error) {
+	p.acknowledgeFault(version, why)
+	p.d.versionLog.recordRefusal(configPart, version, why)
+}
+
+// acknowledgeFault logs that a version was not applied, and adds it to the acknowledgement.
+func (p *configFollower) acknowledgeFault(version uint64, why error) {
 	p.d.log.WithError(why).WithField("configuration", modelapi.ConfigName).WithField("version", version).Error("published configuration not applied, the previous one stays in use")
 	p.updateAck(func(a *Ack) { a.Fault, a.Refused = why.Error(), version })
-	p.d.versionLog.recordRefusal(configPart, version, why)
 }
 
 // readRevision returns a retained version of the configuration.
@@ -304,8 +309,7 @@
 	}
 	number, err := p.d.versionLog.activate(configPart, r.Version)
 	if err != nil {
-		log.WithError(err).Error("published configuration not applied, the previous one stays in use")
-		p.updateAck(func(a *Ack) { a.Fault, a.Refused = err.Error(), r.Version })
+		p.acknowledgeFault(r.Version, err) // activate has recorded the refusal
 		return
 	}
 	var restart []string
--- a/internal/daemon/files.go
+++ b/internal/daemon/files.go
@@ -27,41 +27,41 @@
 	sources  *sources.Config
 }
 
+// loadFile reads a configuration file. It returns nil if the path is empty.
+func loadFile[C any](path string, load func(path string) (*C, error)) (*C, error) {
+	if path == "" {
+		return nil, nil
+	}
+	return load(path)
+}
+
+func loadPlatform(path string) (*platform.Config, error) { return platform.LoadConfig(path, os.Getenv) }
+
 // load reads and checks all files, so that an invalid one ends the start before anything is started.
 func (f *Files) load() (c configs, err error) {
-	if f.Sources != "" {
-		if c.sources, err = sources.LoadConfig(f.Sources); err != nil {
-			return c, fmt.Errorf("sources: %w", err)
-		}
+	if c.sources, err = loadFile(f.Sources, sources.LoadConfig); err != nil {
+		return c, fmt.Errorf("sources: %w", err)
+	}
+	if c.store, err = loadFile(f.Store, store.LoadConfig); err != nil {
+		return c, fmt.Errorf("start the store: %w", err)
+	}
+	if c.store != nil && c.store.ID == "" && len(c.store.Follow) == 0 {
+		c.store = nil
+	}
+	if c.fleet, err = loadFile(f.Fleet, agent.LoadConfig); err != nil {
+		return c, fmt.Errorf("start the fleet agent: %w", err)
 	}
-	if f.Store != "" {
-		if c.store, err = store.LoadConfig(f.Store); err != nil {
-			return c, fmt.Errorf("start the store: %w", err)
-		}
-		if c.store.ID == "" && len(c.store.Follow) == 0 {
-			c.store = nil
-		}
+	if c.fleet != nil && c.fleet.Fleet == "" {
+		c.fleet = nil
 	}
-	if f.Fleet != "" {
-		if c.fleet, err = agent.LoadConfig(f.Fleet); err != nil {
-			return c, fmt.Errorf("start the fleet agent: %w", err)
-		}
-		if c.fleet.Fleet == "" {
-			c.fleet = nil
-		}
+	if c.platform, err = loadFile(f.Platform, loadPlatform); err != nil {
+		return c, fmt.Errorf("start the platform's front: %w", err)
 	}
-	if f.Platform != "" {
-		if c.platform, err = platform.LoadConfig(f.Platform, os.Getenv); err != nil {
-			return c, fmt.Errorf("start the platform's front: %w", err)
-		}
+	if c.modelAPI, err = loadFile(f.ModelAPI, modelapi.LoadConfig); err != nil {
+		return c, fmt.Errorf("start the model API: %w", err)
 	}
-	if f.ModelAPI != "" {
-		if c.modelAPI, err = modelapi.LoadConfig(f.ModelAPI); err != nil {
-			return c, fmt.Errorf("start the model API: %w", err)
-		}
-		if c.modelAPI.Listen == "" {
-			c.modelAPI = nil
-		}
+	if c.modelAPI != nil && c.modelAPI.Listen == "" {
+		c.modelAPI = nil
 	}
 	if c.platform == nil && c.modelAPI == nil && (c.store == nil || c.store.ID == "") {
 		return c, errors.New("nothing to serve: --config FILE (or ROUTER_CONFIG) starts the platform's front, " +
--- a/internal/daemon/look.go
+++ b/internal/daemon/look.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"os"
 
 	"github.com/sirupsen/logrus"
 
@@ -25,20 +24,17 @@
 	if front != sources.Platform && front != sources.ModelAPI {
 		return nil, fmt.Errorf("front %q is neither platform nor modelapi", front)
 	}
-	var config *sources.Config
-	var err error
-	if files.Sources != "" {
-		if config, err = sources.LoadConfig(files.Sources); err != nil {
-			return nil, err
-		}
+	config, err := loadFile(files.Sources, sources.LoadConfig)
+	if err != nil {
+		return nil, err
+	}
+	storeConfig, err := loadFile(files.Store, store.LoadConfig)
+	if err != nil {
+		return nil, fmt.Errorf("store: %w", err)
 	}
 	var replicas []string
-	if files.Store != "" {
-		c, err := store.LoadConfig(files.Store)
-		if err != nil {
-			return nil, fmt.Errorf("store: %w", err)
-		}
-		for _, p := range c.Peers {
+	if storeConfig != nil {
+		for _, p := range storeConfig.Peers {
 			replicas = append(replicas, p.API)
 		}
 	}
@@ -65,7 +61,7 @@
 }
 
 func startPlatformSources(ctx context.Context, files Files, config *sources.Config, list []sources.Source, log *logrus.Logger) (*sources.Feed, error) {
-	cfg, err := platform.LoadConfig(files.Platform, os.Getenv)
+	cfg, err := loadPlatform(files.Platform)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/daemon/modelapi.go
+++ b/internal/daemon/modelapi.go
@@ -26,19 +26,14 @@
 // startModelAPIFromStore starts the model API with the newest configuration in the store. Until the
 // store can be read, and after any error, it tries again: the other components need no model API.
 func (d *daemon) startModelAPIFromStore(ctx context.Context) {
-	retry := transient.NewBackoff(minModelAPIRetry, maxModelAPIRetry)
-	for {
-		err := d.tryModelAPIFromStore(ctx)
-		if err == nil || ctx.Err() != nil || errors.Is(err, errStopping) {
-			return
+	retryable := func(err error) bool {
+		if ctx.Err() != nil || errors.Is(err, errStopping) {
+			return false
 		}
 		d.log.WithError(err).Error("model API not started yet, retrying")
-		select {
-		case <-time.After(retry.NextBackOff()):
-		case <-ctx.Done():
-			return
-		}
+		return true
 	}
+	_ = transient.RetryWithBackoff(ctx, minModelAPIRetry, maxModelAPIRetry, retryable, func() error { return d.tryModelAPIFromStore(ctx) })
 }
 
 func (d *daemon) tryModelAPIFromStore(ctx context.Context) error {
--- a/internal/transient/transient.go
+++ b/internal/transient/transient.go
@@ -25,12 +25,21 @@
 // that is not retryable, or ctx ends. It returns the last error of do. If retryable is nil, all
 // errors are retried.
 func Retry(ctx context.Context, interval time.Duration, retryable func(error) bool, do func() error) error {
+	return retry(ctx, func() time.Duration { return interval }, retryable, do)
+}
+
+// RetryWithBackoff is like Retry, with the pauses of NewBackoff.
+func RetryWithBackoff(ctx context.Context, first, longest time.Duration, retryable func(error) bool, do func() error) error {
+	return retry(ctx, NewBackoff(first, longest).NextBackOff, retryable, do)
+}
+
+func retry(ctx context.Context, nextPause func() time.Duration, retryable func(error) bool, do func() error) error {
 	for {
 		err := do()
 		if err == nil || retryable != nil && !retryable(err) {
 			return err
 		}
-		pause := time.NewTimer(interval)
+		pause := time.NewTimer(nextPause())
 		select {
 		case <-pause.C:
 		case <-ctx.Done():
--- a/internal/transient/transient_test.go
+++ b/internal/transient/transient_test.go
@@ -29,6 +29,27 @@
 	require.False(t, Is(errors.New("not a system error")))
 }
 
+func TestPausesOfRetryWithBackoffGrow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const first, longest = 100 * time.Millisecond, time.Second
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		permanent := errors.New("permanent")
+		var calls []time.Time
+		err := RetryWithBackoff(ctx, first, longest, nil, func() error {
+			calls = append(calls, time.Now())
+			return permanent
+		})
+		require.Equal(t, permanent, err)
+		require.LessOrEqual(t, calls[1].Sub(calls[0]), first*3/2)
+		n := len(calls)
+		require.GreaterOrEqual(t, calls[n-1].Sub(calls[n-2]), longest/2)
+		for i := 1; i < n; i++ {
+			require.LessOrEqual(t, calls[i].Sub(calls[i-1]), longest*3/2)
+		}
+	})
+}
+
 func TestRetryEndsOnSuccessPermanentErrorOrTimeout(t *testing.T) {
 	temporary, permanent := errors.New("temporary"), errors.New("permanent")
 	for name, c := range map[string]struct {
--- a/store/forward.go
+++ b/store/forward.go
@@ -84,25 +84,20 @@
 // submit has the leader apply a command. It retries after ErrNotLeader, which means that the
 // command was not applied, as during an election.
 func (r *Replica) submit(ctx context.Context, c command) (*Result, error) {
-	retry := transient.NewBackoff(minSubmitPause, maxSubmitPause)
-	for {
+	var result *Result
+	err := transient.RetryWithBackoff(ctx, minSubmitPause, maxSubmitPause, isNotApplied, func() (err error) {
 		c.TimeMs = time.Now().UnixMilli()
-		var result *Result
-		var err error
 		if r.IsLeader() {
 			result, err = r.applyAsLeader(c)
 		} else {
 			result, err = r.forward(ctx, c)
 		}
-		if !errors.Is(err, ErrNotLeader) {
-			return result, err
-		}
-		select {
-		case <-time.After(retry.NextBackOff()):
-		case <-ctx.Done():
-			return nil, errors.Join(err, ctx.Err())
-		}
+		return err
+	})
+	if isNotApplied(err) {
+		return nil, errors.Join(err, ctx.Err())
 	}
+	return result, err
 }
 
 // applyAsLeader applies a command on the leader.
@@ -227,18 +222,9 @@
 // not known, as when the leader is lost, it is repeated until ctx ends: applied twice it has the same
 // effect.
 func (r *Replica) OpenSession(ctx context.Context, id string, password []byte, holder string, timeout time.Duration) error {
-	retry := transient.NewBackoff(minSubmitPause, maxSubmitPause)
-	for {
-		err := resultError(r.propose(ctx, command{Op: opSession, Session: id, Timeout: timeout, Claim: &claim{password, holder}}))
-		if !errors.Is(err, ErrUnknown) {
-			return err
-		}
-		select {
-		case <-time.After(retry.NextBackOff()):
-		case <-ctx.Done():
-			return err
-		}
-	}
+	return transient.RetryWithBackoff(ctx, minSubmitPause, maxSubmitPause, isUnknown, func() error {
+		return resultError(r.propose(ctx, command{Op: opSession, Session: id, Timeout: timeout, Claim: &claim{password, holder}}))
+	})
 }
 
 // AttachSession makes another connection the holder of a session. ErrNoSession means that the
@@ -248,19 +234,11 @@
 // it.
 func (r *Replica) AttachSession(ctx context.Context, id string, password []byte, holder string) error {
 	before, _ := r.sessionHolder(id)
-	retry := transient.NewBackoff(minSubmitPause, maxSubmitPause)
-	for {
+	return transient.RetryWithBackoff(ctx, minSubmitPause, maxSubmitPause, isUnknown, func() error {
 		err := resultError(r.propose(ctx, command{Op: opAttach, Session: id, Claim: &claim{password, holder}}))
-		if !errors.Is(err, ErrUnknown) {
+		if !isUnknown(err) || r.catchUpRetrying(ctx) != nil {
 			return err
 		}
-		for r.CatchUp(ctx) != nil {
-			select {
-			case <-time.After(retry.NextBackOff()):
-			case <-ctx.Done():
-				return err
-			}
-		}
 		switch current, exists := r.sessionHolder(id); {
 		case !exists:
 			return fmt.Errorf("%w: %s", ErrNoSession, id)
@@ -269,7 +247,13 @@
 		case current != before:
 			return fmt.Errorf("%w: %s", ErrMoved, id)
 		}
-	}
+		return err
+	})
+}
+
+// catchUpRetrying repeats CatchUp until it succeeds or ctx ends.
+func (r *Replica) catchUpRetrying(ctx context.Context) error {
+	return transient.RetryWithBackoff(ctx, minSubmitPause, maxSubmitPause, nil, func() error { return r.CatchUp(ctx) })
 }
 
 // sessionHolder returns the holder of a session as this replica has it, and false if there is no
--- a/store/outcome.go
+++ b/store/outcome.go
@@ -30,12 +30,17 @@
 // ErrUnknown means that a command may or may not have been applied.
 var ErrUnknown = errors.New("the outcome is not known")
 
+func isUnknown(err error) bool { return errors.Is(err, ErrUnknown) }
+
+// isNotApplied reports whether a command failed without having been applied, as during an election.
+func isNotApplied(err error) bool { return errors.Is(err, ErrNotLeader) }
+
 // errHasName marks an unknown outcome of a write that has a name.
 var errHasName = errors.New("it can be sent again under its name")
 
 // withName marks the error of a write that has a name, if its outcome is unknown.
 func withName(err error) error {
-	if errors.Is(err, ErrUnknown) {
+	if isUnknown(err) {
 		return fmt.Errorf("%w; %w", err, errHasName)
 	}
 	return err
--- a/store/reads.go
+++ b/store/reads.go
@@ -40,6 +40,12 @@
 	newestPath  = "/v1/newest"
 	termPath    = "/v1/term"
 	readTimeout = time.Second // for a replica to reach the state that a read needs
+	// The pauses between questions for the latest operation.
+	minNewestPause = 20 * time.Millisecond
+	maxNewestPause = 200 * time.Millisecond
+	// The pauses between attempts to catch up after a start.
+	minRecoveryPause = 10 * time.Millisecond
+	maxRecoveryPause = time.Second
 	// VersionHeader carries the index of the operation up to which an answer is current. A caller
 	// that sends it never gets an answer from an older state.
 	VersionHeader = "X-Store-Version"
@@ -170,24 +176,18 @@
 	return r.reads.do(ctx, func() (uint64, error) {
 		ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
 		defer cancel()
-		retry := transient.NewBackoff(20*time.Millisecond, 200*time.Millisecond)
-		for {
-			var index uint64
-			var err error
+		var index uint64
+		err := transient.RetryWithBackoff(ctx, minNewestPause, maxNewestPause, nil, func() (err error) {
 			if r.IsLeader() {
 				index, err = r.newestAsLeader()
-			} else {
-				err = r.askLeader(ctx, newestPath, nil, &index)
-			}
-			if err == nil {
-				return index, nil
-			}
-			select {
-			case <-time.After(retry.NextBackOff()):
-			case <-ctx.Done():
-				return 0, fmt.Errorf("%w: what is newest is not known: %w", ErrLagging, err)
+				return err
 			}
+			return r.askLeader(ctx, newestPath, nil, &index)
+		})
+		if err != nil {
+			return 0, fmt.Errorf("%w: what is newest is not known: %w", ErrLagging, err)
 		}
+		return index, nil
 	})
 }
 
@@ -211,17 +211,10 @@
 
 // catchUpAfterStart enables local reads once this replica has caught up after its start.
 func (r *Replica) catchUpAfterStart(ctx context.Context) {
-	retry := transient.NewBackoff(10*time.Millisecond, time.Second)
-	for ctx.Err() == nil {
-		if r.CatchUp(ctx) == nil {
-			r.endRecovery()
-			close(r.caughtUp)
-			return
-		}
-		select {
-		case <-time.After(retry.NextBackOff()):
-		case <-ctx.Done():
-		}
+	err := transient.RetryWithBackoff(ctx, minRecoveryPause, maxRecoveryPause, nil, func() error { return r.CatchUp(ctx) })
+	if err == nil {
+		r.endRecovery()
+		close(r.caughtUp)
 	}
 }
 
