A by-key repeat that has waited is sent only while its group remembers the request

Change: rules.MayStart after the wait (window, group, drain, fence, client, time); Attempt.RepeatBy bounds connecting, writing and the acknowledgement; the guard counts a last byte that is later. Why it works: whatever an attempt waits for, the check comes after it.

--- a/router/api.go
+++ b/router/api.go
@@ -43,6 +43,10 @@
 	// SendWithin bounds the time until the request's last byte is sent, connecting included. An
 	// attempt that exceeds it ends as one that never reached its worker. 0 means no bound.
 	SendWithin time.Duration
+	// RepeatBy is when the worker may have forgotten the request, so that a repeat would run again:
+	// its last byte must be sent by then. An attempt that exceeds it ends like one that exceeds
+	// SendWithin, with status Full, since that is no fault of the worker. Zero means no bound.
+	RepeatBy time.Time
 }
 
 // Answer is a worker's answer that has begun.
--- a/router/core_test.go
+++ b/router/core_test.go
@@ -8,12 +8,14 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"lichenshelf/logic"
 	"lichenshelf/metrics"
+	"lichenshelf/router/rules"
 )
 
 // deciderFunc is a decider made of a function that handles single events.
@@ -74,8 +76,12 @@
 func (fakeAnswer) Load() logic.Load { return logic.Load{} }
 
 func run(t *testing.T, d deciderFunc, w *fakeTransport) (*Core, *metrics.Set) {
+	return runWith(t, d, w, logic.Settings{MaxAttempts: 3})
+}
+
+func runWith(t *testing.T, d deciderFunc, w *fakeTransport, settings logic.Settings) (*Core, *metrics.Set) {
 	counters := &metrics.Set{}
-	c := New(Config{Decider: d, Transport: w, Counters: counters, Settings: logic.Settings{MaxAttempts: 3}, MaxOpen: 2})
+	c := New(Config{Decider: d, Transport: w, Counters: counters, Settings: settings, MaxOpen: 2})
 	ctx, cancel := context.WithCancel(context.Background())
 	go c.Run(ctx)
 	t.Cleanup(func() { cancel(); <-c.stopped })
@@ -157,6 +163,88 @@
 	<-w.sent
 }
 
+// Guards against a repeat that was decided within the window of its class or before a drain, waits
+// for a release, and is sent after that (review case 2).
+func TestAttemptThatWaitedForReleaseIsCheckedAgain(t *testing.T) {
+	const window = 2 * time.Second
+	for name, c := range map[string]struct {
+		waits  time.Duration
+		drains bool
+		sent   bool
+	}{
+		"in its window":   {waits: window - time.Millisecond, sent: true},
+		"window over":     {waits: window + time.Millisecond},
+		"worker draining": {drains: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newFakeTransport()
+				w.releaseTaken = make(chan struct{})
+				ended := make(chan logic.Event, 2)
+				core, counters := runWith(t, func(e logic.Event) []logic.Action {
+					send := logic.Action{Kind: logic.Send, ID: max(e.ID, e.Request.ID), Server: 5, After: time.Hour}
+					switch {
+					case e.Kind == logic.Arrived:
+						return []logic.Action{send}
+					case e.Kind != logic.AttemptEnded:
+						return nil
+					}
+					ended <- e
+					if e.Attempt > 0 {
+						return []logic.Action{{Kind: logic.Refuse, ID: e.ID}}
+					}
+					return []logic.Action{{Kind: logic.Release, ID: e.ID}, send}
+				}, w, logic.Settings{MaxAttempts: 3, Classes: []logic.Class{{Effect: logic.EffectByKey, RepeatWindow: window}}})
+				client, _ := submit(core, "a")
+				(<-w.sent).Ended(Outcome{Status: logic.ConnectionReset})
+				<-ended
+				synctest.Wait() // the repeat waits for the release
+				if c.drains {
+					core.Discovered([]Member{{Member: logic.Member{Server: 5, Health: logic.Draining}, Name: "s", Addr: "x:1"}}, false)
+				}
+				time.Sleep(c.waits)
+				close(w.releaseTaken)
+				synctest.Wait()
+				if c.sent {
+					require.Len(t, w.sent, 1)
+					return
+				}
+				require.Empty(t, w.sent)
+				e := <-ended
+				require.Equal(t, logic.Full, e.Status)
+				require.True(t, e.Unreached)
+				require.Equal(t, "refused", <-client.answers)
+				require.EqualValues(t, 1, counters.Get("attempts_withdrawn"))
+				require.Zero(t, counters.Get("rule_violations"), "time has passed, which is no fault of the decider")
+			})
+		})
+	}
+}
+
+// The guard must report a repeat that a transport has sent after the window of its class.
+func TestRepeatWrittenAfterItsWindowIsAViolation(t *testing.T) {
+	for late, violations := range map[time.Duration]int64{rules.SendSlack: 0, rules.SendSlack + time.Millisecond: 1} {
+		synctest.Test(t, func(t *testing.T) {
+			const window = time.Second
+			w := newFakeTransport()
+			core, counters := runWith(t, func(e logic.Event) []logic.Action {
+				if e.Kind == logic.Arrived || e.Kind == logic.AttemptEnded && e.Attempt == 0 {
+					return []logic.Action{{Kind: logic.Send, ID: max(e.ID, e.Request.ID), Server: 5, After: time.Hour}}
+				}
+				return nil
+			}, w, logic.Settings{MaxAttempts: 3, Classes: []logic.Class{{Effect: logic.EffectByKey, RepeatWindow: window}}})
+			submit(core, "a")
+			(<-w.sent).Ended(Outcome{Status: logic.ConnectionReset})
+			repeat := <-w.sent
+			time.Sleep(window + late)
+			repeat.Written(Written{At: time.Now()})
+			repeat.Ended(Outcome{Status: logic.ServerError})
+			synctest.Wait()
+			require.Equal(t, violations, counters.Get("rule_violations_window_over"), late)
+		})
+	}
+}
+
 func TestClientLeavingCancelsAttemptAndReleases(t *testing.T) {
 	ended, w := make(chan logic.Event, 4), newFakeTransport()
 	c, _ := run(t, sendAll(ended), w)
--- a/router/rules/rules.go
+++ b/router/rules/rules.go
@@ -59,6 +59,8 @@
 	ClientLeftSlack = 100 * time.Millisecond
 	// TimeoutSlack is by how much a worker's time-out may exceed the client's remaining time.
 	TimeoutSlack = 150 * time.Millisecond
+	// SendSlack is how long a process may be held up between the check of an attempt and its send.
+	SendSlack = 150 * time.Millisecond
 	// HeldSlack is added to the time for which a read state may be held, for delays in sockets.
 	HeldSlack = 300 * time.Millisecond
 	// startsPerAttempt times the bound on attempts is the bound on started attempts, which include
@@ -132,6 +134,22 @@
 		return AttemptInFlight
 	case r.maxAttempts > 0 && (r.started-r.unreached >= r.maxAttempts || r.started >= startsPerAttempt*r.maxAttempts):
 		return AttemptsExhausted
+	}
+	return r.mayReach(now, to)
+}
+
+// MayStart checks whether the attempt in flight, which MaySend has allowed and which may have waited
+// since, may still be sent to its target. What is not allowed any more is a race: time has passed.
+func (r *Request) MayStart(now time.Time, to Target) Result {
+	if r.answered {
+		return AlreadyAnswered
+	}
+	return r.mayReach(now, to)
+}
+
+// mayReach checks what may change while an attempt waits.
+func (r *Request) mayReach(now time.Time, to Target) Result {
+	switch {
 	case to.Fenced:
 		return Fenced
 	case to.Leaving:
@@ -142,7 +160,7 @@
 		return Allowed
 	case r.class.Effect == logic.EffectOnce:
 		return MayHaveRun
-	case now.Sub(r.ranAt) > r.class.RepeatWindow:
+	case now.After(r.RepeatBy()):
 		return WindowExpired
 	case r.class.Group == logic.GroupZone && to.Zone != r.ranIn.Zone, r.class.Group == logic.GroupCell && to.Cell != r.ranIn.Cell:
 		return OutsideGroup
@@ -150,6 +168,15 @@
 	return Allowed
 }
 
+// RepeatBy returns when the group of a by-key request that may have run forgets it: a repeat must
+// have been sent by then. For other requests it is zero.
+func (r *Request) RepeatBy() time.Time {
+	if !r.mayHaveRun || r.class.Effect != logic.EffectByKey {
+		return time.Time{}
+	}
+	return r.ranAt.Add(r.class.RepeatWindow)
+}
+
 // MayRefuse checks whether the answer may promise that repeating the request is harmless.
 func (r *Request) MayRefuse() Result {
 	if !r.mayHaveRun || r.class.Effect == logic.EffectRepeatable || r.class.Effect == logic.EffectByKey && r.class.Group == logic.GroupAll {
@@ -189,6 +216,14 @@
 	return v
 }
 
+// Written checks whether the last byte of the attempt in flight was sent in time.
+func (r *Request) Written(at time.Time) Result {
+	if by := r.RepeatBy(); !by.IsZero() && at.Sub(by) > SendSlack {
+		return WindowExpired
+	}
+	return Allowed
+}
+
 // hold records that a state is held from now on.
 func (r *Request) hold(now time.Time) { r.heldSince, r.heldReported = now, false }
 
--- a/router/rules/rules_test.go
+++ b/router/rules/rules_test.go
@@ -166,6 +166,12 @@
 				continue
 			}
 			r.Sent(now, to)
+			now = now.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "waits, ms")) * time.Millisecond)
+			if r.MayStart(now, Target{Place: to}) != Allowed {
+				r.Ended(now, logic.Full, true)
+				continue
+			}
+			require.Equal(t, Allowed, r.Written(now))
 			status := logic.Status(rapid.IntRange(int(logic.Served), int(logic.Rejected)).Draw(t, "status"))
 			r.Ended(now, status, false)
 			switch status {
@@ -186,6 +192,46 @@
 	})
 }
 
+// Guards against attempts that are sent after they have waited, though what allowed them has passed
+// meanwhile.
+func TestAttemptIsCheckedAgainAfterItsWait(t *testing.T) {
+	start := time.Now()
+	byKey := logic.Class{Effect: logic.EffectByKey, RepeatWindow: window}
+	for name, c := range map[string]struct {
+		class logic.Class
+		waits time.Duration
+		to    Target
+		left  bool
+		want  Result
+	}{
+		"at the end of its window": {class: byKey, waits: window},
+		"window over":              {class: byKey, waits: window + 1, want: WindowExpired},
+		"repeatable":               {waits: window + 1},
+		"worker began to drain":    {class: byKey, to: Target{Leaving: true}, want: WorkerLeaving},
+		"fenced":                   {class: byKey, to: Target{Fenced: true}, want: Fenced},
+		"its time is over":         {waits: time.Minute + TimeoutSlack + 1, want: DeadlineExpired},
+		"client left":              {class: byKey, left: true, want: AlreadyAnswered},
+	} {
+		r := New(Config{Class: c.class, Deadline: start.Add(time.Minute), MaxAttempts: 3})
+		require.Zero(t, r.RepeatBy(), name)
+		r.Sent(start, Place{})
+		require.Equal(t, Allowed, r.Written(start.Add(time.Hour)), name+": a first attempt is no repeat")
+		r.Ended(start, logic.ConnectionReset, false)
+		r.Sent(start, Place{})
+		if c.left {
+			r.ClientLeft(start)
+		}
+		require.Equal(t, c.want, r.MayStart(start.Add(c.waits), c.to), name)
+		if c.class == byKey {
+			require.Equal(t, start.Add(window), r.RepeatBy(), name)
+			require.Equal(t, Allowed, r.Written(start.Add(window+SendSlack)), name)
+			require.Equal(t, WindowExpired, r.Written(start.Add(window+SendSlack+1)), name)
+		} else {
+			require.Zero(t, r.RepeatBy(), name)
+		}
+	}
+}
+
 // A request whose connection waited past its client's time must be answered soon after it is read.
 func TestAnswerDeadlineOfARequestReadLate(t *testing.T) {
 	deadline := time.Now()
--- a/router/send.go
+++ b/router/send.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"errors"
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -95,16 +97,25 @@
 	s.report(a, Outcome{Status: logic.Full, Unreached: true})
 }
 
-// start passes an attempt to the transport, once.
+// errNoLongerAllowed means that an attempt may not be sent any more after its wait for a release.
+var errNoLongerAllowed = errors.New("not sent after its wait for a release")
+
+// start passes an attempt to the transport, once. It may have waited for a release since it was
+// decided, so the rules are asked again.
 func (s *sender) start(a *attempt) {
 	if a.cancel != nil {
 		return
 	}
+	if v := a.ex.rules.MayStart(time.Now(), s.target(a.toWorker)); v != rules.Allowed {
+		s.count.Add("attempts_withdrawn", 1)
+		s.end(a, Outcome{Status: logic.Full, Unreached: true, Cause: fmt.Errorf("%w: %s", errNoLongerAllowed, v)})
+		return
+	}
 	s.core.guard.record(a.ex, "send", a.ex.rules.Held(time.Now()))
 	waited := time.Since(a.sentAt) // for a release
 	a.ex.history.add(step{kind: stepSend, attempt: a.number, worker: a.toWorker, wait: a.wait - waited})
 	s.core.histories.attemptBegins(a, waited)
-	out := Attempt{Request: a.ex.Request, Worker: a.toWorker, Wait: a.wait - waited}
+	out := Attempt{Request: a.ex.Request, Worker: a.toWorker, Wait: a.wait - waited, RepeatBy: a.ex.rules.RepeatBy()}
 	if a.sendWithin > 0 {
 		out.SendWithin = max(a.sendWithin-waited, time.Nanosecond)
 	}
@@ -133,7 +144,7 @@
 	a.timer.Stop()
 	switch {
 	case a.cancel == nil: // it waited for a release, and its worker was not contacted
-		s.finish(a, Outcome{Status: logic.Full, Unreached: true})
+		s.finish(a, Outcome{Status: logic.Full, Unreached: true, Cause: o.Cause})
 	case o.Status == logic.PromptRead || o.Status == logic.Served:
 		s.finish(a, o)
 	default:
@@ -168,6 +179,9 @@
 func (s *sender) finish(a *attempt, o Outcome) {
 	a.ex.attempt = nil
 	a.ex.lastStatus = o.Status
+	if w := a.written.Load(); w != nil {
+		s.core.guard.record(a.ex, "write", a.ex.rules.Written(w.At))
+	}
 	a.ex.rules.Ended(time.Now(), o.Status, o.Unreached)
 	switch o.Status {
 	case logic.TimedOut, logic.Cancelled, logic.ConnectionReset:
--- a/test/repeats_test.go
+++ b/test/repeats_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -64,6 +66,63 @@
 	}
 }
 
+// Guards against a by_key request that runs twice, since its repeat was decided within the window,
+// waited for a release whose answers got lost, and was sent after the window (review case 2). Its
+// writer breaks off shortly before the end of the window, when its reader drains. With the answers
+// the repeat is sent in time.
+func TestRepeatThatWaitsForReleaseStaysWithinWindow(t *testing.T) {
+	const window, breaksAfter = 500 * time.Millisecond, 400 * time.Millisecond
+	// windowSlack is the tolerance of the platform's pages: 50 ms for sockets, 150 ms for a router
+	// that is held up.
+	const windowSlack = 200 * time.Millisecond
+	for name, answersLost := range map[string]bool{"answers lost": true, "answered": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := deployments[2]
+			d.repeatWindow = window
+			ended, reached := make(chan struct{}), make(chan struct{})
+			var broken atomic.Bool
+			breaks := func(w http.ResponseWriter, r *http.Request) {
+				close(reached)
+				time.Sleep(breaksAfter)
+				broken.Store(true)
+				closeConnection(w, r)
+			}
+			reader, writer := newWorker(t, "s-00000001", d.reader, serveRead), newWorker(t, "s-00000002", d.writer, breaks)
+			mixed := newWorker(t, "s-00000003", d.mixed, serveStream)
+			for _, k := range []*worker{reader, writer, mixed} {
+				k.onRelease = func(string) {
+					if answersLost && broken.Load() {
+						<-ended
+					}
+				}
+			}
+			t.Cleanup(func() { close(ended) })
+			disc := newDiscovery(t)
+			disc.addList(true, "in_service", reader, writer)
+			p := startPlatformFromFile(t, disc, configOf(t, `{"generation":0,"reset":true,"instances":[]}`, d.settings())).waitReady()
+			answers := make(chan answer)
+			go func() { answers <- p.ask(d.keyed, newID(), 4*time.Second) }()
+			<-reached
+			disc.addList(false, "terminating", reader)
+			p.waitForList(disc.addList(false, "in_service", mixed))
+			a := <-answers
+			first, repeats := writer.received(http.MethodPost), mixed.received(http.MethodPost)
+			require.Len(t, first, 1)
+			for _, r := range repeats {
+				require.LessOrEqual(t, r.at.Sub(first[0].at), window+windowSlack, "the repeat ran after its window")
+			}
+			if !answersLost {
+				require.Equal(t, http.StatusOK, a.status)
+				require.Len(t, repeats, 1)
+			}
+			p.signal(syscall.SIGTERM)
+			p.waitExit()
+			require.False(t, p.logged("rule_violations"), "the router's own check of its rules")
+		})
+	}
+}
+
 // A client's retry is a separate request and must proceed while the first one is pending, in every
 // class.
 func TestClientRetryWhileFirstIsPending(t *testing.T) {
--- a/upstream/arrival.go
+++ b/upstream/arrival.go
@@ -13,7 +13,7 @@
 // with a stated waiting time that has partly or wholly passed.
 func (x *attempt) watchAcknowledgement(c *conn) (stop func()) {
 	if !x.sendBy.IsZero() {
-		return x.pollUntilHead(time.Until(ackDeadline(c.writtenAt, x.sendBy)), func() time.Duration {
+		return x.pollUntilHead(time.Until(ackDeadline(c.writtenAt, earliest(x.sendBy, x.RepeatBy))), func() time.Duration {
 			if unacknowledgedBytes(c) > 0 {
 				x.abortUnacknowledged(c)
 			}
@@ -26,7 +26,7 @@
 		switch {
 		case now == 0:
 			return 0
-		case now < last: // progress: a large request over a slow link
+		case now < last && !x.mustHaveArrived(c): // progress: a large request over a slow link
 			last = now
 			return minAckWait / 2
 		}
@@ -35,6 +35,11 @@
 	})
 }
 
+// mustHaveArrived reports whether a repeat that has not arrived by now might run again.
+func (x *attempt) mustHaveArrived(c *conn) bool {
+	return !x.RepeatBy.IsZero() && !time.Now().Before(ackDeadline(c.writtenAt, x.RepeatBy))
+}
+
 // pollUntilHead calls check after the given time, and again after each interval that check returns,
 // until the interval is 0 or stop is called. check runs with the attempt's lock held.
 func (x *attempt) pollUntilHead(after time.Duration, check func() time.Duration) (stop func()) {
--- a/upstream/attempt.go
+++ b/upstream/attempt.go
@@ -25,7 +25,7 @@
 	sink     router.Sink
 	cancel   context.CancelFunc
 	answerBy time.Time // when waiting for the answer ends
-	sendBy   time.Time // when the whole request must have been sent; zero: no limit
+	sendBy   time.Time // when the whole request must have been sent, by SendWithin; zero: no limit
 	// msg is a copy of the request's message from the beginning of the attempt: the request drops
 	// its message when an answer begins, and that may be the answer of another attempt while this
 	// one, already aborted, has not ended yet.
@@ -197,9 +197,12 @@
 // so the worker has not run it.
 func (x *attempt) write(ctx context.Context) (*conn, logic.Status, error) {
 	if x.SendWithin > 0 {
-		var done context.CancelFunc
 		x.sendBy = time.Now().Add(x.SendWithin)
-		ctx, done = context.WithDeadline(ctx, x.sendBy)
+	}
+	sendBy := earliest(x.sendBy, x.RepeatBy)
+	if !sendBy.IsZero() {
+		var done context.CancelFunc
+		ctx, done = context.WithDeadline(ctx, sendBy)
 		defer done()
 	}
 	body := x.msg.Body
@@ -210,17 +213,15 @@
 			return nil, logic.Full, err
 		}
 		if err != nil {
-			return nil, logic.ConnectFailed, err
+			return nil, x.sendFailure(), err
 		}
 		if !x.attachConn(c) {
 			_ = c.Close()
 			return nil, logic.Cancelled, nil
 		}
-		// The drain window is short and connecting takes time: an attempt that was decided before a
-		// drain must not be sent after it.
-		if !x.Worker.MaySend() {
+		if err := x.maySend(); err != nil {
 			_ = c.Close()
-			return nil, logic.Full, errDraining
+			return nil, logic.Full, err
 		}
 		if !c.reused {
 			x.client.cfg.Counters.Add("connections_opened", 1)
@@ -229,7 +230,7 @@
 		// long.
 		head := x.head()
 		bufs := net.Buffers{head, body}
-		_ = c.SetWriteDeadline(x.sendBy) // a stopped worker may accept only a part of the request
+		_ = c.SetWriteDeadline(sendBy) // a stopped worker may accept only a part of the request
 		n, err := bufs.WriteTo(c.TCPConn)
 		c.writtenAt = time.Now()
 		if n == int64(len(head)+len(body)) {
@@ -243,10 +244,41 @@
 		if err != nil && c.reused && !fresh {
 			continue
 		}
-		return nil, logic.ConnectFailed, err
+		return nil, x.sendFailure(), err
+	}
+}
+
+// maySend checks right before the first byte what may have changed since the attempt was decided:
+// connecting takes time, in which its worker may begin to drain or the time for a repeat may end.
+func (x *attempt) maySend() error {
+	if !x.Worker.MaySend() {
+		return errDraining
+	}
+	if x.repeatIsLate() {
+		return errRepeatLate
 	}
+	return nil
 }
 
+// sendFailure returns the status of an attempt that could not be sent whole.
+func (x *attempt) sendFailure() logic.Status {
+	if x.repeatIsLate() {
+		return logic.Full // there was too little time, which says nothing about the worker
+	}
+	return logic.ConnectFailed
+}
+
+// earliest returns the earlier of two times. A zero time is no bound.
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// repeatIsLate reports whether the request must not be sent again any more.
+func (x *attempt) repeatIsLate() bool { return !x.RepeatBy.IsZero() && !time.Now().Before(x.RepeatBy) }
+
 // head returns the request's head. Method, path, query and the client's headers are passed on
 // unchanged.
 func (x *attempt) head() []byte {
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -18,6 +18,7 @@
 var (
 	errNotAcknowledged = errors.New("request not acknowledged by the worker's kernel in time")
 	errDraining        = errors.New("worker began to drain while its connection was opened")
+	errRepeatLate      = errors.New("the time for a repeat ended while its connection was opened")
 )
 
 var errOnlyInterim = errors.New("only interim (1xx) heads received")
--- a/upstream/crossings_test.go
+++ b/upstream/crossings_test.go
@@ -130,6 +130,58 @@
 	}
 }
 
+// Guards against a repeat that is sent after its group has forgotten the request. The end of that
+// time, before or while its connection is opened or written to, is no fault of the worker.
+func TestRepeatIsNotSentAfterItsWindow(t *testing.T) {
+	const window = 50 * time.Millisecond
+	ask := func(c *Client, w *router.Worker, repeatBy time.Time, size int) router.Outcome {
+		e := recordingSink{make(chan router.Outcome, 1), make(chan router.Answer, 1)}
+		r := &router.Request{Payload: &Message{Method: "POST", URI: "/x", Body: make([]byte, size)}}
+		c.Send(router.Attempt{Request: r, Worker: w, Wait: time.Hour, SendWithin: time.Hour, RepeatBy: repeatBy}, e)
+		select {
+		case o := <-e.outcomes:
+			return o
+		case <-time.After(10 * time.Second):
+			require.Fail(t, "the attempt did not end")
+			return router.Outcome{}
+		}
+	}
+	requireNotSent := func(t *testing.T, o router.Outcome) {
+		require.Equal(t, logic.Full, o.Status, o.Cause)
+		require.True(t, o.Unreached)
+	}
+	t.Run("connected, too late", func(t *testing.T) {
+		var requests atomic.Int64
+		c, w, _ := startWorker(t, func(nc net.Conn) {
+			if request(nc) {
+				requests.Add(1)
+				_, _ = io.WriteString(nc, accepted)
+			}
+		})
+		o := ask(c, w, time.Now(), 1)
+		requireNotSent(t, o)
+		require.Equal(t, logic.PromptRead, ask(c, w, time.Now().Add(time.Hour), 1).Status, "in time")
+		require.EqualValues(t, 1, requests.Load())
+	})
+	t.Run("while connecting", func(t *testing.T) {
+		l, err := deaf.Listen()
+		require.NoError(t, err)
+		t.Cleanup(l.Close)
+		c, w, _ := startWorker(t, func(net.Conn) {})
+		w.Addr = l.Addr()
+		requireNotSent(t, ask(c, w, time.Now().Add(window), 1))
+	})
+	t.Run("while writing", func(t *testing.T) {
+		proceed := make(chan struct{})
+		defer close(proceed)
+		c, w, _ := startWorker(t, func(nc net.Conn) {
+			_, _ = nc.Read(make([]byte, 1))
+			<-proceed
+		})
+		requireNotSent(t, ask(c, w, time.Now().Add(window), 64<<20))
+	})
+}
+
 // acceptedRelease is a release that a worker accepted.
 type acceptedRelease struct {
 	path string
