ZooKeeper front: a replica answers only sessions that the majority still holds

Cause: pings and reads were answered from the replica's own state; that its renewals of sessions failed had no effect on connections. A connection ends after two thirds of its session's time-out without that, or when the session may have ended. A resumed session keeps its time-out. Why it works: the leader ends a session no earlier than 0.4 s after its time-out, counted from the last renewal; the replica counts from before it sent that, and checks before each answer.

--- a/front/zkfront/server.go
+++ b/front/zkfront/server.go
@@ -76,7 +76,9 @@
 	mu       sync.Mutex
 	conns    map[*conn]bool
 	sessions map[string]*conn // the connection of each session at this replica
-	watches  *watches[*conn]
+	// confirmedAt is the latest time at which this replica is known to have had the newest state.
+	confirmedAt time.Time
+	watches     *watches[*conn]
 }
 
 // conn is a client's connection. One goroutine reads and answers calls, another one writes the
@@ -90,7 +92,10 @@
 	queue     chan []byte
 	closed    chan struct{}
 	closeOnce sync.Once
-	active    atomic.Bool // a frame arrived since the session was last touched
+	active    atomic.Bool // a frame arrived since the session was last renewed
+	// renewedAt is the latest time at which the leader is known to have held the session, guarded by
+	// the server's mu.
+	renewedAt time.Time
 }
 
 // New returns a server for a replica and registers it as the replica's observer. It must be closed.
@@ -100,8 +105,9 @@
 		sessions: map[string]*conn{}, watches: newWatches[*conn]()}
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	replica.Observe(s.observe)
-	s.wg.Add(1)
-	go s.touchSessions()
+	s.wg.Add(2)
+	go s.confirmSessions()
+	go s.closeUnconfirmed()
 	return s
 }
 
@@ -192,46 +198,6 @@
 	}
 }
 
-// touchSessions periodically reports the sessions with received frames to the store, which extends
-// their timeouts.
-func (s *Server) touchSessions() {
-	defer s.wg.Done()
-	tick := time.NewTicker(touchInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-tick.C:
-		case <-s.ctx.Done():
-			return
-		}
-		var ids []string
-		s.mu.Lock()
-		for id, c := range s.sessions {
-			if c.active.Load() {
-				ids = append(ids, id)
-			}
-		}
-		s.mu.Unlock()
-		if len(ids) == 0 {
-			continue
-		}
-		ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
-		err := s.replica.TouchAll(ctx, ids)
-		cancel()
-		if err != nil {
-			s.cfg.Log.WithError(err).Debug("sessions not touched in the store, retrying")
-			continue
-		}
-		s.mu.Lock()
-		for _, id := range ids {
-			if c := s.sessions[id]; c != nil {
-				c.active.Store(false)
-			}
-		}
-		s.mu.Unlock()
-	}
-}
-
 // close closes the connection. It is safe for concurrent use.
 func (c *conn) close() {
 	c.closeOnce.Do(func() {
@@ -311,6 +277,9 @@
 			return err
 		}
 		c.active.Store(true)
+		if err := c.checkConfirmed(); err != nil {
+			return err
+		}
 		if err := c.call(body); err != nil {
 			return err
 		}
@@ -336,8 +305,8 @@
 		return errLagging // another replica may be further ahead
 	}
 	c.timeout = min(max(time.Duration(hello.TimeoutMs)*time.Millisecond, s.cfg.TimeoutMin), s.cfg.TimeoutMax)
-	answer := zkwire.ConnectResponse{TimeoutMs: int32(c.timeout.Milliseconds()), SessionID: hello.SessionID,
-		Password: hello.Password, HasReadOnly: hello.HasReadOnly}
+	began := time.Now()
+	answer := zkwire.ConnectResponse{SessionID: hello.SessionID, Password: hello.Password, HasReadOnly: hello.HasReadOnly}
 	if hello.SessionID == 0 {
 		if sessions >= s.cfg.MaxSessions {
 			return errFull
@@ -364,20 +333,35 @@
 			return err
 		}
 	}
+	// A session that is resumed may be about to end. One that was opened had its whole time-out when
+	// the call ended, but that is known only to within the time that the call took.
+	if resumed := hello.SessionID != 0; resumed || time.Since(began) > c.timeout/4 {
+		var err error
+		if began, err = s.awaitConfirmation(ctx, c.session); err != nil {
+			return err
+		}
+	}
 	current := false
 	s.replica.View(func(v store.View) {
 		holder, exists := v.Holder(c.session)
 		if current = exists && holder == c.holder; !current {
 			return
 		}
+		// A session that is resumed keeps the time-out with which it was opened.
+		c.timeout = min(c.timeout, v.SessionTimeout(c.session)-sessionGrace)
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.sessions[c.session] = c
+		c.renewedAt = began
+		if began.After(s.confirmedAt) {
+			s.confirmedAt = began
+		}
 	})
 	if !current {
 		return errExpired // ended or taken over by another connection since the call above
 	}
 	c.active.Store(true)
+	answer.TimeoutMs = int32(c.timeout.Milliseconds())
 	c.send(zkwire.Append(nil, &answer))
 	return nil
 }
--- a/store/steps.go
+++ b/store/steps.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"path"
+	"time"
 )
 
 // StepOp is the operation of a Step.
@@ -189,6 +190,9 @@
 	return v.tree.Claims[session].Holder, ok
 }
 
+// SessionTimeout returns the time-out of a session, 0 if there is no such session.
+func (v View) SessionTimeout(session string) time.Duration { return v.tree.Sessions[session] }
+
 // Sessions returns the number of sessions.
 func (v View) Sessions() int { return len(v.tree.Sessions) }
 
--- a/test/store_forwarded_test.go
+++ b/test/store_forwarded_test.go
@@ -22,19 +22,31 @@
 // previousProgram lets the replicas of a store run different releases.
 var previousProgram = flag.String("previous-program", "", "the program of an earlier release, for the tests in which releases mix; without it they run this one alone")
 
-// storeReplica is one replica of a store, with the addresses of its API and of its ZooKeeper front.
-type storeReplica struct{ id, file, api, zooKeeper string }
+// storeReplica is one replica of a store, with its own addresses.
+type storeReplica struct{ id, file, raft, api, zooKeeper string }
 
 // layOutReplicas writes the files of the replicas of one store, which are not started yet.
-func layOutReplicas(t *testing.T, n int) (replicas []storeReplica) {
+func layOutReplicas(t *testing.T, n int) []storeReplica {
+	return layOutReplicasVia(t, n, func(_, _ int, addr string) string { return addr })
+}
+
+// layOutReplicasVia is like layOutReplicas. The replicas reach each other's addresses through those
+// that via returns.
+func layOutReplicasVia(t *testing.T, n int, via func(from, to int, addr string) string) (replicas []storeReplica) {
 	dir := t.TempDir()
-	var peers strings.Builder
 	for i := range n {
-		r := storeReplica{id: fmt.Sprint("r", i), file: filepath.Join(dir, fmt.Sprint("store", i, ".toml")), api: ownAddr(t), zooKeeper: ownAddr(t)}
-		fmt.Fprintf(&peers, "[[peer]]\nid = %q\nraft = %q\napi = %q\n", r.id, ownAddr(t), r.api)
-		replicas = append(replicas, r)
+		replicas = append(replicas, storeReplica{id: fmt.Sprint("r", i), file: filepath.Join(dir, fmt.Sprint("store", i, ".toml")),
+			raft: ownAddr(t), api: ownAddr(t), zooKeeper: ownAddr(t)})
 	}
-	for _, r := range replicas {
+	for from, r := range replicas {
+		var peers strings.Builder
+		for to, p := range replicas {
+			raft, api := p.raft, p.api
+			if to != from {
+				raft, api = via(from, to, raft), via(from, to, api)
+			}
+			fmt.Fprintf(&peers, "[[peer]]\nid = %q\nraft = %q\napi = %q\n", p.id, raft, api)
+		}
 		text := fmt.Sprintf("id = %q\ndata_dir = %q\nzookeeper = %q\n%s", r.id, filepath.Join(dir, "data-"+r.id), r.zooKeeper, &peers)
 		require.NoError(t, os.WriteFile(r.file, []byte(text), 0o600))
 	}
@@ -51,7 +63,12 @@
 
 // startStore starts one replica with each of the given programs.
 func startStore(t *testing.T, paths ...string) *storeCluster {
-	c := &storeCluster{t: t, replicas: layOutReplicas(t, len(paths))}
+	return startReplicas(t, layOutReplicas(t, len(paths)), paths...)
+}
+
+// startReplicas starts each of the given replicas with its program.
+func startReplicas(t *testing.T, replicas []storeReplica, paths ...string) *storeCluster {
+	c := &storeCluster{t: t, replicas: replicas}
 	var apis []string
 	for i, r := range c.replicas {
 		apis = append(apis, r.api)
