Chunked answers: what a worker sends besides data is bounded, as in net/http

A worker could send chunk extensions without bound between single bytes of data, and the answer was passed on. Cause: chunked bounded a line and a chunk, not the lines of all chunks together. Change: more than 16 KiB of chunk lines, less 16 bytes a chunk and two for each byte of data, is malformed.

--- a/upstream/chunked.go
+++ b/upstream/chunked.go
@@ -13,6 +13,12 @@
 	maxChunk      = 256 << 10 // bytes, as much as a whole body may hold
 	maxTrailers   = 16
 	maxSizeDigits = 8 // hexadecimal digits of a chunk's size
+	// maxOverhead bounds the bytes of a body's chunk lines, less lineAllowance for each chunk and
+	// dataAllowance for each byte of data.
+	maxOverhead   = 16 << 10
+	lineAllowance = 16
+	dataAllowance = 2
+	lineEnds      = 4 // bytes that end a chunk's line and its data
 )
 
 var errChunk = errors.New("malformed chunk")
@@ -24,6 +30,8 @@
 	br   *bufio.Reader
 	data bytes.Buffer // the unread rest of a complete chunk
 	err  error
+	// overhead is the part of the chunk lines so far that counts towards maxOverhead, in bytes.
+	overhead int64
 }
 
 // Read implements io.Reader.
@@ -72,6 +80,10 @@
 	if err != nil || len(digits) > maxSizeDigits || size > maxChunk {
 		return 0, fmt.Errorf("%w: size %.20q", errChunk, digits)
 	}
+	c.overhead = max(c.overhead+int64(len(line)+lineEnds)-lineAllowance-dataAllowance*int64(size), 0)
+	if c.overhead > maxOverhead {
+		return 0, fmt.Errorf("%w: too much besides data", errChunk)
+	}
 	return int64(size), nil
 }
 
--- a/upstream/chunked_fuzz_test.go
+++ b/upstream/chunked_fuzz_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"io"
 	"net/http/httputil"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -20,6 +21,7 @@
 	} {
 		f.Add([]byte(text))
 	}
+	f.Add([]byte(strings.Repeat("1;"+strings.Repeat("x", 4000)+"\r\na\r\n", 8) + "0\r\n\r\n")) // extensions without bound
 	f.Fuzz(func(t *testing.T, text []byte) {
 		ours, err := io.ReadAll(&chunked{br: bufio.NewReaderSize(bytes.NewReader(text), readBuffer)})
 		theirs, theirErr := io.ReadAll(httputil.NewChunkedReader(bytes.NewReader(text)))
