Review case 6: one silent replica of three costs a running backend its registration

`lichenshelf register` with three replicas, of which the leader is stopped for 30 s. Its heartbeats go to the stopped one first at each call and wait 5 s there, so the session ends (time-out 3 s) and cannot be opened again while that replica is silent; routers answer 503.

--- /dev/null
+++ b/review/driver2/main.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"runtime"
+	"syscall"
+	"time"
+)
+
+// limit is the longest that a case may take.
+const limit = 115 * time.Second
+
+// cases are the cases by their folder.
+var cases = map[string]func(*rig) error{
+	"6": registration,
+}
+
+// main plays the case of the folder in its argument. The exit code is 1 if the rule was broken, 0 if
+// it held, and 2 if the case could not run.
+func main() {
+	// The processes are bound to the thread that starts them, so that none outlives it.
+	runtime.LockOSThread()
+	os.Exit(play())
+}
+
+func play() int {
+	if len(os.Args) != 2 || cases[filepath.Base(os.Args[1])] == nil {
+		fmt.Fprintln(os.Stderr, "usage: driver2 FOLDER")
+		return 2
+	}
+	r, err := newRig(filepath.Join(os.Args[1], "record.txt"), os.Getenv("TROUBLE") != "0")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 2
+	}
+	defer r.close()
+	overtime := time.NewTimer(limit)
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		select {
+		case <-stop:
+		case <-overtime.C:
+			fmt.Fprintln(os.Stderr, "the case took too long")
+		}
+		r.close()
+		os.Exit(2)
+	}()
+	err = cases[filepath.Base(os.Args[1])](r)
+	switch {
+	case len(r.broken) > 0:
+		for _, b := range r.broken {
+			fmt.Println("broken:", b)
+		}
+		return 1
+	case err != nil:
+		r.note("error: %v", err)
+		fmt.Fprintln(os.Stderr, err)
+		return 2
+	}
+	r.note("the rule held")
+	fmt.Println("held")
+	return 0
+}
