Review case 8: a watch does not tell that its node was removed and made again

A registration's process is killed and started again at another address; the store's watch compares versions alone, which begin at 0 again, and tells nothing.

--- a/review/driver2/main.go
+++ b/review/driver2/main.go
@@ -17,6 +17,7 @@
 var cases = map[string]func(*rig) error{
 	"6": registration,
 	"7": rollback,
+	"8": rewatch,
 }
 
 // main plays the case of the folder in its argument. The exit code is 1 if the rule was broken, 0 if
