Review cases 7 and 10: a router that stays behind, and an operator's word that is lost

Case 7: a router without a replica that can't take the published version is not shut out while one of three replicas is silent. Case 10: a zone drained at a router that has just come back is not out anywhere some moments later. The cases of before have new numbers, by weight: 7 is 8 now, 8 is 9.

--- a/review/driver2/main.go
+++ b/review/driver2/main.go
@@ -15,9 +15,11 @@
 
 // cases are the cases by their folder.
 var cases = map[string]func(*rig) error{
-	"6": registration,
-	"7": rollback,
-	"8": rewatch,
+	"6":  registration,
+	"7":  behind,
+	"8":  rollback,
+	"9":  rewatch,
+	"10": zoneWord,
 }
 
 // main plays the case of the folder in its argument. The exit code is 1 if the rule was broken, 0 if
