--- a/review/driver2/rig.go
+++ b/review/driver2/rig.go
@@ -50,7 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &rig{dir: dir, trouble: trouble, began: time.Now(), record: f, client: &http.Client{Timeout: 6 * time.Second}}
+	r := &rig{dir: dir, trouble: trouble, began: time.Now(), record: f, client: &http.Client{Timeout: 6 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
 	r.note("begin, trouble=%v", trouble)
 	return r, nil
 }
--- a/review/driver2/rollback.go
+++ b/review/driver2/rollback.go
@@ -11,11 +11,12 @@
 	"time"
 )
 
-// answerLoser forwards HTTP calls to one address. While armed, it hands on the next publication but
-// closes its client's connection in place of the answer.
+// answerLoser forwards HTTP calls to one address. While armed, it hands on the next call that it is to
+// lose, but closes its client's connection in place of the answer.
 type answerLoser struct {
 	rig   *rig
 	to    string
+	loses func(req *http.Request, status int) bool
 	armed atomic.Bool
 	lost  atomic.Int64
 }
@@ -42,7 +43,6 @@
 		if err != nil {
 			return
 		}
-		lose := req.Method == http.MethodPost && strings.HasPrefix(req.URL.Path, "/v1/config/") && a.armed.CompareAndSwap(true, false)
 		req.Close = true
 		resp, err := (*http.Response)(nil), req.Write(far)
 		if err == nil {
@@ -53,7 +53,7 @@
 			return
 		}
 		a.rig.note("relay: %s %s: %d", req.Method, req.URL.RequestURI(), resp.StatusCode)
-		if lose {
+		if a.loses(req, resp.StatusCode) && a.armed.CompareAndSwap(true, false) {
 			a.lost.Add(1)
 			a.rig.note("relay: this answer is lost")
 			_ = far.Close()
@@ -87,7 +87,9 @@
 	if err != nil {
 		return err
 	}
-	relay := &answerLoser{rig: r, to: s.api[0]}
+	relay := &answerLoser{rig: r, to: s.api[0], loses: func(req *http.Request, _ int) bool {
+		return req.Method == http.MethodPost && strings.HasPrefix(req.URL.Path, "/v1/config/")
+	}}
 	r.closers = append(r.closers, func() { _ = l.Close() })
 	go relay.serve(l)
 	for i := 1; i <= keptVersions; i++ {
