--- a/review/driver2/main.go
+++ b/review/driver2/main.go
@@ -17,9 +17,9 @@
 var cases = map[string]func(*rig) error{
 	"6":  registration,
 	"7":  behind,
-	"8":  rollback,
+	"8":  sessions,
 	"9":  rewatch,
-	"10": zoneWord,
+	"10": rollback,
 }
 
 // main plays the case of the folder in its argument. The exit code is 1 if the rule was broken, 0 if
--- a/review/driver2/rig.go
+++ b/review/driver2/rig.go
@@ -117,6 +117,7 @@
 type process struct {
 	rig  *rig
 	name string
+	args []string
 	cmd  *exec.Cmd
 	done chan struct{}
 	log  *logWriter
@@ -150,7 +151,7 @@
 	if err := os.MkdirAll(tmp, 0o700); err != nil {
 		return nil, err
 	}
-	p := &process{rig: r, name: name, done: make(chan struct{}), log: &logWriter{rig: r, name: name}}
+	p := &process{rig: r, name: name, args: args, done: make(chan struct{}), log: &logWriter{rig: r, name: name}}
 	p.cmd = exec.Command("/bin/sh", append([]string{"-c", "exec " + program + ` "$@"`, "sh"}, args...)...)
 	p.cmd.Env = append(append(os.Environ(), "TMPDIR="+tmp), env...)
 	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
