--- a/review/driver2/rig.go
+++ b/review/driver2/rig.go
@@ -129,11 +129,13 @@
 	name string
 	mu   sync.Mutex
 	rest []byte
+	all  bytes.Buffer
 }
 
 func (w *logWriter) Write(b []byte) (int, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.all.Write(b)
 	w.rest = append(w.rest, b...)
 	for {
 		i := bytes.IndexByte(w.rest, '\n')
@@ -145,6 +147,12 @@
 	}
 }
 
+func (w *logWriter) text() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.all.String()
+}
+
 // start starts the program with arguments, as the run line of the deploy file does.
 func (r *rig) start(name string, env []string, args ...string) (*process, error) {
 	tmp := filepath.Join(r.dir, "tmp-"+name)
