--- a/review/driver2/registration.go
+++ b/review/driver2/registration.go
@@ -12,11 +12,12 @@
 
 const (
 	registrationTimeout = "3s"
-	hungFor             = 30 * time.Second
+	// hungFor is the length of a cut (STANDING, split).
+	hungFor = 6 * time.Second
 )
 
-// registration keeps a backend registered with a store of three replicas, of which the leader stops
-// for hungFor. Its registration must stay.
+// registration keeps a backend registered with a store of three replicas, of which one that does
+// not lead stops for hungFor. Its registration must stay.
 func registration(r *rig) error {
 	var served atomic.Int64
 	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
@@ -29,7 +30,7 @@
 	if err != nil {
 		return err
 	}
-	if err := s.lead(); err != nil {
+	if err := s.lead("r2"); err != nil {
 		return err
 	}
 	registrar, err := r.start("registrar", nil, "register", "--store", s.api[0], "--store", s.api[1], "--store", s.api[2],
@@ -84,14 +85,11 @@
 		if err := s.replicas[0].signal(syscall.SIGSTOP); err != nil {
 			return err
 		}
+		goOn := time.AfterFunc(hungFor-100*time.Millisecond, func() { _ = s.replicas[0].signal(syscall.SIGCONT) })
+		defer goOn.Stop()
 	}
-	watch(hungFor)
+	watch(2 * hungFor)
 	r.note("r2 names as the leader: %q", s.leader(1))
-	if r.trouble {
-		if err := s.replicas[0].signal(syscall.SIGCONT); err != nil {
-			return err
-		}
-	}
 	r.note("clients' answers: %v; the backend served %d; reads that did not find the node: %d", answers, served.Load(), absent)
 	if registrar.ended() {
 		return fmt.Errorf("%w: the registrar has ended", errRun)
--- a/review/driver2/sessions.go
+++ b/review/driver2/sessions.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -15,7 +16,8 @@
 	sessionCount   = 60
 	sessionTimeout = 20 * time.Second
 	touchEvery     = 100 * time.Millisecond
-	touchFor       = 12 * time.Second
+	touchFor       = 8 * time.Second
+	rounds         = 3
 )
 
 // touch is one answer to a call that keeps a session alive.
@@ -24,14 +26,14 @@
 	status int
 }
 
-// sessions opens sessions, kills all replicas, starts them again, and keeps the sessions alive
-// meanwhile. None may be told that its session is gone while it goes on.
+// sessions opens sessions, kills two of three replicas and starts them again, three times, and
+// keeps the sessions alive meanwhile. None may be told that its session is gone while it goes on.
 func sessions(r *rig) error {
 	s, err := r.startStore(false)
 	if err != nil {
 		return err
 	}
-	if err := s.lead(); err != nil {
+	if err := s.lead("r1"); err != nil {
 		return err
 	}
 	// Earlier writes: each replica's log has as many entries to apply after a start.
@@ -66,49 +68,54 @@
 	}
 	r.note("%d sessions are open, of %v each, after some %d writes", len(names), sessionTimeout, earlierWrites)
 	time.Sleep(time.Second)
-	if r.trouble {
-		for _, p := range s.replicas {
-			if err := p.signal(syscall.SIGKILL); err != nil {
-				return err
-			}
-		}
-		for _, p := range s.replicas {
-			<-p.done
-		}
-		for i := range s.replicas {
-			if s.replicas[i], err = r.start(s.replicas[i].name, nil, s.replicas[i].args...); err != nil {
-				return err
-			}
-		}
-	}
-	from := time.Now()
 	caller := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}, CheckRedirect: func(*http.Request, []*http.Request) error {
 		return http.ErrUseLastResponse // the next replica is asked in any case
 	}}
 	touches := make([][]touch, len(names))
-	var callers sync.WaitGroup
-	for i, name := range names {
-		callers.Go(func() {
-			for ; time.Since(from) < touchFor; time.Sleep(touchEvery) {
-				for _, api := range s.api {
-					req, err := http.NewRequest(http.MethodPut, "http://"+api+"/v1/sessions/"+name, nil)
-					if err != nil {
-						return
-					}
-					resp, err := caller.Do(req)
-					if err != nil {
-						continue
-					}
-					_ = resp.Body.Close()
-					if resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotFound {
-						touches[i] = append(touches[i], touch{time.Since(from), resp.StatusCode})
-						break
-					}
+	from := time.Now()
+	for round := range rounds {
+		if r.trouble {
+			// Two of three, the leader among them.
+			first := max(0, slices.IndexFunc(s.replicas, func(p *process) bool { return p.name == s.leader(1) }))
+			killed := []int{first, (first + 1) % len(s.replicas)}
+			for _, i := range killed {
+				if err := s.replicas[i].signal(syscall.SIGKILL); err != nil {
+					return err
 				}
 			}
-		})
+			for _, i := range killed {
+				<-s.replicas[i].done
+				if s.replicas[i], err = r.start(s.replicas[i].name, nil, s.replicas[i].args...); err != nil {
+					return err
+				}
+			}
+		}
+		began := time.Now()
+		var callers sync.WaitGroup
+		for i, name := range names {
+			callers.Go(func() {
+				for ; time.Since(began) < touchFor; time.Sleep(touchEvery) {
+					for _, api := range s.api {
+						req, err := http.NewRequest(http.MethodPut, "http://"+api+"/v1/sessions/"+name, nil)
+						if err != nil {
+							return
+						}
+						resp, err := caller.Do(req)
+						if err != nil {
+							continue
+						}
+						_ = resp.Body.Close()
+						if resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotFound {
+							touches[i] = append(touches[i], touch{time.Since(from), resp.StatusCode})
+							break
+						}
+					}
+				}
+			})
+		}
+		callers.Wait()
+		r.note("round %d is over", round+1)
 	}
-	callers.Wait()
 	wrong, alive := 0, 0
 	for i, list := range touches {
 		gone := -1
@@ -121,7 +128,7 @@
 			alive++
 			if gone >= 0 {
 				wrong++
-				r.note("PUT /v1/sessions/%s: 404 after %v, and 204 to the end", names[i], list[gone].at)
+				r.note("PUT /v1/sessions/%s: 404 after %v, and 204 at the end", names[i], list[gone].at)
 			}
 		}
 	}
--- a/review/driver2/slot.go
+++ b/review/driver2/slot.go
@@ -12,7 +12,8 @@
 	"time"
 )
 
-const lateBy = 8 * time.Second
+// lateBy is inside the 6 s for which a zone is cut off (STANDING, split).
+const lateBy = 5500 * time.Millisecond
 
 // lateSlot delays one release of a slot on its way to the store, and looks how many routers are shut
 // out at a time.
@@ -113,7 +114,7 @@
 			return err
 		}
 	}
-	if err := s.lead(); err != nil { // the relay's replica leads, so that no redirect goes past the relay
+	if err := s.lead("r1"); err != nil { // the relay's replica leads, so that no redirect goes past the relay
 		return err
 	}
 	publish := func(text string) error {
